--- /dev/null
+++ b/cli/cli/src/cli.ts
@@ -0,0 +1,78 @@
+import meow from 'meow'
+import { exitCodes, printError, type Command, type ExitCode, type Flags } from './command.ts'
+import { applyCommand } from './commands/apply.ts'
+import { cordonCommand, labelCommand, uncordonCommand } from './commands/vm.ts'
+import { entryCommand } from './commands/entry.ts'
+import { explainCommand } from './commands/explain.ts'
+import { getCommand } from './commands/get.ts'
+import { statusCommand } from './commands/status.ts'
+import { validateCommand } from './commands/validate.ts'
+import { waveCommand } from './commands/wave.ts'
+
+const VERSION = '0.1.0'
+
+const commands: readonly Command[] = [
+  entryCommand, applyCommand, getCommand, validateCommand, statusCommand,
+  labelCommand, cordonCommand, uncordonCommand, waveCommand, explainCommand
+]
+
+const flags = {
+  settings: { type: 'string' },
+  file: { type: 'string', shortFlag: 'f', isMultiple: true },
+  entry: { type: 'string' },
+  keyFile: { type: 'string' },
+  json: { type: 'boolean', default: false },
+  wait: { type: 'boolean', default: false },
+  waitMs: { type: 'number', default: 10_000 },
+  revision: { type: 'number' },
+  delete: { type: 'string', isMultiple: true },
+  selector: { type: 'string', isMultiple: true },
+  help: { type: 'boolean', shortFlag: 'h' },
+  version: { type: 'boolean' }
+} as const
+
+/**
+ * Runs a command.
+ * @param argv - arguments after the program's name
+ * @returns the exit code
+ */
+export async function runCli (argv: readonly string[]): Promise<ExitCode> {
+  const cli = meow({
+    argv: [...argv],
+    importMeta: { url: 'file:///wisteriaslip' } as ImportMeta,
+    pkg: { name: 'wisteriaslip', version: VERSION },
+    flags,
+    autoHelp: false,
+    autoVersion: false,
+    allowUnknownFlags: true
+  })
+  const given = cli.flags as Flags
+  const unknown = Object.keys(given).find(flag => !(flag in flags))
+  if (given.version === true) {
+    process.stdout.write(`${VERSION}\n`)
+    return exitCodes.ok
+  }
+  const [name, ...input] = cli.input
+  const command = commands.find(each => each.name === name)
+  if (command === undefined) return showHelp(name, given.help === true)
+  if (given.help === true) {
+    process.stdout.write(`${command.help}\n`)
+    return exitCodes.ok
+  }
+  if (unknown !== undefined) {
+    printError({ code: 'UNKNOWN_FLAG', message: `there is no flag ${unknown}`, hint: `See wisteriaslip ${command.name} --help.` })
+    return exitCodes.usage
+  }
+  return await command.run(input, given)
+}
+
+function showHelp (name: string | undefined, asked: boolean): ExitCode {
+  const lines = commands.map(command => `  ${command.name.padEnd(10)} ${command.summary}`)
+  const text = ['Usage: wisteriaslip COMMAND [options]', '', ...lines, '', 'wisteriaslip COMMAND --help tells more. --version prints the version.'].join('\n')
+  if (asked || name === undefined) {
+    process.stdout.write(`${text}\n`)
+    return asked ? exitCodes.ok : exitCodes.usage
+  }
+  printError({ code: 'UNKNOWN_COMMAND', message: `there is no command ${name}`, hint: 'See wisteriaslip --help.' })
+  return exitCodes.usage
+}
--- /dev/null
+++ b/cli/cli/src/commands/entry.ts
@@ -0,0 +1,34 @@
+import { createLogger } from '@wisteriaslip/core.logger'
+import { readSettings } from '@wisteriaslip/config.settings'
+import { exitCodes, printError, type Command } from '../command.ts'
+
+/** `wisteriaslip entry`: runs an entry until it is told to stop. */
+export const entryCommand: Command = {
+  name: 'entry',
+  summary: 'run an entry',
+  help: `Usage: wisteriaslip entry --settings FILE
+
+Runs an entry in the foreground. SIGTERM or SIGINT asks for a planned stop:
+requests under way end first.
+
+  --settings FILE  settings in JSON, see docs/OPERATORS.md`,
+  async run (_input, flags) {
+    if (typeof flags.settings !== 'string') {
+      printError({ code: 'SETTINGS_MISSING', message: 'no settings given', hint: 'Pass --settings FILE.' })
+      return exitCodes.usage
+    }
+    const read = await readSettings(flags.settings)
+    if (!read.ok) {
+      printError(read.error)
+      return exitCodes.usage
+    }
+    const { Entry } = await import('@wisteriaslip/cli.entry')
+    const { settings, keys } = read.value
+    const logger = createLogger('wisteriaslip', { level: settings.logLevel })
+    const stop = new AbortController()
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => stop.abort())
+    const entry = new Entry({ settings, keys, logger: logger.child({ entry: settings.id }) })
+    await entry.run(stop.signal, addresses => logger.info({ entry: settings.id, ...addresses }, 'listening'))
+    return exitCodes.ok
+  }
+}
--- /dev/null
+++ b/cli/cli/src/commands/status.ts
@@ -0,0 +1,37 @@
+import type { EntryStatus } from '@wisteriaslip/cli.operators'
+import { exitCodes, print, type Command } from '../command.ts'
+import { fail, OperatorClient } from '../operator-client.ts'
+
+/** `wisteriaslip status`: shows entries, pools and waves. */
+export const statusCommand: Command = {
+  name: 'status',
+  summary: 'show entries, pools and waves',
+  help: `Usage: wisteriaslip status [options]
+
+Shows the revision in force at each entry, pools with their leaders and VMs,
+waves with their progress, and latencies by tenant and class.
+
+  --entry URL, --key-file FILE, --json`,
+  async run (_input, flags) {
+    const client = await OperatorClient.from(flags)
+    const status = await client.get<EntryStatus>('/v1/status')
+    if (!status.ok) return fail(status.error)
+    if (flags.json === true) print(JSON.stringify(status.value))
+    else printStatus(status.value)
+    return exitCodes.ok
+  }
+}
+
+function printStatus (status: EntryStatus): void {
+  print(`entry ${status.id} ${status.ready ? 'ready' : 'not ready'} at revision ${status.revision}, store ${status.storeAvailable ? 'up' : 'down'}`)
+  for (const member of status.members) print(`  member ${member.id} in ${member.zone} revision ${member.revision ?? 'unknown'}`)
+  for (const pool of status.pools) {
+    print(`pool ${pool.pool} led by ${pool.leader ?? 'nobody'}: holds ${pool.slotsHeld} slots, ${pool.slotsBusy} busy, ${pool.waiting} waiting`)
+    for (const [vm, state] of Object.entries(pool.vms)) print(`  vm ${vm} ${state}`)
+  }
+  for (const wave of status.waves) {
+    print(`wave ${wave.wave} ${wave.state} in ${wave.pool}: ${wave.done} of ${wave.total} done, under way ${wave.underWay.join(', ') || 'none'}`)
+    for (const aside of wave.setAside) print(`  set aside ${aside.vm}: ${aside.reason}`)
+  }
+  for (const [series, latency] of Object.entries(status.latencies)) print(`${series} count ${latency.count} p50 ${latency.p50Ms} ms p99 ${latency.p99Ms} ms`)
+}
--- /dev/null
+++ b/cli/cli/src/commands/wave.ts
@@ -0,0 +1,42 @@
+import { changeDocument } from '../change-document.ts'
+import { exitCodes, print, printError, type Command, type ExitCode, type Flags } from '../command.ts'
+import { fail, OperatorClient } from '../operator-client.ts'
+
+const states = { pause: 'paused', resume: 'running', cancel: 'cancelled' } as const
+
+/** `wisteriaslip wave`: declares and steers maintenance waves. */
+export const waveCommand: Command = {
+  name: 'wave',
+  summary: 'declare, pause, resume or cancel a maintenance wave',
+  help: `Usage: wisteriaslip wave declare NAME --selector KEY=VALUE [--selector KEY=VALUE]
+       wisteriaslip wave pause|resume|cancel NAME
+
+A wave drains and reboots every VM that its selector matches, as many at once
+as the pools' budgets allow.
+
+  --entry URL, --key-file FILE`,
+  async run (input, flags) {
+    const [action, name] = input
+    if (action === 'declare') return await declare(name, flags)
+    if (action !== undefined && action in states) {
+      const state = states[action as keyof typeof states]
+      return await changeDocument({ kind: 'wave', name }, flags, wave => ({ ...wave, state }))
+    }
+    printError({ code: 'UNKNOWN_ACTION', message: `there is no wave ${action ?? 'action'}`, hint: 'Use declare, pause, resume or cancel.' })
+    return exitCodes.usage
+  }
+}
+
+async function declare (name: string | undefined, flags: Flags): Promise<ExitCode> {
+  const pairs = (flags.selector as string[] | undefined) ?? []
+  if (name === undefined || pairs.length === 0) {
+    printError({ code: 'WAVE_INCOMPLETE', message: 'a wave needs a name and a selector', hint: 'Use wave declare NAME --selector KEY=VALUE.' })
+    return exitCodes.usage
+  }
+  const selector = Object.fromEntries(pairs.map(pair => [pair.slice(0, pair.indexOf('=')), pair.slice(pair.indexOf('=') + 1)]))
+  const client = await OperatorClient.from(flags)
+  const applied = await client.post<{ revision: number }>('/v1/apply', { documents: [{ kind: 'wave', name, selector }], seen: { [`wave/${name}`]: 0 } })
+  if (!applied.ok) return fail(applied.error)
+  print(`accepted at revision ${applied.value.revision}`)
+  return exitCodes.ok
+}
--- /dev/null
+++ b/cli/cli/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Command line of wisteriaslip.
+ * @module
+ */
+export { runCli } from './cli.ts'
--- /dev/null
+++ b/cli/cli/src/main.ts
@@ -0,0 +1,9 @@
+import { runCli } from './cli.ts'
+
+runCli(process.argv.slice(2)).then(
+  code => { process.exitCode = code },
+  error => {
+    process.stderr.write(`${String(error)}\n`)
+    process.exitCode = 70
+  }
+)
--- /dev/null
+++ b/cli/entry/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * The entry process: all packages put together.
+ * @module
+ */
+export { Entry, type EntryDeps } from './entry.ts'
--- /dev/null
+++ b/cli/entry/src/peer-service.ts
@@ -0,0 +1,101 @@
+import type { Driver } from '@wisteriaslip/platform.store'
+import type { ClaimReply, ClaimRequest, ClaimSettlement, PeerService, RelayCall, RelayReply, SyncReply, SyncRequest } from '@wisteriaslip/peers.protocol'
+import { ClaimTable, type ClaimPartitions } from '@wisteriaslip/routing.idempotency'
+import type { Loan, SlotReply, SlotReport } from '@wisteriaslip/routing.slots'
+import type { Decision, SubjectKind } from '@wisteriaslip/core.decisions'
+import type { Pools } from './pools.ts'
+import type { SlotLeader } from './slot-leader.ts'
+import type { SlotReporter } from './slot-reporter.ts'
+import type { EntryState } from './state.ts'
+
+const RELAY_TIMEOUT_MS = 700
+
+/** Parts of the entry that serve peers. */
+export interface EntryPeerServiceOpts {
+  readonly state: EntryState
+  readonly pools: Pools
+  readonly leader: SlotLeader
+  readonly reporter: SlotReporter
+  readonly partitions: ClaimPartitions
+}
+
+/** What this entry does for its peers, and for itself where it is its own leader or owner. */
+export class EntryPeerService implements PeerService {
+  private readonly opts: EntryPeerServiceOpts
+  private readonly issued: ClaimTable
+
+  constructor (opts: EntryPeerServiceOpts) {
+    this.opts = opts
+    this.issued = new ClaimTable(opts.state.clock)
+  }
+
+  async sync (req: SyncRequest): Promise<SyncReply> {
+    const { members, mirror, store } = this.opts.state
+    return {
+      incarnation: members.self.incarnation,
+      revision: mirror.revision(),
+      storeAvailable: store.available(),
+      hearing: this.opts.reporter.hearing(),
+      delta: mirror.since(req.revision)
+    }
+  }
+
+  async report (req: SlotReport): Promise<SlotReply> {
+    return this.opts.leader.report(req)
+  }
+
+  async nudge (req: { from: string }): Promise<void> {
+    this.opts.reporter.nudge(req.from)
+  }
+
+  /** Slots are lent only while no request of this entry waits for them. */
+  async borrow (req: { pool: string, to: string, slots: number }): Promise<Loan[]> {
+    const pool = this.opts.pools.pool(req.pool)
+    if (pool.queue.waiting() > 0) return []
+    return pool.slots.lend(req.to, req.slots)
+  }
+
+  async claim (req: ClaimRequest): Promise<ClaimReply> {
+    if (req.issuedBy === undefined) return await this.opts.partitions.claim(req)
+    if (req.issuedBy !== this.opts.state.members.self.incarnation) return { state: 'lost' }
+    const known = this.issued.lookUp(req)
+    if (known !== undefined) return known
+    if (!this.issued.hasRoom()) return { state: 'unavailable' }
+    this.issued.take(req)
+    return { state: 'run' }
+  }
+
+  async settle (req: ClaimSettlement): Promise<void> {
+    if (req.issuedBy === undefined) this.opts.partitions.settle(req)
+    else this.issued.settle(req)
+  }
+
+  /** Relayed calls go straight to the store: one that must be relayed again would only go round in circles. */
+  async relay (req: RelayCall): Promise<RelayReply> {
+    const { driver } = this.opts.state
+    this.opts.state.metrics.count('store_calls_total', { kind: 'relayed' })
+    return await perform(driver, req, AbortSignal.timeout(RELAY_TIMEOUT_MS))
+  }
+
+  async loads () {
+    return this.opts.leader.loads()
+  }
+
+  async explain (req: { kind: SubjectKind, name: string }): Promise<readonly Decision[]> {
+    return this.opts.state.decisions.about(req.kind, req.name)
+  }
+}
+
+async function perform (driver: Driver, call: RelayCall, signal: AbortSignal): Promise<RelayReply> {
+  switch (call.op) {
+    case 'range': return await driver.range(call.key, { prefix: call.prefix, ...(call.minModRevision === undefined ? {} : { minModRevision: call.minModRevision }), signal })
+    case 'txn': return await driver.txn(call.txn, signal)
+    case 'grant': return await driver.grantLease(call.ttlMs, signal)
+    case 'keepAlive': return nullable(await driver.keepAlive(call.leaseId, signal))
+    case 'revoke': return nullable(await driver.revokeLease(call.leaseId, signal))
+  }
+}
+
+function nullable (result: Awaited<ReturnType<Driver['keepAlive']>>): RelayReply {
+  return result.ok ? { ok: true, value: null } : result
+}
--- /dev/null
+++ b/cli/entry/src/slot-leader.ts
@@ -0,0 +1,128 @@
+import type { Clock } from '@wisteriaslip/core.result'
+import type { Logger } from '@wisteriaslip/core.logger'
+import type { DecisionLog } from '@wisteriaslip/core.decisions'
+import type { DocumentView, FleetView } from '@wisteriaslip/fleet.view'
+import type { Keys, Leadership, Members } from '@wisteriaslip/peers.membership'
+import type { PoolLoad } from '@wisteriaslip/peers.protocol'
+import type { Mirror } from '@wisteriaslip/platform.mirror'
+import { SlotAllocator, type PoolGrant, type SlotReply, type SlotReport, type TargetCapacity } from '@wisteriaslip/routing.slots'
+import { poolResource } from './resources.ts'
+
+/** What the leader's side needs of the entry. */
+export interface SlotLeaderOpts {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly decisions: DecisionLog
+  readonly documents: DocumentView
+  readonly fleet: FleetView
+  readonly mirror: Mirror
+  readonly keys: Keys
+  readonly members: Members
+  readonly leadership: Leadership
+  readonly storeAvailable: () => boolean
+  readonly maxEntries: number
+  readonly nudge: (entry: string) => void
+}
+
+/** Allotments of the pools that this entry leads. */
+export class SlotLeader {
+  private readonly opts: SlotLeaderOpts
+  private readonly allocators = new Map<string, SlotAllocator>()
+
+  constructor (opts: SlotLeaderOpts) {
+    this.opts = opts
+  }
+
+  /**
+   * Takes in a report and answers it.
+   * @param report - of an entry, this one included
+   * @returns grants for the reported pools, and which others stay in force
+   */
+  report (report: SlotReport): SlotReply {
+    const sender = { id: report.from, incarnation: report.incarnation, seq: report.seq, heard: report.heard }
+    const reported = new Set(report.pools.map(pool => pool.pool))
+    const pools: PoolGrant[] = []
+    for (const each of report.pools) {
+      const grant = this.acting(each.pool)?.report(sender, each)
+      if (grant !== undefined) pools.push(grant)
+    }
+    const renewed: number[] = []
+    for (const [pool, allocator] of this.allocators) {
+      if (reported.has(pool) || this.acting(pool) !== allocator) continue
+      if (allocator.renew(report.incarnation, report.heard)) renewed.push(allocator.token)
+    }
+    return { pools, renewed }
+  }
+
+  /**
+   * @param pool - name of a pool
+   * @returns its allocator while this entry may act as the pool's leader
+   */
+  acting (pool: string): SlotAllocator | undefined {
+    const token = this.opts.leadership.nominalToken(poolResource(pool))
+    if (token === undefined) {
+      this.allocators.delete(pool)
+      return undefined
+    }
+    const allocator = this.allocatorFor(pool, token)
+    return this.hasAuthority(pool, allocator) ? allocator : undefined
+  }
+
+  /** @returns capacity and work of each pool that this entry leads */
+  loads (): PoolLoad[] {
+    const out: PoolLoad[] = []
+    for (const pool of this.allocators.keys()) {
+      const allocator = this.acting(pool)
+      if (allocator !== undefined) out.push({ pool, ...allocator.load() })
+    }
+    return out
+  }
+
+  /** With the store down nobody else can have been elected, as long as most members still follow this leader. */
+  private hasAuthority (pool: string, allocator: SlotAllocator): boolean {
+    if (this.opts.leadership.token(poolResource(pool)) !== undefined) return true
+    if (this.opts.storeAvailable()) return false
+    return allocator.followers() >= this.opts.members.majority()
+  }
+
+  private allocatorFor (pool: string, token: number): SlotAllocator {
+    const known = this.allocators.get(pool)
+    if (known?.token === token) return known
+    const allocator = this.createAllocator(pool, token)
+    this.allocators.set(pool, allocator)
+    this.opts.decisions.record('pool', pool, 'LEADERSHIP_TAKEN', { token, by: this.opts.members.self.id })
+    return allocator
+  }
+
+  private createAllocator (pool: string, token: number): SlotAllocator {
+    const { clock, documents, members, leadership, nudge } = this.opts
+    return new SlotAllocator({
+      clock,
+      token,
+      nudge,
+      targets: () => this.targets(pool),
+      classes: () => [...documents.config()?.classes.values() ?? []],
+      quota: tenant => documents.config()?.quotaOf(tenant) ?? 1,
+      maxRunMs: () => documents.config()?.maxRunMs(pool) ?? 0,
+      possibleHolders: () => this.possibleHolders(),
+      isMajority: entries => entries >= members.majority(),
+      leaseHolds: () => leadership.token(poolResource(pool)) === token,
+      zoneOf: entry => members.find(entry)?.zone
+    })
+  }
+
+  private possibleHolders (): string[] {
+    const prefix = this.opts.keys.holders
+    return this.opts.mirror.list(prefix).map(doc => doc.key.slice(prefix.length))
+  }
+
+  private targets (pool: string): TargetCapacity[] {
+    const out: TargetCapacity[] = []
+    for (const [name, { vm, status }] of this.opts.fleet.vmsOf(pool)) {
+      if (vm.role !== 'executor') continue
+      const perEntry = Math.max(1, Math.floor(vm.connections / this.opts.maxEntries))
+      out.push({ name, zone: vm.zone, slots: vm.slots, perEntry: Math.min(vm.slots, perEntry), usable: status === 'in-service' })
+    }
+    return out
+  }
+}
--- /dev/null
+++ b/cli/entry/src/slot-reporter.ts
@@ -0,0 +1,175 @@
+import { pause, type Clock, type Result } from '@wisteriaslip/core.result'
+import type { FleetConfig } from '@wisteriaslip/config.documents'
+import type { Leadership, Member, Members } from '@wisteriaslip/peers.membership'
+import type { PeerError, PeerService } from '@wisteriaslip/peers.protocol'
+import type { PoolRuntime } from '@wisteriaslip/routing.gateway'
+import { FOLLOWING_MS, HOLD_MS, type SlotReport } from '@wisteriaslip/routing.slots'
+import { poolResource } from './resources.ts'
+
+const TICK_MS = 25
+/** Least time between two reports to the same leader. */
+const REPORT_GAP_MS = 100
+/** A leader hears from every entry at least this often. */
+const RENEW_MS = 1_000
+const REPORT_TIMEOUT_MS = 800
+/** After this time without an answer of the leader, urgent work borrows slots from peers. */
+const BORROW_AFTER_MS = 500
+const BORROW_TIMEOUT_MS = 300
+const MAX_BORROWED_SLOTS = 8
+
+/** Calls a method of a peer, or of this entry itself. */
+export type CallMember = <M extends keyof PeerService>(member: Member, method: M, input: Parameters<PeerService[M]>[0], timeoutMs: number) => Promise<Result<Awaited<ReturnType<PeerService[M]>>, PeerError>>
+
+/** What the reporter needs of the entry. */
+export interface SlotReporterOpts {
+  readonly clock: Clock
+  readonly members: Members
+  readonly leadership: Leadership
+  readonly pools: () => Iterable<PoolRuntime>
+  readonly config: () => FleetConfig | undefined
+  readonly call: CallMember
+  readonly signal: AbortSignal
+}
+
+interface LeaderLink {
+  heardAt: number
+  sentAt: number
+  seq: number
+}
+
+/** Tells each leader what this entry holds and needs: one task for each member, one message at a time. */
+export class SlotReporter {
+  private readonly opts: SlotReporterOpts
+  private readonly links = new Map<string, LeaderLink>()
+  private readonly nudged = new Set<string>()
+  private borrowTurn = 0
+
+  constructor (opts: SlotReporterOpts) {
+    this.opts = opts
+  }
+
+  /** Starts and ends tasks as members come and go, until the signal aborts. */
+  async run (): Promise<void> {
+    const tasks = new Map<string, AbortController>()
+    const borrowing = this.borrowWhileUnled()
+    while (!this.opts.signal.aborted) {
+      const members = this.opts.members.all()
+      for (const member of members) {
+        if (tasks.has(member.incarnation)) continue
+        const ended = new AbortController()
+        tasks.set(member.incarnation, ended)
+        this.serveLink(member, AbortSignal.any([this.opts.signal, ended.signal])).catch(() => {})
+      }
+      for (const [incarnation, ended] of tasks) {
+        if (members.some(member => member.incarnation === incarnation)) continue
+        ended.abort()
+        tasks.delete(incarnation)
+        this.links.delete(incarnation)
+      }
+      await pause(RENEW_MS / 4, this.opts.signal)
+    }
+    await borrowing
+  }
+
+  /**
+   * A leader asks for a report at once.
+   * @param entry - id of the leader
+   */
+  nudge (entry: string): void {
+    this.nudged.add(entry)
+  }
+
+  /** @returns incarnations of the leaders that answered within the holding time */
+  hearing (): string[] {
+    const since = this.opts.clock.now() - HOLD_MS
+    return [...this.links].filter(([, link]) => link.heardAt >= since).map(([incarnation]) => incarnation)
+  }
+
+  private async serveLink (member: Member, signal: AbortSignal): Promise<void> {
+    const link: LeaderLink = { heardAt: Number.NEGATIVE_INFINITY, sentAt: Number.NEGATIVE_INFINITY, seq: 0 }
+    this.links.set(member.incarnation, link)
+    while (await pause(TICK_MS, signal)) {
+      const led = this.ledBy(member)
+      if (led.length === 0 || !this.isDue(member, link, led)) continue
+      await this.report(member, link, led)
+    }
+  }
+
+  private ledBy (member: Member): PoolRuntime[] {
+    const led: PoolRuntime[] = []
+    for (const pool of this.opts.pools()) {
+      const leader = this.opts.leadership.leaderOf(poolResource(pool.pool))
+      if (leader?.record.incarnation !== member.incarnation) continue
+      pool.slots.follow(leader.token)
+      led.push(pool)
+    }
+    return led
+  }
+
+  private isDue (member: Member, link: LeaderLink, led: readonly PoolRuntime[]): boolean {
+    const since = this.opts.clock.now() - link.sentAt
+    if (since >= RENEW_MS) return true
+    if (since < REPORT_GAP_MS) return false
+    if (this.nudged.delete(member.id)) return true
+    return led.some(pool => pool.slots.isDirty() || (isStarved(pool) && pool.slots.hasNews()))
+  }
+
+  private async report (member: Member, link: LeaderLink, led: readonly PoolRuntime[]): Promise<void> {
+    const { self } = this.opts.members
+    const sentAt = this.opts.clock.now()
+    link.sentAt = sentAt
+    link.seq += 1
+    const heard = sentAt - link.heardAt < FOLLOWING_MS
+    const told = led.filter(pool => pool.slots.hasNews() || isStarved(pool))
+    const report: SlotReport = { from: self.id, incarnation: self.incarnation, seq: link.seq, heard, pools: told.map(pool => pool.slots.report()) }
+    const reply = await this.opts.call(member, 'report', report, REPORT_TIMEOUT_MS)
+    if (!reply.ok) {
+      for (const pool of told) pool.slots.reportAgain()
+      return
+    }
+    link.heardAt = this.opts.clock.now()
+    const answered = new Set<string>()
+    for (const grant of reply.value.pools) {
+      answered.add(grant.pool)
+      led.find(pool => pool.pool === grant.pool)?.slots.apply(sentAt, grant)
+    }
+    for (const pool of led) {
+      if (reply.value.renewed.includes(pool.slots.leaderToken())) pool.slots.renew(sentAt, pool.slots.leaderToken())
+      else if (!answered.has(pool.pool)) pool.slots.reportAgain()
+    }
+  }
+
+  private async borrowWhileUnled (): Promise<void> {
+    while (await pause(REPORT_GAP_MS, this.opts.signal)) {
+      for (const pool of this.opts.pools()) {
+        const wanted = this.urgentlyMissing(pool)
+        if (wanted > 0) await this.borrow(pool, wanted)
+      }
+    }
+  }
+
+  private urgentlyMissing (pool: PoolRuntime): number {
+    if (!isStarved(pool) || !pool.slots.valid() || this.isLed(pool)) return 0
+    const ranks = [...this.opts.config()?.classes.values() ?? []].map(each => each.rank)
+    return Math.min(MAX_BORROWED_SLOTS, pool.queue.waitingUpTo(Math.min(...ranks)))
+  }
+
+  private isLed (pool: PoolRuntime): boolean {
+    const leader = this.opts.leadership.leaderOf(poolResource(pool.pool))
+    const link = leader === undefined ? undefined : this.links.get(leader.record.incarnation)
+    return link !== undefined && this.opts.clock.now() - link.heardAt < BORROW_AFTER_MS + RENEW_MS
+  }
+
+  private async borrow (pool: PoolRuntime, wanted: number): Promise<void> {
+    const peers = this.opts.members.peers()
+    const peer = peers[this.borrowTurn % Math.max(1, peers.length)]
+    this.borrowTurn += 1
+    if (peer === undefined) return
+    const loans = await this.opts.call(peer, 'borrow', { pool: pool.pool, to: this.opts.members.self.incarnation, slots: wanted }, BORROW_TIMEOUT_MS)
+    if (loans.ok && loans.value.length > 0) pool.slots.borrow(loans.value)
+  }
+}
+
+function isStarved (pool: PoolRuntime): boolean {
+  return pool.queue.waiting() > 0 && pool.slots.totals().idle === 0
+}
--- /dev/null
+++ b/cli/operators/src/server.ts
@@ -0,0 +1,122 @@
+import { timingSafeEqual } from 'node:crypto'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { z } from 'zod'
+import type { Result } from '@wisteriaslip/core.result'
+import { kinds, type Document, type Kind } from '@wisteriaslip/config.documents'
+import type { ApplyError, ApplyRequest } from '@wisteriaslip/config.apply'
+import { formatIssues } from '@wisteriaslip/config.settings'
+import { subjectKinds, type SubjectKind } from '@wisteriaslip/core.decisions'
+import type { EntryStatus, Explanation } from './status.ts'
+
+const MAX_BODY_BYTES = 8 * 1024 * 1024
+
+const applySchema = z.strictObject({
+  documents: z.array(z.unknown()).default([]),
+  deletes: z.array(z.strictObject({ kind: z.enum(kinds), name: z.string() })).default([]),
+  seen: z.record(z.string(), z.number().int()).default({}),
+  dryRun: z.boolean().default(false)
+})
+
+/** What operators can ask of an entry. */
+export interface OperatorServerOpts {
+  /** Key that operators must show; undefined in a trial. */
+  readonly key: string | undefined
+  readonly apply: (request: ApplyRequest, dryRun: boolean) => Promise<Result<{ revision: number }, ApplyError>>
+  readonly documents: (kind: Kind | undefined, name: string | undefined) => Array<{ document: Document, revision: number }>
+  readonly status: () => EntryStatus
+  readonly explain: (kind: SubjectKind, name: string) => Promise<Explanation>
+  readonly metrics: () => string
+}
+
+/**
+ * HTTP server for operators: `GET /v1/documents`, `POST /v1/apply`, `GET /v1/status`, `GET /v1/explain`, `GET /metrics`.
+ * @param opts - what it answers from
+ * @returns a server that does not listen yet
+ */
+export function createOperatorServer (opts: OperatorServerOpts): Server {
+  return createServer((req, res) => {
+    answer(req, res, opts).catch(error => send(res, 500, { code: 'INTERNAL', message: String(error), hint: 'See the entry\'s log.' }))
+  })
+}
+
+async function answer (req: IncomingMessage, res: ServerResponse, opts: OperatorServerOpts): Promise<void> {
+  if (opts.key !== undefined && !showsKey(req, opts.key)) {
+    return send(res, 401, { code: 'OPERATOR_KEY_WRONG', message: 'the operators\' key is missing or wrong', hint: 'Set WISTERIASLIP_KEY or pass --key-file.' })
+  }
+  const url = new URL(req.url ?? '/', 'http://entry')
+  const route = `${req.method ?? 'GET'} ${url.pathname}`
+  switch (route) {
+    case 'GET /metrics':
+      res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
+      res.end(opts.metrics())
+      return
+    case 'GET /v1/status': return send(res, 200, opts.status())
+    case 'GET /v1/documents': return getDocuments(url, res, opts)
+    case 'GET /v1/explain': return await explain(url, res, opts)
+    case 'POST /v1/apply': return await apply(req, res, opts)
+    default: return send(res, 404, { code: 'NO_ROUTE', message: `${route} does not exist`, hint: 'See docs/OPERATORS.md.' })
+  }
+}
+
+function getDocuments (url: URL, res: ServerResponse, opts: OperatorServerOpts): void {
+  const kind = z.enum(kinds).optional().safeParse(url.searchParams.get('kind') ?? undefined)
+  if (!kind.success) return send(res, 400, { code: 'BAD_KIND', message: 'no such kind', hint: `Use one of ${kinds.join(', ')}.` })
+  send(res, 200, { documents: opts.documents(kind.data, url.searchParams.get('name') ?? undefined) })
+}
+
+async function explain (url: URL, res: ServerResponse, opts: OperatorServerOpts): Promise<void> {
+  const kind = url.searchParams.get('kind') ?? ''
+  const name = url.searchParams.get('name') ?? ''
+  if (!(kind in subjectKinds) || name === '') {
+    return send(res, 400, { code: 'BAD_SUBJECT', message: 'kind or name is missing or wrong', hint: `Use one of ${Object.keys(subjectKinds).join(', ')}.` })
+  }
+  send(res, 200, await opts.explain(kind as SubjectKind, name))
+}
+
+async function apply (req: IncomingMessage, res: ServerResponse, opts: OperatorServerOpts): Promise<void> {
+  const body = await readJson(req)
+  const parsed = applySchema.safeParse(body)
+  if (!parsed.success) {
+    return send(res, 400, { code: 'BAD_REQUEST', message: formatIssues(parsed.error.issues, body).join('; '), hint: 'Send {"documents": [...], "deletes": [...], "seen": {...}}.' })
+  }
+  const applied = await opts.apply(parsed.data, parsed.data.dryRun)
+  if (applied.ok) return send(res, 200, applied.value)
+  send(res, statusOf(applied.error), { code: applied.error.code, message: applied.error.message, hint: applied.error.hint })
+}
+
+function statusOf (error: ApplyError): number {
+  switch (error.kind) {
+    case 'invalid-document': return 422
+    case 'too-many': return 413
+    case 'conflict': return 409
+    case 'unavailable': return 503
+    case 'unknown': return 504
+  }
+}
+
+async function readJson (req: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    bytes += chunk.length
+    if (bytes > MAX_BODY_BYTES) return undefined
+    chunks.push(chunk)
+  }
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString()) as unknown
+  } catch {
+    return undefined
+  }
+}
+
+function showsKey (req: IncomingMessage, key: string): boolean {
+  const shown = Buffer.from(req.headers.authorization ?? '')
+  const expected = Buffer.from(`Bearer ${key}`)
+  return shown.length === expected.length && timingSafeEqual(shown, expected)
+}
+
+function send (res: ServerResponse, status: number, body: unknown): void {
+  if (res.headersSent) return
+  res.writeHead(status, { 'content-type': 'application/json' })
+  res.end(JSON.stringify(body))
+}
--- /dev/null
+++ b/cli/operators/src/status.ts
@@ -0,0 +1,47 @@
+import type { Decision } from '@wisteriaslip/core.decisions'
+
+/** A member as one entry sees it. */
+export interface MemberStatus {
+  readonly id: string
+  readonly zone: string
+  readonly incarnation: string
+  /** Revision of the state that the member has in force; undefined when it does not answer. */
+  readonly revision: number | undefined
+  readonly storeAvailable: boolean | undefined
+}
+
+/** How far a wave has come in one pool. */
+export interface WaveStatus {
+  readonly wave: string
+  readonly state: string
+  readonly pool: string
+  readonly total: number
+  readonly done: number
+  readonly underWay: readonly string[]
+  readonly setAside: ReadonlyArray<{ readonly vm: string, readonly reason: string }>
+}
+
+/** Answer of `GET /v1/status`. */
+export interface EntryStatus {
+  readonly id: string
+  readonly ready: boolean
+  readonly revision: number
+  readonly storeAvailable: boolean
+  readonly members: readonly MemberStatus[]
+  readonly pools: ReadonlyArray<{
+    readonly pool: string
+    readonly leader: string | undefined
+    readonly vms: Readonly<Record<string, string>>
+    readonly slotsHeld: number
+    readonly slotsBusy: number
+    readonly waiting: number
+  }>
+  readonly waves: readonly WaveStatus[]
+  readonly latencies: Readonly<Record<string, { count: number, p50Ms: number, p99Ms: number }>>
+}
+
+/** Answer of `GET /v1/explain`. */
+export interface Explanation {
+  readonly present: Readonly<Record<string, unknown>>
+  readonly decisions: readonly Decision[]
+}
--- /dev/null
+++ b/config/documents/src/fleet-config.ts
@@ -0,0 +1,126 @@
+import type { ClassDoc, Document, DocumentOf, Kind, PoolDoc, TenantDoc, VmDoc, WaveDoc, WorkloadDoc } from './schema.ts'
+import { matches } from './selector.ts'
+
+/** All documents in force, indexed for look-ups. Built anew on each change; never altered. */
+export class FleetConfig {
+  readonly classes: ReadonlyMap<string, ClassDoc>
+  readonly vms: ReadonlyMap<string, VmDoc>
+  readonly pools: readonly PoolDoc[]
+  readonly workloads: readonly WorkloadDoc[]
+  readonly tenants: readonly TenantDoc[]
+  readonly waves: readonly WaveDoc[]
+  private readonly poolByName: ReadonlyMap<string, PoolDoc>
+  private readonly poolByWorkload: ReadonlyMap<string, PoolDoc>
+  private readonly workloadsByPool: ReadonlyMap<string, readonly WorkloadDoc[]>
+  private readonly tenantByKey: ReadonlyMap<string, TenantDoc>
+  private readonly tenantByName: ReadonlyMap<string, TenantDoc>
+  private readonly openTenant: TenantDoc | undefined
+
+  constructor (documents: readonly Document[]) {
+    this.classes = new Map(ofKind(documents, 'class').map(doc => [doc.name, doc]))
+    this.vms = new Map(ofKind(documents, 'vm').map(doc => [doc.name, doc]))
+    this.pools = ofKind(documents, 'pool').sort(byOrder)
+    this.workloads = ofKind(documents, 'workload').sort(byPrefixLength)
+    this.tenants = ofKind(documents, 'tenant')
+    this.waves = ofKind(documents, 'wave')
+    this.poolByName = new Map(this.pools.map(pool => [pool.name, pool]))
+    this.poolByWorkload = indexPools(this.workloads, this.pools)
+    this.workloadsByPool = groupByPool(this.workloads, this.poolByWorkload)
+    this.tenantByKey = new Map(this.tenants.flatMap(doc => doc.keySha256 === undefined ? [] : [[doc.keySha256, doc] as const]))
+    this.tenantByName = new Map(this.tenants.map(doc => [doc.name, doc]))
+    this.openTenant = this.tenants.find(doc => doc.keySha256 === undefined)
+  }
+
+  /**
+   * @param method - HTTP method
+   * @param path - path without the query
+   * @returns the workload with the longest matching prefix
+   */
+  workloadFor (method: string, path: string): WorkloadDoc | undefined {
+    return this.workloads.find(({ match }) => {
+      const methodMatches = match.methods === undefined || (match.methods as string[]).includes(method)
+      return methodMatches && startsWithPrefix(path, match.pathPrefix)
+    })
+  }
+
+  /**
+   * @param workload - name of a workload
+   * @returns the pool that runs it
+   */
+  poolFor (workload: string): PoolDoc | undefined {
+    return this.poolByWorkload.get(workload)
+  }
+
+  /**
+   * @param name - name of a pool
+   * @returns the pool
+   */
+  pool (name: string): PoolDoc | undefined {
+    return this.poolByName.get(name)
+  }
+
+  /**
+   * @param pool - name of a pool
+   * @returns the longest run, in milliseconds, that any of its workloads allows
+   */
+  maxRunMs (pool: string): number {
+    const runs = (this.workloadsByPool.get(pool) ?? []).map(workload => workload.maxRunMs)
+    return Math.max(0, ...runs)
+  }
+
+  /**
+   * @param tenant - name of a tenant
+   * @returns its weight against others; 1 when it is not known
+   */
+  quotaOf (tenant: string): number {
+    return this.tenantByName.get(tenant)?.quota ?? 1
+  }
+
+  /**
+   * @param keySha256 - hash of the key that the caller showed, undefined when none
+   * @returns the tenant, undefined when unknown
+   */
+  tenantFor (keySha256: string | undefined): TenantDoc | undefined {
+    return keySha256 === undefined ? this.openTenant : this.tenantByKey.get(keySha256)
+  }
+}
+
+function ofKind<K extends Kind> (documents: readonly Document[], kind: K): Array<DocumentOf<K>> {
+  return documents.filter((doc): doc is DocumentOf<K> => doc.kind === kind)
+}
+
+function byOrder (a: PoolDoc, b: PoolDoc): number {
+  return a.order - b.order || a.name.localeCompare(b.name)
+}
+
+function byPrefixLength (a: WorkloadDoc, b: WorkloadDoc): number {
+  const length = b.match.pathPrefix.length - a.match.pathPrefix.length
+  const specific = Number(a.match.methods === undefined) - Number(b.match.methods === undefined)
+  return length || specific || a.name.localeCompare(b.name)
+}
+
+function startsWithPrefix (path: string, prefix: string): boolean {
+  if (!path.startsWith(prefix)) return false
+  return prefix.endsWith('/') || path.length === prefix.length || path[prefix.length] === '/'
+}
+
+function indexPools (workloads: readonly WorkloadDoc[], pools: readonly PoolDoc[]): Map<string, PoolDoc> {
+  const index = new Map<string, PoolDoc>()
+  for (const workload of workloads) {
+    const pool = pools.find(each => matches(workload.poolSelector, each.labels))
+    if (pool !== undefined) index.set(workload.name, pool)
+  }
+  return index
+}
+
+function groupByPool (workloads: readonly WorkloadDoc[], pools: ReadonlyMap<string, PoolDoc>): Map<string, WorkloadDoc[]> {
+  const groups = new Map<string, WorkloadDoc[]>()
+  for (const workload of workloads) {
+    const pool = pools.get(workload.name)
+    if (pool === undefined) continue
+    const group = groups.get(pool.name) ?? []
+    group.push(workload)
+    groups.set(pool.name, group)
+  }
+  return groups
+}
--- /dev/null
+++ b/config/documents/src/schema.ts
@@ -0,0 +1,118 @@
+import { z } from 'zod'
+
+const name = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'must be lower-case letters, digits, dots and dashes')
+const label = z.string().min(1).max(128)
+const labels = z.record(z.string().min(1).max(64), label)
+const selector = z.record(z.string().min(1).max(64), z.union([label, z.array(label).min(1).max(64)]))
+const count = z.number().int().min(0)
+const share = z.string().regex(/^\d{1,3}%$/, 'must be a whole percentage such as "25%"')
+const amount = z.union([count, share])
+
+/** Labels of a VM or pool. */
+export type Labels = z.infer<typeof labels>
+/** Labels that must be present, each with one of the values given. */
+export type Selector = z.infer<typeof selector>
+
+const pool = z.strictObject({
+  kind: z.literal('pool'),
+  name,
+  labels: labels.default({}),
+  /** VMs that may be in this pool. */
+  selector,
+  /** Pools with a lower order take a VM first where selectors overlap. */
+  order: z.number().int().min(0).max(10_000).default(100),
+  budget: z.union([
+    z.strictObject({ minAvailable: amount }),
+    z.strictObject({ maxUnavailable: amount })
+  ]),
+  /** Its VMs may be lent to pools in need. */
+  spare: z.boolean().default(false)
+})
+
+const workload = z.strictObject({
+  kind: z.literal('workload'),
+  name,
+  match: z.strictObject({
+    pathPrefix: z.string().regex(/^\/[^\s?#]*$/, 'must start with a slash'),
+    methods: z.array(z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'])).min(1).optional()
+  }),
+  /** Labels by which the one pool is found that runs this work. */
+  poolSelector: selector,
+  class: name,
+  /** Classes that a caller may ask for instead. */
+  otherClasses: z.array(name).max(16).default([]),
+  idempotent: z.boolean(),
+  /** Longest time from arrival to the whole answer. */
+  deadlineMs: z.number().int().min(10).max(600_000),
+  /** Longest time of one run at a target. */
+  maxRunMs: z.number().int().min(10).max(600_000)
+})
+
+const priorityClass = z.strictObject({
+  kind: z.literal('class'),
+  name,
+  /** 0 is the most urgent. */
+  rank: z.number().int().min(0).max(100),
+  /** Share of a pool's slots that the class keeps while it has work, whatever floods. */
+  floor: z.number().min(0).max(1)
+})
+
+const tenant = z.strictObject({
+  kind: z.literal('tenant'),
+  name,
+  /** SHA-256 in hex of the tenant's key. Without one, callers who show no key are this tenant. */
+  keySha256: z.string().regex(/^[0-9a-f]{64}$/).optional(),
+  /** Weight against other tenants within a class. */
+  quota: z.number().positive().max(1_000_000).default(1)
+})
+
+const vm = z.strictObject({
+  kind: z.literal('vm'),
+  name,
+  role: z.enum(['executor', 'worker']),
+  address: z.strictObject({ host: z.string().ip(), port: z.number().int().min(1).max(65_535) }),
+  region: z.string().min(1).max(64),
+  zone: z.string().min(1).max(64),
+  rack: z.string().min(1).max(64),
+  labels: labels.default({}),
+  slots: z.number().int().min(1).max(1_024).default(8),
+  connections: z.number().int().min(1).max(65_536).default(64),
+  cores: z.number().min(0).default(64),
+  memoryGb: z.number().min(0).default(128),
+  accelerators: z.number().int().min(0).default(0),
+  cordoned: z.boolean().default(false)
+})
+
+const wave = z.strictObject({
+  kind: z.literal('wave'),
+  name,
+  selector,
+  state: z.enum(['running', 'paused', 'cancelled']).default('running'),
+  drainTimeoutMs: z.number().int().min(0).default(600_000),
+  returnTimeoutMs: z.number().int().min(100).default(900_000)
+})
+
+/** Schema of each kind of document. */
+export const documentSchema = z.discriminatedUnion('kind', [pool, workload, priorityClass, tenant, vm, wave])
+
+/** Any operator document. */
+export type Document = z.infer<typeof documentSchema>
+/** Kind of a document. */
+export type Kind = Document['kind']
+/** Document of one kind. */
+export type DocumentOf<K extends Kind> = Extract<Document, { kind: K }>
+/** A pool with its budget. */
+export type PoolDoc = DocumentOf<'pool'>
+/** Work that callers send. */
+export type WorkloadDoc = DocumentOf<'workload'>
+/** A class of urgency. */
+export type ClassDoc = DocumentOf<'class'>
+/** A team with its quota. */
+export type TenantDoc = DocumentOf<'tenant'>
+/** A VM as its operators declare it. */
+export type VmDoc = DocumentOf<'vm'>
+/** A declared maintenance wave. */
+export type WaveDoc = DocumentOf<'wave'>
+
+/** All kinds, in the order in which documents depend on each other. */
+export const kinds = ['class', 'tenant', 'vm', 'pool', 'workload', 'wave'] as const satisfies readonly Kind[]
--- /dev/null
+++ b/config/settings/src/schema.ts
@@ -0,0 +1,59 @@
+import { z } from 'zod'
+
+const ipAddress = z.string().ip({ message: 'must be an IP number, not a host name' })
+
+const address = z.strictObject({
+  host: ipAddress,
+  port: z.number().int().min(0).max(65_535)
+})
+
+/** Where to listen or connect. */
+export type Address = z.infer<typeof address>
+
+const key = z.union([
+  z.strictObject({ file: z.string().min(1) }),
+  z.strictObject({ env: z.string().min(1) })
+])
+
+/** Schema of the settings file. Unknown keys are refused. */
+export const settingsSchema = z.strictObject({
+  /** Name of this entry, unique among the live ones. */
+  id: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/),
+  region: z.string().min(1).max(64),
+  zone: z.string().min(1).max(64),
+  callers: address,
+  operators: address,
+  peers: address,
+  store: z.strictObject({
+    endpoints: z.array(z.string().url()).min(1).max(16),
+    prefix: z.string().regex(/^[a-z0-9-]{1,32}$/).default('wisteriaslip'),
+    readsPerSecond: z.number().positive().default(60),
+    writesPerSecond: z.number().positive().default(30),
+    leaseTtlMs: z.number().int().min(2_000).max(60_000).default(5_000),
+    callTimeoutMs: z.number().int().min(50).max(10_000).default(800)
+  }),
+  vmList: z.strictObject({
+    url: z.string().url(),
+    periodMs: z.number().int().min(100).default(1_000)
+  }).optional(),
+  /** Peer addresses to ask for a copy of the state when the store is down at start. */
+  seedPeers: z.array(address).max(64).default([]),
+  /** Highest number of entries that may be live at once; each takes this share of a target's connections. */
+  maxEntries: z.number().int().min(1).max(64).default(8),
+  keys: z.strictObject({ operators: key, peers: key }).optional(),
+  /** Says in so many words that this is a trial, where operators and peers need no keys. */
+  trialWithoutKeys: z.boolean().default(false),
+  limits: z.strictObject({
+    bodyBytes: z.number().int().min(1).default(1_048_576),
+    queueBytes: z.number().int().min(1).default(16_777_216),
+    callerTimeoutMs: z.number().int().min(100).default(10_000)
+  }).default({}),
+  shutdownMs: z.number().int().min(0).default(60_000),
+  logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info')
+}).refine(settings => settings.keys !== undefined || settings.trialWithoutKeys, {
+  path: ['keys'],
+  message: 'missing; name the key files, or set "trialWithoutKeys": true for a trial'
+})
+
+/** Checked settings. */
+export type Settings = z.infer<typeof settingsSchema>
--- /dev/null
+++ b/fleet/ledger/src/ledger-store.ts
@@ -0,0 +1,89 @@
+import { err, ok, type Result } from '@wisteriaslip/core.result'
+import type { Guard, Store, StoreError, Versioned } from '@wisteriaslip/platform.store'
+import type { LedgerError } from './rules.ts'
+import { emptyLedger, type PoolLedger } from './types.ts'
+
+/** Options of the ledgers' store. */
+export interface LedgerStoreOpts {
+  /** Key prefix of all ledgers. */
+  readonly ledgers: string
+  /** Key prefix of all assignments. */
+  readonly assignments: string
+}
+
+/** Reads and changes ledgers by compare-and-swap. Each change starts from the store's present value, never from a copy. */
+export class LedgerStore {
+  private readonly store: Store
+  private readonly opts: LedgerStoreOpts
+
+  constructor (store: Store, opts: LedgerStoreOpts) {
+    this.store = store
+    this.opts = opts
+  }
+
+  /**
+   * Changes one pool's ledger.
+   * @param pool - name of the pool
+   * @param guard - proves that the writer leads the pool
+   * @param change - from the present ledger to the new one, or why not
+   * @returns the new ledger
+   */
+  async change (pool: string, guard: Guard, change: (ledger: PoolLedger) => Result<PoolLedger, LedgerError>): Promise<Result<PoolLedger, LedgerError>> {
+    const doc = await this.read(pool)
+    if (!doc.ok) return doc
+    const next = change(ledgerOf(doc.value))
+    if (!next.ok) return next
+    const written = await this.store.update([{ key: this.opts.ledgers + pool, prior: doc.value, value: next.value }], { guards: [guard] })
+    return written.ok ? next : err(fromStore(written.error))
+  }
+
+  /**
+   * Puts a VM into a pool, out of the one it is in. Assignment and both ledgers change in one write.
+   * @param vm - name of the VM
+   * @param to - name of the pool
+   * @param guards - prove that the writer leads what it changes
+   */
+  async assign (vm: string, to: string, guards: readonly Guard[]): Promise<Result<void, LedgerError>> {
+    const key = this.opts.assignments + vm
+    const prior = await this.store.get(key)
+    if (!prior.ok) return err(fromStore(prior.error))
+    const from = (prior.value?.value as { pool: string } | undefined)?.pool
+    if (from === to) return ok(undefined)
+    const target = await this.read(to)
+    if (!target.ok) return target
+    const changes = [
+      { key, prior: prior.value, value: { pool: to } },
+      { key: this.opts.ledgers + to, prior: target.value, value: withMember(ledgerOf(target.value), vm) }
+    ]
+    if (from !== undefined) {
+      const source = await this.read(from)
+      if (!source.ok) return source
+      changes.push({ key: this.opts.ledgers + from, prior: source.value, value: withoutMember(ledgerOf(source.value), vm) })
+    }
+    const written = await this.store.update(changes, { guards })
+    return written.ok ? ok(undefined) : err(fromStore(written.error))
+  }
+
+  private async read (pool: string): Promise<Result<Versioned | undefined, LedgerError>> {
+    const doc = await this.store.get(this.opts.ledgers + pool)
+    return doc.ok ? doc : err(fromStore(doc.error))
+  }
+}
+
+function ledgerOf (doc: Versioned | undefined): PoolLedger {
+  return (doc?.value as PoolLedger | undefined) ?? emptyLedger
+}
+
+function withMember (ledger: PoolLedger, vm: string): PoolLedger {
+  return { ...ledger, members: [...ledger.members.filter(each => each !== vm), vm].sort() }
+}
+
+function withoutMember (ledger: PoolLedger, vm: string): PoolLedger {
+  const places = Object.fromEntries(Object.entries(ledger.places).filter(([name]) => name !== vm))
+  return { ...ledger, members: ledger.members.filter(each => each !== vm), places }
+}
+
+function fromStore (error: StoreError): LedgerError {
+  if (error.kind === 'conflict') return { kind: 'conflict', code: 'LEDGER_CONFLICT', message: error.message }
+  return { kind: 'unavailable', code: 'LEDGER_UNAVAILABLE', message: `${error.code}: ${error.message}` }
+}
--- /dev/null
+++ b/fleet/view/src/fleet-view.ts
@@ -0,0 +1,122 @@
+import type { VmDoc } from '@wisteriaslip/config.documents'
+import { emptyLedger, type Place, type PoolLedger } from '@wisteriaslip/fleet.ledger'
+import type { Mirror } from '@wisteriaslip/platform.mirror'
+import type { VmSighting } from '@wisteriaslip/platform.vm-list'
+import type { DocumentView } from './document-view.ts'
+
+/** How a VM stands. */
+export type VmStatus = 'in-service' | 'cordoned' | 'draining' | 'rebooting' | 'leaving' | 'gone'
+
+/** A VM of a pool. */
+export interface PooledVm {
+  readonly vm: VmDoc
+  readonly status: VmStatus
+  readonly place: Place | undefined
+  readonly bootId: string | undefined
+}
+
+/** Where the view reads from. */
+export interface FleetViewOpts {
+  readonly documents: DocumentView
+  readonly mirror: Mirror
+  readonly assignments: string
+  readonly ledgers: string
+}
+
+/** Pools and their VMs as of now. */
+export class FleetView {
+  private readonly opts: FleetViewOpts
+  private readonly listeners = new Set<() => void>()
+  private sightings = new Map<string, VmSighting>()
+  private index: Map<string, Map<string, PooledVm>> | undefined
+
+  constructor (opts: FleetViewOpts) {
+    this.opts = opts
+    opts.mirror.subscribe(keys => {
+      if (keys.some(key => key.startsWith(opts.assignments) || key.startsWith(opts.ledgers))) this.changed()
+    })
+    opts.documents.onChange(() => this.changed())
+  }
+
+  /** @param listener - told after each change */
+  onChange (listener: () => void): void {
+    this.listeners.add(listener)
+  }
+
+  /**
+   * Takes in the platform's latest list.
+   * @param sightings - which lag behind the VMs
+   */
+  setSightings (sightings: readonly VmSighting[]): void {
+    const before = this.sightings
+    this.sightings = new Map(sightings.map(sighting => [sighting.name, sighting]))
+    const same = before.size === this.sightings.size && sightings.every(each => {
+      const known = before.get(each.name)
+      return known?.state === each.state && known.bootId === each.bootId
+    })
+    if (!same) this.changed()
+  }
+
+  /**
+   * @param vm - name of a VM
+   * @returns how the platform last listed it
+   */
+  sighting (vm: string): VmSighting | undefined {
+    return this.sightings.get(vm)
+  }
+
+  /**
+   * @param pool - name of a pool
+   * @returns its VMs by name
+   */
+  vmsOf (pool: string): ReadonlyMap<string, PooledVm> {
+    this.index ??= this.build()
+    return this.index.get(pool) ?? new Map()
+  }
+
+  /**
+   * @param vm - name of a VM
+   * @returns the pool it is assigned to
+   */
+  poolOf (vm: string): string | undefined {
+    return this.opts.mirror.get<{ pool: string }>(this.opts.assignments + vm)?.value.pool
+  }
+
+  /**
+   * @param pool - name of a pool
+   * @returns its ledger as last known
+   */
+  ledger (pool: string): PoolLedger {
+    return this.opts.mirror.get<PoolLedger>(this.opts.ledgers + pool)?.value ?? emptyLedger
+  }
+
+  private changed (): void {
+    this.index = undefined
+    for (const listener of this.listeners) listener()
+  }
+
+  private build (): Map<string, Map<string, PooledVm>> {
+    const index = new Map<string, Map<string, PooledVm>>()
+    for (const vm of this.opts.documents.config()?.vms.values() ?? []) {
+      const pool = this.poolOf(vm.name)
+      if (pool === undefined) continue
+      const vms = index.get(pool) ?? new Map<string, PooledVm>()
+      index.set(pool, vms)
+      vms.set(vm.name, this.pooled(vm, pool))
+    }
+    return index
+  }
+
+  private pooled (vm: VmDoc, pool: string): PooledVm {
+    const place = this.ledger(pool).places[vm.name]
+    const sighting = this.sightings.get(vm.name)
+    return { vm, place, bootId: sighting?.bootId, status: statusOf(vm, place, sighting) }
+  }
+}
+
+function statusOf (vm: VmDoc, place: Place | undefined, sighting: VmSighting | undefined): VmStatus {
+  if (place !== undefined) return place.phase
+  if (sighting?.state === 'gone') return 'gone'
+  if (sighting?.state === 'leaving') return 'leaving'
+  return vm.cordoned ? 'cordoned' : 'in-service'
+}
--- /dev/null
+++ b/peers/membership/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * An entry's lease and member record, the live members, and leadership of resources with fencing tokens.
+ * @module
+ */
+export { EntryLease } from './lease.ts'
+export { Members, type Member } from './members.ts'
+export { Leadership, type LeaderRecord } from './leadership.ts'
+export { rankMembers } from './rendezvous.ts'
+export { Keys } from './keys.ts'
--- /dev/null
+++ b/peers/membership/src/keys.ts
@@ -0,0 +1,34 @@
+/** Names of all keys in the store. Watched keys start with the prefix and a slash; claims lie outside. */
+export class Keys {
+  readonly watched: string
+  readonly members: string
+  readonly leaders: string
+  readonly documents: string
+  readonly generation: string
+  readonly assignments: string
+  readonly ledgers: string
+  readonly holders: string
+  readonly claims: string
+
+  /** @param prefix - from the settings */
+  constructor (prefix: string) {
+    this.watched = `${prefix}/`
+    this.members = `${prefix}/members/`
+    this.leaders = `${prefix}/leaders/`
+    this.documents = `${prefix}/documents/`
+    this.generation = `${prefix}/generation`
+    this.assignments = `${prefix}/assignments/`
+    this.ledgers = `${prefix}/ledgers/`
+    this.holders = `${prefix}/holders/`
+    this.claims = `${prefix}-claims/`
+  }
+
+  /**
+   * @param kind - kind of an operator document
+   * @param name - its name
+   * @returns its key
+   */
+  document (kind: string, name: string): string {
+    return `${this.documents}${kind}/${name}`
+  }
+}
--- /dev/null
+++ b/peers/protocol/src/client.ts
@@ -0,0 +1,101 @@
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
+import { Agent, fetch as undiciFetch } from 'undici'
+import { err, ok, withTimeout, type Result } from '@wisteriaslip/core.result'
+import type { Metrics } from '@wisteriaslip/core.metrics'
+import type { PeerRouter } from './router.ts'
+import type { PeerService } from './service.ts'
+
+const CALL_TIMEOUT_MS = 1_000
+const CONNECTIONS = 4
+
+/** A call on a peer that gave no usable answer. It may have had its effect. */
+export interface PeerError {
+  readonly kind: 'peer-unreachable'
+  readonly code: 'PEER_UNREACHABLE'
+  readonly message: string
+}
+
+/** Where a peer listens. */
+export interface PeerAddress {
+  readonly host: string
+  readonly port: number
+}
+
+interface Peer {
+  readonly agent: Agent
+  readonly trpc: TRPCClient<PeerRouter>
+}
+
+type Method = keyof PeerService
+type Input<M extends Method> = Parameters<PeerService[M]>[0]
+type Output<M extends Method> = Awaited<ReturnType<PeerService[M]>>
+
+/** Clients of all peers. A call that times out drops all connections to that peer: the next call opens new ones. */
+export class PeerClients {
+  private readonly peers = new Map<string, Peer>()
+  private readonly opts: { key: string | undefined, metrics: Metrics }
+
+  constructor (opts: { key: string | undefined, metrics: Metrics }) {
+    this.opts = opts
+  }
+
+  /**
+   * Calls a peer once.
+   * @param address - where it listens
+   * @param method - of its service
+   * @param input - of the method
+   * @param opts - time limit in milliseconds, 1000 by default
+   * @returns the answer, or that there was none in time
+   */
+  async call<M extends Method> (address: PeerAddress, method: M, input: Input<M>, opts: { timeoutMs?: number, signal?: AbortSignal } = {}): Promise<Result<Output<M>, PeerError>> {
+    const origin = `http://${address.host}:${address.port}`
+    const peer = this.peer(origin)
+    this.opts.metrics.count('peer_calls_total', { method })
+    try {
+      const signal = withTimeout(opts.signal, opts.timeoutMs ?? CALL_TIMEOUT_MS)
+      const procedure = peer.trpc[method] as unknown as { mutate (input: Input<M>, opts: { signal: AbortSignal }): Promise<Output<M>> }
+      return ok(await procedure.mutate(input, { signal }))
+    } catch (error) {
+      this.drop(origin)
+      this.opts.metrics.count('peer_failures_total', { method })
+      return err({ kind: 'peer-unreachable', code: 'PEER_UNREACHABLE', message: (error as Error).message })
+    }
+  }
+
+  /** Closes all connections. */
+  async close (): Promise<void> {
+    const agents = [...this.peers.values()].map(peer => peer.agent)
+    this.peers.clear()
+    await Promise.all(agents.map(async agent => await agent.destroy()))
+  }
+
+  private peer (origin: string): Peer {
+    const known = this.peers.get(origin)
+    if (known !== undefined) return known
+    const agent = new Agent({ connections: CONNECTIONS, pipelining: 1, keepAliveTimeout: 30_000 })
+    const trpc = createTRPCClient<PeerRouter>({
+      links: [httpLink({
+        url: origin,
+        headers: this.opts.key === undefined ? {} : { authorization: `Bearer ${this.opts.key}` },
+        fetch: async (url, init) => await this.fetch(agent, url, init)
+      })]
+    })
+    const peer = { agent, trpc }
+    this.peers.set(origin, peer)
+    return peer
+  }
+
+  private async fetch (agent: Agent, url: unknown, init: unknown): Promise<Response> {
+    const options = init as Parameters<typeof undiciFetch>[1]
+    this.opts.metrics.count('peer_sent_bytes_total', {}, String(options?.body ?? '').length)
+    const res = await undiciFetch(url as string, { ...options, dispatcher: agent })
+    return res as unknown as Response
+  }
+
+  private drop (origin: string): void {
+    const peer = this.peers.get(origin)
+    if (peer === undefined) return
+    this.peers.delete(origin)
+    peer.agent.destroy().catch(() => {})
+  }
+}
--- /dev/null
+++ b/peers/protocol/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * What entries say to each other, over tRPC.
+ * @module
+ */
+export type { ClaimReply, ClaimRequest, ClaimSettlement, Outcome, PeerService, PoolLoad, RelayCall, RelayReply, SyncReply, SyncRequest } from './service.ts'
+export { createPeerServer, type PeerServerOpts } from './server.ts'
+export { PeerClients, type PeerError } from './client.ts'
+export { RelayDriver } from './relay.ts'
+export type { PeerRouter } from './router.ts'
--- /dev/null
+++ b/peers/protocol/src/server.ts
@@ -0,0 +1,37 @@
+import { timingSafeEqual } from 'node:crypto'
+import { createServer, type IncomingMessage, type Server } from 'node:http'
+import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { createRouter } from './router.ts'
+import type { PeerService } from './service.ts'
+
+const MAX_BODY_BYTES = 64 * 1024 * 1024
+
+/** Options of the peers' server. */
+export interface PeerServerOpts {
+  /** Key that peers must show; undefined in a trial. */
+  readonly key: string | undefined
+}
+
+/**
+ * HTTP server on which peers call this entry.
+ * @param service - what this entry does for peers
+ * @param opts - the peers' key
+ * @returns a server that does not listen yet
+ */
+export function createPeerServer (service: PeerService, opts: PeerServerOpts): Server {
+  const handler = createHTTPHandler({ router: createRouter(service), maxBodySize: MAX_BODY_BYTES })
+  return createServer((req, res) => {
+    if (opts.key !== undefined && !showsKey(req, opts.key)) {
+      res.writeHead(401, { 'content-type': 'application/json' })
+      res.end(JSON.stringify({ code: 'PEER_KEY_WRONG' }))
+      return
+    }
+    handler(req, res)
+  })
+}
+
+function showsKey (req: IncomingMessage, key: string): boolean {
+  const shown = Buffer.from(req.headers.authorization ?? '')
+  const expected = Buffer.from(`Bearer ${key}`)
+  return shown.length === expected.length && timingSafeEqual(shown, expected)
+}
--- /dev/null
+++ b/routing/gateway/src/pool-runtime.ts
@@ -0,0 +1,43 @@
+import type { Clock } from '@wisteriaslip/core.result'
+import type { FleetConfig } from '@wisteriaslip/config.documents'
+import { PoolQueue } from '@wisteriaslip/routing.admission'
+import { SlotHolder, type Slot, type TargetView } from '@wisteriaslip/routing.slots'
+
+/** Options of a pool at an entry. */
+export interface PoolRuntimeOpts {
+  readonly pool: string
+  readonly incarnation: string
+  readonly zone: string
+  readonly clock: Clock
+  readonly config: () => FleetConfig
+  readonly target: (name: string) => TargetView | undefined
+  readonly queueBytes: number
+}
+
+/** One pool at one entry: its allotment of slots and the requests that wait for them. */
+export class PoolRuntime {
+  readonly pool: string
+  readonly slots: SlotHolder
+  readonly queue: PoolQueue<Slot>
+
+  constructor (opts: PoolRuntimeOpts) {
+    this.pool = opts.pool
+    this.slots = new SlotHolder({
+      pool: opts.pool,
+      self: opts.incarnation,
+      zone: opts.zone,
+      clock: opts.clock,
+      target: opts.target,
+      demand: () => this.queue.demand(),
+      onSlots: () => this.queue.pump()
+    })
+    this.queue = new PoolQueue<Slot>({
+      clock: opts.clock,
+      classes: () => opts.config().classes,
+      quota: tenant => opts.config().quotaOf(tenant),
+      acquire: () => this.slots.acquire(),
+      slotsHeld: () => this.slots.totals().held,
+      maxBytes: opts.queueBytes
+    })
+  }
+}
--- /dev/null
+++ b/routing/slots/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Slots of shared targets. A pool's leader allots them to entries, which use them without a message per request.
+ * @module
+ */
+export type { Demand, Loan, PoolGrant, PoolReport, SlotReply, SlotReport } from './messages.ts'
+export { SlotAllocator, type AllocatorOpts, type TargetCapacity } from './allocator.ts'
+export { SlotHolder, type Slot, type SlotHolderOpts, type TargetView } from './holder.ts'
+export { shareOut, type ShareRequest } from './share-out.ts'
+export { FOLLOWING_MS, HOLD_MS } from './limits.ts'
--- /dev/null
+++ b/routing/slots/src/limits.ts
@@ -0,0 +1,6 @@
+/** How long an entry may use its allotment after the last proof that it is still in force. */
+export const HOLD_MS = 10_000
+/** The leader adds this to cover timer granularity before it counts an allotment as lapsed. */
+export const LAPSE_MARGIN_MS = 500
+/** A report counts towards the majority that follows a leader for this long. */
+export const FOLLOWING_MS = 3_000
--- /dev/null
+++ b/testing/site/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * A whole site on loopback: stand-ins in this process, entries as processes of their own.
+ * @module
+ */
+export { Site, type SiteEntry, type SiteOpts } from './site.ts'
+export { siteDocuments } from './documents.ts'
+export { callOnce, type CallerReply } from './caller.ts'
--- /dev/null
+++ b/testing/stand-ins/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Small stand-ins of the outside systems, for tests, benches and the demo.
+ * @module
+ */
+export { StoreStandIn, type StoreFaults } from './store.ts'
+export { ExecutorStandIn, type ExecutorStart } from './executor.ts'
+export { VmPlatformStandIn } from './vm-platform.ts'
+export { startProcess, type StartedProcess } from './process.ts'
+export { freePorts } from './ports.ts'
