Prove slots, claims and waves under failure; mend two hangs found by it

Seven entries as processes under killed, frozen and replaced entries, a frozen leader, a 30 s store outage, lost replies, dying, silent and crossed answers: histories are recorded and checked.

Cause 1: an owner of claims that was replaced while it wrote dropped the new ownership when the write failed, with the claims waiting there. Shown by a unit test that hangs before the change and passes after it. Cause 2: a signal of AbortSignal.any over AbortSignal.timeout can be collected before it fires; a trial of 50 silent connections with the collector running hung 50 of 50. Replaced by signals held by ordinary references.

--- a/cli/entry/src/entry.ts
+++ b/cli/entry/src/entry.ts
@@ -115,7 +115,7 @@
       limits: settings.limits
     })
     const platform = settings.vmList === undefined ? undefined : new HttpVmPlatform(settings.vmList.url)
-    const fleetLeader = new FleetLeader({ state, leader, platform, call })
+    const fleetLeader = new FleetLeader({ state, leader, platform, signal })
     fleet.onChange(() => pools.sweep())
     return { pools, reporter, sync, leader, partitions, service, gateway, platform, fleetLeader, call }
   }
@@ -148,7 +148,7 @@
       parts.reporter.run(),
       parts.partitions.run(signal),
       every(SWEEP_MS, () => parts.pools.sweep()),
-      every(FLEET_STEP_MS, async () => await parts.fleetLeader.step(signal))
+      every(FLEET_STEP_MS, async () => await parts.fleetLeader.step())
     )
     const { platform } = parts
     if (platform === undefined) return
--- a/cli/entry/src/peer-sync.ts
+++ b/cli/entry/src/peer-sync.ts
@@ -1,4 +1,4 @@
-import { pause, type Clock } from '@wisteriaslip/core.result'
+import { linkAbort, pause, type Clock, type LinkedAbort } from '@wisteriaslip/core.result'
 import type { Leadership, Member, Members } from '@wisteriaslip/peers.membership'
 import type { Mirror } from '@wisteriaslip/platform.mirror'
 import type { PoolRuntime } from '@wisteriaslip/routing.gateway'
@@ -58,18 +58,19 @@
 
   /** Starts and ends heartbeats as members come and go, until the signal aborts. */
   async run (): Promise<void> {
-    const tasks = new Map<string, AbortController>()
+    const tasks = new Map<string, LinkedAbort>()
     while (!this.opts.signal.aborted) {
       const peers = this.opts.members.peers()
       for (const peer of peers) {
         if (tasks.has(peer.incarnation)) continue
-        const ended = new AbortController()
+        const ended = linkAbort(this.opts.signal)
         tasks.set(peer.incarnation, ended)
-        this.heartbeat(peer, AbortSignal.any([this.opts.signal, ended.signal])).catch(() => {})
+        this.heartbeat(peer, ended.signal).catch(() => {})
       }
       for (const [incarnation, ended] of tasks) {
         if (peers.some(peer => peer.incarnation === incarnation)) continue
         ended.abort()
+        ended.release()
         tasks.delete(incarnation)
         this.statuses.delete(incarnation)
       }
--- a/cli/entry/src/slot-reporter.ts
+++ b/cli/entry/src/slot-reporter.ts
@@ -1,4 +1,4 @@
-import { pause, type Clock, type Result } from '@wisteriaslip/core.result'
+import { linkAbort, pause, type Clock, type LinkedAbort, type Result } from '@wisteriaslip/core.result'
 import type { FleetConfig } from '@wisteriaslip/config.documents'
 import type { Leadership, Member, Members } from '@wisteriaslip/peers.membership'
 import type { PeerError, PeerService } from '@wisteriaslip/peers.protocol'
@@ -50,19 +50,20 @@
 
   /** Starts and ends tasks as members come and go, until the signal aborts. */
   async run (): Promise<void> {
-    const tasks = new Map<string, AbortController>()
+    const tasks = new Map<string, LinkedAbort>()
     const borrowing = this.borrowWhileUnled()
     while (!this.opts.signal.aborted) {
       const members = this.opts.members.all()
       for (const member of members) {
         if (tasks.has(member.incarnation)) continue
-        const ended = new AbortController()
+        const ended = linkAbort(this.opts.signal)
         tasks.set(member.incarnation, ended)
-        this.serveLink(member, AbortSignal.any([this.opts.signal, ended.signal])).catch(() => {})
+        this.serveLink(member, ended.signal).catch(() => {})
       }
       for (const [incarnation, ended] of tasks) {
         if (members.some(member => member.incarnation === incarnation)) continue
         ended.abort()
+        ended.release()
         tasks.delete(incarnation)
         this.links.delete(incarnation)
       }
--- a/core/result/src/index.ts
+++ b/core/result/src/index.ts
@@ -4,4 +4,5 @@
  */
 export { err, ok, type Result } from './result.ts'
 export { systemClock, type Clock } from './clock.ts'
-export { backoff, pause, runEvery, withTimeout } from './timing.ts'
+export { linkAbort, within, type LinkedAbort } from './abort.ts'
+export { backoff, pause, runEvery } from './timing.ts'
--- a/core/result/src/timing.ts
+++ b/core/result/src/timing.ts
@@ -46,14 +46,3 @@
   const ceiling = Math.min(opts.capMs, opts.baseMs * 2 ** attempt)
   return ceiling * (0.5 + random() / 2)
 }
-
-/**
- * A signal that aborts with its parent or after a time, whichever is first.
- * @param signal - the parent
- * @param ms - milliseconds
- * @returns the joint signal
- */
-export function withTimeout (signal: AbortSignal | undefined, ms: number): AbortSignal {
-  const timeout = AbortSignal.timeout(ms)
-  return signal === undefined ? timeout : AbortSignal.any([signal, timeout])
-}
--- a/fleet/ledger/src/types.ts
+++ b/fleet/ledger/src/types.ts
@@ -3,7 +3,9 @@
   /** No new work; work under way ends. */
   draining: 'draining',
   /** The reboot has been asked for. */
-  rebooting: 'rebooting'
+  rebooting: 'rebooting',
+  /** It did not come back in time. It still counts against the budget, but its wave goes on without it. */
+  overdue: 'overdue'
 } as const
 
 /** A voluntary disruption of one VM. It counts against the pool's budget until it is removed. */
--- a/fleet/view/src/fleet-view.ts
+++ b/fleet/view/src/fleet-view.ts
@@ -5,7 +5,7 @@
 import type { DocumentView } from './document-view.ts'
 
 /** How a VM stands. */
-export type VmStatus = 'in-service' | 'cordoned' | 'draining' | 'rebooting' | 'leaving' | 'gone'
+export type VmStatus = 'in-service' | 'cordoned' | 'draining' | 'rebooting' | 'overdue' | 'leaving' | 'gone'
 
 /** A VM of a pool. */
 export interface PooledVm {
--- a/peers/protocol/src/client.ts
+++ b/peers/protocol/src/client.ts
@@ -1,6 +1,6 @@
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
 import { Agent, fetch as undiciFetch } from 'undici'
-import { err, ok, withTimeout, type Result } from '@wisteriaslip/core.result'
+import { err, ok, within, type Result } from '@wisteriaslip/core.result'
 import type { Metrics } from '@wisteriaslip/core.metrics'
 import type { PeerRouter } from './router.ts'
 import type { PeerService } from './service.ts'
@@ -52,9 +52,8 @@
     const peer = this.peer(origin)
     this.opts.metrics.count('peer_calls_total', { method })
     try {
-      const signal = withTimeout(opts.signal, opts.timeoutMs ?? CALL_TIMEOUT_MS)
       const procedure = peer.trpc[method] as unknown as { mutate (input: Input<M>, opts: { signal: AbortSignal }): Promise<Output<M>> }
-      return ok(await procedure.mutate(input, { signal }))
+      return ok(await within(opts.timeoutMs ?? CALL_TIMEOUT_MS, opts.signal, async signal => await procedure.mutate(input, { signal })))
     } catch (error) {
       this.drop(origin)
       this.opts.metrics.count('peer_failures_total', { method })
--- a/routing/gateway/src/claims.ts
+++ b/routing/gateway/src/claims.ts
@@ -31,7 +31,7 @@
   let heardAt = opts.clock.now()
   let waited = false
   while (true) {
-    const reply = await owner.claim(request, opts.signal)
+    const reply = await askOnce(owner, request, opts)
     if (reply.state === 'run' || reply.state === 'lost' || reply.state === 'different') return { kind: reply.state }
     if (reply.state === 'answered') return { kind: 'answered', outcome: reply.outcome }
     if (reply.state === 'running') {
@@ -44,6 +44,15 @@
   }
 }
 
+/** An owner that does not answer counts as unavailable once the caller's deadline is there. */
+async function askOnce (owner: ClaimOwner, request: ClaimRequest, opts: { clock: Clock, deadlineAt: number, signal: AbortSignal }): Promise<ClaimReply> {
+  const answered = new AbortController()
+  const late = pause(Math.max(0, opts.deadlineAt - opts.clock.now()), answered.signal).then((): ClaimReply => ({ state: 'unavailable' }))
+  const reply = await Promise.race([owner.claim(request, opts.signal), late])
+  answered.abort()
+  return reply
+}
+
 /**
  * Tells the owner how a claimed request ended; tries a few times.
  * @param owner - who decided
--- a/routing/gateway/src/connection.ts
+++ b/routing/gateway/src/connection.ts
@@ -1,6 +1,6 @@
 import { connect, type Socket } from 'node:net'
 import { Client, type Dispatcher } from 'undici'
-import { err, ok, type Result } from '@wisteriaslip/core.result'
+import { err, linkAbort, ok, type LinkedAbort, type Result } from '@wisteriaslip/core.result'
 
 const CONNECT_TIMEOUT_MS = 500
 const HEADER_LIMIT_BYTES = 32 * 1024
@@ -35,6 +35,7 @@
   private readonly client: Client
   private readonly socket: Socket
   private usedAt: number
+  private run: LinkedAbort | undefined
 
   private constructor (socket: Socket, origin: string, now: number) {
     this.socket = socket
@@ -99,7 +100,9 @@
    * @returns the answer, whose end is marked by a length or by chunks
    */
   async send (req: TargetRequest): Promise<Result<Answer, SendError>> {
-    const signal = AbortSignal.any([req.signal, AbortSignal.timeout(req.maxRunMs)])
+    const run = linkAbort(req.signal, req.maxRunMs)
+    const { signal } = run
+    this.run = run
     try {
       const res = await this.client.request({
         method: req.method as Dispatcher.HttpMethod,
@@ -128,11 +131,13 @@
    * @param now - present time by the caller's clock
    */
   proved (now: number): void {
+    this.run?.release()
     this.usedAt = now
   }
 
   /** Closes the connection at once. */
   close (): void {
+    this.run?.release()
     this.client.destroy().catch(() => {})
     this.socket.destroy()
   }
--- a/routing/idempotency/src/partitions.ts
+++ b/routing/idempotency/src/partitions.ts
@@ -158,7 +158,7 @@
   /** A write whose fate is not known leaves the memory behind the store: it is read anew before the next claim. */
   private failed (partition: Partition, pending: readonly PendingClaim[], code: string): void {
     this.opts.logger.warn({ partition: partition.number, code, claims: pending.length }, 'claims not written')
-    this.owned.delete(partition.number)
+    if (this.owned.get(partition.number) === partition) this.owned.delete(partition.number)
     answerAll([...pending, ...partition.pending.splice(0)], { state: 'unavailable' })
   }
 
@@ -183,6 +183,7 @@
     const partition: Partition = { number, token, table: new ClaimTable(this.opts.clock), segments: [], pending: [], loaded: false }
     this.owned.set(number, partition)
     const listed = await this.opts.store.list(this.segmentPrefix(number))
+    if (this.owned.get(number) !== partition) return undefined
     if (!listed.ok) {
       this.owned.delete(number)
       return undefined
--- a/testing/site/src/index.ts
+++ b/testing/site/src/index.ts
@@ -4,4 +4,5 @@
  */
 export { Site, type SiteEntry, type SiteOpts } from './site.ts'
 export { siteDocuments } from './documents.ts'
+export { runCallers, type TrafficOpts } from './traffic.ts'
 export { callOnce, type CallerReply } from './caller.ts'
--- a/testing/site/src/site.ts
+++ b/testing/site/src/site.ts
@@ -43,10 +43,13 @@
   readonly store: StoreStandIn
   readonly executors: ExecutorStandIn[] = []
   readonly entries: SiteEntry[] = []
+  /** Most VMs of each pool that were ever down at once. */
+  readonly mostDown = new Map<string, number>()
   platform: VmPlatformStandIn | undefined
   storeUrl = ''
   private readonly opts: SiteOpts
   private readonly servers: Server[] = []
+  private readonly downNow = new Set<string>()
   private folder = ''
   private platformUrl = ''
 
@@ -143,11 +146,21 @@
         placed.push({ name: executor.name, pool, port, zone: `zone-${index % zones}`, rack: `${pool}-rack-${index >> 2}` })
       }
     }
-    this.platform = new VmPlatformStandIn(names, { rebootMs: this.opts.rebootMs ?? 500, lagMs: 200 })
+    this.platform = new VmPlatformStandIn(names, { rebootMs: this.opts.rebootMs ?? 500, lagMs: 200, onReboot: (vm, down) => this.onReboot(vm, down) })
     this.platformUrl = await this.listen(this.platform.server)
     return siteDocuments(this.opts.pools, placed, { slots: this.opts.slots ?? 8, deadlineMs: this.opts.deadlineMs ?? 4_000 })
   }
 
+  private onReboot (vm: string, down: boolean): void {
+    this.executors.find(executor => executor.name === vm)?.setDown(down)
+    if (down) this.downNow.add(vm)
+    else this.downNow.delete(vm)
+    for (const pool of this.opts.pools) {
+      const count = [...this.downNow].filter(name => name.startsWith(`${pool}-`)).length
+      this.mostDown.set(pool, Math.max(this.mostDown.get(pool) ?? 0, count))
+    }
+  }
+
   private async startEntries (): Promise<void> {
     const ports = await freePorts(this.opts.entries * 3)
     const peers = Array.from({ length: this.opts.entries }, (_, index) => ({ host: '127.0.0.1', port: ports[index * 3 + 2] ?? 0 }))
--- a/testing/stand-ins/src/executor.ts
+++ b/testing/stand-ins/src/executor.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 
 /** One request that the executor started. */
 export interface ExecutorStart {
@@ -19,7 +20,11 @@
   maxRunning = 0
   maxConnections = 0
   draining = false
+  /** Requests that were under way when the VM went down. */
+  cutOff = 0
+  private down = false
   private readonly slots: number
+  private readonly sockets = new Set<Socket>()
   private running = 0
   private connections = 0
   private lastRequestId = 'none'
@@ -30,9 +35,17 @@
     this.server = createServer((req, res) => { this.answer(req, res).catch(() => res.destroy()) })
     this.server.keepAliveTimeout = 60_000
     this.server.on('connection', socket => {
+      if (this.down) {
+        socket.destroy()
+        return
+      }
+      this.sockets.add(socket)
       this.connections += 1
       this.maxConnections = Math.max(this.maxConnections, this.connections)
-      socket.on('close', () => { this.connections -= 1 })
+      socket.on('close', () => {
+        this.sockets.delete(socket)
+        this.connections -= 1
+      })
     })
   }
 
@@ -41,6 +54,25 @@
     return Math.max(0, this.maxRunning - this.slots)
   }
 
+  /** All open connections go silent for good, without a sign to either end. New ones work. */
+  silence (): void {
+    for (const socket of this.sockets) {
+      socket.removeAllListeners('data')
+      socket.pause()
+    }
+  }
+
+  /**
+   * The VM goes down, or is up again.
+   * @param down - whether it is down
+   */
+  setDown (down: boolean): void {
+    this.down = down
+    if (!down) return
+    this.cutOff += this.running
+    for (const socket of this.sockets) socket.destroy()
+  }
+
   private async answer (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const url = new URL(req.url ?? '/', 'http://executor')
     if (url.pathname === '/_report') return json(res, { starts: this.starts, overrun: this.overrun(), maxConnections: this.maxConnections, running: this.running })
