--- /dev/null
+++ b/fleet/ledger/test/ledger.model.test.ts
@@ -0,0 +1,121 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { resolveBudget, type PoolDoc } from '@wisteriaslip/config.documents'
+import { Metrics } from '@wisteriaslip/core.metrics'
+import { LedgerStore, takePlace, type Place, type PoolLedger } from '@wisteriaslip/fleet.ledger'
+import { StoreClient } from '@wisteriaslip/platform.store'
+import { ManualClock, MemoryDriver, type DriverFault } from '@wisteriaslip/testing.stand-ins'
+
+const VMS = ['v1', 'v2', 'v3', 'v4', 'v5']
+const PLACE: Place = { reason: 'maintenance', wave: 'w', phase: 'draining', since: 0 }
+const OPTS = { ledgers: 'ledgers/', assignments: 'assignments/' }
+
+function poolDoc (name: string, maxUnavailable: number): PoolDoc {
+  return { kind: 'pool', name, labels: {}, selector: {}, order: 0, spare: false, budget: { maxUnavailable } }
+}
+
+class Actor {
+  readonly store: StoreClient
+  readonly ledgers: LedgerStore
+  token = 0
+
+  constructor (driver: MemoryDriver) {
+    this.store = new StoreClient(driver, { readsPerSecond: 1e6, writesPerSecond: 1e6, metrics: new Metrics(), clock: new ManualClock() })
+    this.ledgers = new LedgerStore(this.store, OPTS)
+  }
+
+  guard () {
+    return { key: 'leader', createRevision: this.token }
+  }
+
+  async lead (): Promise<void> {
+    const prior = await this.store.get('leader')
+    if (!prior.ok) return
+    if (prior.value !== undefined) await this.store.update([{ key: 'leader', prior: prior.value, value: undefined }])
+    const taken = await this.store.update([{ key: 'leader', prior: undefined, value: 'x' }])
+    if (taken.ok) this.token = taken.value
+  }
+}
+
+const step = fc.oneof(
+  { weight: 4, arbitrary: fc.record({ kind: fc.constant('take' as const), actor: fc.nat(1), vm: fc.constantFrom(...VMS), pool: fc.constantFrom('p', 'q') }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('free' as const), actor: fc.nat(1), vm: fc.constantFrom(...VMS), pool: fc.constantFrom('p', 'q') }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('move' as const), actor: fc.nat(1), vm: fc.constantFrom(...VMS), pool: fc.constantFrom('p', 'q') }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('lead' as const), actor: fc.nat(1), vm: fc.constant('v1'), pool: fc.constant('p') }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('fail' as const), actor: fc.constant(0), vm: fc.constantFrom(...VMS), pool: fc.constant('p') }) }
+)
+
+interface World { readonly driver: MemoryDriver, readonly actors: Actor[], readonly failed: Set<string>, readonly budgetOf: (pool: string) => PoolDoc }
+
+async function perform (world: World, each: { kind: string, actor: number, vm: string, pool: string }): Promise<void> {
+  const actor = world.actors[each.actor] as Actor
+  const pool = world.budgetOf(each.pool)
+  const ledgers = actor.ledgers
+  switch (each.kind) {
+    case 'take': await ledgers.change(each.pool, actor.guard(), ledger => takePlace(pool, ledger, each.vm, PLACE, { failed: world.failed })); return
+    case 'free': await ledgers.change(each.pool, actor.guard(), ledger => ({ ok: true, value: { ...ledger, places: Object.fromEntries(Object.entries(ledger.places).filter(([vm]) => vm !== each.vm)) } })); return
+    case 'move': await moveDrained(actor, each.vm, each.pool); return
+    case 'lead': await actor.lead(); return
+    case 'fail': world.failed.add(each.vm)
+  }
+}
+
+/** Only a VM that has a place for a move may be assigned elsewhere. */
+async function moveDrained (actor: Actor, vm: string, to: string): Promise<void> {
+  const assigned = await actor.store.get(`assignments/${vm}`)
+  const from = assigned.ok ? (assigned.value?.value as { pool: string } | undefined)?.pool : undefined
+  if (from === undefined || from === to) return
+  const taken = await actor.ledgers.change(from, actor.guard(), ledger => takePlace(poolDoc(from, 2), ledger, vm, { ...PLACE, reason: 'move', to }, { failed: new Set() }))
+  if (taken.ok) await actor.ledgers.assign(vm, to, [actor.guard()])
+}
+
+async function check (world: World): Promise<void> {
+  const reader = new Actor(world.driver)
+  const members: string[] = []
+  for (const name of ['p', 'q']) {
+    const doc = await reader.store.get(`ledgers/${name}`)
+    const ledger = (doc.ok ? doc.value?.value : undefined) as PoolLedger | undefined
+    if (ledger === undefined) continue
+    members.push(...ledger.members)
+    const disrupted = Object.keys(ledger.places).length
+    assert.ok(disrupted <= resolveBudget(world.budgetOf(name), Math.max(ledger.members.length, 1)) || disrupted === 0, `${name}: ${disrupted} places`)
+    for (const vm of ledger.members) {
+      const assigned = await reader.store.get(`assignments/${vm}`)
+      assert.equal(assigned.ok && (assigned.value?.value as { pool: string }).pool, name)
+    }
+  }
+  assert.equal(new Set(members).size, members.length, 'a VM is in two pools')
+}
+
+test('budgets and one pool per VM hold with two leaders racing, lost calls, lost replies and takeovers', async () => {
+  const fault = fc.constantFrom<DriverFault>('fine', 'fine', 'fine', 'lose-call', 'lose-reply')
+  await fc.assert(fc.asyncProperty(fc.array(fc.tuple(step, step), { maxLength: 15 }), fc.array(fault, { maxLength: 8 }), async (pairs, faults) => {
+    const driver = new MemoryDriver()
+    const world: World = { driver, actors: [new Actor(driver), new Actor(driver)], failed: new Set(), budgetOf: name => poolDoc(name, 2) }
+    await world.actors[0]?.lead()
+    for (const vm of VMS) await world.actors[0]?.ledgers.assign(vm, 'p', [])
+    driver.faults.push(...faults)
+    for (const pair of pairs) {
+      await Promise.all(pair.map(async each => await perform(world, each)))
+      await check(world)
+    }
+  }), { seed: 9, numRuns: 60 })
+})
+
+test('a writer that no longer leads changes nothing', async () => {
+  const driver = new MemoryDriver()
+  const [old, fresh] = [new Actor(driver), new Actor(driver)]
+  await old.lead()
+  await old.ledgers.assign('v1', 'p', [])
+  await fresh.lead()
+  const taken = await old.ledgers.change('p', old.guard(), ledger => takePlace(poolDoc('p', 1), ledger, 'v1', PLACE, { failed: new Set() }))
+  assert.equal(!taken.ok && taken.error.kind, 'conflict')
+})
+
+test('failures use up the room of a budget', () => {
+  const ledger: PoolLedger = { members: VMS, places: {}, waves: {} }
+  const taken = takePlace(poolDoc('p', 1), ledger, 'v1', PLACE, { failed: new Set(['v2']) })
+  assert.equal(!taken.ok && taken.error.kind, 'no-room')
+  assert.ok(takePlace(poolDoc('p', 1), ledger, 'v2', PLACE, { failed: new Set(['v2']) }).ok)
+})
--- a/routing/admission/src/pool-queue.ts
+++ b/routing/admission/src/pool-queue.ts
@@ -209,12 +209,14 @@
     return owed ?? urgent
   }
 
+  /** Floor time is earned while work waits; without waiting work only a debt is paid off. */
   private earnCredits (): void {
     const now = this.opts.clock.now()
     const slotMs = (now - this.creditedAt) * this.opts.slotsHeld()
     this.creditedAt = now
     for (const [name, { floor }] of this.opts.classes()) {
-      const cap = CREDIT_RUNS * this.times.estimate(name)
+      const waits = (this.queues.get(name)?.size() ?? 0) > 0
+      const cap = waits ? CREDIT_RUNS * this.times.estimate(name) : Math.max(0, this.credits.get(name) ?? 0)
       this.credits.set(name, Math.min(cap, (this.credits.get(name) ?? 0) + slotMs * floor))
     }
   }
--- a/routing/gateway/src/deliver.ts
+++ b/routing/gateway/src/deliver.ts
@@ -1,4 +1,3 @@
-import { once } from 'node:events'
 import type { ServerResponse } from 'node:http'
 import type { Outcome } from '@wisteriaslip/peers.protocol'
 import { callerHeaders, headerNames } from './headers.ts'
@@ -80,5 +79,13 @@
 async function write (res: ServerResponse, chunk: Buffer): Promise<void> {
   if (res.destroyed) return
   if (res.write(chunk)) return
-  await Promise.race([once(res, 'drain'), once(res, 'close')])
+  await new Promise<void>(resolve => {
+    const proceed = (): void => {
+      res.removeListener('drain', proceed)
+      res.removeListener('close', proceed)
+      resolve()
+    }
+    res.once('drain', proceed)
+    res.once('close', proceed)
+  })
 }
--- /dev/null
+++ b/routing/gateway/test/gateway.test.ts
@@ -0,0 +1,255 @@
+import assert from 'node:assert/strict'
+import { createServer, type Server } from 'node:http'
+import { connect, createServer as createTcpServer, type AddressInfo, type Server as TcpServer } from 'node:net'
+import { test, type TestContext } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Agent, request } from 'undici'
+import { systemClock } from '@wisteriaslip/core.result'
+import { silentLogger } from '@wisteriaslip/core.logger'
+import { Metrics } from '@wisteriaslip/core.metrics'
+import { FleetConfig, parseDocument, type Document } from '@wisteriaslip/config.documents'
+import { Gateway, PoolRuntime, TargetConnections } from '@wisteriaslip/routing.gateway'
+import { ClaimTable } from '@wisteriaslip/routing.idempotency'
+import { ExecutorStandIn } from '@wisteriaslip/testing.stand-ins'
+
+const WORKLOADS = [
+  { kind: 'class', name: 'normal', rank: 0, floor: 0 },
+  { kind: 'tenant', name: 'everyone' },
+  { kind: 'pool', name: 'p', labels: { p: '1' }, selector: { p: '1' }, budget: { maxUnavailable: 1 } },
+  { kind: 'workload', name: 'read', match: { pathPrefix: '/read' }, poolSelector: { p: '1' }, class: 'normal', idempotent: true, deadlineMs: 2_000, maxRunMs: 600 },
+  { kind: 'workload', name: 'write', match: { pathPrefix: '/write' }, poolSelector: { p: '1' }, class: 'normal', idempotent: false, deadlineMs: 2_000, maxRunMs: 600 }
+]
+
+interface Harness {
+  readonly url: string
+  readonly port: number
+  readonly gateway: Gateway
+  readonly pool: PoolRuntime
+  call (path: string, opts?: { headers?: Record<string, string>, body?: string }): Promise<{ status: number, outcome: string | undefined, body: string }>
+}
+
+function documents (): Document[] {
+  return WORKLOADS.map(input => {
+    const parsed = parseDocument(input)
+    assert.ok(parsed.ok)
+    return parsed.value
+  })
+}
+
+async function listen (t: TestContext, server: Server | TcpServer): Promise<number> {
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  t.after(() => {
+    if ('closeAllConnections' in server) server.closeAllConnections()
+    server.close()
+  })
+  return (server.address() as AddressInfo).port
+}
+
+async function start (t: TestContext, targets: Record<string, number>): Promise<Harness> {
+  const config = new FleetConfig(documents())
+  const connections = new Map(Object.entries(targets).map(([name, port]) => [name, new TargetConnections({ address: { host: '127.0.0.1', port }, limit: 8, clock: systemClock })]))
+  const pool = new PoolRuntime({
+    pool: 'p',
+    incarnation: 'i',
+    zone: 'z',
+    clock: systemClock,
+    config: () => config,
+    target: name => ({ zone: 'z', usable: connections.get(name)?.healthy() ?? false }),
+    queueBytes: 1e7
+  })
+  pool.slots.follow(1)
+  const add = Object.fromEntries(Object.keys(targets).map(name => [name, 4]))
+  const renew = (): void => pool.slots.apply(systemClock.now(), { pool: 'p', token: 1, add: {}, giveBack: 0, avoid: [], settled: [] })
+  pool.slots.apply(systemClock.now(), { pool: 'p', token: 1, add, giveBack: 0, avoid: [], settled: [] })
+  const table = new ClaimTable(systemClock)
+  const gateway = new Gateway({
+    incarnation: 'i',
+    clock: systemClock,
+    logger: silentLogger,
+    metrics: new Metrics(),
+    config: () => config,
+    ready: () => true,
+    pool: () => pool,
+    connections: name => connections.get(name),
+    owner: () => ({
+      claim: async claim => {
+        const known = table.lookUp(claim)
+        if (known === undefined) table.take(claim)
+        return known ?? { state: 'run' }
+      },
+      settle: async settlement => table.settle(settlement)
+    }),
+    limits: { bodyBytes: 1_000, callerTimeoutMs: 300 }
+  })
+  const server = createServer((req, res) => { gateway.handle(req, res).catch(assert.ifError) })
+  const port = await listen(t, server)
+  const sweeper = setInterval(() => { renew(); pool.queue.pump() }, 20)
+  const agent = new Agent()
+  t.after(async () => {
+    clearInterval(sweeper)
+    for (const each of connections.values()) each.close()
+    await agent.destroy()
+  })
+  const url = `http://127.0.0.1:${port}`
+  return { url, port, gateway, pool, call: async (path, opts = {}) => await call(agent, `${url}${path}`, opts) }
+}
+
+async function call (agent: Agent, url: string, opts: { headers?: Record<string, string>, body?: string }) {
+  const res = await request(url, { method: 'POST', body: opts.body ?? '', headers: opts.headers ?? {}, dispatcher: agent })
+  const outcome = res.headers['wisteriaslip-outcome']
+  return { status: res.statusCode, outcome: typeof outcome === 'string' ? outcome : undefined, body: await res.body.text() }
+}
+
+async function executor (t: TestContext, name = 't1'): Promise<{ executor: ExecutorStandIn, port: number }> {
+  const executor = new ExecutorStandIn(name, 8)
+  return { executor, port: await listen(t, executor.server) }
+}
+
+test('a request that is not idempotent does not go over an idle connection that went silent', async t => {
+  const { executor: target, port } = await executor(t)
+  const site = await start(t, { t1: port })
+  assert.equal((await site.call('/write')).status, 200)
+  target.silence()
+  await sleep(300)
+  assert.equal((await site.call('/write')).status, 200)
+  assert.equal(target.starts.length, 2)
+})
+
+test('a silent connection costs an idempotent request a retry, not its answer', async t => {
+  const { executor: target, port } = await executor(t)
+  const site = await start(t, { t1: port })
+  assert.equal((await site.call('/read')).status, 200)
+  target.silence()
+  assert.equal((await site.call('/read')).status, 200)
+})
+
+test('a cut answer is an error and is not sent again when not idempotent', async t => {
+  const { executor: target, port } = await executor(t)
+  const site = await start(t, { t1: port })
+  const reply = await site.call('/write?fault=die&bytes=1000')
+  assert.equal(reply.status, 502)
+  assert.equal(reply.outcome, 'unknown')
+  assert.equal(target.starts.length, 1)
+})
+
+test('a large answer that is cut midway breaks the caller\'s connection', async t => {
+  const { port } = await executor(t)
+  const site = await start(t, { t1: port })
+  await assert.rejects(site.call('/write?fault=die&bytes=2000000'))
+})
+
+test('another request\'s answer is never passed on', async t => {
+  const { port } = await executor(t)
+  const site = await start(t, { t1: port })
+  const reply = await site.call('/write?fault=crossed')
+  assert.equal(reply.outcome, 'unknown')
+})
+
+test('an answer without an end mark is an error', async t => {
+  const raw = createTcpServer(socket => {
+    socket.on('error', () => {})
+    socket.once('data', () => socket.end('HTTP/1.1 200 OK\r\n\r\nhalf an ans'))
+  })
+  const site = await start(t, { t1: await listen(t, raw) })
+  const reply = await site.call('/write')
+  assert.equal(reply.outcome, 'unknown')
+})
+
+test('a leaving target gets no further request and its refusal costs none', async t => {
+  const first = await executor(t, 't1')
+  const second = await executor(t, 't2')
+  const site = await start(t, { t1: first.port, t2: second.port })
+  first.executor.draining = true
+  const replies = await Promise.all(Array.from({ length: 12 }, async () => await site.call('/write')))
+  assert.deepEqual(new Set(replies.map(reply => reply.status)), new Set([200]))
+  assert.equal(first.executor.starts.length, 0)
+  assert.equal(second.executor.starts.length, 12)
+})
+
+test('a target that cannot be reached is "not run" and true', async t => {
+  const site = await start(t, { t1: 1 })
+  const reply = await site.call('/write')
+  assert.equal(reply.status, 503)
+  assert.equal(reply.outcome, 'not-run')
+})
+
+test('a run beyond its limit ends in "unknown" and frees its slot', async t => {
+  const { port } = await executor(t)
+  const site = await start(t, { t1: port })
+  const reply = await site.call('/write?ms=5000')
+  assert.equal(reply.status, 504)
+  assert.equal(reply.outcome, 'unknown')
+  assert.equal(site.pool.slots.totals().busy, 0)
+})
+
+test('a caller that leaves does not cut off a write', async t => {
+  const { executor: target, port } = await executor(t)
+  const site = await start(t, { t1: port })
+  const headers = { 'idempotency-key': 'k1' }
+  const abort = new AbortController()
+  const gone = request(`${site.url}/write?ms=200`, { method: 'POST', body: '', headers, signal: abort.signal })
+  await sleep(80)
+  abort.abort()
+  await assert.rejects(gone)
+  const again = await site.call('/write?ms=200', { headers })
+  assert.equal(again.status, 200)
+  assert.equal(target.starts.length, 1)
+})
+
+test('bad input gets a clear error and reaches no target', async t => {
+  const { executor: target, port } = await executor(t)
+  const site = await start(t, { t1: port })
+  const bad: Array<[string, { headers?: Record<string, string>, body?: string }, string]> = [
+    ['/nowhere', {}, 'NO_WORKLOAD'],
+    ['/readable', {}, 'NO_WORKLOAD'],
+    [`/write/${'x'.repeat(9_000)}`, {}, 'BAD_PATH'],
+    ['/write', { body: 'x'.repeat(2_000) }, 'BODY_TOO_LARGE'],
+    ['/write', { headers: { authorization: 'Bearer nobody' } }, 'UNKNOWN_TENANT'],
+    ['/write', { headers: { 'wisteriaslip-class': 'other' } }, 'CLASS_NOT_ALLOWED'],
+    ['/write', { headers: { 'wisteriaslip-deadline-ms': '-5' } }, 'BAD_DEADLINE'],
+    ['/write', { headers: { 'idempotency-key': 'x'.repeat(300) } }, 'BAD_IDEMPOTENCY_KEY']
+  ]
+  for (const [path, opts, code] of bad) {
+    const reply = await site.call(path, opts)
+    assert.equal((JSON.parse(reply.body) as { code: string }).code, code)
+    assert.equal(reply.outcome, 'not-run')
+  }
+  assert.equal(target.starts.length, 0)
+})
+
+test('a path with dot segments is refused as it came', async t => {
+  const { executor: target, port } = await executor(t)
+  const site = await start(t, { t1: port })
+  for (const path of ['/write/%2e%2e/x', '/write/../x', '/write/.%2E']) {
+    const socket = connect(site.port, '127.0.0.1')
+    const answer = new Promise<string>(resolve => socket.once('data', data => resolve(String(data))))
+    socket.write(`GET ${path} HTTP/1.1\r\nhost: x\r\n\r\n`)
+    assert.match(await answer, /BAD_PATH/)
+    socket.destroy()
+  }
+  assert.equal(target.starts.length, 0)
+})
+
+test('a caller that sends its body too slowly is refused', async t => {
+  const { executor: target, port } = await executor(t)
+  const site = await start(t, { t1: port })
+  const socket = connect(site.port, '127.0.0.1')
+  const answer = new Promise<string>(resolve => socket.once('data', data => resolve(String(data))))
+  socket.write('POST /write HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nhalf')
+  assert.match(await answer, /BODY_INCOMPLETE/)
+  socket.destroy()
+  assert.equal(target.starts.length, 0)
+})
+
+test('a draining gateway ends what is under way and refuses new requests', async t => {
+  const { port } = await executor(t)
+  const site = await start(t, { t1: port })
+  const underWay = site.call('/write?ms=200')
+  await sleep(50)
+  site.gateway.startDraining()
+  site.gateway.refuseNew()
+  const late = await site.call('/write')
+  assert.equal(late.outcome, 'not-run')
+  assert.equal((await underWay).status, 200)
+  assert.equal(site.gateway.requestsInFlight(), 0)
+})
