Claim a key once also while its write is under way; sleep until there is news

Cause: a claim that came while another claim of the same key was being written was taken for new, and both ran. Found by the test with one key through three entries once claims were written at once instead of every 40 ms; it was there before, with a window of one store write. Shown by a unit test that fails before the change. The traffic of the history test now sends 30% of keyed requests twice at once. Ruled out: two owners of one partition (the log shows one).

Also: tasks that looked every 25 or 40 ms whether there was news now sleep until woken.

--- a/cli/cli/src/main.ts
+++ b/cli/cli/src/main.ts
@@ -1,4 +1,7 @@
 import { runCli } from './cli.ts'
+import { limitYoungGeneration } from './memory.ts'
+
+limitYoungGeneration()
 
 runCli(process.argv.slice(2)).then(
   code => { process.exitCode = code },
--- a/cli/entry/src/entry.ts
+++ b/cli/entry/src/entry.ts
@@ -1,5 +1,6 @@
+import { setMaxListeners } from 'node:events'
 import type { Server } from 'node:http'
-import { pause, runEvery, type Result } from '@wisteriaslip/core.result'
+import { pause, runEvery, Wakeup, type Result } from '@wisteriaslip/core.result'
 import { topicLogger, type Logger } from '@wisteriaslip/core.logger'
 import type { Address, Settings } from '@wisteriaslip/config.settings'
 import { createOperatorServer } from '@wisteriaslip/cli.operators'
@@ -23,6 +24,7 @@
 import { createState, type EntryState } from './state.ts'
 
 const SWEEP_MS = 25
+const IDLE_SWEEP_MS = 1_000
 const ELECTION_MS = 250
 const FLEET_STEP_MS = 500
 /** After a stop is asked for, requests are still taken for this long while the balancer learns of it. */
@@ -56,6 +58,7 @@
    */
   async run (signal: AbortSignal, onListening: (addresses: { callers: Address, operators: Address, peers: Address }) => void = () => {}): Promise<void> {
     const { settings, keys, logger } = this.deps
+    setMaxListeners(0, this.stopping.signal)
     const late: { service?: PeerService, sync?: PeerSync } = {}
     const peerServer = createPeerServer(lateBound(() => late.service), { key: keys?.peers })
     const peers = await listen(peerServer, settings.peers)
@@ -83,7 +86,12 @@
 
   private assemble (state: EntryState) {
     const { settings, clock, documents, fleet, members, leadership } = state
-    const pools = new Pools({ settings, incarnation: members.self.incarnation, clock, documents, fleet })
+    const sweeper = new Wakeup()
+    const onNews = (): void => {
+      sweeper.wake()
+      reporter.wake()
+    }
+    const pools = new Pools({ settings, incarnation: members.self.incarnation, clock, documents, fleet, onNews })
     const call = async <M extends keyof PeerService>(member: Member, method: M, input: Parameters<PeerService[M]>[0], timeoutMs: number): Promise<Result<Awaited<ReturnType<PeerService[M]>>, PeerError>> => {
       if (member.incarnation !== members.self.incarnation) return await state.peers.call(member.peerAddress, method, input, { timeoutMs, signal: this.stopping.signal })
       const local = service[method] as (input: Parameters<PeerService[M]>[0]) => Promise<Awaited<ReturnType<PeerService[M]>>>
@@ -117,7 +125,7 @@
     const platform = settings.vmList === undefined ? undefined : new HttpVmPlatform(settings.vmList.url)
     const fleetLeader = new FleetLeader({ state, leader, platform, signal })
     fleet.onChange(() => pools.sweep())
-    return { pools, reporter, sync, leader, partitions, service, gateway, platform, fleetLeader, call }
+    return { pools, sweeper, reporter, sync, leader, partitions, service, gateway, platform, fleetLeader, call }
   }
 
   private createPartitions (state: EntryState): ClaimPartitions {
@@ -147,7 +155,7 @@
       parts.sync.run(),
       parts.reporter.run(),
       parts.partitions.run(signal),
-      every(SWEEP_MS, () => parts.pools.sweep()),
+      sweepPools(parts.pools, parts.sweeper, signal),
       every(FLEET_STEP_MS, async () => await parts.fleetLeader.step())
     )
     const { platform } = parts
@@ -230,6 +238,15 @@
   }
 }
 
+/** Queues are looked at often while requests wait, seldom otherwise. */
+async function sweepPools (pools: Pools, wakeup: Wakeup, signal: AbortSignal): Promise<void> {
+  while (!signal.aborted) {
+    pools.sweep()
+    if (pools.anyWaiting()) await pause(SWEEP_MS, signal)
+    else await wakeup.sleep(IDLE_SWEEP_MS, signal)
+  }
+}
+
 /** A service that answers only once the entry is put together. */
 function lateBound (service: () => PeerService | undefined): PeerService {
   return new Proxy({} as PeerService, {
--- a/cli/entry/src/pools.ts
+++ b/cli/entry/src/pools.ts
@@ -14,6 +14,8 @@
   readonly clock: Clock
   readonly documents: DocumentView
   readonly fleet: FleetView
+  /** Told when a pool lacks slots or gave some back. */
+  readonly onNews: () => void
 }
 
 /** All pools at this entry, and its connections to their targets. */
@@ -46,7 +48,8 @@
       clock: this.opts.clock,
       config: () => this.opts.documents.config() ?? EMPTY_CONFIG,
       target: target => this.targetView(name, target),
-      queueBytes: this.opts.settings.limits.queueBytes
+      queueBytes: this.opts.settings.limits.queueBytes,
+      onNews: this.opts.onNews
     })
     this.runtimes.set(name, runtime)
     return runtime
@@ -69,6 +72,14 @@
     return connections
   }
 
+  /** @returns whether any request waits for a slot */
+  anyWaiting (): boolean {
+    for (const runtime of this.runtimes.values()) {
+      if (runtime.queue.waiting() > 0) return true
+    }
+    return false
+  }
+
   /** Refuses what is late, hands out slots, and closes connections that were idle for long. */
   sweep (): void {
     for (const runtime of this.runtimes.values()) runtime.queue.pump()
--- a/cli/entry/src/slot-reporter.ts
+++ b/cli/entry/src/slot-reporter.ts
@@ -1,19 +1,20 @@
-import { linkAbort, pause, type Clock, type LinkedAbort, type Result } from '@wisteriaslip/core.result'
+import { linkAbort, pause, Wakeup, type Clock, type LinkedAbort, type Result } from '@wisteriaslip/core.result'
 import type { FleetConfig } from '@wisteriaslip/config.documents'
 import type { Leadership, Member, Members } from '@wisteriaslip/peers.membership'
 import type { PeerError, PeerService } from '@wisteriaslip/peers.protocol'
 import type { PoolRuntime } from '@wisteriaslip/routing.gateway'
-import { FOLLOWING_MS, HOLD_MS, type SlotReport } from '@wisteriaslip/routing.slots'
+import { FOLLOWING_MS, HOLD_MS, ReportSchedule, type SlotReport } from '@wisteriaslip/routing.slots'
 import { poolResource } from './resources.ts'
 
-const TICK_MS = 25
-/** Least time between two reports to the same leader. */
-const REPORT_GAP_MS = 100
 /** A leader hears from every entry at least this often. */
 const RENEW_MS = 1_000
+/** While there is news, links are looked at this often. */
+const NEWS_TICK_MS = 25
+const MEMBERS_CHECK_MS = 250
 const REPORT_TIMEOUT_MS = 800
 /** After this time without an answer of the leader, urgent work borrows slots from peers. */
-const BORROW_AFTER_MS = 500
+const BORROW_AFTER_MS = 1_500
+const BORROW_GAP_MS = 100
 const BORROW_TIMEOUT_MS = 300
 const MAX_BORROWED_SLOTS = 8
 
@@ -32,8 +33,9 @@
 }
 
 interface LeaderLink {
+  readonly wakeup: Wakeup
+  readonly schedule: ReportSchedule
   heardAt: number
-  sentAt: number
   seq: number
 }
 
@@ -67,7 +69,7 @@
         tasks.delete(incarnation)
         this.links.delete(incarnation)
       }
-      await pause(RENEW_MS / 4, this.opts.signal)
+      await pause(MEMBERS_CHECK_MS, this.opts.signal)
     }
     await borrowing
   }
@@ -78,6 +80,12 @@
    */
   nudge (entry: string): void {
     this.nudged.add(entry)
+    this.wake()
+  }
+
+  /** There is news in some pool: every link looks whether it is for its leader. */
+  wake (): void {
+    for (const link of this.links.values()) link.wakeup.wake()
   }
 
   /** @returns incarnations of the leaders that answered within the holding time */
@@ -87,12 +95,13 @@
   }
 
   private async serveLink (member: Member, signal: AbortSignal): Promise<void> {
-    const link: LeaderLink = { heardAt: Number.NEGATIVE_INFINITY, sentAt: Number.NEGATIVE_INFINITY, seq: 0 }
+    const link: LeaderLink = { wakeup: new Wakeup(), schedule: new ReportSchedule(), heardAt: Number.NEGATIVE_INFINITY, seq: 0 }
     this.links.set(member.incarnation, link)
-    while (await pause(TICK_MS, signal)) {
+    let restMs = RENEW_MS
+    while (await link.wakeup.sleep(restMs, signal)) {
       const led = this.ledBy(member)
-      if (led.length === 0 || !this.isDue(member, link, led)) continue
-      await this.report(member, link, led)
+      if (led.length > 0 && this.isDue(member, link, led)) await this.report(member, link, led)
+      restMs = this.hasNews(member, led) ? NEWS_TICK_MS : RENEW_MS
     }
   }
 
@@ -108,20 +117,23 @@
   }
 
   private isDue (member: Member, link: LeaderLink, led: readonly PoolRuntime[]): boolean {
-    const since = this.opts.clock.now() - link.sentAt
-    if (since >= RENEW_MS) return true
-    if (since < REPORT_GAP_MS) return false
-    if (this.nudged.delete(member.id)) return true
-    return led.some(pool => pool.slots.isDirty() || (isStarved(pool) && pool.slots.hasNews()))
+    return link.schedule.isDue(this.opts.clock.now(), () => ({
+      nudged: this.nudged.delete(member.id),
+      constraintBroken: led.some(pool => pool.slots.isDirty() || (pool.isStarved() && pool.slots.hasNews()))
+    }))
+  }
+
+  private hasNews (member: Member, led: readonly PoolRuntime[]): boolean {
+    return this.nudged.has(member.id) || led.some(pool => pool.slots.isDirty() || pool.isStarved())
   }
 
   private async report (member: Member, link: LeaderLink, led: readonly PoolRuntime[]): Promise<void> {
     const { self } = this.opts.members
     const sentAt = this.opts.clock.now()
-    link.sentAt = sentAt
+    link.schedule.sent(sentAt)
     link.seq += 1
     const heard = sentAt - link.heardAt < FOLLOWING_MS
-    const told = led.filter(pool => pool.slots.hasNews() || isStarved(pool))
+    const told = led.filter(pool => pool.slots.hasNews() || pool.isStarved())
     const report: SlotReport = { from: self.id, incarnation: self.incarnation, seq: link.seq, heard, pools: told.map(pool => pool.slots.report()) }
     const reply = await this.opts.call(member, 'report', report, REPORT_TIMEOUT_MS)
     if (!reply.ok) {
@@ -142,7 +154,7 @@
   }
 
   private async borrowWhileUnled (): Promise<void> {
-    while (await pause(REPORT_GAP_MS, this.opts.signal)) {
+    while (await pause(BORROW_GAP_MS, this.opts.signal)) {
       for (const pool of this.opts.pools()) {
         const wanted = this.urgentlyMissing(pool)
         if (wanted > 0) await this.borrow(pool, wanted)
@@ -151,7 +163,7 @@
   }
 
   private urgentlyMissing (pool: PoolRuntime): number {
-    if (!isStarved(pool) || !pool.slots.valid() || this.isLed(pool)) return 0
+    if (!pool.isStarved() || !pool.slots.valid() || this.isLed(pool)) return 0
     const ranks = [...this.opts.config()?.classes.values() ?? []].map(each => each.rank)
     return Math.min(MAX_BORROWED_SLOTS, pool.queue.waitingUpTo(Math.min(...ranks)))
   }
@@ -159,7 +171,7 @@
   private isLed (pool: PoolRuntime): boolean {
     const leader = this.opts.leadership.leaderOf(poolResource(pool.pool))
     const link = leader === undefined ? undefined : this.links.get(leader.record.incarnation)
-    return link !== undefined && this.opts.clock.now() - link.heardAt < BORROW_AFTER_MS + RENEW_MS
+    return link !== undefined && this.opts.clock.now() - link.heardAt < BORROW_AFTER_MS
   }
 
   private async borrow (pool: PoolRuntime, wanted: number): Promise<void> {
@@ -171,7 +183,3 @@
     if (loans.ok && loans.value.length > 0) pool.slots.borrow(loans.value)
   }
 }
-
-function isStarved (pool: PoolRuntime): boolean {
-  return pool.queue.waiting() > 0 && pool.slots.totals().idle === 0
-}
--- a/core/result/src/index.ts
+++ b/core/result/src/index.ts
@@ -5,4 +5,5 @@
 export { err, ok, type Result } from './result.ts'
 export { systemClock, type Clock } from './clock.ts'
 export { linkAbort, within, type LinkedAbort } from './abort.ts'
+export { Wakeup } from './wakeup.ts'
 export { backoff, pause, runEvery } from './timing.ts'
--- a/routing/admission/src/pool-queue.ts
+++ b/routing/admission/src/pool-queue.ts
@@ -43,6 +43,8 @@
   /** Slots held now, by which floors and waiting times are reckoned. */
   readonly slotsHeld: () => number
   readonly maxBytes: number
+  /** Told when requests are left waiting for lack of a slot. */
+  readonly onStarved: () => void
 }
 
 interface Entry<S> extends Waiting {
@@ -84,7 +86,10 @@
     this.sweep()
     while (this.waiting() > 0) {
       const slot = this.opts.acquire()
-      if (slot === undefined) return
+      if (slot === undefined) {
+        this.opts.onStarved()
+        return
+      }
       if (!this.serve(slot)) {
         slot.release()
         return
--- a/routing/admission/test/pool-queue.test.ts
+++ b/routing/admission/test/pool-queue.test.ts
@@ -32,7 +32,8 @@
         return { release: () => { this.free += 1 } }
       },
       slotsHeld: () => slots,
-      maxBytes: 1_000
+      maxBytes: 1_000,
+      onStarved: () => {}
     })
   }
 
--- a/routing/gateway/src/pool-runtime.ts
+++ b/routing/gateway/src/pool-runtime.ts
@@ -12,6 +12,8 @@
   readonly config: () => FleetConfig
   readonly target: (name: string) => TargetView | undefined
   readonly queueBytes: number
+  /** Told when requests wait for lack of slots, or slots were given back: the leader should hear of it. */
+  readonly onNews: () => void
 }
 
 /** One pool at one entry: its allotment of slots and the requests that wait for them. */
@@ -29,7 +31,8 @@
       clock: opts.clock,
       target: opts.target,
       demand: () => this.queue.demand(),
-      onSlots: () => this.queue.pump()
+      onSlots: () => this.queue.pump(),
+      onNews: opts.onNews
     })
     this.queue = new PoolQueue<Slot>({
       clock: opts.clock,
@@ -37,7 +40,13 @@
       quota: tenant => opts.config().quotaOf(tenant),
       acquire: () => this.slots.acquire(),
       slotsHeld: () => this.slots.totals().held,
-      maxBytes: opts.queueBytes
+      maxBytes: opts.queueBytes,
+      onStarved: opts.onNews
     })
   }
+
+  /** @returns whether requests wait and no slot is free */
+  isStarved (): boolean {
+    return this.queue.waiting() > 0 && this.slots.totals().idle === 0
+  }
 }
--- a/routing/gateway/test/gateway.test.ts
+++ b/routing/gateway/test/gateway.test.ts
@@ -55,7 +55,8 @@
     clock: systemClock,
     config: () => config,
     target: name => ({ zone: 'z', usable: connections.get(name)?.healthy() ?? false }),
-    queueBytes: 1e7
+    queueBytes: 1e7,
+    onNews: () => {}
   })
   pool.slots.follow(1)
   const add = Object.fromEntries(Object.keys(targets).map(name => [name, 4]))
--- a/routing/idempotency/src/partitions.ts
+++ b/routing/idempotency/src/partitions.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto'
 import { z } from 'zod'
-import { pause, type Clock } from '@wisteriaslip/core.result'
+import { pause, Wakeup, type Clock } from '@wisteriaslip/core.result'
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { ClaimReply, ClaimRequest, ClaimSettlement } from '@wisteriaslip/peers.protocol'
 import type { Change, Guard, Store, Versioned } from '@wisteriaslip/platform.store'
@@ -63,7 +63,9 @@
   readonly token: number
   readonly table: ClaimTable
   readonly segments: Array<{ doc: Versioned, segment: Segment }>
-  pending: PendingClaim[]
+  readonly pending: PendingClaim[]
+  /** Claims whose write is under way. */
+  readonly writing: PendingClaim[]
   loaded: boolean
 }
 
@@ -71,6 +73,7 @@
 export class ClaimPartitions {
   private readonly opts: ClaimPartitionsOpts
   private readonly owned = new Map<number, Partition>()
+  private readonly wakeup = new Wakeup()
 
   constructor (opts: ClaimPartitionsOpts) {
     this.opts = opts
@@ -86,9 +89,12 @@
     if (partition === undefined) return { state: 'unavailable' }
     const known = partition.table.lookUp(request)
     if (known !== undefined) return known
-    const pending = partition.pending.find(each => each.request.id === request.id)
+    const pending = [...partition.writing, ...partition.pending].find(each => each.request.id === request.id)
     if (pending !== undefined) return pending.request.bodyHash === request.bodyHash ? { state: 'running' } : { state: 'different' }
-    return await new Promise(resolve => partition.pending.push({ request, reply: resolve }))
+    return await new Promise(resolve => {
+      partition.pending.push({ request, reply: resolve })
+      this.wakeup.wake()
+    })
   }
 
   /**
@@ -105,8 +111,9 @@
    */
   async run (signal: AbortSignal): Promise<void> {
     let collectedAt = this.opts.clock.now()
-    while (await pause(FLUSH_GAP_MS, signal)) {
+    while (await this.wakeup.sleep(GC_PERIOD_MS, signal)) {
       await this.flush()
+      await pause(FLUSH_GAP_MS, signal)
       if (this.opts.clock.now() - collectedAt < GC_PERIOD_MS) continue
       collectedAt = this.opts.clock.now()
       await this.dropExpired()
@@ -119,12 +126,14 @@
     const batches = [...this.owned.values()]
       .filter(partition => partition.loaded && partition.pending.length > 0)
       .map(partition => ({ partition, pending: partition.pending.splice(0, CLAIMS_PER_SEGMENT) }))
+    for (const { partition, pending } of batches) partition.writing.push(...pending)
     if (batches.length === 0) return
     const writes = batches.map(({ partition, pending }) => this.segmentWrite(partition, pending))
     const guards = batches.map(({ partition }) => this.opts.guard(partitionResource(partition.number), partition.token))
     const written = await this.opts.store.update(writes.map(write => write.change), { guards })
     batches.forEach(({ partition, pending }, index) => {
       const write = writes[index]
+      partition.writing.length = 0
       if (!written.ok || write === undefined) this.failed(partition, pending, written.ok ? 'none' : written.error.code)
       else this.committed(partition, pending, write, written.value)
     })
@@ -180,7 +189,7 @@
   }
 
   private async load (number: number, token: number): Promise<Partition | undefined> {
-    const partition: Partition = { number, token, table: new ClaimTable(this.opts.clock), segments: [], pending: [], loaded: false }
+    const partition: Partition = { number, token, table: new ClaimTable(this.opts.clock), segments: [], pending: [], writing: [], loaded: false }
     this.owned.set(number, partition)
     const listed = await this.opts.store.list(this.segmentPrefix(number))
     if (this.owned.get(number) !== partition) return undefined
--- a/routing/idempotency/test/partitions.test.ts
+++ b/routing/idempotency/test/partitions.test.ts
@@ -106,6 +106,25 @@
   assert.equal(await owner.claim(), 'run')
 })
 
+test('two claims of one key around a write run once', async () => {
+  const driver = new MemoryDriver()
+  const owner = new Owner(driver)
+  await owner.lead()
+  let letGo = (): void => {}
+  driver.beforeTxn = async () => await new Promise(resolve => { letGo = resolve })
+  const first = owner.partitions.claim(request)
+  await new Promise(resolve => setImmediate(resolve))
+  const flushing = owner.partitions.flush()
+  await new Promise(resolve => setImmediate(resolve))
+  const second = owner.partitions.claim({ ...request, requestId: 'request-2' })
+  await new Promise(resolve => setImmediate(resolve))
+  driver.beforeTxn = async () => {}
+  letGo()
+  await flushing
+  await owner.partitions.flush()
+  assert.deepEqual([(await first).state, (await second).state], ['run', 'running'])
+})
+
 test('a takeover in the middle of a write leaves no claim unanswered', async () => {
   const driver = new MemoryDriver()
   const owner = new Owner(driver)
--- a/routing/slots/src/holder.ts
+++ b/routing/slots/src/holder.ts
@@ -27,6 +27,8 @@
   readonly demand: () => readonly Demand[]
   /** Told when slots may have become available. */
   readonly onSlots: () => void
+  /** Told when there is something that the leader should hear of soon. */
+  readonly onNews: () => void
 }
 
 /** A slot in use. It must be released exactly once. */
@@ -184,7 +186,7 @@
   /** The next check for news finds some: the last report was not answered. */
   reportAgain (): void {
     this.lastReported = ''
-    this.dirty = true
+    this.markDirty()
   }
 
   /**
@@ -192,7 +194,7 @@
    * @param target - name of the target
    */
   noteLeaving (target: string): void {
-    this.dirty = true
+    this.markDirty()
     this.leavingUntil.set(target, this.opts.clock.now() + LEAVING_MS)
     this.shedUnusable()
   }
@@ -258,7 +260,7 @@
       if (slots <= 0) continue
       holding.held -= slots
       this.toGiveBack -= slots
-      this.dirty = true
+      this.markDirty()
     }
   }
 
@@ -266,7 +268,7 @@
     for (const [target, holding] of this.holdings) {
       if (!this.usable(target) && holding.held > holding.busy) {
         holding.held = holding.busy
-        this.dirty = true
+        this.markDirty()
       }
       if (holding.held === 0 && holding.busy === 0) this.holdings.delete(target)
     }
@@ -284,6 +286,12 @@
     }
   }
 
+  private markDirty (): void {
+    if (this.dirty) return
+    this.dirty = true
+    this.opts.onNews()
+  }
+
   private usable (target: string): boolean {
     if (this.avoid.has(target) || this.leavingUntil.has(target)) return false
     return this.opts.target(target)?.usable === true
--- a/routing/slots/src/index.ts
+++ b/routing/slots/src/index.ts
@@ -7,3 +7,4 @@
 export { SlotHolder, type Slot, type SlotHolderOpts, type TargetView } from './holder.ts'
 export { shareOut, type ShareRequest } from './share-out.ts'
 export { FOLLOWING_MS, HOLD_MS } from './limits.ts'
+export { ReportSchedule, type ReportReasons } from './report-schedule.ts'
--- /dev/null
+++ b/routing/slots/src/report-schedule.ts
@@ -0,0 +1,35 @@
+/** Least time between two reports to the same leader. */
+const REPORT_GAP_MS = 100
+/** A leader hears from every entry at least this often. */
+const RENEW_MS = 1_000
+
+/** What speaks for a report now. */
+export interface ReportReasons {
+  /** The leader asked for one. */
+  readonly nudged: boolean
+  /** Work waits beyond the allotment, or slots were given back. */
+  readonly constraintBroken: boolean
+}
+
+/** Decides when an entry speaks to a leader: when a local constraint breaks, else once a period. */
+export class ReportSchedule {
+  private sentAt = Number.NEGATIVE_INFINITY
+
+  /**
+   * @param now - present time in milliseconds
+   * @param reasons - evaluated only when a report may be sent
+   * @returns whether a report is to be sent now
+   */
+  isDue (now: number, reasons: () => ReportReasons): boolean {
+    const since = now - this.sentAt
+    if (since >= RENEW_MS) return true
+    if (since < REPORT_GAP_MS) return false
+    const { nudged, constraintBroken } = reasons()
+    return nudged || constraintBroken
+  }
+
+  /** @param now - when a report left */
+  sent (now: number): void {
+    this.sentAt = now
+  }
+}
--- a/routing/slots/test/allotment.model.test.ts
+++ b/routing/slots/test/allotment.model.test.ts
@@ -37,7 +37,8 @@
         clock: this.clock,
         target: () => ({ zone: 'z', usable: true }),
         demand: () => [{ class: 'c', tenant: 't', count: (this.waiting.get(id) ?? 0) + (this.slots.get(id)?.length ?? 0) }],
-        onSlots: () => {}
+        onSlots: () => {},
+        onNews: () => {}
       }))
     }
     this.elect()
--- a/testing/site/src/site.ts
+++ b/testing/site/src/site.ts
@@ -26,6 +26,8 @@
   /** The built binary, to run instead of the sources. */
   readonly binary?: string
   readonly logLevel?: string
+  /** Flags of the runtime for all entries, for profiles. */
+  readonly nodeArgs?: readonly string[]
 }
 
 /** One entry of a site. */
@@ -65,12 +67,21 @@
   static async start (opts: SiteOpts): Promise<Site> {
     const site = new Site(opts)
     site.folder = await mkdtemp(join(tmpdir(), 'wisteriaslip-'))
-    site.storeUrl = await site.listen(site.store.server)
-    const documents = await site.startExecutors()
-    await site.startEntries()
-    await site.apply(documents)
-    await site.untilReady()
-    return site
+    try {
+      await site.bringUp()
+      return site
+    } catch (error) {
+      await site.stop()
+      throw error
+    }
+  }
+
+  private async bringUp (): Promise<void> {
+    this.storeUrl = await this.listen(this.store.server)
+    const documents = await this.startExecutors()
+    await this.startEntries()
+    await this.apply(documents)
+    await this.untilReady()
   }
 
   /** Stops everything that was started. */
@@ -122,6 +133,15 @@
     }
   }
 
+  /**
+   * @param index - of an executor
+   * @returns where it listens
+   */
+  executorUrl (index: number): string {
+    const { port } = this.executors[index]?.server.address() as AddressInfo
+    return `http://127.0.0.1:${port}`
+  }
+
   /** Waits until every entry holds slots of every pool. */
   async untilReady (): Promise<void> {
     for (let attempt = 0; attempt < READY_TRIES; attempt++) {
@@ -186,8 +206,8 @@
     }
   }
 
-  private processOpts (logFile: string): { logFile: string, binary?: string } {
-    return { logFile, ...(this.opts.binary === undefined ? {} : { binary: this.opts.binary }) }
+  private processOpts (logFile: string): { logFile: string, binary?: string, nodeArgs?: readonly string[] } {
+    return { logFile, nodeArgs: this.opts.nodeArgs ?? [], ...(this.opts.binary === undefined ? {} : { binary: this.opts.binary }) }
   }
 
   private async listen (server: Server): Promise<string> {
--- a/testing/site/src/traffic.ts
+++ b/testing/site/src/traffic.ts
@@ -6,6 +6,8 @@
 
 const MAX_KEYED_TRIES = 3
 const PAUSE_MS = 20
+/** Share of keyed requests that are sent twice at once through two entries. */
+const TWICE_SHARE = 0.3
 
 /** Options of {@link runCallers}. */
 export interface TrafficOpts {
@@ -47,14 +49,22 @@
   const fault = random() < opts.faultShare ? `&fault=${faults[Math.floor(random() * faults.length)] ?? ''}` : ''
   const urgent = random() < 0.3
   const path = `/${opts.pool}/${idempotent ? 'read' : 'write'}?ms=${Math.floor(random() * 60)}&bytes=${Math.floor(random() * 2_000)}${fault}`
-  for (let attempt = 0; attempt < (key === undefined ? 1 : MAX_KEYED_TRIES); attempt++) {
+  const send = async (): Promise<boolean> => {
     const entry = site.entries[Math.floor(random() * site.entries.length)]
-    if (entry === undefined) return
+    if (entry === undefined) return true
     const sent = `body of ${op}`
     const headers = { 'x-op': op, ...(key === undefined ? {} : { 'idempotency-key': key }), ...(urgent ? { 'wisteriaslip-class': 'urgent' } : {}) }
     const reply = await callOnce(`${entry.callers}${path}`, { method: 'POST', headers, body: sent, dispatcher: agent, timeoutMs: 15_000 })
     attempts.push({ op, key, idempotent, sent, entry: entry.id, reply })
-    if (isFinal(reply)) return
+    return isFinal(reply)
+  }
+  if (key === undefined) {
+    await send()
+    return
+  }
+  if (random() < TWICE_SHARE) await Promise.all([send(), send()])
+  for (let attempt = 0; attempt < MAX_KEYED_TRIES; attempt++) {
+    if (await send()) return
     await sleep(200)
   }
 }
--- a/testing/stand-ins/src/process.ts
+++ b/testing/stand-ins/src/process.ts
@@ -17,12 +17,12 @@
 /**
  * Starts the command line as a process of its own.
  * @param args - of the command line
- * @param opts - file for its log; the built binary to run instead of the sources
+ * @param opts - file for its log; the built binary to run instead of the sources; flags of the runtime
  * @returns the process
  */
-export function startProcess (args: readonly string[], opts: { logFile?: string, binary?: string } = {}): StartedProcess {
+export function startProcess (args: readonly string[], opts: { logFile?: string, binary?: string, nodeArgs?: readonly string[] } = {}): StartedProcess {
   const command = opts.binary ?? process.execPath
-  const prefix = opts.binary === undefined ? ['--import', 'tsx', CLI] : []
+  const prefix = opts.binary === undefined ? [...opts.nodeArgs ?? [], '--import', 'tsx', CLI] : []
   const child = spawn(command, [...prefix, ...args], { stdio: ['ignore', 'ignore', 'pipe'] })
   if (opts.logFile !== undefined) child.stderr?.pipe(createWriteStream(opts.logFile))
   else child.stderr?.resume()
