--- /dev/null
+++ b/bench/src/planning.ts
@@ -0,0 +1,104 @@
+/**
+ * Time and memory of one planning pass over the whole fleet (waves, moves, slots, configuration) at parts and multiples
+ * of the size to design for.
+ * @module
+ */
+import { FleetConfig, parseDocument, type Document } from '@wisteriaslip/config.documents'
+import { MovePlanner } from '@wisteriaslip/fleet.pools'
+import { planWave } from '@wisteriaslip/fleet.waves'
+import { planSlots } from '@wisteriaslip/routing.slots'
+import { round } from './statistics.ts'
+
+/** The size to design for. */
+export const designSize = { workers: 650, pools: 213, tenants: 230, entries: 7 } as const
+const SCALES = [0.25, 0.5, 1, 2]
+const PASSES = 5
+
+/** One pass at one scale. */
+export interface PlanningResult {
+  readonly scale: number
+  readonly configMs: number
+  readonly passMs: number
+  readonly documentsKiB: number
+}
+
+/** @returns a result for each scale, and how time grows from the size to design for to twice it (2 is linear) */
+export function benchPlanning (): { results: PlanningResult[], growth: number } {
+  const results = SCALES.map(measure)
+  const [one, two] = results.slice(-2)
+  return { results, growth: round((two?.passMs ?? 0) / (one?.passMs ?? 1), 2) }
+}
+
+function measure (scale: number): PlanningResult {
+  const documents = makeDocuments(scale)
+  const configMs = fastest(() => new FleetConfig(documents))
+  const config = new FleetConfig(documents)
+  const passMs = fastest(() => pass(config, scale))
+  return { scale, configMs: round(configMs), passMs: round(passMs), documentsKiB: round(JSON.stringify(documents).length / 1_024, 0) }
+}
+
+function fastest (run: () => unknown): number {
+  const times = Array.from({ length: PASSES }, () => {
+    const at = performance.now()
+    run()
+    return performance.now() - at
+  })
+  return Math.min(...times)
+}
+
+function pass (config: FleetConfig, scale: number): void {
+  const vmsByPool = new Map<string, string[]>()
+  for (const vm of config.vms.values()) {
+    const pool = `pool-${vm.labels.pool}`
+    vmsByPool.set(pool, [...vmsByPool.get(pool) ?? [], vm.name])
+  }
+  const planner = new MovePlanner({ buffer: () => 4, eligible: () => true })
+  const movable = config.pools.map(pool => ({ name: pool.name, spare: pool.spare, vms: vmsByPool.get(pool.name) ?? [], capacity: 24, demand: 20, mayGive: true }))
+  planner.plan(movable, 0)
+  const tenants = Math.round(designSize.tenants * scale)
+  for (const pool of config.pools) {
+    const members = vmsByPool.get(pool.name) ?? []
+    const candidates = members.map(vm => ({ vm, zone: config.vms.get(vm)?.zone ?? '', rack: config.vms.get(vm)?.rack ?? '', drainMs: 0 }))
+    planWave({ pool, ledger: { members, places: {}, waves: {} }, candidates, failed: new Set(), rackOf: vm => config.vms.get(vm)?.rack ?? '' })
+    planSlots(24, entryDemands(tenants, config.pools.length), { classes: [{ name: 'normal', rank: 0, floor: 0.3 }], quota: () => 1 })
+  }
+}
+
+/** Each tenant has work in a few pools at a time. */
+function entryDemands (tenants: number, pools: number) {
+  const active = Math.max(1, Math.round(tenants * 4 / pools))
+  return Array.from({ length: designSize.entries }, (_, entry) => ({
+    entry: `entry-${entry}`,
+    demand: Array.from({ length: active }, (_, tenant) => ({ class: 'normal', tenant: `tenant-${tenant}`, count: 2 }))
+  }))
+}
+
+/**
+ * Documents of a fleet.
+ * @param scale - of the size to design for
+ * @returns documents, with defaults filled in
+ */
+export function makeDocuments (scale: number): Document[] {
+  const pools = Math.max(1, Math.round(designSize.pools * scale))
+  const inputs = [
+    { kind: 'class', name: 'normal', rank: 0, floor: 0.3 },
+    ...Array.from({ length: Math.round(designSize.tenants * scale) }, (_, index) => ({ kind: 'tenant', name: `tenant-${index}`, keySha256: index.toString(16).padStart(64, '0') })),
+    ...Array.from({ length: Math.round(designSize.workers * scale) }, (_, index) => ({
+      kind: 'vm',
+      name: `vm-${index}`,
+      role: 'executor',
+      address: { host: `10.${index >> 16 & 255}.${index >> 8 & 255}.${index & 255}`, port: 8_080 },
+      region: `region-${index % 3}`,
+      zone: `zone-${index % 9}`,
+      rack: `rack-${index >> 2}`,
+      labels: { pool: String(index % pools) }
+    })),
+    ...Array.from({ length: pools }, (_, index) => ({ kind: 'pool', name: `pool-${index}`, labels: { pool: String(index) }, selector: { pool: String(index) }, budget: { maxUnavailable: 1 } })),
+    ...Array.from({ length: pools }, (_, index) => ({ kind: 'workload', name: `work-${index}`, match: { pathPrefix: `/work-${index}` }, poolSelector: { pool: String(index) }, class: 'normal', idempotent: true, deadlineMs: 2_000, maxRunMs: 1_000 }))
+  ]
+  return inputs.map(input => {
+    const parsed = parseDocument(input)
+    if (!parsed.ok) throw new Error(parsed.error.message)
+    return parsed.value
+  })
+}
--- a/cli/entry/src/entry.ts
+++ b/cli/entry/src/entry.ts
@@ -123,7 +123,7 @@
       limits: settings.limits
     })
     const platform = settings.vmList === undefined ? undefined : new HttpVmPlatform(settings.vmList.url)
-    const fleetLeader = new FleetLeader({ state, leader, platform, signal })
+    const fleetLeader = new FleetLeader({ state, leader, platform, signal, call })
     fleet.onChange(() => pools.sweep())
     return { pools, sweeper, reporter, sync, leader, partitions, service, gateway, platform, fleetLeader, call }
   }
--- a/cli/entry/src/fleet-leader.ts
+++ b/cli/entry/src/fleet-leader.ts
@@ -1,16 +1,20 @@
 import { connect } from 'node:net'
 import { matches, type FleetConfig, type PoolDoc, type VmDoc } from '@wisteriaslip/config.documents'
-import { LedgerStore } from '@wisteriaslip/fleet.ledger'
+import { LedgerStore, roomIn, takePlace, type Place } from '@wisteriaslip/fleet.ledger'
+import { bufferNeeded, MovePlanner, type MovablePool } from '@wisteriaslip/fleet.pools'
 import { PoolKeeper, type Observation } from '@wisteriaslip/fleet.waves'
 import type { VmStatus } from '@wisteriaslip/fleet.view'
 import type { VmPlatform } from '@wisteriaslip/platform.vm-list'
 import { fleetResource, poolResource } from './resources.ts'
 import type { SlotLeader } from './slot-leader.ts'
+import type { CallMember } from './slot-reporter.ts'
 import type { EntryState } from './state.ts'
 
 /** How many VMs are assigned in one step, so that a first start does not use up the store's budget. */
 const ASSIGNMENTS_PER_STEP = 16
 const PROBE_TIMEOUT_MS = 500
+const MOVES_PERIOD_MS = 2_000
+const LOADS_TIMEOUT_MS = 1_000
 const OUT_OF_SERVICE: ReadonlySet<VmStatus> = new Set(['gone', 'leaving', 'cordoned'])
 
 /** What the fleet's leader needs of the entry. */
@@ -19,6 +23,7 @@
   readonly leader: SlotLeader
   readonly platform: VmPlatform | undefined
   readonly signal: AbortSignal
+  readonly call: CallMember
 }
 
 /** Decisions on VMs: assignment by the fleet's leader, disruptions by each pool's leader. */
@@ -26,6 +31,8 @@
   private readonly opts: FleetLeaderOpts
   private readonly ledgers: LedgerStore
   private readonly keeper: PoolKeeper
+  private readonly mover: MovePlanner
+  private movesPlannedAt = Number.NEGATIVE_INFINITY
 
   constructor (opts: FleetLeaderOpts) {
     this.opts = opts
@@ -40,6 +47,7 @@
       failed: pool => this.failed(pool),
       reboot: async (vm, rebootId) => await this.reboot(vm, rebootId)
     })
+    this.mover = new MovePlanner({ eligible: (vm, pool) => this.isEligible(vm, pool), buffer: () => this.buffer() })
   }
 
   /** One step of everything that this entry leads. */
@@ -48,6 +56,7 @@
     const config = documents.config()
     if (config === undefined) return
     await this.assignNew(config)
+    await this.planMoves(config)
     for (const pool of config.pools) {
       const resource = poolResource(pool.name)
       const token = leadership.token(resource)
@@ -71,6 +80,57 @@
     }
   }
 
+  /** The spare pools lend VMs on a forecast of need; every move takes a place in the giving pool's budget first. */
+  private async planMoves (config: FleetConfig): Promise<void> {
+    const { leadership, clock, decisions } = this.opts.state
+    const token = leadership.token(fleetResource)
+    if (token === undefined || clock.now() - this.movesPlannedAt < MOVES_PERIOD_MS) return
+    this.movesPlannedAt = clock.now()
+    const guard = leadership.guard(fleetResource, token)
+    for (const move of this.mover.plan(await this.movablePools(config), clock.now())) {
+      const pool = config.pool(move.from)
+      if (pool === undefined) continue
+      const place: Place = { reason: 'move', to: move.to, phase: 'draining', since: Date.now() }
+      const taken = await this.ledgers.change(pool.name, guard, ledger => takePlace(pool, ledger, move.vm, place, { failed: this.failed(pool.name) }))
+      decisions.record('vm', move.vm, taken.ok ? move.reason : taken.error.code, { from: move.from, to: move.to })
+    }
+  }
+
+  private async movablePools (config: FleetConfig): Promise<MovablePool[]> {
+    const { members, fleet } = this.opts.state
+    const replies = await Promise.all(members.all().map(async member => await this.opts.call(member, 'loads', undefined, LOADS_TIMEOUT_MS)))
+    const loads = new Map(replies.flatMap(reply => reply.ok ? reply.value : []).map(load => [load.pool, load]))
+    const pools: MovablePool[] = []
+    for (const pool of config.pools) {
+      const load = loads.get(pool.name)
+      if (load === undefined) continue
+      const ledger = fleet.ledger(pool.name)
+      const vms = ledger.members.filter(vm => ledger.places[vm] === undefined)
+      const mayGive = Object.keys(ledger.places).length === 0 && roomIn(pool, ledger, { failed: this.failed(pool.name) }) > 0
+      pools.push({ name: pool.name, spare: pool.spare, capacity: load.capacity, demand: load.demand, vms, mayGive })
+    }
+    return pools
+  }
+
+  private isEligible (vm: string, pool: string): boolean {
+    const config = this.opts.state.documents.config()
+    const doc = config?.vms.get(vm)
+    const selector = config?.pool(pool)?.selector
+    return doc !== undefined && selector !== undefined && matches(selector, doc.labels)
+  }
+
+  /** Spare VMs that make up for the loss of any one rack at the present forecast. */
+  private buffer (): number {
+    const { documents, fleet } = this.opts.state
+    const config = documents.config()
+    const needs = (config?.pools ?? []).filter(pool => !pool.spare).map(pool => {
+      const vms = [...fleet.vmsOf(pool.name).values()]
+      const slots = Math.max(1, ...vms.map(({ vm }) => vm.slots))
+      return { pool: pool.name, need: Math.ceil(this.mover.forecast(pool.name) / slots), racks: vms.map(({ vm }) => vm.rack) }
+    })
+    return bufferNeeded(needs)
+  }
+
   private async observe (pool: string, vm: string): Promise<Observation> {
     const { fleet, documents } = this.opts.state
     const sighting = fleet.sighting(vm)
--- /dev/null
+++ b/fleet/pools/test/move-planner.test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { bufferNeeded, MovePlanner, type MovablePool, type Move } from '@wisteriaslip/fleet.pools'
+
+const STEP_MS = 1_000
+
+/** Two pools and a spare one, whose VMs the planner moves at once. */
+class Fleet {
+  readonly vms: Record<string, string[]> = { quoting: ['q1', 'q2', 'q3'], surveys: ['s1', 's2', 's3'], extra: ['x1', 'x2', 'x3', 'x4'] }
+  readonly demand: Record<string, number> = { quoting: 0, surveys: 0, extra: 0 }
+  readonly moves: Move[] = []
+  readonly planner: MovePlanner
+  private now = 0
+
+  constructor (buffer: number) {
+    this.planner = new MovePlanner({ buffer: () => buffer, eligible: (vm, pool) => vm.startsWith('x') || vm.startsWith(pool.slice(0, 1)) })
+  }
+
+  pass (ms: number, each: (now: number) => void = () => {}): void {
+    for (const end = this.now + ms; this.now < end; this.now += STEP_MS) {
+      each(this.now)
+      for (const move of this.planner.plan(this.pools(), this.now)) this.perform(move)
+    }
+  }
+
+  private pools (): MovablePool[] {
+    return Object.entries(this.vms).map(([name, vms]) => ({ name, spare: name === 'extra', vms, capacity: vms.length * 8, demand: this.demand[name] ?? 0, mayGive: true }))
+  }
+
+  private perform (move: Move): void {
+    this.moves.push(move)
+    this.vms[move.from] = (this.vms[move.from] ?? []).filter(vm => vm !== move.vm)
+    this.vms[move.to]?.push(move.vm)
+  }
+}
+
+test('a lasting need is met from the spare pool and given back when it has passed', () => {
+  const fleet = new Fleet(2)
+  fleet.demand.quoting = 24
+  fleet.pass(300_000)
+  assert.equal(fleet.vms.quoting?.length, 4)
+  fleet.demand.quoting = 2
+  fleet.pass(900_000)
+  assert.deepEqual(fleet.vms.extra?.sort(), ['x1', 'x2', 'x3', 'x4'])
+  assert.deepEqual(fleet.vms.quoting, ['q1', 'q2', 'q3'])
+})
+
+test('short peaks in turn move nothing', () => {
+  const fleet = new Fleet(0)
+  fleet.pass(1_200_000, now => {
+    const turn = Math.floor(now / 5_000) % 10
+    fleet.demand.quoting = turn === 0 ? 36 : 1
+    fleet.demand.surveys = turn === 5 ? 36 : 1
+  })
+  assert.deepEqual(fleet.moves, [])
+})
+
+test('the buffer is not lent', () => {
+  const fleet = new Fleet(3)
+  fleet.demand.quoting = 100
+  fleet.demand.surveys = 100
+  fleet.pass(1_200_000)
+  assert.equal(fleet.vms.extra?.length, 3)
+})
+
+test('a need that comes and goes at the threshold does not move VMs to and fro', () => {
+  const fleet = new Fleet(0)
+  fleet.pass(1_800_000, now => { fleet.demand.quoting = now % 60_000 < 30_000 ? 22 : 18 })
+  assert.ok(fleet.moves.length <= 2, String(fleet.moves.length))
+})
+
+test('a shared buffer covers the worst rack once', () => {
+  const pools = ['a', 'b', 'c'].map(pool => ({ pool, need: 8, racks: [1, 2].flatMap(rack => [1, 2, 3, 4].map(() => `${pool}-${rack}`)) }))
+  assert.equal(bufferNeeded(pools), 4)
+  assert.equal(bufferNeeded(pools.map(pool => ({ ...pool, need: 5 }))), 1)
+})
