--- a/cli/entry/src/entry.ts
+++ b/cli/entry/src/entry.ts
@@ -25,7 +25,7 @@
 
 const SWEEP_MS = 25
 const IDLE_SWEEP_MS = 1_000
-const ELECTION_MS = 250
+const ELECTION_MS = 500
 const FLEET_STEP_MS = 500
 /** After a stop is asked for, requests are still taken for this long while the balancer learns of it. */
 const LAME_DUCK_MS = 1_000
@@ -59,8 +59,8 @@
   async run (signal: AbortSignal, onListening: (addresses: { callers: Address, operators: Address, peers: Address }) => void = () => {}): Promise<void> {
     const { settings, keys, logger } = this.deps
     setMaxListeners(0, this.stopping.signal)
-    const late: { service?: PeerService, sync?: PeerSync } = {}
-    const peerServer = createPeerServer(lateBound(() => late.service), { key: keys?.peers })
+    const late: { state?: EntryState, service?: PeerService, sync?: PeerSync } = {}
+    const peerServer = createPeerServer(lateBound(() => late.service), { key: keys?.peers, onBytes: (received, sent) => late.state?.metrics.count('peer_server_bytes_total', {}, received + sent) })
     const peers = await listen(peerServer, settings.peers)
     const state = createState({
       settings,
@@ -71,6 +71,7 @@
       relay: async (call, inner) => await this.relay(state, late.sync, call, inner)
     })
     const parts = this.assemble(state)
+    late.state = state
     late.service = parts.service
     late.sync = parts.sync
     const callerServer = createCallerServer(parts.gateway)
--- a/cli/entry/src/fleet-leader.ts
+++ b/cli/entry/src/fleet-leader.ts
@@ -10,8 +10,8 @@
 import type { CallMember } from './slot-reporter.ts'
 import type { EntryState } from './state.ts'
 
-/** How many VMs are assigned in one step, so that a first start does not use up the store's budget. */
-const ASSIGNMENTS_PER_STEP = 16
+/** How many VMs are assigned in one write. */
+const ASSIGNMENTS_PER_STEP = 40
 const PROBE_TIMEOUT_MS = 500
 const MOVES_PERIOD_MS = 2_000
 const LOADS_TIMEOUT_MS = 1_000
@@ -65,19 +65,20 @@
   }
 
   private async assignNew (config: FleetConfig): Promise<void> {
-    const { leadership, fleet, decisions } = this.opts.state
+    const { leadership, fleet, decisions, mirror } = this.opts.state
     const token = leadership.token(fleetResource)
     if (token === undefined) return
-    const unassigned = [...config.vms.values()].filter(vm => fleet.poolOf(vm.name) === undefined)
-    for (const vm of unassigned.slice(0, ASSIGNMENTS_PER_STEP)) {
+    const found: Array<{ vm: string, pool: string }> = []
+    for (const vm of config.vms.values()) {
+      if (found.length === ASSIGNMENTS_PER_STEP) break
+      if (fleet.poolOf(vm.name) !== undefined) continue
       const pool = eligiblePool(config, vm)
-      if (pool === undefined) {
-        decisions.record('vm', vm.name, 'NO_POOL_SELECTS_IT', { labels: vm.labels })
-        continue
-      }
-      const assigned = await this.ledgers.assign(vm.name, pool.name, [leadership.guard(fleetResource, token)])
-      decisions.record('vm', vm.name, assigned.ok ? 'ASSIGNED' : assigned.error.code, { pool: pool.name })
+      if (pool === undefined) decisions.record('vm', vm.name, 'NO_POOL_SELECTS_IT', { labels: vm.labels })
+      else found.push({ vm: vm.name, pool: pool.name })
     }
+    if (found.length === 0) return
+    const assigned = await this.ledgers.assignNew(found, [leadership.guard(fleetResource, token)], key => mirror.get(key))
+    for (const { vm, pool } of found) decisions.record('vm', vm, assigned.ok ? 'ASSIGNED' : assigned.error.code, { pool })
   }
 
   /** The spare pools lend VMs on a forecast of need; every move takes a place in the giving pool's budget first. */
--- a/cli/entry/src/peer-sync.ts
+++ b/cli/entry/src/peer-sync.ts
@@ -5,10 +5,11 @@
 import { poolResource } from './resources.ts'
 import type { CallMember } from './slot-reporter.ts'
 
-const HEARTBEAT_MS = 1_000
+const HEARTBEAT_MS = 2_000
 const SYNC_TIMEOUT_MS = 1_000
+const MEMBERS_CHECK_MS = 500
 /** An answer counts as a proof for this long. */
-const PROOF_MS = 2_500
+const PROOF_MS = 5_000
 
 /** What a peer last said. */
 export interface PeerStatus {
@@ -75,7 +76,7 @@
         this.statuses.delete(incarnation)
       }
       this.holdOver()
-      await pause(HEARTBEAT_MS / 4, this.opts.signal)
+      await pause(MEMBERS_CHECK_MS, this.opts.signal)
     }
   }
 
--- a/cli/entry/src/slot-reporter.ts
+++ b/cli/entry/src/slot-reporter.ts
@@ -7,13 +7,11 @@
 import { poolResource } from './resources.ts'
 
 /** A leader hears from every entry at least this often. */
-const RENEW_MS = 1_000
+const RENEW_MS = 2_000
 /** While there is news, links are looked at this often. */
 const NEWS_TICK_MS = 25
 const MEMBERS_CHECK_MS = 250
 const REPORT_TIMEOUT_MS = 800
-/** After this time without an answer of the leader, urgent work borrows slots from peers. */
-const BORROW_AFTER_MS = 1_500
 const BORROW_GAP_MS = 100
 const BORROW_TIMEOUT_MS = 300
 const MAX_BORROWED_SLOTS = 8
@@ -36,6 +34,8 @@
   readonly wakeup: Wakeup
   readonly schedule: ReportSchedule
   heardAt: number
+  /** Whether the last report got no answer: urgent work then borrows slots from peers. */
+  failing: boolean
   seq: number
 }
 
@@ -44,6 +44,7 @@
   private readonly opts: SlotReporterOpts
   private readonly links = new Map<string, LeaderLink>()
   private readonly nudged = new Set<string>()
+  private readonly starving = new Wakeup()
   private borrowTurn = 0
 
   constructor (opts: SlotReporterOpts) {
@@ -85,6 +86,7 @@
 
   /** There is news in some pool: every link looks whether it is for its leader. */
   wake (): void {
+    this.starving.wake()
     for (const link of this.links.values()) link.wakeup.wake()
   }
 
@@ -95,7 +97,7 @@
   }
 
   private async serveLink (member: Member, signal: AbortSignal): Promise<void> {
-    const link: LeaderLink = { wakeup: new Wakeup(), schedule: new ReportSchedule(), heardAt: Number.NEGATIVE_INFINITY, seq: 0 }
+    const link: LeaderLink = { wakeup: new Wakeup(), schedule: new ReportSchedule(), heardAt: Number.NEGATIVE_INFINITY, failing: false, seq: 0 }
     this.links.set(member.incarnation, link)
     let restMs = RENEW_MS
     while (await link.wakeup.sleep(restMs, signal)) {
@@ -136,6 +138,7 @@
     const told = led.filter(pool => pool.slots.hasNews() || pool.isStarved())
     const report: SlotReport = { from: self.id, incarnation: self.incarnation, seq: link.seq, heard, pools: told.map(pool => pool.slots.report()) }
     const reply = await this.opts.call(member, 'report', report, REPORT_TIMEOUT_MS)
+    link.failing = !reply.ok
     if (!reply.ok) {
       for (const pool of told) pool.slots.reportAgain()
       return
@@ -154,7 +157,8 @@
   }
 
   private async borrowWhileUnled (): Promise<void> {
-    while (await pause(BORROW_GAP_MS, this.opts.signal)) {
+    while (await this.starving.sleep(RENEW_MS, this.opts.signal)) {
+      await pause(BORROW_GAP_MS, this.opts.signal)
       for (const pool of this.opts.pools()) {
         const wanted = this.urgentlyMissing(pool)
         if (wanted > 0) await this.borrow(pool, wanted)
@@ -171,7 +175,7 @@
   private isLed (pool: PoolRuntime): boolean {
     const leader = this.opts.leadership.leaderOf(poolResource(pool.pool))
     const link = leader === undefined ? undefined : this.links.get(leader.record.incarnation)
-    return link !== undefined && this.opts.clock.now() - link.heardAt < BORROW_AFTER_MS
+    return link !== undefined && !link.failing
   }
 
   private async borrow (pool: PoolRuntime, wanted: number): Promise<void> {
--- a/fleet/ledger/src/ledger-store.ts
+++ b/fleet/ledger/src/ledger-store.ts
@@ -64,6 +64,24 @@
     return written.ok ? ok(undefined) : err(fromStore(written.error))
   }
 
+  /**
+   * Puts VMs that are in no pool yet into pools, all in one write. It starts from copies, without a call for each:
+   * a copy that is out of date makes the write fail, and the next step tries again.
+   * @param vms - each with the name of its pool
+   * @param guards - prove that the writer leads what it changes
+   * @param known - the copy of a key
+   */
+  async assignNew (vms: ReadonlyArray<{ readonly vm: string, readonly pool: string }>, guards: readonly Guard[], known: (key: string) => Versioned | undefined): Promise<Result<void, LedgerError>> {
+    const ledgers = new Map<string, PoolLedger>()
+    for (const { vm, pool } of vms) {
+      ledgers.set(pool, withMember(ledgers.get(pool) ?? ledgerOf(known(this.opts.ledgers + pool)), vm))
+    }
+    const assignments = vms.map(({ vm, pool }) => ({ key: this.opts.assignments + vm, prior: undefined, value: { pool } }))
+    const changed = [...ledgers].map(([pool, value]) => ({ key: this.opts.ledgers + pool, prior: known(this.opts.ledgers + pool), value }))
+    const written = await this.store.update([...assignments, ...changed], { guards })
+    return written.ok ? ok(undefined) : err(fromStore(written.error))
+  }
+
   private async read (pool: string): Promise<Result<Versioned | undefined, LedgerError>> {
     const doc = await this.store.get(this.opts.ledgers + pool)
     return doc.ok ? doc : err(fromStore(doc.error))
--- a/peers/protocol/src/client.ts
+++ b/peers/protocol/src/client.ts
@@ -1,5 +1,5 @@
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
-import { Agent, fetch as undiciFetch } from 'undici'
+import { Agent, request } from 'undici'
 import { err, ok, within, type Result } from '@wisteriaslip/core.result'
 import type { Metrics } from '@wisteriaslip/core.metrics'
 import type { PeerRouter } from './router.ts'
@@ -26,6 +26,18 @@
   readonly trpc: TRPCClient<PeerRouter>
 }
 
+interface FetchInit {
+  readonly body?: string
+  readonly headers?: Record<string, string>
+  readonly signal?: AbortSignal | null
+}
+
+interface FetchAnswer {
+  readonly ok: boolean
+  readonly status: number
+  json (): Promise<unknown>
+}
+
 type Method = keyof PeerService
 type Input<M extends Method> = Parameters<PeerService[M]>[0]
 type Output<M extends Method> = Awaited<ReturnType<PeerService[M]>>
@@ -76,7 +88,7 @@
       links: [httpLink({
         url: origin,
         headers: this.opts.key === undefined ? {} : { authorization: `Bearer ${this.opts.key}` },
-        fetch: async (url, init) => await this.fetch(agent, url, init)
+        fetch: async (url, init) => await this.fetch(agent, url, init as FetchInit | undefined)
       })]
     })
     const peer = { agent, trpc }
@@ -84,11 +96,17 @@
     return peer
   }
 
-  private async fetch (agent: Agent, url: unknown, init: unknown): Promise<Response> {
-    const options = init as Parameters<typeof undiciFetch>[1]
-    this.opts.metrics.count('peer_sent_bytes_total', {}, String(options?.body ?? '').length)
-    const res = await undiciFetch(url as string, { ...options, dispatcher: agent })
-    return res as unknown as Response
+  /** What tRPC needs of `fetch`, without the streams that make the real one several times as expensive. */
+  private async fetch (agent: Agent, url: unknown, init: FetchInit | undefined): Promise<FetchAnswer> {
+    const res = await request(String(url), {
+      method: 'POST',
+      body: init?.body ?? '',
+      headers: init?.headers ?? {},
+      dispatcher: agent,
+      ...(init?.signal === undefined || init.signal === null ? {} : { signal: init.signal })
+    })
+    const ok = res.statusCode < 300
+    return { ok, status: res.statusCode, json: async () => await res.body.json() }
   }
 
   private drop (origin: string): void {
--- a/peers/protocol/src/server.ts
+++ b/peers/protocol/src/server.ts
@@ -10,6 +10,8 @@
 export interface PeerServerOpts {
   /** Key that peers must show; undefined in a trial. */
   readonly key: string | undefined
+  /** Counts bytes received and sent by this server. */
+  readonly onBytes: (received: number, sent: number) => void
 }
 
 /**
@@ -20,14 +22,25 @@
  */
 export function createPeerServer (service: PeerService, opts: PeerServerOpts): Server {
   const handler = createHTTPHandler({ router: createRouter(service), maxBodySize: MAX_BODY_BYTES })
-  return createServer((req, res) => {
+  const server = createServer((req, res) => {
     if (opts.key !== undefined && !showsKey(req, opts.key)) {
       res.writeHead(401, { 'content-type': 'application/json' })
       res.end(JSON.stringify({ code: 'PEER_KEY_WRONG' }))
       return
     }
+    res.once('finish', () => countBytes(req, opts.onBytes))
     handler(req, res)
   })
+  return server
+}
+
+const counted = new WeakMap<object, { received: number, sent: number }>()
+
+function countBytes (req: IncomingMessage, onBytes: PeerServerOpts['onBytes']): void {
+  const { bytesRead, bytesWritten } = req.socket
+  const before = counted.get(req.socket) ?? { received: 0, sent: 0 }
+  counted.set(req.socket, { received: bytesRead, sent: bytesWritten })
+  onBytes(bytesRead - before.received, bytesWritten - before.sent)
 }
 
 function showsKey (req: IncomingMessage, key: string): boolean {
--- a/routing/slots/src/limits.ts
+++ b/routing/slots/src/limits.ts
@@ -3,4 +3,4 @@
 /** The leader adds this to cover timer granularity before it counts an allotment as lapsed. */
 export const LAPSE_MARGIN_MS = 500
 /** A report counts towards the majority that follows a leader for this long. */
-export const FOLLOWING_MS = 3_000
+export const FOLLOWING_MS = 5_000
--- a/testing/site/src/site.ts
+++ b/testing/site/src/site.ts
@@ -1,15 +1,16 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
 import type { Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Server as TcpServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { request } from 'undici'
 import type { EntryStatus } from '@wisteriaslip/cli.operators'
-import { ExecutorStandIn, freePorts, startProcess, StoreStandIn, VmPlatformStandIn, type StartedProcess } from '@wisteriaslip/testing.stand-ins'
+import { ExecutorStandIn, Forwarder, freePorts, startProcess, StoreStandIn, VmPlatformStandIn, type StartedProcess } from '@wisteriaslip/testing.stand-ins'
 import { siteDocuments } from './documents.ts'
 
-const READY_TRIES = 300
+const READY_TRIES = 600
+const DOCUMENTS_AT_ONCE = 100
 const READY_POLL_MS = 100
 
 /** Size and shape of a site. */
@@ -22,7 +23,10 @@
   readonly deadlineMs?: number
   readonly leaseTtlMs?: number
   readonly rebootMs?: number
+  readonly vmListPeriodMs?: number
   readonly random?: () => number
+  /** More documents, to be applied after the site's own. */
+  readonly moreDocuments?: readonly unknown[]
   /** The built binary, to run instead of the sources. */
   readonly binary?: string
   readonly logLevel?: string
@@ -38,6 +42,8 @@
   readonly settingsFile: string
   readonly logFile: string
   process: StartedProcess
+  /** Its way to the store. */
+  readonly storeWay: Forwarder
 }
 
 /** A running site. */
@@ -50,7 +56,7 @@
   platform: VmPlatformStandIn | undefined
   storeUrl = ''
   private readonly opts: SiteOpts
-  private readonly servers: Server[] = []
+  private readonly servers: Array<Server | TcpServer> = []
   private readonly downNow = new Set<string>()
   private folder = ''
   private platformUrl = ''
@@ -81,14 +87,22 @@
     const documents = await this.startExecutors()
     await this.startEntries()
     await this.apply(documents)
+    await this.applyMany(this.opts.moreDocuments ?? [])
     await this.untilReady()
   }
 
+  /** Applies documents in parts that one transaction takes. */
+  private async applyMany (documents: readonly unknown[]): Promise<void> {
+    for (let start = 0; start < documents.length; start += DOCUMENTS_AT_ONCE) {
+      await this.apply(documents.slice(start, start + DOCUMENTS_AT_ONCE))
+    }
+  }
+
   /** Stops everything that was started. */
   async stop (): Promise<void> {
     await Promise.all(this.entries.map(async entry => await entry.process.kill()))
     for (const server of this.servers) {
-      server.closeAllConnections()
+      if ('closeAllConnections' in server) server.closeAllConnections()
       server.close()
     }
     await rm(this.folder, { recursive: true, force: true })
@@ -186,6 +200,8 @@
     const peers = Array.from({ length: this.opts.entries }, (_, index) => ({ host: '127.0.0.1', port: ports[index * 3 + 2] ?? 0 }))
     for (let index = 0; index < this.opts.entries; index++) {
       const [callers = 0, operators = 0] = ports.slice(index * 3, index * 3 + 2)
+      const storeWay = new Forwarder(Number(new URL(this.storeUrl).port))
+      const storeEndpoint = await this.listen(storeWay.server)
       const settingsFile = join(this.folder, `entry-${index}.json`)
       const logFile = join(this.folder, `entry-${index}.log`)
       await writeFile(settingsFile, JSON.stringify({
@@ -196,13 +212,13 @@
         operators: { host: '127.0.0.1', port: operators },
         peers: peers[index],
         seedPeers: peers.filter((_, other) => other !== index),
-        store: { endpoints: [this.storeUrl], leaseTtlMs: this.opts.leaseTtlMs ?? 3_000 },
-        vmList: { url: this.platformUrl, periodMs: 300 },
+        store: { endpoints: [storeEndpoint], leaseTtlMs: this.opts.leaseTtlMs ?? 3_000 },
+        vmList: { url: this.platformUrl, periodMs: this.opts.vmListPeriodMs ?? 300 },
         trialWithoutKeys: true,
         logLevel: this.opts.logLevel ?? 'info'
       }))
       const process = startProcess(['entry', '--settings', settingsFile], this.processOpts(logFile))
-      this.entries.push({ id: `entry-${index}`, callers: `http://127.0.0.1:${callers}`, operators: `http://127.0.0.1:${operators}`, settingsFile, logFile, process })
+      this.entries.push({ id: `entry-${index}`, callers: `http://127.0.0.1:${callers}`, operators: `http://127.0.0.1:${operators}`, settingsFile, logFile, process, storeWay })
     }
   }
 
@@ -210,7 +226,7 @@
     return { logFile, nodeArgs: this.opts.nodeArgs ?? [], ...(this.opts.binary === undefined ? {} : { binary: this.opts.binary }) }
   }
 
-  private async listen (server: Server): Promise<string> {
+  private async listen (server: Server | TcpServer): Promise<string> {
     return await new Promise(resolve => {
       server.listen(0, '127.0.0.1', () => {
         this.servers.push(server)
--- a/testing/site/test/history.test.ts
+++ b/testing/site/test/history.test.ts
@@ -41,26 +41,26 @@
   const pick = (): SiteEntry => site.entries[Math.floor(random() * site.entries.length)] as SiteEntry
   await sleep(2_000)
   site.executors[0]?.silence()
-  site.store.faults.loseReplies = 0.3
+  site.store.setFaults({ loseReplies: 0.3 })
   await sleep(2_000)
   await killAndReplace(site, await leaderOf(site) ?? pick(), faulty)
   await sleep(1_000)
   const leader = await leaderOf(site) ?? pick()
   await freeze(leader, 5_000, faulty)
-  site.store.faults.loseReplies = 0
+  site.store.setFaults({ loseReplies: 0 })
   await sleep(1_500)
-  site.store.faults.down = true
+  site.store.setFaults({ down: true })
   await sleep(5_000)
   for (const executor of site.executors) executor.silence()
   await freeze(pick(), 3_000, faulty)
   await sleep(14_000)
   await killAndReplace(site, pick(), faulty)
   await sleep(8_000)
-  site.store.faults.down = false
+  site.store.setFaults({ down: false })
   await sleep(3_000)
-  site.store.faults.loseReplies = 0.3
+  site.store.setFaults({ loseReplies: 0.3 })
   await Promise.all([killAndReplace(site, pick(), faulty), freeze(pick(), 4_500, faulty)])
-  site.store.faults.loseReplies = 0
+  site.store.setFaults({ loseReplies: 0 })
   await sleep(3_000)
 }
 
--- /dev/null
+++ b/testing/site/test/leaving.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { callOnce, Site, type SiteEntry } from '@wisteriaslip/testing.site'
+
+const LEAVE_MS = 3_000
+const PAUSE_MS = 10
+
+async function callAlong (entry: SiteEntry | undefined, signal: AbortSignal, query = 'ms=5'): Promise<number> {
+  let refused = 0
+  while (!signal.aborted) {
+    const reply = await callOnce(`${entry?.callers ?? ''}/quoting/write?${query}`, { method: 'POST', headers: { 'x-op': 'x' } })
+    if (reply.kind !== 'answer' || reply.status !== 200) refused += 1
+    await sleep(PAUSE_MS)
+  }
+  return refused
+}
+
+test('a target listed as leaving, or cordoned, gets no new work after a few seconds', { timeout: 60_000 }, async t => {
+  const site = await Site.start({ entries: 3, pools: ['quoting'], executorsPerPool: 4 })
+  t.after(async () => await site.stop())
+  const ended = new AbortController()
+  const callers = site.entries.map(async entry => await callAlong(entry, ended.signal))
+  await sleep(1_000)
+  site.platform?.set('quoting-0', 'leaving')
+  const listed = await site.operator(0, 'GET', '/v1/documents?kind=vm&name=quoting-1', undefined)
+  const { document } = (listed?.body as { documents: Array<{ document: object }> }).documents[0] ?? {}
+  await site.apply([{ ...document, cordoned: true }])
+  await sleep(LEAVE_MS)
+  const before = site.executors.map(executor => executor.starts.length)
+  await sleep(LEAVE_MS)
+  const after = site.executors.map(executor => executor.starts.length)
+  ended.abort()
+  assert.deepEqual(await Promise.all(callers), [0, 0, 0])
+  assert.ok((before[0] ?? 0) > 0 && (before[1] ?? 0) > 0)
+  assert.equal(after[0], before[0])
+  assert.equal(after[1], before[1])
+  assert.ok((after[2] ?? 0) > (before[2] ?? 0))
+})
+
+test('a planned stop of an entry ends what is under way', { timeout: 60_000 }, async t => {
+  const site = await Site.start({ entries: 2, pools: ['quoting'], executorsPerPool: 4 })
+  t.after(async () => await site.stop())
+  const underWay = Array.from({ length: 6 }, async (_, index) => await callOnce(`${site.entries[0]?.callers ?? ''}/quoting/write?ms=1900`, { method: 'POST', headers: { 'x-op': `op-${index}` } }))
+  await sleep(300)
+  const exitCode = await site.entries[0]?.process.stop()
+  const replies = await Promise.all(underWay)
+  assert.deepEqual(replies.map(reply => reply.kind === 'answer' && reply.status), Array(6).fill(200))
+  assert.equal(exitCode, 0)
+  const late = await callOnce(`${site.entries[1]?.callers ?? ''}/quoting/write`, { method: 'POST', headers: { 'x-op': 'late' } })
+  assert.equal(late.kind === 'answer' && late.status, 200)
+})
--- a/testing/site/test/wave.test.ts
+++ b/testing/site/test/wave.test.ts
@@ -51,10 +51,10 @@
   await leader?.process.kill()
   if (leader !== undefined) site.restart(leader)
   await sleep(2_000)
-  site.store.faults.down = true
+  site.store.setFaults({ down: true })
   await sleep(4_000)
-  site.store.faults.down = false
-  site.store.faults.loseReplies = 0.2
+  site.store.setFaults({ down: false })
+  site.store.setFaults({ loseReplies: 0.2 })
   await untilDone(site, 'kernel', 3)
   assert.deepEqual([...site.platform?.reboots ?? []].sort(), ['quoting-0', 'quoting-1', 'quoting-2'])
   for (const most of site.mostDown.values()) assert.ok(most <= 1)
--- a/testing/stand-ins/src/store.ts
+++ b/testing/stand-ins/src/store.ts
@@ -21,7 +21,7 @@
 
 /** Stand-in for the JSON gateway of etcd v3: the calls that the product uses, in memory. */
 export class StoreStandIn {
-  readonly faults: StoreFaults = { down: false, delayMs: 0, loseReplies: 0, silentWatches: false }
+  private readonly faults: StoreFaults = { down: false, delayMs: 0, loseReplies: 0, silentWatches: false }
   readonly calls = new Map<string, number>()
   readonly server: Server
   private readonly items = new Map<string, Item>()
@@ -39,6 +39,15 @@
     setInterval(() => this.expire(), 100).unref()
   }
 
+  /** @param faults - that change; the others stay as they are */
+  setFaults (faults: Partial<StoreFaults>): void {
+    Object.assign(this.faults, faults)
+    for (const watch of this.watches) {
+      watch.silent = watch.silent || this.faults.silentWatches
+      if (this.faults.down) watch.res.destroy()
+    }
+  }
+
   /** @returns present values by key, undecoded */
   dump (): Map<string, string> {
     return new Map([...this.items].map(([key, item]) => [key, item.value]))
@@ -47,9 +56,7 @@
   private async answer (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const body = await readJson(req)
     if (req.url === '/_faults') {
-      Object.assign(this.faults, body)
-      if (this.faults.silentWatches) for (const watch of this.watches) watch.silent = true
-      if (this.faults.down) for (const watch of this.watches) watch.res.destroy()
+      this.setFaults(body)
       return send(res, Object.fromEntries(this.calls))
     }
     if (this.faults.down) {
