--- a/cli/entry/src/slot-reporter.ts
+++ b/cli/entry/src/slot-reporter.ts
@@ -3,7 +3,7 @@
 import type { Leadership, Member, Members } from '@wisteriaslip/peers.membership'
 import type { PeerError, PeerService } from '@wisteriaslip/peers.protocol'
 import type { PoolRuntime } from '@wisteriaslip/routing.gateway'
-import { FOLLOWING_MS, HOLD_MS, ReportSchedule, type SlotReport } from '@wisteriaslip/routing.slots'
+import { FOLLOWING_MS, HEARING_MS, ReportSchedule, type SlotReport } from '@wisteriaslip/routing.slots'
 import { poolResource } from './resources.ts'
 
 /** A leader hears from every entry at least this often. */
@@ -90,9 +90,9 @@
     for (const link of this.links.values()) link.wakeup.wake()
   }
 
-  /** @returns incarnations of the leaders that answered within the holding time */
+  /** @returns incarnations of the leaders that answered lately */
   hearing (): string[] {
-    const since = this.opts.clock.now() - HOLD_MS
+    const since = this.opts.clock.now() - HEARING_MS
     return [...this.links].filter(([, link]) => link.heardAt >= since).map(([incarnation]) => incarnation)
   }
 
--- a/routing/slots/src/limits.ts
+++ b/routing/slots/src/limits.ts
@@ -4,3 +4,5 @@
 export const LAPSE_MARGIN_MS = 500
 /** A report counts towards the majority that follows a leader for this long. */
 export const FOLLOWING_MS = 5_000
+/** An entry counts as hearing a leader for longer than that leader may count it as following. */
+export const HEARING_MS = 2 * FOLLOWING_MS + 1_000
