Give a slot to entries that hold none, and cut entries off in the history test

Cause: with 28 entries on 64 slots the site never became ready: idle slots beyond an even spread were only asked back beyond a deadband, so late entries held none until they had work, and their first request waited for a message. Ruled out: the connection share, which allowed 8 slots a target. The history test now also cuts off the leader and another entry from the store and from calls of their peers, for 7 and 12 s.

--- a/cli/entry/src/entry.ts
+++ b/cli/entry/src/entry.ts
@@ -66,7 +66,7 @@
       settings,
       peerKey: keys?.peers,
       logger,
-      peerAddress: peers,
+      peerAddress: settings.peersAdvertised ?? peers,
       signal: this.stopping.signal,
       relay: async (call, inner) => await this.relay(state, late.sync, call, inner)
     })
--- a/config/settings/src/schema.ts
+++ b/config/settings/src/schema.ts
@@ -24,6 +24,8 @@
   callers: address,
   operators: address,
   peers: address,
+  /** Where other entries reach `peers`, if not at the address it listens on. */
+  peersAdvertised: address.optional(),
   store: z.strictObject({
     endpoints: z.array(z.string().url()).min(1).max(16),
     prefix: z.string().regex(/^[a-z0-9-]{1,32}$/).default('wisteriaslip'),
--- a/routing/slots/src/allocator.ts
+++ b/routing/slots/src/allocator.ts
@@ -166,8 +166,7 @@
     const planned = plan.get(incarnation) ?? { needed: 0, total: 0 }
     const holds = this.usableHeld(holder)
     const add = this.addSlots(holder, planned.total - holds)
-    const short = planned.needed - this.usableHeld(holder)
-    if (short > 0) this.askOthers(incarnation, plan)
+    if (this.lacks(planned, holder) > 0) this.askOthers(incarnation, plan)
     this.tellLacking(incarnation, plan)
     return {
       pool: report.pool,
@@ -229,12 +228,19 @@
   private lacking (except: string, plan: ReadonlyMap<string, PlannedSlots>): number {
     let lacking = 0
     for (const [incarnation, holder] of this.holders) {
-      if (incarnation === except) continue
-      lacking += Math.max(0, (plan.get(incarnation)?.needed ?? 0) - this.usableHeld(holder))
+      if (incarnation !== except) lacking += this.lacks(plan.get(incarnation), holder)
     }
     return lacking
   }
 
+  /** An entry without any slot lacks one even before it has work: its first request should not wait for a message. */
+  private lacks (planned: PlannedSlots | undefined, holder: Holder): number {
+    if (planned === undefined) return 0
+    const held = this.usableHeld(holder)
+    const needed = held === 0 ? Math.max(planned.needed, Math.min(1, planned.total)) : planned.needed
+    return Math.max(0, needed - held)
+  }
+
   private askOthers (except: string, plan: ReadonlyMap<string, PlannedSlots>): void {
     for (const [incarnation, holder] of this.holders) {
       if (incarnation === except) continue
@@ -247,7 +253,7 @@
     let free = this.usableTargets().reduce((sum, target) => sum + Math.max(0, this.freeOn(target)), 0)
     for (const [incarnation, holder] of this.holders) {
       if (free <= 0) return
-      const lacks = (plan.get(incarnation)?.needed ?? 0) - this.usableHeld(holder)
+      const lacks = this.lacks(plan.get(incarnation), holder)
       if (incarnation === except || lacks <= 0) continue
       free -= lacks
       this.opts.nudge(holder.entry)
--- a/testing/site/src/site.ts
+++ b/testing/site/src/site.ts
@@ -44,6 +44,8 @@
   process: StartedProcess
   /** Its way to the store. */
   readonly storeWay: Forwarder
+  /** The way of its peers to it. */
+  readonly peerWay: Forwarder
 }
 
 /** A running site. */
@@ -202,6 +204,8 @@
       const [callers = 0, operators = 0] = ports.slice(index * 3, index * 3 + 2)
       const storeWay = new Forwarder(Number(new URL(this.storeUrl).port))
       const storeEndpoint = await this.listen(storeWay.server)
+      const peerWay = new Forwarder(peers[index]?.port ?? 0)
+      const advertised = Number(new URL(await this.listen(peerWay.server)).port)
       const settingsFile = join(this.folder, `entry-${index}.json`)
       const logFile = join(this.folder, `entry-${index}.log`)
       await writeFile(settingsFile, JSON.stringify({
@@ -211,6 +215,7 @@
         callers: { host: '127.0.0.1', port: callers },
         operators: { host: '127.0.0.1', port: operators },
         peers: peers[index],
+        peersAdvertised: { host: '127.0.0.1', port: advertised },
         seedPeers: peers.filter((_, other) => other !== index),
         store: { endpoints: [storeEndpoint], leaseTtlMs: this.opts.leaseTtlMs ?? 3_000 },
         vmList: { url: this.platformUrl, periodMs: this.opts.vmListPeriodMs ?? 300 },
@@ -218,7 +223,7 @@
         logLevel: this.opts.logLevel ?? 'info'
       }))
       const process = startProcess(['entry', '--settings', settingsFile], this.processOpts(logFile))
-      this.entries.push({ id: `entry-${index}`, callers: `http://127.0.0.1:${callers}`, operators: `http://127.0.0.1:${operators}`, settingsFile, logFile, process, storeWay })
+      this.entries.push({ id: `entry-${index}`, callers: `http://127.0.0.1:${callers}`, operators: `http://127.0.0.1:${operators}`, settingsFile, logFile, process, storeWay, peerWay })
     }
   }
 
--- a/testing/site/test/history.test.ts
+++ b/testing/site/test/history.test.ts
@@ -37,6 +37,16 @@
   entry.process.child.kill('SIGCONT')
 }
 
+/** Neither the store nor any peer gets through to it; it goes on calling peers. */
+async function cutOff (entry: SiteEntry, ms: number, faulty: Set<string>): Promise<void> {
+  faulty.add(entry.id)
+  entry.storeWay.setCut(true)
+  entry.peerWay.setCut(true)
+  await sleep(ms)
+  entry.storeWay.setCut(false)
+  entry.peerWay.setCut(false)
+}
+
 async function faults (site: Site, random: () => number, faulty: Set<string>): Promise<void> {
   const pick = (): SiteEntry => site.entries[Math.floor(random() * site.entries.length)] as SiteEntry
   await sleep(2_000)
@@ -48,6 +58,7 @@
   const leader = await leaderOf(site) ?? pick()
   await freeze(leader, 5_000, faulty)
   site.store.setFaults({ loseReplies: 0 })
+  await Promise.all([cutOff(await leaderOf(site) ?? pick(), 7_000, faulty), cutOff(pick(), 12_000, faulty)])
   await sleep(1_500)
   site.store.setFaults({ down: true })
   await sleep(5_000)
