Remove the marks of entries that are gone for good

Cause, found by reading: an entry writes down that it may hold slots, and only a planned stop removed the mark. After a killed entry every later leader would wait for it, 10 s and the longest run, before it gave its slots to others. Also tests of the peers' interface: keys, time-outs, malformed input, relay.

--- a/cli/entry/src/entry.ts
+++ b/cli/entry/src/entry.ts
@@ -46,6 +46,7 @@
   private readonly servers: Server[] = []
   private holderWritten = false
   private registered = false
+  private markSeen = false
 
   constructor (deps: EntryDeps) {
     this.deps = deps
@@ -169,13 +170,22 @@
 
   private async elect (state: EntryState): Promise<void> {
     const pools = state.documents.config()?.pools ?? []
-    if (!this.registered) {
+    if (this.wasForgotten(state)) this.holderWritten = false
+    if (!this.registered || !this.holderWritten) {
       const leaseId = state.lease.current()
       if (leaseId !== undefined) await this.register(state, leaseId)
     }
     if (this.registered) await state.leadership.step(allResources(pools.map(pool => pool.name)))
   }
 
+  /** An entry that was away for long may find its mark removed. */
+  private wasForgotten (state: EntryState): boolean {
+    const key = state.keys.holders + state.members.self.incarnation
+    const isMarked = state.mirror.get(key) !== undefined
+    this.markSeen = this.markSeen || isMarked
+    return this.markSeen && !isMarked
+  }
+
   /** Before it takes any slot an entry writes down that it may hold some, so that new leaders know whom to ask. */
   private async register (state: EntryState, leaseId: string): Promise<void> {
     const { members, store, keys, clock } = state
@@ -183,6 +193,7 @@
     if (!this.holderWritten) {
       const written = await store.update([{ key: keys.holders + members.self.incarnation, prior: undefined, value: { id: members.self.id } }])
       this.holderWritten = written.ok
+      this.markSeen = false
     }
     if (!this.holderWritten) return
     const registered = await members.register(store, leaseId)
--- a/cli/entry/src/fleet-leader.ts
+++ b/cli/entry/src/fleet-leader.ts
@@ -5,6 +5,7 @@
 import { PoolKeeper, type Observation } from '@wisteriaslip/fleet.waves'
 import type { VmStatus } from '@wisteriaslip/fleet.view'
 import type { VmPlatform } from '@wisteriaslip/platform.vm-list'
+import { DeadHolders } from './dead-holders.ts'
 import { fleetResource, poolResource } from './resources.ts'
 import type { SlotLeader } from './slot-leader.ts'
 import type { CallMember } from './slot-reporter.ts'
@@ -32,6 +33,7 @@
   private readonly ledgers: LedgerStore
   private readonly keeper: PoolKeeper
   private readonly mover: MovePlanner
+  private readonly deadHolders: DeadHolders
   private movesPlannedAt = Number.NEGATIVE_INFINITY
 
   constructor (opts: FleetLeaderOpts) {
@@ -47,6 +49,7 @@
       failed: pool => this.failed(pool),
       reboot: async (vm, rebootId) => await this.reboot(vm, rebootId)
     })
+    this.deadHolders = new DeadHolders(opts.state)
     this.mover = new MovePlanner({ eligible: (vm, pool) => this.isEligible(vm, pool), buffer: () => this.buffer() })
   }
 
@@ -57,6 +60,7 @@
     if (config === undefined) return
     await this.assignNew(config)
     await this.planMoves(config)
+    await this.deadHolders.step()
     for (const pool of config.pools) {
       const resource = poolResource(pool.name)
       const token = leadership.token(resource)
--- /dev/null
+++ b/peers/protocol/test/protocol.test.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict'
+import type { AddressInfo } from 'node:net'
+import { test, type TestContext } from 'node:test'
+import { Metrics } from '@wisteriaslip/core.metrics'
+import { createPeerServer, PeerClients, RelayDriver, type PeerService } from '@wisteriaslip/peers.protocol'
+import { MemoryDriver } from '@wisteriaslip/testing.stand-ins'
+
+const KEY = 'a key of sixteen characters'
+
+async function serve (t: TestContext, service: Partial<PeerService>) {
+  const bytes = { received: 0, sent: 0 }
+  const server = createPeerServer(service as PeerService, {
+    key: KEY,
+    onBytes: (received, sent) => {
+      bytes.received += received
+      bytes.sent += sent
+    }
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  t.after(() => {
+    server.closeAllConnections()
+    server.close()
+  })
+  return { address: { host: '127.0.0.1', port: (server.address() as AddressInfo).port }, bytes }
+}
+
+function clients (t: TestContext, key: string | undefined): PeerClients {
+  const peers = new PeerClients({ key, metrics: new Metrics() })
+  t.after(async () => await peers.close())
+  return peers
+}
+
+test('a peer with the key is answered, one without is not', async t => {
+  const { address, bytes } = await serve(t, { borrow: async req => [{ id: '1', from: 'me', to: req.to, target: 't', slots: req.slots }] })
+  const input = { pool: 'p', to: 'you', slots: 2 }
+  const answered = await clients(t, KEY).call(address, 'borrow', input)
+  assert.equal(answered.ok && answered.value[0]?.slots, 2)
+  for (const key of [undefined, 'another key of that length.']) {
+    const refused = await clients(t, key).call(address, 'borrow', input)
+    assert.equal(refused.ok, false)
+  }
+  assert.ok(bytes.received > 0 && bytes.sent > 0)
+})
+
+test('a peer that does not answer in time is an error, and the next call works', async t => {
+  let silent = true
+  const { address } = await serve(t, { loads: async () => silent ? await new Promise(() => {}) : [] })
+  const peers = clients(t, KEY)
+  const late = await peers.call(address, 'loads', undefined, { timeoutMs: 50 })
+  assert.equal(late.ok, false)
+  silent = false
+  assert.equal((await peers.call(address, 'loads', undefined)).ok, true)
+})
+
+test('malformed input is refused', async t => {
+  const { address } = await serve(t, { borrow: async () => [] })
+  const refused = await clients(t, KEY).call(address, 'borrow', { pool: '', to: 'you', slots: -1 })
+  assert.equal(refused.ok, false)
+})
+
+test('calls go through a peer while the direct way fails', async () => {
+  const direct = new MemoryDriver()
+  const signal = new AbortController().signal
+  const txn = { guards: [], puts: [{ key: 'a', value: '1' }], deletes: [] }
+  let relayed = 0
+  const driver = new RelayDriver(direct, async () => {
+    relayed += 1
+    return { ok: true, value: { succeeded: true, revision: 7 } }
+  })
+  direct.faults.push('lose-call', 'lose-call')
+  assert.equal((await driver.txn(txn, signal)).ok, false)
+  assert.equal((await driver.txn(txn, signal)).ok, false)
+  assert.equal((await driver.txn(txn, signal)).ok, true)
+  assert.equal(relayed, 1)
+})
