Bound the bytes of slot reports at an entry

Cause: one pool whose peaks follow each other costs an entry 2.5 to 3.9 kB/s of reports (cycles of 20 and 5 s, bench:capacity demand), so some tens of pools at their peak at once would take more than the 28 kB/s for control. Change: reports beside the renewals draw on a budget of 18 kB/s with a burst of 4 s; beyond it pools wait longer for slots. What many pools at once wait is not measured yet.

--- a/bench/src/allotments.ts
+++ b/bench/src/allotments.ts
@@ -13,7 +13,7 @@
 import { VirtualLoop } from './virtual-loop.ts'
 
 const RUN_MS = 60_000
-const PEAK_MS = 4_000
+const PEAK_SHARE = 0.2
 const CYCLE_MS = 20_000
 const SERVICE_MS = 40
 const DEADLINE_MS = 2_000
@@ -37,6 +37,19 @@
 
 const CLASSES: ClassDoc[] = [{ kind: 'class', name: 'normal', rank: 0, floor: 0 }]
 
+/**
+ * Control traffic of allotments under peaks that follow each other at different speeds.
+ * @param cycleMs - time from one peak to the next
+ * @param seed - of the load
+ * @returns bytes a second for each entry and pool
+ */
+export async function controlBytesAt (cycleMs: number, seed: number): Promise<number> {
+  const loop = new VirtualLoop()
+  const executors = new Executors(loop, { count: sizes.executors, slots: sizes.slots, oneWayMs: sizes.oneWayMs })
+  const result = await runLoad(loop, executors, new Allotments(loop, executors, { classes: CLASSES, tenants: [] }), new Random(seed), cycleMs)
+  return result.controlBytesPerEntryPerSecond
+}
+
 /**
  * Runs the same load under each policy.
  * @param seed - of the load
@@ -59,14 +72,14 @@
   return results
 }
 
-async function runLoad (loop: VirtualLoop, executors: Executors, policy: SlotPolicy, random: Random): Promise<PolicyResult> {
+async function runLoad (loop: VirtualLoop, executors: Executors, policy: SlotPolicy, random: Random, cycleMs = CYCLE_MS): Promise<PolicyResult> {
   const waits: number[] = []
   let offered = 0
   let completed = 0
   const arrive = (): void => {
-    const phase = loop.now() % CYCLE_MS
-    const factor = phase < PEAK_MS ? PEAK_FACTOR : QUIET_FACTOR
-    const hot = Math.floor(loop.now() / CYCLE_MS) % sizes.entries
+    const phase = loop.now() % cycleMs
+    const factor = phase < cycleMs * PEAK_SHARE ? PEAK_FACTOR : QUIET_FACTOR
+    const hot = Math.floor(loop.now() / cycleMs) % sizes.entries
     offered += 1
     const at = loop.now()
     let started = Number.POSITIVE_INFINITY
--- a/bench/src/capacity.ts
+++ b/bench/src/capacity.ts
@@ -5,15 +5,27 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Site } from '@wisteriaslip/testing.site'
-import { makeDocuments } from './planning.ts'
+import { controlBytesAt } from './allotments.ts'
+import { designSize, makeDocuments, scaledSize, type FleetSize } from './planning.ts'
 import { counterIn, usageOf } from './process-usage.ts'
 import { quantile, round } from './statistics.ts'
 
 const BINARY = 'dist/wisteriaslip'
 const ENTRY_COUNTS = [3, 7, 14, 28]
-const FLEET_SCALES = [0.25, 0.5, 1]
-const WARM_UP_MS = 12_000
-const MEASURE_MS = 15_000
+const { pools, workers, tenants } = designSize
+/** The size to design for, and the same with one number smaller each. */
+const FLEETS: FleetSize[] = [
+  scaledSize(0.25),
+  scaledSize(0.5),
+  { pools, workers, tenants },
+  { pools: Math.round(pools / 4), workers, tenants },
+  { pools, workers: Math.round(workers / 2), tenants },
+  { pools, workers, tenants: Math.round(tenants / 4) }
+]
+const NO_FLEET: FleetSize = { pools: 0, workers: 0, tenants: 0 }
+const CYCLES_MS = [40_000, 20_000, 10_000, 5_000]
+const WARM_UP_MS = 10_000
+const MEASURE_MS = 12_000
 const CHANGES = 20
 const CHANGE_GAP_MS = 300
 const POLL_MS = 20
@@ -23,7 +35,7 @@
 /** Control cost of one entry: mean over all, and the most of any. */
 interface ControlCost {
   readonly entries: number
-  readonly scale: number
+  readonly fleet: FleetSize
   readonly coreShare: { readonly mean: number, readonly most: number }
   readonly residentMiB: { readonly mean: number, readonly most: number }
   readonly peerBytesPerSecond: number
@@ -32,13 +44,13 @@
 
 const KINDS = ['read', 'write', 'lease', 'watch'] as const
 
-async function startSite (entries: number, scale: number): Promise<Site> {
-  const moreDocuments = scale === 0 ? [] : makeDocuments(scale)
+async function startSite (entries: number, fleet: FleetSize): Promise<Site> {
+  const moreDocuments = makeDocuments(fleet)
   return await Site.start({ entries, pools: ['quoting'], executorsPerPool: 8, binary: BINARY, logLevel: 'warn', leaseTtlMs: 5_000, vmListPeriodMs: 1_000, moreDocuments })
 }
 
-async function controlCost (entries: number, scale: number): Promise<ControlCost> {
-  const site = await startSite(entries, scale)
+async function controlCost (entries: number, fleet: FleetSize): Promise<ControlCost> {
+  const site = await startSite(entries, fleet)
   try {
     await sleep(WARM_UP_MS)
     const before = await snapshot(site)
@@ -52,7 +64,7 @@
     }
     return {
       entries,
-      scale,
+      fleet,
       coreShare: { mean: round(mean(cores), 4), most: round(Math.max(...cores), 4) },
       residentMiB: { mean: round(mean(memory), 1), most: round(Math.max(...memory), 1) },
       peerBytesPerSecond: Math.round(2 * perSecond(each => counterIn(each.page, 'peer_server_bytes_total'))),
@@ -70,12 +82,15 @@
   })))
 }
 
-/** Time from the acceptance of a change until every entry has it in force, in milliseconds. */
-async function configurationInForce (): Promise<{ p50Ms: number, mostMs: number }> {
-  const site = await startSite(7, 1)
+/** Time from the acceptance of a change until every entry has it in force, and what a change costs an entry. */
+async function configurationInForce (): Promise<{ p50Ms: number, mostMs: number, cpuMsPerChange: number }> {
+  const site = await startSite(7, scaledSize(1))
   try {
     await sleep(WARM_UP_MS)
     const times: number[] = []
+    const before = await snapshot(site)
+    await sleep(CHANGES * CHANGE_GAP_MS)
+    const idle = await snapshot(site)
     for (let change = 0; change < CHANGES; change++) {
       const revision = await site.apply([{ kind: 'tenant', name: 'tenant-1', keySha256: '1'.padStart(64, '0'), quota: change + 1 }])
       const at = performance.now()
@@ -83,7 +98,9 @@
       times.push(performance.now() - at)
       await sleep(CHANGE_GAP_MS)
     }
-    return { p50Ms: round(quantile(times, 0.5), 0), mostMs: round(Math.max(...times), 0) }
+    const after = await snapshot(site)
+    const extra = mean(after.map((each, index) => each.cpuSeconds - 2 * (idle[index]?.cpuSeconds ?? 0) + (before[index]?.cpuSeconds ?? 0)))
+    return { p50Ms: round(quantile(times, 0.5), 0), mostMs: round(Math.max(...times), 0), cpuMsPerChange: round(extra * 1_000 / CHANGES, 1) }
   } finally {
     await site.stop()
   }
@@ -96,7 +113,7 @@
 
 /** Store calls a second, all entries together, in the ten seconds after a long outage, and after all entries were replaced at once. */
 async function worstHours (): Promise<{ afterOutage: number, afterReplacement: number, readyAfterReplacementMs: number }> {
-  const site = await startSite(7, 0.5)
+  const site = await startSite(7, scaledSize(0.5))
   try {
     await sleep(WARM_UP_MS)
     site.store.setFaults({ down: true })
@@ -136,7 +153,8 @@
 
 const only = process.argv[2]
 const wants = (part: string): boolean => only === undefined || only === part
-if (wants('entries')) for (const entries of ENTRY_COUNTS) print('byEntries', await controlCost(entries, 0))
-if (wants('fleet')) for (const scale of FLEET_SCALES) print('byFleet', await controlCost(7, scale))
+if (wants('entries')) for (const entries of ENTRY_COUNTS) print('byEntries', await controlCost(entries, NO_FLEET))
+if (wants('fleet')) for (const fleet of FLEETS) print('byFleet', await controlCost(7, fleet))
+if (wants('demand')) for (const cycleMs of CYCLES_MS) print('byDemand', { cycleMs, bytesPerEntryAndPool: await controlBytesAt(cycleMs, 1) })
 if (wants('configuration')) print('configurationInForce', await configurationInForce())
 if (wants('worst')) print('worstHours', await worstHours())
--- a/bench/src/planning.ts
+++ b/bench/src/planning.ts
@@ -30,7 +30,7 @@
 }
 
 function measure (scale: number): PlanningResult {
-  const documents = makeDocuments(scale)
+  const documents = makeDocuments(scaledSize(scale))
   const configMs = fastest(() => new FleetConfig(documents))
   const config = new FleetConfig(documents)
   const passMs = fastest(() => pass(config, scale))
@@ -73,17 +73,35 @@
   }))
 }
 
+/** How many of each there are in a fleet. */
+export interface FleetSize {
+  readonly pools: number
+  readonly workers: number
+  readonly tenants: number
+}
+
 /**
- * Documents of a fleet.
  * @param scale - of the size to design for
+ * @returns whole numbers of each
+ */
+export function scaledSize (scale: number): FleetSize {
+  return {
+    pools: Math.max(1, Math.round(designSize.pools * scale)),
+    workers: Math.round(designSize.workers * scale),
+    tenants: Math.round(designSize.tenants * scale)
+  }
+}
+
+/**
+ * Documents of a fleet.
+ * @param size - how many of each
  * @returns documents, with defaults filled in
  */
-export function makeDocuments (scale: number): Document[] {
-  const pools = Math.max(1, Math.round(designSize.pools * scale))
+export function makeDocuments ({ pools, workers, tenants }: FleetSize): Document[] {
   const inputs = [
     { kind: 'class', name: 'normal', rank: 0, floor: 0.3 },
-    ...Array.from({ length: Math.round(designSize.tenants * scale) }, (_, index) => ({ kind: 'tenant', name: `tenant-${index}`, keySha256: index.toString(16).padStart(64, '0') })),
-    ...Array.from({ length: Math.round(designSize.workers * scale) }, (_, index) => ({
+    ...Array.from({ length: tenants }, (_, index) => ({ kind: 'tenant', name: `tenant-${index}`, keySha256: index.toString(16).padStart(64, '0') })),
+    ...Array.from({ length: workers }, (_, index) => ({
       kind: 'vm',
       name: `vm-${index}`,
       role: 'executor',
--- a/bench/src/policies/allotments.ts
+++ b/bench/src/policies/allotments.ts
@@ -1,6 +1,6 @@
 import { FleetConfig, type ClassDoc, type TenantDoc } from '@wisteriaslip/config.documents'
 import { PoolRuntime } from '@wisteriaslip/routing.gateway'
-import { ReportSchedule, SlotAllocator, type PoolGrant, type TargetCapacity } from '@wisteriaslip/routing.slots'
+import { ReportBudget, ReportSchedule, SlotAllocator, type PoolGrant, type TargetCapacity } from '@wisteriaslip/routing.slots'
 import type { Executors } from '../executors.ts'
 import type { VirtualLoop } from '../virtual-loop.ts'
 import { sizes, type BenchRequest, type SlotPolicy } from './policy.ts'
@@ -18,6 +18,7 @@
   readonly id: string
   readonly pool: PoolRuntime
   readonly schedule: ReportSchedule
+  readonly budget: ReportBudget
   nudged: boolean
   underWay: boolean
   seq: number
@@ -41,6 +42,7 @@
       id: `entry-${index}`,
       pool: new PoolRuntime({ pool: 'p', incarnation: `entry-${index}`, zone: `zone-${index % 4}`, clock: loop, config: () => config, target: name => ({ zone: zoneOf(name), usable: true }), queueBytes: 1e9, onNews: () => {} }),
       schedule: new ReportSchedule(),
+      budget: new ReportBudget(loop),
       nudged: false,
       underWay: false,
       seq: 0
@@ -92,8 +94,8 @@
   private isDue (entry: BenchEntry): boolean {
     const { slots } = entry.pool
     return entry.schedule.isDue(this.loop.now(), () => ({
-      nudged: entry.nudged,
-      constraintBroken: slots.isDirty() || (entry.pool.isStarved() && slots.hasNews())
+      nudged: entry.budget.hasRoom() && entry.nudged,
+      constraintBroken: entry.budget.hasRoom() && (slots.isDirty() || (entry.pool.isStarved() && slots.hasNews()))
     }))
   }
 
@@ -112,7 +114,9 @@
       const grant = report === undefined ? undefined : this.allocator.report(sender, report)
       const renewed = report === undefined && this.allocator.renew(entry.id, true)
       const asked = renewed && this.allocator.wantsReport(entry.id)
-      this.bytes += JSON.stringify(grant ?? {}).length
+      const answerBytes = JSON.stringify(grant ?? {}).length
+      this.bytes += answerBytes
+      entry.budget.spend(JSON.stringify(report ?? {}).length + answerBytes)
       this.loop.after(sizes.oneWayMs, () => this.takeAnswer(entry, sentAt, { grant, renewed, asked }))
     })
   }
--- a/cli/entry/src/slot-reporter.ts
+++ b/cli/entry/src/slot-reporter.ts
@@ -3,7 +3,7 @@
 import type { Leadership, Member, Members } from '@wisteriaslip/peers.membership'
 import type { PeerError, PeerService } from '@wisteriaslip/peers.protocol'
 import type { PoolRuntime } from '@wisteriaslip/routing.gateway'
-import { FOLLOWING_MS, HEARING_MS, ReportSchedule, type SlotReport } from '@wisteriaslip/routing.slots'
+import { FOLLOWING_MS, HEARING_MS, ReportBudget, ReportSchedule, type SlotReport } from '@wisteriaslip/routing.slots'
 import { poolResource } from './resources.ts'
 
 /** A leader hears from every entry at least this often. */
@@ -45,10 +45,12 @@
   private readonly links = new Map<string, LeaderLink>()
   private readonly nudged = new Set<string>()
   private readonly starving = new Wakeup()
+  private readonly budget: ReportBudget
   private borrowTurn = 0
 
   constructor (opts: SlotReporterOpts) {
     this.opts = opts
+    this.budget = new ReportBudget(opts.clock)
   }
 
   /** Starts and ends tasks as members come and go, until the signal aborts. */
@@ -119,9 +121,10 @@
   }
 
   private isDue (member: Member, link: LeaderLink, led: readonly PoolRuntime[]): boolean {
+    const hasRoom = this.budget.hasRoom()
     return link.schedule.isDue(this.opts.clock.now(), () => ({
-      nudged: this.nudged.delete(member.id),
-      constraintBroken: led.some(pool => pool.slots.isDirty() || (pool.isStarved() && pool.slots.hasNews()))
+      nudged: hasRoom && this.nudged.delete(member.id),
+      constraintBroken: hasRoom && led.some(pool => pool.slots.isDirty() || (pool.isStarved() && pool.slots.hasNews()))
     }))
   }
 
@@ -139,6 +142,7 @@
     const report: SlotReport = { from: self.id, incarnation: self.incarnation, seq: link.seq, heard, pools: told.map(pool => pool.slots.report()) }
     const reply = await this.opts.call(member, 'report', report, REPORT_TIMEOUT_MS)
     link.failing = !reply.ok
+    if (member.incarnation !== self.incarnation) this.budget.spend(JSON.stringify([report, reply.ok ? reply.value : 0]).length)
     if (!reply.ok) {
       for (const pool of told) pool.slots.reportAgain()
       return
--- a/routing/slots/src/index.ts
+++ b/routing/slots/src/index.ts
@@ -9,3 +9,4 @@
 export { shareOut, type ShareRequest } from './share-out.ts'
 export { FOLLOWING_MS, HEARING_MS, HOLD_MS } from './limits.ts'
 export { ReportSchedule, type ReportReasons } from './report-schedule.ts'
+export { ReportBudget } from './report-budget.ts'
