--- a/cli/entry/src/peer-sync.ts
+++ b/cli/entry/src/peer-sync.ts
@@ -1,13 +1,13 @@
-import { linkAbort, pause, type Clock, type LinkedAbort } from '@wisteriaslip/core.result'
+import { pause, type Clock } from '@wisteriaslip/core.result'
 import type { Leadership, Member, Members } from '@wisteriaslip/peers.membership'
 import type { Mirror } from '@wisteriaslip/platform.mirror'
 import type { PoolRuntime } from '@wisteriaslip/routing.gateway'
+import { runMemberTasks } from './member-tasks.ts'
 import { poolResource } from './resources.ts'
 import type { CallMember } from './slot-reporter.ts'
 
 const HEARTBEAT_MS = 2_000
 const SYNC_TIMEOUT_MS = 1_000
-const MEMBERS_CHECK_MS = 500
 /** An answer counts as a proof for this long. */
 const PROOF_MS = 5_000
 
@@ -57,27 +57,15 @@
     })
   }
 
-  /** Starts and ends heartbeats as members come and go, until the signal aborts. */
+  /** Runs until the signal aborts. */
   async run (): Promise<void> {
-    const tasks = new Map<string, LinkedAbort>()
-    while (!this.opts.signal.aborted) {
-      const peers = this.opts.members.peers()
-      for (const peer of peers) {
-        if (tasks.has(peer.incarnation)) continue
-        const ended = linkAbort(this.opts.signal)
-        tasks.set(peer.incarnation, ended)
-        this.heartbeat(peer, ended.signal).catch(() => {})
-      }
-      for (const [incarnation, ended] of tasks) {
-        if (peers.some(peer => peer.incarnation === incarnation)) continue
-        ended.abort()
-        ended.release()
-        tasks.delete(incarnation)
-        this.statuses.delete(incarnation)
-      }
-      this.holdOver()
-      await pause(MEMBERS_CHECK_MS, this.opts.signal)
-    }
+    await runMemberTasks({
+      members: () => this.opts.members.peers(),
+      task: async (peer, signal) => await this.heartbeat(peer, signal),
+      onGone: incarnation => this.statuses.delete(incarnation),
+      onCheck: () => this.holdOver(),
+      signal: this.opts.signal
+    })
   }
 
   private async heartbeat (peer: Member, signal: AbortSignal): Promise<void> {
--- a/cli/entry/src/slot-reporter.ts
+++ b/cli/entry/src/slot-reporter.ts
@@ -1,16 +1,16 @@
-import { linkAbort, pause, Wakeup, type Clock, type LinkedAbort, type Result } from '@wisteriaslip/core.result'
+import { pause, Wakeup, type Clock, type Result } from '@wisteriaslip/core.result'
 import type { FleetConfig } from '@wisteriaslip/config.documents'
 import type { Leadership, Member, Members } from '@wisteriaslip/peers.membership'
 import type { PeerError, PeerService } from '@wisteriaslip/peers.protocol'
 import type { PoolRuntime } from '@wisteriaslip/routing.gateway'
 import { FOLLOWING_MS, HEARING_MS, ReportBudget, ReportSchedule, type SlotReport } from '@wisteriaslip/routing.slots'
+import { runMemberTasks } from './member-tasks.ts'
 import { poolResource } from './resources.ts'
 
 /** A leader hears from every entry at least this often. */
 const RENEW_MS = 2_000
 /** While there is news, links are looked at this often. */
 const NEWS_TICK_MS = 25
-const MEMBERS_CHECK_MS = 250
 const REPORT_TIMEOUT_MS = 800
 const BORROW_GAP_MS = 100
 const BORROW_TIMEOUT_MS = 300
@@ -53,27 +53,15 @@
     this.budget = new ReportBudget(opts.clock)
   }
 
-  /** Starts and ends tasks as members come and go, until the signal aborts. */
+  /** Runs until the signal aborts. */
   async run (): Promise<void> {
-    const tasks = new Map<string, LinkedAbort>()
     const borrowing = this.borrowWhileUnled()
-    while (!this.opts.signal.aborted) {
-      const members = this.opts.members.all()
-      for (const member of members) {
-        if (tasks.has(member.incarnation)) continue
-        const ended = linkAbort(this.opts.signal)
-        tasks.set(member.incarnation, ended)
-        this.serveLink(member, ended.signal).catch(() => {})
-      }
-      for (const [incarnation, ended] of tasks) {
-        if (members.some(member => member.incarnation === incarnation)) continue
-        ended.abort()
-        ended.release()
-        tasks.delete(incarnation)
-        this.links.delete(incarnation)
-      }
-      await pause(MEMBERS_CHECK_MS, this.opts.signal)
-    }
+    await runMemberTasks({
+      members: () => this.opts.members.all(),
+      task: async (member, signal) => await this.serveLink(member, signal),
+      onGone: incarnation => this.links.delete(incarnation),
+      signal: this.opts.signal
+    })
     await borrowing
   }
 
--- a/cli/operators/src/server.ts
+++ b/cli/operators/src/server.ts
@@ -1,6 +1,6 @@
-import { timingSafeEqual } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { z } from 'zod'
+import { showsKey } from '@wisteriaslip/core.auth'
 import type { Result } from '@wisteriaslip/core.result'
 import { kinds, type Document, type Kind } from '@wisteriaslip/config.documents'
 import type { ApplyError, ApplyRequest } from '@wisteriaslip/config.apply'
@@ -40,7 +40,7 @@
 }
 
 async function answer (req: IncomingMessage, res: ServerResponse, opts: OperatorServerOpts): Promise<void> {
-  if (opts.key !== undefined && !showsKey(req, opts.key)) {
+  if (!showsKey(req, opts.key)) {
     return send(res, 401, { code: 'OPERATOR_KEY_WRONG', message: 'the operators\' key is missing or wrong', hint: 'Set WISTERIASLIP_KEY or pass --key-file.' })
   }
   const url = new URL(req.url ?? '/', 'http://entry')
@@ -109,12 +109,6 @@
   }
 }
 
-function showsKey (req: IncomingMessage, key: string): boolean {
-  const shown = Buffer.from(req.headers.authorization ?? '')
-  const expected = Buffer.from(`Bearer ${key}`)
-  return shown.length === expected.length && timingSafeEqual(shown, expected)
-}
-
 function send (res: ServerResponse, status: number, body: unknown): void {
   if (res.headersSent) return
   res.writeHead(status, { 'content-type': 'application/json' })
--- a/peers/protocol/src/server.ts
+++ b/peers/protocol/src/server.ts
@@ -1,6 +1,6 @@
-import { timingSafeEqual } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { showsKey } from '@wisteriaslip/core.auth'
 import { createRouter } from './router.ts'
 import type { PeerService } from './service.ts'
 
@@ -23,7 +23,7 @@
 export function createPeerServer (service: PeerService, opts: PeerServerOpts): Server {
   const handler = createHTTPHandler({ router: createRouter(service), maxBodySize: MAX_BODY_BYTES })
   const server = createServer((req, res) => {
-    if (opts.key !== undefined && !showsKey(req, opts.key)) {
+    if (!showsKey(req, opts.key)) {
       res.writeHead(401, { 'content-type': 'application/json' })
       res.end(JSON.stringify({ code: 'PEER_KEY_WRONG' }))
       return
@@ -42,9 +42,3 @@
   counted.set(req.socket, { received: bytesRead, sent: bytesWritten })
   onBytes(bytesRead - before.received, bytesWritten - before.sent)
 }
-
-function showsKey (req: IncomingMessage, key: string): boolean {
-  const shown = Buffer.from(req.headers.authorization ?? '')
-  const expected = Buffer.from(`Bearer ${key}`)
-  return shown.length === expected.length && timingSafeEqual(shown, expected)
-}
--- a/routing/admission/src/pool-queue.ts
+++ b/routing/admission/src/pool-queue.ts
@@ -2,13 +2,13 @@
 import type { ClassDoc } from '@wisteriaslip/config.documents'
 import type { Demand } from '@wisteriaslip/routing.slots'
 import { ClassQueue, type Waiting } from './class-queue.ts'
+import { FloorCredits } from './floor-credits.ts'
 import { ServiceTimes } from './service-times.ts'
 
-/** A class saves up unused floor time for at most this many of its runs. */
-const CREDIT_RUNS = 2
 /** Most entries of the demand list; what is left over is summed up under the last tenant of each class. */
 const MAX_DEMANDS = 48
 const SWEEP_MS = 50
+const RETRY_AFTER_CAP_MS = 30_000
 
 /** Why a request was refused. None of them ran. */
 export type Refusal =
@@ -57,16 +57,15 @@
   private readonly opts: PoolQueueOpts<S>
   private readonly queues = new Map<string, ClassQueue<Entry<S>>>()
   private readonly running = new Map<string, Map<string, number>>()
-  private readonly credits = new Map<string, number>()
   private readonly times = new ServiceTimes()
+  private readonly credits: FloorCredits
   private bytes = 0
-  private creditedAt: number
   private sweptAt: number
 
   constructor (opts: PoolQueueOpts<S>) {
     this.opts = opts
-    this.creditedAt = opts.clock.now()
-    this.sweptAt = this.creditedAt
+    this.credits = new FloorCredits(opts.clock, this.times)
+    this.sweptAt = opts.clock.now()
   }
 
   /**
@@ -180,7 +179,7 @@
     const estimate = this.times.estimate(name)
     const entry = this.queue(name).shift(estimate)
     if (entry === undefined) return false
-    this.spendCredit(name, estimate)
+    this.credits.spend(name, estimate)
     this.addRunning(name, entry.tenant, 1)
     const startedAt = this.opts.clock.now()
     let ended = false
@@ -198,7 +197,7 @@
     this.addRunning(name, tenant, -1)
     this.times.record(name, tookMs)
     this.queue(name).correct(tenant, tookMs - estimate)
-    this.spendCredit(name, tookMs - estimate)
+    this.credits.spend(name, tookMs - estimate)
   }
 
   /** A class that is owed floor time goes first, else the most urgent one. */
@@ -208,28 +207,15 @@
     for (const [name, queue] of this.queues) {
       if (queue.size() === 0) continue
       if (urgent === undefined || this.rank(name) < this.rank(urgent)) urgent = name
-      const credit = this.credits.get(name) ?? 0
+      const credit = this.credits.of(name)
       if (credit > 0 && (owed === undefined || this.rank(name) < this.rank(owed))) owed = name
     }
     return owed ?? urgent
   }
 
-  /** Floor time is earned while work waits; without waiting work only a debt is paid off. */
   private earnCredits (): void {
-    const now = this.opts.clock.now()
-    const slotMs = (now - this.creditedAt) * this.opts.slotsHeld()
-    this.creditedAt = now
-    for (const [name, { floor }] of this.opts.classes()) {
-      const waits = (this.queues.get(name)?.size() ?? 0) > 0
-      const cap = waits ? CREDIT_RUNS * this.times.estimate(name) : Math.max(0, this.credits.get(name) ?? 0)
-      this.credits.set(name, Math.min(cap, (this.credits.get(name) ?? 0) + slotMs * floor))
-    }
-  }
-
-  /** A debt is bounded too, so that a class that once ran alone does not wait long for its floor later. */
-  private spendCredit (name: string, ms: number): void {
-    const lowest = -CREDIT_RUNS * this.times.estimate(name)
-    this.credits.set(name, Math.max(lowest, (this.credits.get(name) ?? 0) - ms))
+    const classes = [...this.opts.classes().values()].map(({ name, floor }) => ({ name, floor, waits: (this.queues.get(name)?.size() ?? 0) > 0 }))
+    this.credits.earn(classes, this.opts.slotsHeld())
   }
 
   private sweep (): void {
@@ -269,8 +255,6 @@
   }
 }
 
-const RETRY_AFTER_CAP_MS = 30_000
-
 function refused<S> (kind: 'deadline' | 'cancelled', code: 'DEADLINE_PASSED' | 'CALLER_GONE', retryAfterMs: number): Admission<S> {
   return { ok: false, refusal: { kind, code, retryAfterMs } as Refusal }
 }
