Register once, and take a mark for written when it is there

Cause: with 28 entries started at once 7 never became ready. Two tasks of an entry wrote its mark at the same time; the second got a conflict and took the mark for missing from then on. A lost reply could do the same. Ruled out: slots (every entry held 2 or 3) and membership (28 of 28 seen). Change: registration is one thing of its own, one write at a time; a mark that is found in the store is ours. Unit tests for both ways.

--- a/cli/entry/src/entry.ts
+++ b/cli/entry/src/entry.ts
@@ -16,6 +16,7 @@
 import { EntryPeerService } from './peer-service.ts'
 import { PeerSync } from './peer-sync.ts'
 import { Pools } from './pools.ts'
+import { Registration } from './registration.ts'
 import { allResources } from './resources.ts'
 import { bootstrapFromPeers } from './bootstrap.ts'
 import { createCallerServer, listen, stopListening } from './servers.ts'
@@ -44,9 +45,6 @@
   private readonly stopping = new AbortController()
   private readonly tasks: Array<Promise<void>> = []
   private readonly servers: Server[] = []
-  private holderWritten = false
-  private registered = false
-  private markSeen = false
 
   constructor (deps: EntryDeps) {
     this.deps = deps
@@ -76,7 +74,7 @@
     late.service = parts.service
     late.sync = parts.sync
     const callerServer = createCallerServer(parts.gateway)
-    const operatorServer = createOperatorServer({ key: keys?.operators, ...operatorInterface({ state, ...parts, ready: () => this.ready(state) }) })
+    const operatorServer = createOperatorServer({ key: keys?.operators, ...operatorInterface({ state, ...parts, ready: () => this.ready(state, parts.registration) }) })
     const callers = await listen(callerServer, settings.callers)
     const operators = await listen(operatorServer, settings.operators)
     this.servers.push(peerServer, callerServer, operatorServer)
@@ -88,6 +86,7 @@
 
   private assemble (state: EntryState) {
     const { settings, clock, documents, fleet, members, leadership } = state
+    const registration = new Registration(state)
     const sweeper = new Wakeup()
     const onNews = (): void => {
       sweeper.wake()
@@ -118,7 +117,7 @@
       logger: topicLogger(state.logger, 'gateway'),
       metrics: state.metrics,
       config,
-      ready: () => this.ready(state),
+      ready: () => this.ready(state, registration),
       pool: name => pools.pool(name),
       connections: target => pools.connectionsTo(target),
       owner: () => claims,
@@ -127,7 +126,7 @@
     const platform = settings.vmList === undefined ? undefined : new HttpVmPlatform(settings.vmList.url)
     const fleetLeader = new FleetLeader({ state, leader, platform, signal, call })
     fleet.onChange(() => pools.sweep())
-    return { pools, sweeper, reporter, sync, leader, partitions, service, gateway, platform, fleetLeader, call }
+    return { registration, pools, sweeper, reporter, sync, leader, partitions, service, gateway, platform, fleetLeader, call }
   }
 
   private createPartitions (state: EntryState): ClaimPartitions {
@@ -152,8 +151,8 @@
     this.tasks.push(
       followStore(store, mirror, { prefix: keys.watched, signal, clock, logger: topicLogger(logger, 'mirror') }),
       bootstrapFromPeers(state, signal),
-      state.lease.run(async leaseId => await this.register(state, leaseId)),
-      every(ELECTION_MS, async () => await this.elect(state)),
+      state.lease.run(async () => await parts.registration.ensure()),
+      every(ELECTION_MS, async () => await this.elect(state, parts.registration)),
       parts.sync.run(),
       parts.reporter.run(),
       parts.partitions.run(signal),
@@ -168,41 +167,14 @@
     }))
   }
 
-  private async elect (state: EntryState): Promise<void> {
+  private async elect (state: EntryState, registration: Registration): Promise<void> {
+    await registration.ensure()
     const pools = state.documents.config()?.pools ?? []
-    if (this.wasForgotten(state)) this.holderWritten = false
-    if (!this.registered || !this.holderWritten) {
-      const leaseId = state.lease.current()
-      if (leaseId !== undefined) await this.register(state, leaseId)
-    }
-    if (this.registered) await state.leadership.step(allResources(pools.map(pool => pool.name)))
-  }
-
-  /** An entry that was away for long may find its mark removed. */
-  private wasForgotten (state: EntryState): boolean {
-    const key = state.keys.holders + state.members.self.incarnation
-    const isMarked = state.mirror.get(key) !== undefined
-    this.markSeen = this.markSeen || isMarked
-    return this.markSeen && !isMarked
-  }
-
-  /** Before it takes any slot an entry writes down that it may hold some, so that new leaders know whom to ask. */
-  private async register (state: EntryState, leaseId: string): Promise<void> {
-    const { members, store, keys, clock } = state
-    this.registered = false
-    if (!this.holderWritten) {
-      const written = await store.update([{ key: keys.holders + members.self.incarnation, prior: undefined, value: { id: members.self.id } }])
-      this.holderWritten = written.ok
-      this.markSeen = false
-    }
-    if (!this.holderWritten) return
-    const registered = await members.register(store, leaseId)
-    this.registered = registered.ok
-    if (registered.ok) state.logger.info({ at: Math.round(clock.now()) }, 'registered')
+    if (registration.isMember()) await state.leadership.step(allResources(pools.map(pool => pool.name)))
   }
 
-  private ready (state: EntryState): boolean {
-    return this.holderWritten && state.documents.config() !== undefined && !state.members.replaced()
+  private ready (state: EntryState, registration: Registration): boolean {
+    return registration.isMarked() && state.documents.config() !== undefined && !state.members.replaced()
   }
 
   private async relay (state: EntryState, sync: PeerSync | undefined, call: RelayCall, signal: AbortSignal | undefined): Promise<RelayReply | undefined> {
@@ -233,7 +205,7 @@
     this.stopping.abort()
     await Promise.allSettled(this.tasks)
     parts.pools.close()
-    if (inFlight === 0 && this.holderWritten) await this.forgetHolder(state)
+    if (inFlight === 0) await parts.registration.unmark()
     await state.lease.revoke()
     await state.peers.close()
     for (const server of this.servers) {
@@ -242,12 +214,6 @@
     }
     state.logger.info({ inFlight }, 'stopped')
   }
-
-  private async forgetHolder (state: EntryState): Promise<void> {
-    const key = state.keys.holders + state.members.self.incarnation
-    const doc = await state.store.get(key)
-    if (doc.ok && doc.value !== undefined) await state.store.update([{ key, prior: doc.value, value: undefined }])
-  }
 }
 
 /** Queues are looked at often while requests wait, seldom otherwise. */
--- /dev/null
+++ b/cli/entry/test/registration.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { silentLogger } from '@wisteriaslip/core.logger'
+import { Metrics } from '@wisteriaslip/core.metrics'
+import { Keys, Members, type EntryLease } from '@wisteriaslip/peers.membership'
+import { Mirror } from '@wisteriaslip/platform.mirror'
+import { StoreClient } from '@wisteriaslip/platform.store'
+import { ManualClock, MemoryDriver } from '@wisteriaslip/testing.stand-ins'
+import { Registration } from '../src/registration.ts'
+import type { EntryState } from '../src/state.ts'
+
+function start () {
+  const keys = new Keys('w')
+  const driver = new MemoryDriver()
+  const clock = new ManualClock()
+  const store = new StoreClient(driver, { readsPerSecond: 1e6, writesPerSecond: 1e6, metrics: new Metrics(), clock })
+  const mirror = new Mirror()
+  const members = new Members({ id: 'e', incarnation: 'i', region: 'r', zone: 'z', peerAddress: { host: '127.0.0.1', port: 1 } }, mirror, keys)
+  const lease = { current: () => 'lease' } as unknown as EntryLease
+  const state = { keys, store, mirror, members, lease, logger: silentLogger } as unknown as EntryState
+  return { driver, clock, registration: new Registration(state) }
+}
+
+test('two calls at once register once', async () => {
+  const { registration } = start()
+  await Promise.all([registration.ensure(), registration.ensure()])
+  await registration.ensure()
+  assert.equal(registration.isMarked(), true)
+  assert.equal(registration.isMember(), true)
+})
+
+test('a mark whose reply was lost counts as written', async () => {
+  const { driver, clock, registration } = start()
+  driver.faults.push('lose-reply', 'lose-call', 'lose-call')
+  await registration.ensure()
+  assert.equal(registration.isMarked(), false)
+  clock.advance(5_000)
+  await registration.ensure()
+  assert.equal(registration.isMarked(), true)
+  assert.equal(registration.isMember(), true)
+})
