Free the slots of an entry that stopped as planned at once

Change: a holder whose mark was seen and is gone holds nothing; one whose mark was never seen keeps what it reported. A unit test for each.

--- a/routing/slots/src/allocator.ts
+++ b/routing/slots/src/allocator.ts
@@ -44,6 +44,8 @@
   readonly entry: string
   seq: number
   heardAt: number
+  /** Whether its mark as a possible holder was seen. */
+  markSeen: boolean
   /** Whether its latest message said that it hears this leader. */
   follows: boolean
   granted: Map<string, number>
@@ -88,7 +90,7 @@
     holder.demand = report.demand
     this.settleLoans(holder, sender.incarnation, report)
     this.avoid(report.leaving)
-    this.dropLapsed()
+    this.dropGone()
     return this.answer(sender.incarnation, holder, report)
   }
 
@@ -112,7 +114,7 @@
   wantsReport (incarnation: string): boolean {
     const holder = this.holders.get(incarnation)
     if (holder === undefined) return true
-    this.dropLapsed()
+    this.dropGone()
     const plan = this.plan()
     const missing = (plan.get(incarnation)?.total ?? 0) - this.usableHeld(holder)
     if (missing > 0 && this.usableTargets().some(target => this.freeOn(target) > 0)) return true
@@ -156,7 +158,7 @@
   private holderOf (sender: { id: string, incarnation: string }): Holder {
     const known = this.holders.get(sender.incarnation)
     if (known !== undefined) return known
-    const holder: Holder = { entry: sender.id, seq: -1, heardAt: 0, follows: false, granted: new Map(), demand: [], pendingLoans: new Map(), receivedLoans: new Set() }
+    const holder: Holder = { entry: sender.id, seq: -1, heardAt: 0, follows: false, markSeen: false, granted: new Map(), demand: [], pendingLoans: new Map(), receivedLoans: new Set() }
     this.holders.set(sender.incarnation, holder)
     return holder
   }
@@ -300,6 +302,20 @@
     return this.allAccounted
   }
 
+  private dropGone (): void {
+    this.dropStopped()
+    this.dropLapsed()
+  }
+
+  /** An entry removes its mark when it stops as planned, after its last request: it holds nothing any more. */
+  private dropStopped (): void {
+    const marked = new Set(this.opts.possibleHolders())
+    for (const [incarnation, holder] of this.holders) {
+      if (marked.has(incarnation)) holder.markSeen = true
+      else if (holder.markSeen) this.holders.delete(incarnation)
+    }
+  }
+
   private dropLapsed (): void {
     if (!this.mayDropSilent()) return
     const lapsedBefore = this.opts.clock.now() - this.lapseMs()
--- a/routing/slots/test/allocator.test.ts
+++ b/routing/slots/test/allocator.test.ts
@@ -6,7 +6,7 @@
 
 const CLASSES = [{ name: 'urgent', rank: 0, floor: 0 }, { name: 'background', rank: 1, floor: 0.25 }]
 
-function allocator (slots: number, entries: number): SlotAllocator {
+function allocator (slots: number, entries: number, marks?: () => string[]): SlotAllocator {
   return new SlotAllocator({
     clock: new ManualClock(),
     token: 1,
@@ -14,7 +14,7 @@
     classes: () => CLASSES,
     quota: () => 1,
     maxRunMs: () => 1_000,
-    possibleHolders: () => Array.from({ length: entries }, (_, index) => `e${index}`),
+    possibleHolders: marks ?? (() => Array.from({ length: entries }, (_, index) => `e${index}`)),
     isMajority: () => true,
     leaseHolds: () => true,
     zoneOf: () => 'z',
@@ -50,6 +50,25 @@
   assert.ok(least >= 1, JSON.stringify([...held]))
 })
 
+test('slots of an entry that stopped as planned are free at once', () => {
+  const marks = ['e0', 'e1']
+  const leader = allocator(4, 2, () => marks)
+  report(leader, 'e0', 1, 0)
+  report(leader, 'e1', 1, 0)
+  report(leader, 'e0', 2, 2)
+  assert.equal(leader.taken('t'), 4)
+  marks.pop()
+  assert.deepEqual(report(leader, 'e0', 3, 2)?.add, { t: 2 })
+})
+
+test('a holder whose mark is not seen yet keeps its slots', () => {
+  const leader = allocator(4, 1, () => ['e0'])
+  report(leader, 'late', 1, 2)
+  assert.deepEqual(report(leader, 'e0', 1, 0)?.add, { t: 2 })
+  report(leader, 'e0', 2, 2)
+  assert.equal(leader.taken('t'), 4)
+})
+
 test('a report that comes late, or for another leader, changes nothing', () => {
   const leader = allocator(4, 1)
   report(leader, 'e0', 5, 0)
