Say the renewal period once, and drop what stood twice or unused

The period of renewals stood in two places that had to agree; it is one constant of routing.slots. A control page and a dump of the store stand-in that nothing used are gone. Behaviour, bounds and assertions are as they were.

--- a/cli/entry/src/slot-reporter.ts
+++ b/cli/entry/src/slot-reporter.ts
@@ -3,12 +3,10 @@
 import type { Leadership, Member, Members } from '@wisteriaslip/peers.membership'
 import type { PeerError, PeerService } from '@wisteriaslip/peers.protocol'
 import type { PoolRuntime } from '@wisteriaslip/routing.gateway'
-import { FOLLOWING_MS, HEARING_MS, ReportBudget, ReportSchedule, type SlotReport } from '@wisteriaslip/routing.slots'
+import { FOLLOWING_MS, HEARING_MS, RENEW_MS, ReportBudget, ReportSchedule, type SlotReport } from '@wisteriaslip/routing.slots'
 import { runMemberTasks } from './member-tasks.ts'
 import { poolResource } from './resources.ts'
 
-/** A leader hears from every entry at least this often. */
-const RENEW_MS = 3_000
 /** While there is news, links are looked at this often. */
 const NEWS_TICK_MS = 25
 const REPORT_TIMEOUT_MS = 800
--- a/routing/idempotency/test/partitions.test.ts
+++ b/routing/idempotency/test/partitions.test.ts
@@ -41,12 +41,27 @@
 
   async claim (change: Partial<ClaimRequest> = {}): Promise<string> {
     const reply = this.partitions.claim({ ...request, ...change })
-    await new Promise(resolve => setImmediate(resolve))
+    await settled()
     await this.partitions.flush()
     return (await reply).state
   }
 }
 
+/** Holds the next write until it is let go; later ones pass. */
+function holdNextWrite (driver: MemoryDriver): () => void {
+  let letGo = (): void => {}
+  const held = new Promise<void>(resolve => { letGo = resolve })
+  driver.beforeTxn = async () => {
+    driver.beforeTxn = async () => {}
+    await held
+  }
+  return letGo
+}
+
+async function settled (): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve))
+}
+
 test('a key is run once and replayed', async () => {
   const owner = new Owner(new MemoryDriver())
   await owner.lead()
@@ -110,15 +125,13 @@
   const driver = new MemoryDriver()
   const owner = new Owner(driver)
   await owner.lead()
-  let letGo = (): void => {}
-  driver.beforeTxn = async () => await new Promise(resolve => { letGo = resolve })
+  const letGo = holdNextWrite(driver)
   const first = owner.partitions.claim(request)
-  await new Promise(resolve => setImmediate(resolve))
+  await settled()
   const flushing = owner.partitions.flush()
-  await new Promise(resolve => setImmediate(resolve))
+  await settled()
   const second = owner.partitions.claim({ ...request, requestId: 'request-2' })
-  await new Promise(resolve => setImmediate(resolve))
-  driver.beforeTxn = async () => {}
+  await settled()
   letGo()
   await flushing
   await owner.partitions.flush()
@@ -129,18 +142,15 @@
   const driver = new MemoryDriver()
   const owner = new Owner(driver)
   await owner.lead()
-  let letGo = (): void => {}
-  driver.beforeTxn = async () => await new Promise(resolve => { letGo = resolve })
+  const letGo = holdNextWrite(driver)
   const first = owner.partitions.claim(request)
-  await new Promise(resolve => setImmediate(resolve))
+  await settled()
   const flushing = owner.partitions.flush()
-  await new Promise(resolve => setImmediate(resolve))
-  const release = letGo
-  driver.beforeTxn = async () => {}
+  await settled()
   await owner.lead()
   const second = owner.partitions.claim({ ...request, requestId: 'request-2' })
-  await new Promise(resolve => setImmediate(resolve))
-  release()
+  await settled()
+  letGo()
   await flushing
   await owner.partitions.flush()
   assert.equal((await first).state, 'unavailable')
--- a/routing/slots/src/report-schedule.ts
+++ b/routing/slots/src/report-schedule.ts
@@ -1,7 +1,7 @@
+import { RENEW_MS } from './limits.ts'
+
 /** Least time between two reports to the same leader. */
 const REPORT_GAP_MS = 100
-/** A leader hears from every entry at least this often. */
-const RENEW_MS = 3_000
 
 /** What speaks for a report now. */
 export interface ReportReasons {
--- a/testing/site/src/index.ts
+++ b/testing/site/src/index.ts
@@ -4,5 +4,6 @@
  */
 export { Site, type SiteEntry, type SiteOpts } from './site.ts'
 export { siteDocuments } from './documents.ts'
+export { randomFrom } from './random.ts'
 export { runCallers, type TrafficOpts } from './traffic.ts'
 export { callOnce, type CallerReply } from './caller.ts'
--- a/testing/site/test/history.test.ts
+++ b/testing/site/test/history.test.ts
@@ -1,19 +1,13 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { xoroshiro128plus } from 'pure-rand'
 import { checkHistory } from '@wisteriaslip/testing.history'
-import { runCallers, Site, type SiteEntry } from '@wisteriaslip/testing.site'
+import { randomFrom, runCallers, Site, type SiteEntry } from '@wisteriaslip/testing.site'
 
 const SEEDS = (process.env.WISTERIASLIP_SEEDS ?? '11,12').split(',').map(Number)
 const CALLERS = 24
 const POOL = 'donations'
 
-function randomFrom (seed: number): () => number {
-  const generator = xoroshiro128plus(seed)
-  return () => (generator.unsafeNext() >>> 0) / 2 ** 32
-}
-
 async function leaderOf (site: Site): Promise<SiteEntry | undefined> {
   for (const index of site.entries.keys()) {
     const status = await site.status(index)
--- a/testing/site/test/wave.test.ts
+++ b/testing/site/test/wave.test.ts
@@ -1,17 +1,11 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { xoroshiro128plus } from 'pure-rand'
 import { checkHistory } from '@wisteriaslip/testing.history'
-import { runCallers, Site } from '@wisteriaslip/testing.site'
+import { randomFrom, runCallers, Site } from '@wisteriaslip/testing.site'
 
 const TRIES = 400
 
-function randomFrom (seed: number): () => number {
-  const generator = xoroshiro128plus(seed)
-  return () => (generator.unsafeNext() >>> 0) / 2 ** 32
-}
-
 async function untilDone (site: Site, wave: string, total: number): Promise<void> {
   for (let attempt = 0; attempt < TRIES; attempt++) {
     const statuses = await Promise.all(site.entries.map(async (_, index) => await site.status(index)))
--- a/testing/stand-ins/src/store.ts
+++ b/testing/stand-ins/src/store.ts
@@ -48,17 +48,8 @@
     }
   }
 
-  /** @returns present values by key, undecoded */
-  dump (): Map<string, string> {
-    return new Map([...this.items].map(([key, item]) => [key, item.value]))
-  }
-
   private async answer (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const body = await readJson(req)
-    if (req.url === '/_faults') {
-      this.setFaults(body)
-      return send(res, Object.fromEntries(this.calls))
-    }
     if (this.faults.down) {
       res.destroy()
       return
