After a takeover, do not wait for workers that are gone

Ruled out: the store (terms begin within 25 to 100 ms of the change of leaders), lack of VMs (empty ones stood there for 5 s). A new worker is recorded beside the decisions, which used to stand still during that write. Also: an entry that has the store through a peer only does not call itself one with it (cli/entry; test fails without).

--- a/cli/entry/src/peer-service.ts
+++ b/cli/entry/src/peer-service.ts
@@ -30,11 +30,11 @@
   }
 
   async sync (req: SyncRequest): Promise<SyncReply> {
-    const { members, mirror, store } = this.opts.state
+    const { members, mirror, hasStore } = this.opts.state
     return {
       incarnation: members.self.incarnation,
       revision: mirror.revision(),
-      storeAvailable: store.available(),
+      storeAvailable: hasStore(),
       hearing: this.opts.reporter.hearing(),
       delta: mirror.since(req.revision)
     }
--- a/cli/entry/src/state.ts
+++ b/cli/entry/src/state.ts
@@ -23,6 +23,8 @@
   readonly mirror: Mirror
   readonly driver: Driver
   readonly store: StoreClient
+  /** @returns whether this entry itself reaches the store, not through a peer */
+  readonly hasStore: () => boolean
   readonly peers: PeerClients
   readonly members: Members
   readonly lease: EntryLease
@@ -54,7 +56,8 @@
   const keys = new Keys(settings.store.prefix)
   const mirror = new Mirror()
   const driver = new EtcdGateway(settings.store.endpoints)
-  const store = new StoreClient(new RelayDriver(driver, opts.relay), {
+  const relayed = new RelayDriver(driver, opts.relay)
+  const store = new StoreClient(relayed, {
     readsPerSecond: settings.store.readsPerSecond,
     writesPerSecond: settings.store.writesPerSecond,
     callTimeoutMs: settings.store.callTimeoutMs,
@@ -69,5 +72,6 @@
   const fleet = new FleetView({ documents, mirror, assignments: keys.assignments, ledgers: keys.ledgers })
   const peers = new PeerClients({ key: opts.peerKey, metrics })
   const decisions = new DecisionLog(topicLogger(logger, 'decisions'))
-  return { settings, peerKey: opts.peerKey, clock, logger, metrics, decisions, keys, mirror, driver, store, peers, members, lease, leadership, documents, fleet }
+  const hasStore = (): boolean => store.available() && relayed.reachesDirectly()
+  return { settings, peerKey: opts.peerKey, clock, logger, metrics, decisions, keys, mirror, driver, store, hasStore, peers, members, lease, leadership, documents, fleet }
 }
--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -1,12 +1,12 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import { createServer, type Server } from 'node:http'
-import { pause, runEvery, systemClock, type Clock } from '@wisteriaslip/core.result'
+import { pause, runEvery, systemClock, within, type Clock } from '@wisteriaslip/core.result'
 import { topicLogger, type Logger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { FleetTerm } from '@wisteriaslip/jobs.fleet'
 import { Intake } from '@wisteriaslip/jobs.intake'
-import type { FleetCalls, JobLimits, PermitCalls, StoreSources, WorkerCalls } from '@wisteriaslip/jobs.model'
+import type { FleetCalls, JobLimits, PermitCalls, StoreSources, Vm, WorkerCalls } from '@wisteriaslip/jobs.model'
 import { createJobRouter, type JobPeerService } from '@wisteriaslip/jobs.protocol'
 import { ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
@@ -32,6 +32,7 @@
 const HAND_OVER_MS = 2_500
 const STOP_SLACK_MS = 700
 const STOP_POLL_MS = 20
+const LIST_TIMEOUT_MS = 1_000
 const CONFIG_GATHER_MS = 50
 /** Workers write themselves often; a draining one must be known of long before its time is over. */
 const WORKERS_GATHER_MS = 300
@@ -238,6 +239,7 @@
       calls: this.opts.workers,
       permits: this.opts.permits,
       registered: () => this.site.workersOf(service),
+      vms: async inner => await this.listVms(inner),
       queue: name => this.site.queue(name),
       limits: this.opts.limits,
       clock: this.clock,
@@ -247,6 +249,13 @@
     })
   }
 
+  private async listVms (signal: AbortSignal): Promise<readonly Vm[] | undefined> {
+    const { fleet } = this.opts
+    if (fleet === undefined) return undefined
+    const listed = await within(LIST_TIMEOUT_MS, signal, async inner => await fleet.list(inner))
+    return listed.ok ? listed.value : undefined
+  }
+
   private beginFleetTerm (token: number): FleetTerm {
     const { fleet, sources } = this.opts
     if (fleet === undefined) throw new Error('no calls on VMs')
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -35,6 +35,8 @@
   readonly queue: QueueLookup
   /** Number of this term: one more than that of the leader before. */
   readonly term: number
+  /** Longest lease that leaders of earlier terms gave, in milliseconds. */
+  readonly earlierLeaseMs: number
 }
 
 /** A run of a job that nobody knows. */
@@ -278,7 +280,7 @@
       known.delisted = false
       return
     }
-    if (known !== undefined && entry.born < known.entry.born) return
+    if (known !== undefined && (entry.born < known.entry.born || (known.ended && entry.born === known.entry.born))) return
     if (known !== undefined) this.endLife(known)
     const unsettled = [...known?.runs.values() ?? []]
     const barUntil = unsettled.length === 0 ? 0 : this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
@@ -360,7 +362,7 @@
   }
 
   private adopt (worker: TrackedWorker, task: Task, running: RunningTask): void {
-    worker.assumeLease(this.opts.limits.longestLeaseMs)
+    worker.assumeLease(this.opts.earlierLeaseMs)
     const run = this.addRun(task, worker, running.attempt)
     run.phase = 'running'
     run.pace = Number.NaN
--- a/jobs/scheduler/test/bench.ts
+++ b/jobs/scheduler/test/bench.ts
@@ -30,7 +30,7 @@
 
   constructor (opts: { term?: number, queue?: Partial<Queue> } = {}) {
     const present = { ...queue, ...opts.queue }
-    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits, queue: () => present, term: opts.term ?? 0 })
+    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits, queue: () => present, term: opts.term ?? 0, earlierLeaseMs: limits.longestLeaseMs })
   }
 
   /** Lists workers and has each answer a first look, at which nothing runs. */
--- a/jobs/scheduler/test/runs.model.test.ts
+++ b/jobs/scheduler/test/runs.model.test.ts
@@ -131,7 +131,7 @@
   constructor (site: Site, term: number) {
     this.site = site
     this.token = term + 1
-    this.scheduler = new Scheduler({ clock: { now: () => site.now }, wallClock: () => site.now, limits, queue: () => queue, term })
+    this.scheduler = new Scheduler({ clock: { now: () => site.now }, wallClock: () => site.now, limits, queue: () => queue, term, earlierLeaseMs: limits.longestLeaseMs })
     for (const accepted of site.jobs) this.scheduler.table.admit(accepted, { fresh: accepted.acceptedUnder === this.token, progress: site.records.get(accepted.id) })
     this.list()
   }
--- a/jobs/service/src/ports.ts
+++ b/jobs/service/src/ports.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@wisteriaslip/core.result'
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { Metrics } from '@wisteriaslip/core.metrics'
-import type { JobLimits, PermitCalls, WorkerCalls, WorkerEntry } from '@wisteriaslip/jobs.model'
+import type { JobLimits, PermitCalls, Vm, WorkerCalls, WorkerEntry } from '@wisteriaslip/jobs.model'
 import type { QueueLookup } from '@wisteriaslip/jobs.scheduler'
 import type { JobRecords } from '@wisteriaslip/jobs.store'
 import type { Guard, Store } from '@wisteriaslip/store.client'
@@ -18,6 +18,8 @@
   readonly permits: PermitCalls | undefined
   /** @returns the service's workers as registered */
   readonly registered: () => readonly WorkerEntry[]
+  /** @returns the platform's list of VMs, undefined when it cannot be had */
+  readonly vms: (signal: AbortSignal) => Promise<readonly Vm[] | undefined>
   readonly queue: QueueLookup
   readonly limits: JobLimits
   readonly clock: Clock
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -1,13 +1,14 @@
 import { linkAbort, pause, Wakeup, within } from '@wisteriaslip/core.result'
-import type { Job, JobState, WorkerEntry } from '@wisteriaslip/jobs.model'
+import type { Job, JobState } from '@wisteriaslip/jobs.model'
 import type { ServiceLoad } from '@wisteriaslip/jobs.protocol'
-import { Scheduler, type PermitQuestion, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
+import { LostLives, Scheduler, type PermitQuestion, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import { idOfKey, type ServiceRecords, type TermRecord } from '@wisteriaslip/jobs.store'
-import { decodeEnvelope, type Versioned, type WatchBatch } from '@wisteriaslip/store.client'
+import { decodeEnvelope, type WatchBatch } from '@wisteriaslip/store.client'
 import { cleanUp } from './clean-up.ts'
 import { serviceLoad, withdrawWorkers } from './load.ts'
 import type { TermOpts } from './ports.ts'
 import { ProgressWriter } from './progress-writer.ts'
+import { WorkerRecord } from './worker-record.ts'
 import { WorkerSession } from './worker-session.ts'
 
 const RETRY_MS = 100
@@ -16,8 +17,11 @@
 const GAP_MS = 3
 const WATCH_GAP_MS = 400
 const CLEAN_UP_MS = 5_000
-/** Added to the longest lease when waiting for leases of earlier leaders to end. */
-const BLIND_SLACK = 1.05
+/** Leases of earlier leaders may last longer by this factor, as clocks of workers may be slow. */
+const LEASE_SLACK = 1.05
+/** An earlier leader may extend leases for this long after it lost its leadership without knowing. */
+const OVERLAP_MS = 1_500
+const LOST_LIVES_MS = 300
 const FLUSH_TRIES = 3
 /** The advice service decides for a while, and takes one call at a time from each entry. */
 const PERMIT_TIMEOUT_MS = 3_000
@@ -30,9 +34,8 @@
   private readonly lost = new AbortController()
   private readonly news = new Wakeup()
   private readonly sessions = new Map<TrackedWorker, WorkerSession>()
-  private readonly recordedWorkers = new Set<string>()
+  private readonly record: WorkerRecord
   private parts: { scheduler: Scheduler, writer: ProgressWriter } | undefined
-  private termRecord: Versioned<TermRecord> | undefined
   private blindUntil = 0
   /** Revision up to which requests are known. */
   private requestsAt = 0
@@ -41,6 +44,7 @@
     this.opts = opts
     this.service = opts.service
     this.token = opts.token
+    this.record = new WorkerRecord(opts)
   }
 
   /**
@@ -58,10 +62,12 @@
         writer.run(ending.signal),
         this.followRequests(ending.signal),
         this.decide(ending.signal),
+        this.record.run(scheduler, () => this.news.wake(), ending.signal),
+        this.findLostLives(scheduler, ending.signal),
         this.repeat(CLEAN_UP_MS, ending.signal, async () => await cleanUp(scheduler, writer, this.opts))
       ])
       for (let tries = 0; tries < FLUSH_TRIES && !this.lost.signal.aborted; tries++) {
-        if (await writer.flush()) break
+        if (await writer.flush() && await this.record.write(scheduler)) break
       }
     } finally {
       ending.release()
@@ -133,12 +139,11 @@
     const { records, service, guard } = this.opts
     while (!signal.aborted) {
       const [term, all] = await Promise.all([
-        this.termRecord === undefined ? records.beginTerm(service, guard) : { ok: true as const, value: this.termRecord },
+        this.record.begin(),
         records.readAll(service)
       ])
       if (term.ok) {
-        this.termRecord = term.value
-        if (all.ok) return this.begin(term.value.value, all.value, startedAt)
+        if (all.ok) return this.begin(term.value, all.value, startedAt)
       } else if (term.error.kind === 'conflict') {
         const leader = await this.opts.store.get(guard.key)
         if (leader.ok && leader.value?.createRevision !== this.token) this.lost.abort()
@@ -149,7 +154,8 @@
 
   private begin (term: TermRecord, all: ServiceRecords, startedAt: number): void {
     const { service, clock, wallClock, limits, queue, logger } = this.opts
-    const scheduler = new Scheduler({ clock, wallClock, limits, queue, term: term.number })
+    const earlierLeaseMs = Math.min(limits.longestLeaseMs, (term.leaseMs ?? limits.longestLeaseMs) * LEASE_SLACK)
+    const scheduler = new Scheduler({ clock, wallClock, limits, queue, term: term.number, earlierLeaseMs })
     const writer = new ProgressWriter(scheduler, this.opts, { onRecorded: () => this.onRecorded(), onFenced: () => this.lost.abort() })
     for (const [id, prior] of all.progress) writer.setPrior(id, prior)
     for (const doc of all.jobs) {
@@ -157,8 +163,7 @@
       scheduler.table.admit(doc.value, { fresh: doc.value.acceptedUnder === this.token, progress: all.progress.get(id)?.value })
       if (all.cancelled.has(id)) scheduler.table.cancel(id)
     }
-    for (const worker of term.workers) this.recordedWorkers.add(lifeOf(worker))
-    this.blindUntil = clock.now() + limits.longestLeaseMs * BLIND_SLACK
+    this.blindUntil = clock.now() + OVERLAP_MS + earlierLeaseMs
     scheduler.setWorkers(term.workers, { blindUntil: this.blindUntil })
     scheduler.setWorkers(this.opts.registered(), { blindUntil: this.blindUntil })
     this.requestsAt = all.revision
@@ -201,7 +206,7 @@
     if (parts === undefined) return
     while (!signal.aborted) {
       parts.scheduler.setWorkers(this.opts.registered(), { blindUntil: this.blindUntil })
-      await this.openSessions(parts.scheduler, signal)
+      this.openSessions(parts.scheduler, signal)
       parts.scheduler.advance()
       for (const run of parts.scheduler.placeReady()) this.send(run, signal, async session => await session.start(run, run.task.step.permits.for(run.worker, this.opts.clock.now()) ?? '', signal))
       for (const run of parts.scheduler.stopsDue()) this.send(run, signal, async session => await session.stop(run, signal))
@@ -223,33 +228,39 @@
   }
 
   /** A worker gets no lease before the term's record names it: a later leader must know whom to ask. */
-  private async openSessions (scheduler: Scheduler, signal: AbortSignal): Promise<void> {
-    const fresh = [...scheduler.workers.values()].filter(worker => !worker.ended && !this.sessions.has(worker))
+  private openSessions (scheduler: Scheduler, signal: AbortSignal): void {
     for (const worker of this.sessions.keys()) {
       if (worker.ended || scheduler.workers.get(worker.entry.id) !== worker) this.sessions.delete(worker)
     }
-    if (fresh.length === 0) return
-    if (!fresh.every(worker => this.recordedWorkers.has(lifeOf(worker.entry))) && !await this.recordWorkers(scheduler)) return
-    for (const worker of fresh) {
-      const session = new WorkerSession(worker, scheduler, this.opts, {
-        onNews: () => this.news.wake(),
-        onFenced: () => this.onFenced(),
-        lookUp: async jobs => await this.lookUp(jobs)
-      })
-      this.sessions.set(worker, session)
-      session.run(signal).catch(error => this.opts.logger.error({ err: error, worker: worker.entry.id }, 'session failed'))
+    for (const worker of scheduler.workers.values()) {
+      if (worker.ended || this.sessions.has(worker)) continue
+      if (this.record.names(worker.entry)) this.openSession(worker, scheduler, signal)
+      else this.record.wake()
     }
   }
 
-  private async recordWorkers (scheduler: Scheduler): Promise<boolean> {
-    const entries = [...scheduler.workers.values()].filter(worker => !worker.ended).map(worker => worker.entry)
-    const value: TermRecord = { number: this.termRecord?.value.number ?? 0, workers: entries }
-    const written = await this.opts.records.writeTerm(this.service, this.termRecord, value, this.opts.guard)
-    if (!written.ok) return false
-    this.termRecord = written.value
-    this.recordedWorkers.clear()
-    for (const entry of entries) this.recordedWorkers.add(lifeOf(entry))
-    return true
+  private openSession (worker: TrackedWorker, scheduler: Scheduler, signal: AbortSignal): void {
+    const session = new WorkerSession(worker, scheduler, this.opts, {
+      onNews: () => this.news.wake(),
+      onFenced: () => this.onFenced(),
+      lookUp: async jobs => await this.lookUp(jobs)
+    })
+    this.sessions.set(worker, session)
+    session.run(signal).catch(error => this.opts.logger.error({ err: error, worker: worker.entry.id }, 'session failed'))
+  }
+
+  /** What ran on a VM that was moved or switched off is found out from the list of VMs, not by waiting for leases to end. */
+  private async findLostLives (scheduler: Scheduler, signal: AbortSignal): Promise<void> {
+    const lives = new LostLives(scheduler, this.opts.clock)
+    await this.repeat(LOST_LIVES_MS, signal, async () => {
+      if (!lives.inDoubt()) return
+      const askedAt = this.opts.clock.now()
+      const vms = await this.opts.vms(signal)
+      if (vms === undefined) return
+      const over = lives.take(vms, askedAt)
+      for (const worker of over) this.opts.logger.info({ worker: worker.entry.id, vm: worker.entry.vm }, 'worker is gone')
+      if (over.length > 0) this.news.wake()
+    })
   }
 
   private send (run: Run, signal: AbortSignal, order: (session: WorkerSession) => Promise<void>): void {
@@ -284,7 +295,3 @@
     while (await pause(periodMs, signal)) await step()
   }
 }
-
-function lifeOf (worker: WorkerEntry): string {
-  return `${worker.id}/${worker.born}`
-}
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -12,6 +12,8 @@
 /** A term of a service's leader: its number, and the workers to which it may have given work. */
 export interface TermRecord {
   readonly number: number
+  /** Longest lease that this or an earlier term gave to workers, in milliseconds. */
+  readonly leaseMs?: number | undefined
   readonly workers: readonly WorkerEntry[]
 }
 
@@ -119,18 +121,17 @@
   }
 
   /**
-   * Begins a term: writes its number, and the workers that the terms before may have used.
+   * Begins a term: writes its number, and what the terms before leave behind.
    * @param service - a service
+   * @param next - makes the record of this term from that of the one before
    * @param guard - that this entry leads it
    * @returns the record as written
    */
-  async beginTerm (service: string, guard: Guard): Promise<Result<Versioned<TermRecord>, StoreError>> {
-    const key = this.keys.term(service)
-    const before = await this.store.get(key)
+  async beginTerm (service: string, next: (before: TermRecord | undefined) => TermRecord, guard: Guard): Promise<Result<Versioned<TermRecord>, StoreError>> {
+    const before = await this.store.get(this.keys.term(service))
     if (!before.ok) return before
     const prior = before.value as Versioned<TermRecord> | undefined
-    const value: TermRecord = { number: (prior?.value.number ?? -1) + 1, workers: prior?.value.workers ?? [] }
-    return await this.writeTerm(service, prior, value, guard)
+    return await this.writeTerm(service, prior, next(prior?.value), guard)
   }
 
   /**
