Leaders on strong entries, and no entry leads two services while another leads none

Change: an entry says how many processors it has; vacant resources go to strong members first, then to those that lead least, the same at every entry; a member hands over what it leads beyond its share.

--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -44,6 +44,8 @@
   readonly zone: string
   readonly region: string
   readonly keyPrefix: string
+  /** Processors that this entry may use, in cores. */
+  readonly processors: number
   readonly peers: PeerAddress
   readonly driver: Driver
   readonly store: { readonly readsPerSecond: number, readonly writesPerSecond: number }
@@ -93,7 +95,7 @@
     this.site = new SiteView(opts.sources, topicLogger(logger, 'site'))
     this.driver = new RelayDriver(opts.driver, async (call, signal) => await this.exchange.relay(call, signal))
     this.store = new StoreClient(this.driver, { ...opts.store, metrics, clock })
-    const self: Member = { id: opts.id, incarnation: randomUUID(), region: opts.region, zone: opts.zone, peerAddress: opts.peers }
+    const self: Member = { id: opts.id, incarnation: randomUUID(), region: opts.region, zone: opts.zone, peerAddress: opts.peers, weight: opts.processors }
     this.members = new Members(self, mirror, this.keys)
     this.lease = new EntryLease(this.store, { ttlMs: LEASE_TTL_MS, clock, logger: topicLogger(logger, 'lease'), signal: this.leaving.signal })
     this.leadership = new Leadership({ store: this.store, mirror, members: this.members, lease: this.lease, keys: this.keys, clock, logger: topicLogger(logger, 'leadership') })
--- a/peers/membership/src/leadership.ts
+++ b/peers/membership/src/leadership.ts
@@ -2,17 +2,17 @@
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { Mirror } from '@wisteriaslip/store.mirror'
 import type { Change, Guard, Store } from '@wisteriaslip/store.client'
+import { assignLeaders, surplusLeads, type Candidate } from './candidates.ts'
 import type { Keys } from './keys.ts'
 import type { EntryLease } from './lease.ts'
 import type { Members } from './members.ts'
-import { rankMembers } from './rendezvous.ts'
 
 /** A member takes over only after each more preferred one has had this long to do so. */
 const TURN_MS = 1_000
 const CLAIMS_PER_WRITE = 32
 const HAND_BACK_PERIOD_MS = 5_000
 const HAND_BACKS_PER_PERIOD = 8
-/** A preferred member must have been there this long before leadership is handed to it. */
+/** A member must have been there this long before leadership is handed to it. */
 const SETTLED_MS = 20_000
 
 /** Who leads a resource. The create revision of its key is the fencing token. */
@@ -82,7 +82,7 @@
   }
 
   /**
-   * One step of the election: takes vacant resources whose turn has come, and hands back a few to members that are preferred.
+   * One step of the election: takes vacant resources whose turn has come, and hands a few to members that lead less.
    * @param resources - names of all resources there should be leaders for
    */
   async step (resources: readonly string[]): Promise<void> {
@@ -90,23 +90,37 @@
     const ids = this.opts.members.all().map(member => member.id)
     if (leaseId === undefined || !ids.includes(this.opts.members.self.id)) return
     this.noteMembers(ids)
-    const due = resources.filter(resource => this.turnHasCome(resource, ids))
+    const due = this.dueOf(resources)
     for (let start = 0; start < due.length; start += CLAIMS_PER_WRITE) {
       await this.take(due.slice(start, start + CLAIMS_PER_WRITE), leaseId)
     }
-    await this.handBack(resources, ids)
+    await this.handBack(resources)
   }
 
-  private turnHasCome (resource: string, ids: readonly string[]): boolean {
-    if (this.leaderOf(resource) !== undefined) {
-      this.vacantSince.delete(resource)
-      return false
-    }
+  /** Vacant resources whose turn at this entry has come. */
+  private dueOf (resources: readonly string[]): string[] {
     const now = this.opts.clock.now()
-    const since = this.vacantSince.get(resource) ?? now
-    this.vacantSince.set(resource, since)
-    const rank = rankMembers(resource, ids).indexOf(this.opts.members.self.id)
-    return now - since >= rank * TURN_MS
+    const vacant: string[] = []
+    for (const resource of resources) {
+      if (this.leaderOf(resource) === undefined) vacant.push(resource)
+      else this.vacantSince.delete(resource)
+    }
+    if (vacant.length === 0) return []
+    const turns = assignLeaders(vacant, this.candidates(resources))
+    return vacant.filter(resource => {
+      const since = this.vacantSince.get(resource) ?? now
+      this.vacantSince.set(resource, since)
+      return now - since >= (turns.get(resource) ?? []).indexOf(this.opts.members.self.id) * TURN_MS
+    })
+  }
+
+  private candidates (resources: readonly string[]): Candidate[] {
+    const leads = new Map<string, number>()
+    for (const resource of resources) {
+      const leader = this.leaderOf(resource)?.record.id
+      if (leader !== undefined) leads.set(leader, (leads.get(leader) ?? 0) + 1)
+    }
+    return this.opts.members.all().map(({ id, weight }) => ({ id, weight: weight ?? 1, leads: leads.get(id) ?? 0 }))
   }
 
   private async take (resources: readonly string[], leaseId: string): Promise<void> {
@@ -135,17 +149,15 @@
     }
   }
 
-  private async handBack (resources: readonly string[], ids: readonly string[]): Promise<void> {
+  private async handBack (resources: readonly string[]): Promise<void> {
     const now = this.opts.clock.now()
     if (now - this.handedBackAt < HAND_BACK_PERIOD_MS) return
     this.handedBackAt = now
-    const settled = ids.filter(id => now - (this.memberSince.get(id) ?? now) >= SETTLED_MS)
-    const misplaced = resources.filter(resource => {
-      const preferred = rankMembers(resource, ids)[0]
-      const ours = this.token(resource) !== undefined
-      return ours && preferred !== undefined && preferred !== this.opts.members.self.id && settled.includes(preferred)
-    })
-    for (const resource of misplaced.slice(0, HAND_BACKS_PER_PERIOD)) await this.resign(resource)
+    const self = this.opts.members.self.id
+    const settled = this.candidates(resources).filter(({ id }) => id === self || now - (this.memberSince.get(id) ?? now) >= SETTLED_MS)
+    const surplus = Math.min(HAND_BACKS_PER_PERIOD, surplusLeads(self, settled))
+    const ours = resources.filter(resource => this.token(resource) !== undefined)
+    for (const resource of ours.slice(0, surplus)) await this.resign(resource)
   }
 
   private async resign (resource: string): Promise<void> {
--- a/peers/membership/src/members.ts
+++ b/peers/membership/src/members.ts
@@ -11,6 +11,8 @@
   readonly region: string
   readonly zone: string
   readonly peerAddress: { readonly host: string, readonly port: number }
+  /** Processors that it has, to tell strong members from weak ones. */
+  readonly weight?: number | undefined
 }
 
 /** The members as the mirror knows them. */
