Size pools by the jobs that come, not only by those that wait

Change: work that came within the last 1.5 s, as a rate, is what a pool needs in the long run; few jobs count less.

--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@wisteriaslip/core.result'
-import { parseTaskName, type EndedTask, type JobLimits, type RunningTask, type WorkerEntry, type WorkerError, type WorkerReport } from '@wisteriaslip/jobs.model'
+import { parseTaskName, type EndedTask, type Job, type JobLimits, type RunningTask, type WorkerEntry, type WorkerError, type WorkerReport } from '@wisteriaslip/jobs.model'
+import { Arrivals } from './arrivals.ts'
 import { JobTable } from './job-table.ts'
 import { orderSteps, type QueueLookup } from './order.ts'
 import { chooseWorker, mayRun, type Placement } from './placement.ts'
@@ -64,12 +65,29 @@
   private readonly opts: SchedulerOpts
   private readonly toStop = new Set<Run>()
   private readonly durations = new DurationBook()
+  private readonly arrivals: Arrivals
 
   constructor (opts: SchedulerOpts) {
     this.opts = opts
+    this.arrivals = new Arrivals(opts.clock)
     this.table = new JobTable({ ...opts, onNotNeeded: (run, reason) => this.requestStop(run, reason) })
   }
 
+  /**
+   * Takes in a job that was just accepted. One that is known already is left as it is.
+   * @param job - as accepted
+   * @param opts - whether no earlier leader can have started it
+   */
+  takeJob (job: Job, opts: { fresh: boolean }): void {
+    if (!this.table.jobs.has(job.id)) this.arrivals.note(job, this.durations.factor(job.queue))
+    this.table.admit(job, opts)
+  }
+
+  /** @returns thousandths of a core that the service will need if jobs go on coming as they do */
+  expectedCpu (): number {
+    return this.arrivals.expectedCpu()
+  }
+
   /**
    * Takes over the registry's list of the service's workers.
    * @param entries - all of them
--- a/jobs/scheduler/src/stragglers.ts
+++ b/jobs/scheduler/src/stragglers.ts
@@ -41,7 +41,15 @@
    */
   expectedMs (run: Run): number {
     const { spec, job } = run.task.step
-    return spec.estimateMs * (this.ratios.get(job.job.queue) ?? FIRST_RATIO)
+    return spec.estimateMs * this.factor(job.job.queue)
+  }
+
+  /**
+   * @param queue - name of a queue
+   * @returns time that its runs take, against their estimates
+   */
+  factor (queue: string): number {
+    return this.ratios.get(queue) ?? FIRST_RATIO
   }
 }
 
--- a/jobs/service/src/load.ts
+++ b/jobs/service/src/load.ts
@@ -12,7 +12,7 @@
   const used = workers.map(worker => worker.used())
   return {
     kind: 'load',
-    wantedCpu: waiting.cpu + sum(used.map(each => each.cpu)),
+    wantedCpu: Math.max(waiting.cpu + sum(used.map(each => each.cpu)), lastingCpu(workers) + scheduler.expectedCpu()),
     wantedMemMb: waiting.memMb + sum(used.map(each => each.memMb)),
     leastWorkers: scheduler.table.leastWorkers(),
     workers: workers.map(worker => ({
@@ -32,6 +32,11 @@
   return values.reduce((total, value) => total + value, 0)
 }
 
+function lastingCpu (workers: readonly TrackedWorker[]): number {
+  const runs = workers.flatMap(worker => [...worker.runs.values()])
+  return sum(runs.map(({ task }) => task.step.spec.lasting && !task.step.spec.backfill ? task.step.spec.demand.cpu : 0))
+}
+
 function lastingRuns (worker: TrackedWorker): number {
   return [...worker.runs.values()].filter(run => run.task.step.spec.lasting).length
 }
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -82,7 +82,7 @@
   push (job: Job): boolean {
     if (this.parts === undefined) return false
     if (job.acceptedUnder > this.token) this.onFenced()
-    else this.parts.scheduler.table.admit(job, { fresh: job.acceptedUnder === this.token })
+    else this.parts.scheduler.takeJob(job, { fresh: job.acceptedUnder === this.token })
     this.news.wake()
     return true
   }
--- a/testing/stand-ins/src/memory-driver.ts
+++ b/testing/stand-ins/src/memory-driver.ts
@@ -11,6 +11,7 @@
   beforeTxn: () => Promise<void> = async () => {}
   private readonly items = new Map<string, RawKeyValue>()
   private readonly watchers = new Set<(batch: WatchBatch) => void>()
+  private readonly history: WatchBatch[] = []
   private revision = 1
 
   async range (key: string, opts: RangeOpts): Promise<Result<KeyRange, DriverError>> {
@@ -41,10 +42,16 @@
     return ok(undefined)
   }
 
-  async watch (_prefix: string, _fromRevision: number, onBatch: (batch: WatchBatch) => void, signal: AbortSignal): Promise<DriverError> {
-    this.watchers.add(onBatch)
+  async watch (prefix: string, fromRevision: number, onBatch: (batch: WatchBatch) => void, signal: AbortSignal): Promise<DriverError> {
+    const tell = (batch: WatchBatch): void => {
+      const changed = batch.changed.filter(item => item.key.startsWith(prefix))
+      const deleted = batch.deleted.filter(item => item.key.startsWith(prefix))
+      if (changed.length + deleted.length > 0) onBatch({ revision: batch.revision, changed, deleted })
+    }
+    for (const batch of this.history) if (batch.revision >= fromRevision) tell(batch)
+    this.watchers.add(tell)
     await new Promise(resolve => signal.addEventListener('abort', resolve, { once: true }))
-    this.watchers.delete(onBatch)
+    this.watchers.delete(tell)
     return { kind: 'lost', message: 'ended' }
   }
 
@@ -60,6 +67,8 @@
     const changed = txn.puts.map(put => ({ key: put.key, value: put.value, createRevision: this.items.get(put.key)?.createRevision ?? this.revision, modRevision: this.revision }))
     for (const item of changed) this.items.set(item.key, item)
     const deleted = txn.deletes.filter(key => this.items.delete(key)).map(key => ({ key, modRevision: this.revision }))
-    for (const watcher of this.watchers) watcher({ revision: this.revision, changed, deleted })
+    const batch = { revision: this.revision, changed, deleted }
+    this.history.push(batch)
+    for (const watcher of this.watchers) watcher(batch)
   }
 }
