--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import { createServer, type Server } from 'node:http'
-import { pause, runEvery, systemClock, within, type Clock } from '@wisteriaslip/core.result'
+import { pause, systemClock, Wakeup, within, type Clock } from '@wisteriaslip/core.result'
 import { topicLogger, type Logger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { FleetTerm } from '@wisteriaslip/jobs.fleet'
@@ -21,9 +21,12 @@
 import { fleetResource, serviceOf, serviceResource } from './resources.ts'
 import { SiteView } from './site-view.ts'
 import { Terms } from './terms.ts'
+import { WorkerList } from './worker-list.ts'
 
 const LEASE_TTL_MS = 1_500
+/** While something has no leader, or this entry is not a member yet; else a change of members or leaders ends the wait. */
 const ELECTION_MS = 150
+const CALM_ELECTION_MS = 1_000
 /** Entries that start together first learn of each other, so that not the quickest takes all. */
 const SETTLE_MS = 800
 /** The balancer learns within this time that this entry takes no new connections. */
@@ -73,6 +76,7 @@
   private readonly driver: RelayDriver
   private readonly store: StoreClient
   private readonly members: Members
+  private readonly workerList: WorkerList
   private readonly lease: EntryLease
   private readonly leadership: Leadership
   private readonly clients: PeerClients<JobPeerService>
@@ -84,6 +88,7 @@
   private readonly service: JobPeerService
   private registeredUnder: string | undefined
   private registeredAt = Number.POSITIVE_INFINITY
+  private readonly electionNews = new Wakeup()
   private inFlight = 0
 
   constructor (opts: JobEntryOpts) {
@@ -94,6 +99,7 @@
     this.keys = new Keys(opts.keyPrefix)
     this.site = new SiteView(opts.sources, topicLogger(logger, 'site'))
     this.driver = new RelayDriver(opts.driver, async (call, signal) => await this.exchange.relay(call, signal))
+    this.workerList = new WorkerList({ driver: this.driver, copy: this.site.workers, clock, logger, gatherMs: WORKERS_GATHER_MS })
     this.store = new StoreClient(this.driver, { ...opts.store, metrics, clock })
     const self: Member = { id: opts.id, incarnation: randomUUID(), region: opts.region, zone: opts.zone, peerAddress: opts.peers, weight: opts.processors }
     this.members = new Members(self, mirror, this.keys)
@@ -160,14 +166,15 @@
   private start (): Array<Promise<void>> {
     const { clock, logger } = this
     const { signal } = this.stopping
-    const electing = runEvery(async () => await this.elect(), { periodMs: ELECTION_MS, signal: this.leaving.signal, onError: error => logger.error({ err: error }, 'election failed') })
+    const electing = this.runElections()
     this.mirror.subscribe(changed => {
       if (changed.some(key => key.startsWith(this.keys.leaders))) this.reconcile()
+      this.electionNews.wake()
     })
     return [
       followStore(this.store, this.mirror, { prefix: this.keys.watched, signal, clock, logger: topicLogger(logger, 'mirror'), probePeriodMs: 5_000 }),
       followRaw(this.driver, this.site.operator, { signal, clock, logger, gatherMs: CONFIG_GATHER_MS }),
-      followRaw(this.driver, this.site.workers, { signal, clock, logger, gatherMs: WORKERS_GATHER_MS }),
+      this.workerList.run(signal),
       this.lease.run(async () => await this.register()),
       this.exchange.run(signal),
       electing
@@ -211,10 +218,28 @@
     this.logger.info({ leaseId }, 'registered')
   }
 
+  private async runElections (): Promise<void> {
+    const { signal } = this.leaving
+    while (!signal.aborted) {
+      try {
+        await this.elect()
+      } catch (error) {
+        this.logger.error({ err: error }, 'election failed')
+      }
+      const calm = this.isMember() && this.resources().every(resource => this.leadership.leaderOf(resource) !== undefined)
+      if (calm) await this.electionNews.sleep(CALM_ELECTION_MS, signal)
+      else await pause(ELECTION_MS, signal)
+    }
+  }
+
+  private isMember (): boolean {
+    return this.registeredUnder !== undefined && this.registeredUnder === this.lease.current()
+  }
+
   private async elect (): Promise<void> {
     await this.register()
     const settled = this.clock.now() - this.registeredAt >= SETTLE_MS
-    if (settled && this.registeredUnder === this.lease.current()) await this.leadership.step(this.resources())
+    if (settled && this.isMember()) await this.leadership.step(this.resources())
     this.reconcile()
   }
 
@@ -230,6 +255,7 @@
       const token = this.leadership.nominalToken(resource)
       if (token !== undefined) (resource === fleetResource ? fleet : services).set(resource, token)
     }
+    this.workerList.setNeeded(services.size > 0)
     this.terms.reconcile(services)
     this.fleetTerms.reconcile(fleet)
   }
--- a/jobs/entry/src/peers.ts
+++ b/jobs/entry/src/peers.ts
@@ -6,7 +6,9 @@
 import type { SiteView } from './site-view.ts'
 
 const PERIOD_MS = 1_000
-const PEERS_PER_ROUND = 2
+const PEERS_PER_ROUND = 1
+/** An entry without the store depends on its peers. */
+const PEERS_PER_ROUND_CUT_OFF = 2
 const SYNC_TIMEOUT_MS = 600
 /** An answer counts as news of a peer's state for this long. */
 const FRESH_MS = 4_000
@@ -48,7 +50,8 @@
   /** @returns the peers whose turn it is */
   nextPeers (): Member[] {
     const peers = this.opts.members.peers()
-    const round = Array.from({ length: Math.min(PEERS_PER_ROUND, peers.length) }, () => peers[this.turn++ % peers.length])
+    const wanted = this.opts.hasStore() ? PEERS_PER_ROUND : PEERS_PER_ROUND_CUT_OFF
+    const round = Array.from({ length: Math.min(wanted, peers.length) }, () => peers[this.turn++ % peers.length])
     return round.filter(peer => peer !== undefined)
   }
 
--- a/jobs/entry/src/raw-copy.ts
+++ b/jobs/entry/src/raw-copy.ts
@@ -47,6 +47,13 @@
     this.onChange()
   }
 
+  /** Forgets all keys; a new reading brings them back. */
+  clear (): void {
+    this.texts.clear()
+    this.atRevision = 0
+    this.onChange()
+  }
+
   /** @param batch - of a watch */
   apply (batch: WatchBatch): void {
     for (const kv of batch.changed) this.put(kv.key, kv.value, kv.modRevision)
--- a/jobs/entry/src/site-view.ts
+++ b/jobs/entry/src/site-view.ts
@@ -12,6 +12,8 @@
   private queuesByName = new Map<string, Queue>()
   private knownWaves: readonly Wave[] = []
   private byService = new Map<string, WorkerEntry[]>()
+  /** Entries as read, by key and revision: of many workers few change at a time. */
+  private readEntries = new Map<string, { readonly revision: number, readonly entry: WorkerEntry | undefined }>()
   private readonly unreadable = new Map<string, number>()
 
   /**
@@ -64,10 +66,10 @@
 
   /**
    * @param service - name of a service
-   * @returns its workers as registered
+   * @returns its workers as registered, undefined while this entry does not follow them
    */
-  workersOf (service: string): readonly WorkerEntry[] {
-    return this.byService.get(service) ?? []
+  workersOf (service: string): readonly WorkerEntry[] | undefined {
+    return this.workers.revision() === 0 ? undefined : this.byService.get(service) ?? []
   }
 
   /**
@@ -98,8 +100,11 @@
 
   private readWorkers (): void {
     const byService = new Map<string, WorkerEntry[]>()
+    const read: typeof this.readEntries = new Map()
     for (const [key, { text, revision }] of this.workers.texts) {
-      const entry = this.sources.decodeWorker(key, text)
+      const known = this.readEntries.get(key)
+      const entry = known?.revision === revision ? known.entry : this.sources.decodeWorker(key, text)
+      read.set(key, { revision, entry })
       if (entry === undefined) {
         this.noteUnreadable(key, revision)
         continue
@@ -108,6 +113,7 @@
       list.push(entry)
       byService.set(entry.service, list)
     }
+    this.readEntries = read
     this.byService = byService
   }
 
--- a/jobs/service/src/ports.ts
+++ b/jobs/service/src/ports.ts
@@ -16,8 +16,8 @@
   readonly records: JobRecords
   readonly calls: WorkerCalls
   readonly permits: PermitCalls | undefined
-  /** @returns the service's workers as registered */
-  readonly registered: () => readonly WorkerEntry[]
+  /** @returns the service's workers as registered, undefined while that is not known */
+  readonly registered: () => readonly WorkerEntry[] | undefined
   /** @returns the platform's list of VMs, undefined when it cannot be had */
   readonly vms: (signal: AbortSignal) => Promise<readonly Vm[] | undefined>
   readonly queue: QueueLookup
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -165,7 +165,7 @@
     }
     this.blindUntil = clock.now() + OVERLAP_MS + earlierLeaseMs
     scheduler.setWorkers(term.workers, { blindUntil: this.blindUntil })
-    scheduler.setWorkers(this.opts.registered(), { blindUntil: this.blindUntil })
+    this.listWorkers(scheduler)
     this.requestsAt = all.revision
     this.parts = { scheduler, writer }
     logger.info({ service, token: this.token, term: term.number, jobs: all.jobs.length, tookMs: Math.round(clock.now() - startedAt) }, 'term begun')
@@ -205,7 +205,7 @@
     const parts = this.parts
     if (parts === undefined) return
     while (!signal.aborted) {
-      parts.scheduler.setWorkers(this.opts.registered(), { blindUntil: this.blindUntil })
+      this.listWorkers(parts.scheduler)
       this.openSessions(parts.scheduler, signal)
       parts.scheduler.advance()
       for (const run of parts.scheduler.placeReady()) this.send(run, signal, async session => await session.start(run, run.task.step.permits.for(run.worker, this.opts.clock.now()) ?? '', signal))
@@ -227,6 +227,11 @@
     this.news.wake()
   }
 
+  private listWorkers (scheduler: Scheduler): void {
+    const registered = this.opts.registered()
+    if (registered !== undefined) scheduler.setWorkers(registered, { blindUntil: this.blindUntil })
+  }
+
   /** A worker gets no lease before the term's record names it: a later leader must know whom to ask. */
   private openSessions (scheduler: Scheduler, signal: AbortSignal): void {
     for (const worker of this.sessions.keys()) {
