--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -1,19 +1,20 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import { createServer, type Server } from 'node:http'
-import { pause, systemClock, Wakeup, within, type Clock } from '@wisteriaslip/core.result'
+import { pause, systemClock, within, type Clock } from '@wisteriaslip/core.result'
 import { topicLogger, type Logger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { FleetTerm } from '@wisteriaslip/jobs.fleet'
 import { Intake } from '@wisteriaslip/jobs.intake'
 import type { FleetCalls, JobLimits, PermitCalls, StoreSources, Vm, WorkerCalls } from '@wisteriaslip/jobs.model'
-import { createJobRouter, type JobPeerService } from '@wisteriaslip/jobs.protocol'
+import { createJobRouter, type ExplainRequest, type JobPeerService, type ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import { ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { EntryLease, Keys, Leadership, Members, type Member } from '@wisteriaslip/peers.membership'
 import { createPeerServer, PeerClients, RelayDriver, type PeerAddress } from '@wisteriaslip/peers.protocol'
 import { StoreClient, type Driver } from '@wisteriaslip/store.client'
 import { followStore, Mirror } from '@wisteriaslip/store.mirror'
+import { Election } from './election.ts'
 import { ServiceLeaders } from './leader-calls.ts'
 import { PeerExchange } from './peers.ts'
 import { EntryJobService } from './peer-service.ts'
@@ -24,11 +25,6 @@
 import { WorkerList } from './worker-list.ts'
 
 const LEASE_TTL_MS = 1_500
-/** While something has no leader, or this entry is not a member yet; else a change of members or leaders ends the wait. */
-const ELECTION_MS = 150
-const CALM_ELECTION_MS = 1_000
-/** Entries that start together first learn of each other, so that not the quickest takes all. */
-const SETTLE_MS = 800
 /** The balancer learns within this time that this entry takes no new connections. */
 const LEAVE_MS = 3_200
 /** Leadership that cannot be handed over within this time ends with its lease. */
@@ -60,6 +56,16 @@
   readonly logger: Logger
 }
 
+/** How an entry sees the site. */
+export interface EntryStatus {
+  readonly id: string
+  readonly ready: boolean
+  readonly storeReached: boolean
+  readonly configVersion: number | undefined
+  readonly members: ReadonlyArray<{ readonly id: string, readonly zone: string }>
+  readonly services: ReadonlyArray<{ readonly name: string, readonly leader: string | undefined, readonly load: ServiceLoad | undefined }>
+}
+
 /** An entry that takes jobs, leads some services, and may lead the fleet. */
 export class JobEntry {
   readonly site: SiteView
@@ -79,6 +85,7 @@
   private readonly workerList: WorkerList
   private readonly lease: EntryLease
   private readonly leadership: Leadership
+  private readonly election: Election
   private readonly clients: PeerClients<JobPeerService>
   private readonly records: JobRecords
   private readonly exchange: PeerExchange
@@ -86,9 +93,6 @@
   private readonly terms: Terms<ServiceTerm>
   private readonly fleetTerms: Terms<FleetTerm>
   private readonly service: JobPeerService
-  private registeredUnder: string | undefined
-  private registeredAt = Number.POSITIVE_INFINITY
-  private readonly electionNews = new Wakeup()
   private inFlight = 0
 
   constructor (opts: JobEntryOpts) {
@@ -105,6 +109,7 @@
     this.members = new Members(self, mirror, this.keys)
     this.lease = new EntryLease(this.store, { ttlMs: LEASE_TTL_MS, clock, logger: topicLogger(logger, 'lease'), signal: this.leaving.signal })
     this.leadership = new Leadership({ store: this.store, mirror, members: this.members, lease: this.lease, keys: this.keys, clock, logger: topicLogger(logger, 'leadership') })
+    this.election = new Election({ members: this.members, lease: this.lease, leadership: this.leadership, store: this.store, resources: () => this.resources(), onStep: () => this.reconcile(), clock, logger })
     this.clients = new PeerClients<JobPeerService>({ key: undefined, metrics })
     this.records = new JobRecords(this.store, new JobKeys(opts.keyPrefix))
     this.exchange = new PeerExchange({ members: this.members, mirror, site: this.site, clients: this.clients, clock, hasStore: () => this.hasStore() })
@@ -117,6 +122,8 @@
       hasStore: () => this.hasStore(),
       direct: opts.driver,
       term: service => this.terms.get(serviceResource(service)),
+      terms: () => this.terms.all(),
+      fleetTerm: () => this.fleetTerms.get(fleetResource),
       signal: this.stopping.signal
     })
     this.leaders = new ServiceLeaders({ leadership: this.leadership, members: this.members, clients: this.clients, local: () => this.service, signal: this.stopping.signal })
@@ -128,6 +135,28 @@
     return this.site.config() !== undefined && !this.leaving.signal.aborted
   }
 
+  /**
+   * @param about - a job, worker, pool or wave
+   * @returns how it stands, as its leader knows it; undefined when no leader knows it
+   */
+  async explain (about: ExplainRequest): Promise<unknown> {
+    return await this.leaders.explain(this.site.servicesWithQueues(), about)
+  }
+
+  /** @returns who leads what, and how each service stands */
+  async status (): Promise<EntryStatus> {
+    const services = this.site.servicesWithQueues()
+    const loads = await Promise.all(services.map(async service => await this.leaders.load(service)))
+    return {
+      id: this.opts.id,
+      ready: this.ready(),
+      storeReached: this.hasStore(),
+      configVersion: this.site.config()?.version,
+      members: this.members.all().map(({ id, zone }) => ({ id, zone })),
+      services: services.map((name, number) => ({ name, leader: this.leadership.leaderOf(serviceResource(name))?.record.id, load: loads[number] }))
+    }
+  }
+
   /** @returns whether callers should use other connections from now on */
   isLeaving (): boolean {
     return this.leaving.signal.aborted
@@ -166,18 +195,17 @@
   private start (): Array<Promise<void>> {
     const { clock, logger } = this
     const { signal } = this.stopping
-    const electing = this.runElections()
     this.mirror.subscribe(changed => {
       if (changed.some(key => key.startsWith(this.keys.leaders))) this.reconcile()
-      this.electionNews.wake()
+      this.election.wake()
     })
     return [
       followStore(this.store, this.mirror, { prefix: this.keys.watched, signal, clock, logger: topicLogger(logger, 'mirror'), probePeriodMs: 5_000 }),
       followRaw(this.driver, this.site.operator, { signal, clock, logger, gatherMs: CONFIG_GATHER_MS }),
       this.workerList.run(signal),
-      this.lease.run(async () => await this.register()),
+      this.lease.run(async () => await this.election.register()),
       this.exchange.run(signal),
-      electing
+      this.election.run(this.leaving.signal)
     ]
   }
 
@@ -208,41 +236,6 @@
     await this.lease.revoke()
   }
 
-  private async register (): Promise<void> {
-    const leaseId = this.lease.current()
-    if (leaseId === undefined || this.registeredUnder === leaseId) return
-    const registered = await this.members.register(this.store, leaseId)
-    if (!registered.ok) return
-    this.registeredUnder = leaseId
-    this.registeredAt = this.clock.now()
-    this.logger.info({ leaseId }, 'registered')
-  }
-
-  private async runElections (): Promise<void> {
-    const { signal } = this.leaving
-    while (!signal.aborted) {
-      try {
-        await this.elect()
-      } catch (error) {
-        this.logger.error({ err: error }, 'election failed')
-      }
-      const calm = this.isMember() && this.resources().every(resource => this.leadership.leaderOf(resource) !== undefined)
-      if (calm) await this.electionNews.sleep(CALM_ELECTION_MS, signal)
-      else await pause(ELECTION_MS, signal)
-    }
-  }
-
-  private isMember (): boolean {
-    return this.registeredUnder !== undefined && this.registeredUnder === this.lease.current()
-  }
-
-  private async elect (): Promise<void> {
-    await this.register()
-    const settled = this.clock.now() - this.registeredAt >= SETTLE_MS
-    if (settled && this.isMember()) await this.leadership.step(this.resources())
-    this.reconcile()
-  }
-
   private resources (): string[] {
     const services = this.site.servicesWithQueues().map(serviceResource)
     return this.opts.fleet === undefined || services.length === 0 ? services : [...services, fleetResource]
--- a/jobs/entry/src/leader-calls.ts
+++ b/jobs/entry/src/leader-calls.ts
@@ -1,13 +1,13 @@
 import type { Result } from '@wisteriaslip/core.result'
 import type { LeaderCalls } from '@wisteriaslip/jobs.intake'
-import type { JobPeerService, JobPush, ServiceLoad, StateReply, WithdrawReply } from '@wisteriaslip/jobs.protocol'
+import type { ExplainRequest, JobPeerService, JobPush, ServiceLoad, StateReply, WithdrawReply } from '@wisteriaslip/jobs.protocol'
 import type { Leadership, Members } from '@wisteriaslip/peers.membership'
 import type { PeerClients, PeerError } from '@wisteriaslip/peers.protocol'
-import { serviceResource } from './resources.ts'
+import { fleetResource, serviceResource } from './resources.ts'
 
 const CALL_TIMEOUT_MS = 400
 
-type Method = 'push' | 'cancelled' | 'state' | 'pending' | 'load' | 'withdraw'
+type Method = 'push' | 'cancelled' | 'state' | 'pending' | 'load' | 'withdraw' | 'explain'
 
 /** Finds the leader of a service and asks it; when that is this entry, without the network. */
 export class ServiceLeaders implements LeaderCalls {
@@ -46,9 +46,24 @@
     return await this.ask(service, 'withdraw', { service, vms })
   }
 
+  /**
+   * @param services - of which the leaders are asked
+   * @param about - what is to be explained
+   * @returns what one of them knows, undefined when none does
+   */
+  async explain (services: readonly string[], about: ExplainRequest): Promise<unknown> {
+    const resources = about.kind === 'wave' ? [fleetResource] : services.map(serviceResource)
+    const replies = await Promise.all(resources.map(async resource => await this.askLeader(resource, 'explain', about)))
+    return replies.find(reply => reply?.told !== undefined)?.told
+  }
+
   private async ask<M extends Method> (service: string, method: M, input: Parameters<JobPeerService[M]>[0]): Promise<Awaited<ReturnType<JobPeerService[M]>> | undefined> {
+    return await this.askLeader(serviceResource(service), method, input)
+  }
+
+  private async askLeader<M extends Method> (resource: string, method: M, input: Parameters<JobPeerService[M]>[0]): Promise<Awaited<ReturnType<JobPeerService[M]>> | undefined> {
     const { leadership, members, clients, local, signal } = this.opts
-    const leader = leadership.leaderOf(serviceResource(service))
+    const leader = leadership.leaderOf(resource)
     if (leader === undefined) return undefined
     if (leader.record.incarnation === members.self.incarnation) {
       const own = local()
--- a/jobs/entry/src/peer-service.ts
+++ b/jobs/entry/src/peer-service.ts
@@ -1,5 +1,6 @@
 import { err, ok } from '@wisteriaslip/core.result'
-import type { JobPeerService, JobPush, PeerState, ServiceLoad, StateReply, WithdrawReply } from '@wisteriaslip/jobs.protocol'
+import type { ExplainRequest, JobPeerService, JobPush, PeerState, ServiceLoad, StateReply, WithdrawReply } from '@wisteriaslip/jobs.protocol'
+import type { FleetTerm } from '@wisteriaslip/jobs.fleet'
 import type { ServiceTerm } from '@wisteriaslip/jobs.service'
 import type { Members } from '@wisteriaslip/peers.membership'
 import type { RelayCall, RelayReply } from '@wisteriaslip/peers.protocol'
@@ -17,6 +18,9 @@
   /** The store without detours: a relayed call takes no second one. */
   readonly direct: Driver
   readonly term: (service: string) => ServiceTerm | undefined
+  /** Terms of all services that this entry leads. */
+  readonly terms: () => readonly ServiceTerm[]
+  readonly fleetTerm: () => FleetTerm | undefined
   readonly signal: AbortSignal
 }
 
@@ -68,6 +72,12 @@
     return empty === undefined ? { kind: 'not-leader' } : { kind: 'withdrawn', empty }
   }
 
+  async explain (req: ExplainRequest): Promise<{ told: unknown }> {
+    if (req.kind === 'wave') return { told: this.opts.fleetTerm()?.explainWave(Number(req.name)) }
+    const told = this.opts.terms().map(term => ({ service: term.service, about: term.explain(req) })).find(({ about }) => about !== undefined)
+    return { told: told === undefined ? undefined : { service: told.service, ...told.about as object } }
+  }
+
   async relay (call: RelayCall): Promise<RelayReply> {
     const { direct, signal } = this.opts
     if (call.op === 'range') {
--- a/jobs/entry/src/terms.ts
+++ b/jobs/entry/src/terms.ts
@@ -38,6 +38,11 @@
     return this.running.get(resource)?.term
   }
 
+  /** @returns all terms that run */
+  all (): T[] {
+    return [...this.running.values()].map(({ term }) => term)
+  }
+
   /**
    * Begins and ends terms so that they fit what this entry leads.
    * @param held - fencing tokens by resource
--- a/jobs/fleet/src/term.ts
+++ b/jobs/fleet/src/term.ts
@@ -35,6 +35,15 @@
     }
   }
 
+  /**
+   * @param wave - number of a wave
+   * @returns how far it has come, undefined when this leader has not seen it
+   */
+  explainWave (wave: number): unknown {
+    const progress = this.waves.get(wave)
+    return progress === undefined ? undefined : { token: this.token, completed: this.completed.has(wave), ...progress.explain(this.opts.clock.now()) }
+  }
+
   private async step (signal: AbortSignal): Promise<void> {
     const services = this.opts.config()?.services ?? []
     const [listed, loads] = await Promise.all([
--- a/jobs/fleet/src/wave-progress.ts
+++ b/jobs/fleet/src/wave-progress.ts
@@ -83,6 +83,15 @@
     return [...this.progressOf].every(([id, { phase }]) => phase === 'done' || phase === 'down' || phase === 'excluded' || !there.has(id))
   }
 
+  /**
+   * @param now - of the injected clock
+   * @returns the phase of each VM, and for how long
+   */
+  explain (now: number): { cap: number, down: number, vms: Record<string, { phase: string, forMs: number }> } {
+    const vms = Object.fromEntries([...this.progressOf].map(([id, { phase, since }]) => [id, { phase, forMs: Math.round(now - since) }]))
+    return { cap: this.wave.cap, down: this.down(), vms }
+  }
+
   /** @param vm - for which the order leaves now */
   noteSent (vm: string, now: number): void {
     this.enter(vm, 'sent', now)
--- /dev/null
+++ b/jobs/http/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * The product's own interfaces for jobs, JSON over HTTP.
+ * @module
+ */
+export { createJobServer, type JobServerOpts } from './job-server.ts'
+export { createWorkerServer } from './worker-server.ts'
+export { HttpWorkers } from './workers.ts'
+export { jobSources } from './sources.ts'
--- /dev/null
+++ b/jobs/http/src/wire.ts
@@ -0,0 +1,132 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { z } from 'zod'
+
+/** Paths of a worker's interface. */
+export const workerPaths = { start: '/v1/runs/start', stop: '/v1/runs/stop', pace: '/v1/runs/pace', look: '/v1/runs/look' } as const
+
+const MAX_BODY_BYTES = 1_048_576
+const MAX_TASKS_PER_STEP = 10_000
+const MAX_PAYLOAD_CHARS = 65_536
+
+const count = z.number().int().min(0)
+
+const resourcesSchema = z.strictObject({ cpu: z.number().min(0).default(0), memMb: z.number().min(0).default(0), accelerators: z.number().min(0).default(0) })
+
+const stepSchema = z.strictObject({
+  tasks: z.number().int().min(1).max(MAX_TASKS_PER_STEP),
+  demand: resourcesSchema.default({}),
+  estimateMs: z.number().min(0).default(0),
+  after: z.array(count).default([]),
+  checkpoints: z.boolean().default(false),
+  gang: z.boolean().default(false),
+  oneRack: z.boolean().default(false),
+  label: z.string().default(''),
+  dataRack: z.string().default(''),
+  perWorker: count.default(0),
+  copies: z.boolean().default(false),
+  lasting: z.boolean().default(false),
+  image: z.string().default(''),
+  latencyTargetMs: z.number().min(0).default(0),
+  backfill: z.boolean().default(false),
+  mayMiss: count.default(0)
+})
+
+/** A job as callers write it. */
+export const jobSchema = z.strictObject({
+  id: z.string().regex(/^[A-Za-z0-9_-]{1,64}$/, 'must be 1 to 64 letters, digits, _ or -'),
+  queue: z.string().min(1),
+  payload: z.string().max(MAX_PAYLOAD_CHARS).default(''),
+  steps: z.array(stepSchema).min(1),
+  schedule: z.strictObject({ times: z.number().int().min(1), firstMs: z.number(), everyMs: z.number().min(0) }).optional()
+}).superRefine((job, context) => {
+  for (const [number, step] of job.steps.entries()) {
+    if (step.after.some(before => before >= number)) context.addIssue({ code: 'custom', path: ['steps', number, 'after'], message: 'names a step that is not an earlier one' })
+  }
+})
+
+/** Queues and services as operators write them. */
+export const configSchema = z.strictObject({
+  version: z.number().int().min(1),
+  services: z.array(z.strictObject({ name: z.string().min(1), guardsCapacity: z.boolean().default(true), standby: z.boolean().default(false) })),
+  queues: z.array(z.strictObject({
+    name: z.string().min(1),
+    service: z.string().min(1),
+    priority: count.default(0),
+    attempts: z.number().int().min(1).default(3),
+    stretch: z.number().min(1).default(2),
+    objectiveMs: z.number().min(0).default(1_000),
+    timeoutMs: z.number().min(0).default(10_000)
+  }))
+})
+
+/** A worker as it registers itself. */
+export const workerEntrySchema = z.object({
+  id: z.string().min(1),
+  born: z.number(),
+  service: z.string(),
+  host: z.string(),
+  port: z.number().int(),
+  zone: z.string().default(''),
+  vm: z.string().default(''),
+  draining: z.boolean().default(false),
+  capacity: resourcesSchema,
+  labels: z.array(z.string()).default([]),
+  rack: z.string().default('')
+})
+
+const target = { worker: z.string(), token: z.number() }
+const run = { task: z.string(), attempt: z.number().int() }
+
+/** Orders as workers receive them. */
+export const orderSchemas = {
+  start: z.object({ ...target, ...run, payload: z.string(), leaseUntilMs: z.number(), checkpoint: z.string(), permit: z.string() }),
+  stop: z.object({ ...target, ...run }),
+  pace: z.object({ ...target, ...run, percent: z.number() }),
+  look: z.object({ ...target, leaseUntilMs: z.number().optional(), seenSeq: z.number(), waitMs: z.number() })
+} as const
+
+/** What a worker answers to an order that it carried out. */
+export const clockSchema = z.object({ clockMs: z.number() })
+
+/** What a worker answers to a look. */
+export const reportSchema = z.object({
+  clockMs: z.number(),
+  born: z.number().optional(),
+  running: z.array(z.object({ ...run, checkpoint: z.string(), percent: z.number(), load: z.number() })),
+  ended: z.array(z.object({ ...run, seq: z.number(), how: z.enum(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone']), checkpoint: z.string() }))
+})
+
+/** What a worker answers when it refuses. */
+export const refusalSchema = z.object({ kind: z.enum(['refused', 'other-life']), reason: z.enum(['fence', 'old', 'late', 'room', 'permit', 'unhealthy', 'invalid']).optional() })
+
+/**
+ * @param req - a request
+ * @returns its body as JSON, undefined when it is too large or cannot be read
+ */
+export async function readJson (req: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    bytes += chunk.length
+    if (bytes <= MAX_BODY_BYTES) chunks.push(chunk)
+  }
+  if (bytes > MAX_BODY_BYTES) return undefined
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString()) as unknown
+  } catch {
+    return undefined
+  }
+}
+
+/**
+ * Answers a request.
+ * @param res - of the request
+ * @param status - of HTTP
+ * @param body - to send as JSON
+ * @param headers - more of them
+ */
+export function sendJson (res: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}): void {
+  if (res.headersSent) return
+  res.writeHead(status, { 'content-type': 'application/json', ...headers })
+  res.end(JSON.stringify(body))
+}
--- /dev/null
+++ b/jobs/http/src/workers.ts
@@ -0,0 +1,68 @@
+import { err, ok, type Result } from '@wisteriaslip/core.result'
+import type { StartOrder, WorkerCalls, WorkerError, WorkerReport, WorkerTarget } from '@wisteriaslip/jobs.model'
+import { Agent, request } from 'undici'
+import { clockSchema, refusalSchema, reportSchema, workerPaths } from './wire.ts'
+
+const CONNECTIONS_PER_WORKER = 4
+
+/** Calls on workers that speak the product's own interface. */
+export class HttpWorkers implements WorkerCalls {
+  private readonly agent = new Agent({ connections: CONNECTIONS_PER_WORKER, pipelining: 1 })
+
+  async start (target: WorkerTarget, order: StartOrder, signal: AbortSignal): Promise<Result<number, WorkerError>> {
+    return await this.order(target, workerPaths.start, order, signal)
+  }
+
+  async stop (target: WorkerTarget, order: { task: string, attempt: number }, signal: AbortSignal): Promise<Result<number, WorkerError>> {
+    return await this.order(target, workerPaths.stop, order, signal)
+  }
+
+  async pace (target: WorkerTarget, order: { task: string, attempt: number, percent: number }, signal: AbortSignal): Promise<Result<number, WorkerError>> {
+    return await this.order(target, workerPaths.pace, order, signal)
+  }
+
+  async look (target: WorkerTarget, opts: { leaseUntilMs?: number | undefined, seenSeq: number, waitMs: number }, signal: AbortSignal): Promise<Result<WorkerReport, WorkerError>> {
+    const answer = await this.post(target, workerPaths.look, opts, signal)
+    if (!answer.ok) return answer
+    const report = reportSchema.safeParse(answer.value)
+    return report.success ? ok({ ...report.data, born: report.data.born }) : err({ kind: 'unknown', message: 'unreadable report' })
+  }
+
+  /** Connections are shared, and close when they have been idle. */
+  forget (): void {}
+
+  /** Closes all connections. */
+  async close (): Promise<void> {
+    await this.agent.destroy()
+  }
+
+  private async order (target: WorkerTarget, path: string, order: object, signal: AbortSignal): Promise<Result<number, WorkerError>> {
+    const answer = await this.post(target, path, order, signal)
+    if (!answer.ok) return answer
+    const parsed = clockSchema.safeParse(answer.value)
+    return parsed.success ? ok(parsed.data.clockMs) : err({ kind: 'unknown', message: 'unreadable answer' })
+  }
+
+  private async post (target: WorkerTarget, path: string, body: object, signal: AbortSignal): Promise<Result<unknown, WorkerError>> {
+    try {
+      const res = await request(`http://${target.host}:${target.port}${path}`, {
+        method: 'POST',
+        dispatcher: this.agent,
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ ...body, worker: target.id, token: target.token }),
+        signal
+      })
+      const answer = await res.body.json()
+      return res.statusCode === 200 ? ok(answer) : err(toError(res.statusCode, answer))
+    } catch (error) {
+      return err({ kind: 'unknown', message: String(error) })
+    }
+  }
+}
+
+function toError (status: number, answer: unknown): WorkerError {
+  const parsed = refusalSchema.safeParse(answer)
+  if (!parsed.success) return { kind: 'unknown', message: `status ${status}` }
+  if (parsed.data.kind === 'other-life') return { kind: 'other-life', message: 'another life answers' }
+  return { kind: 'refused', reason: parsed.data.reason ?? 'invalid' }
+}
--- a/jobs/protocol/src/service.ts
+++ b/jobs/protocol/src/service.ts
@@ -44,6 +44,12 @@
   | { readonly kind: 'withdrawn', readonly empty: readonly string[] }
   | { readonly kind: 'not-leader' }
 
+/** A question why something is as it is. */
+export interface ExplainRequest {
+  readonly kind: 'job' | 'worker' | 'pool' | 'wave'
+  readonly name: string
+}
+
 /** What an entry knows, for its peers. */
 export interface PeerState {
   readonly incarnation: string
@@ -66,5 +72,7 @@
   pending (req: { service: string, queue: string }): Promise<{ pending: number | undefined }>
   load (req: { service: string }): Promise<ServiceLoad | { kind: 'not-leader' }>
   withdraw (req: { service: string, vms: readonly string[] }): Promise<WithdrawReply>
+  /** @returns how something stands; nothing when this entry does not lead it or does not know it */
+  explain (req: ExplainRequest): Promise<{ told: unknown }>
   relay (req: RelayCall): Promise<RelayReply>
 }
--- /dev/null
+++ b/jobs/scheduler/src/explain.ts
@@ -0,0 +1,110 @@
+import { orderSteps, type QueueLookup } from './order.ts'
+import { mayRun } from './placement.ts'
+import type { Scheduler } from './scheduler.ts'
+import type { Task, TrackedStep } from './tracked-job.ts'
+import type { TrackedWorker } from './tracked-worker.ts'
+
+/** Why a step that could start does not. */
+export type Wait = 'EARLIER_LEADERS_WORKERS_SILENT' | 'NO_USABLE_WORKER' | 'NO_WORKER_WITH_LABEL' | 'NO_ROOM' | 'NO_PERMIT' | 'UNSETTLED_OR_RESTING'
+
+const MOST_TASKS = 50
+
+/**
+ * Tells how a job stands, from what its leader decides by.
+ * @param scheduler - of the job's service
+ * @param id - of the job
+ * @param opts - queues, and the time of the injected clock
+ * @returns what is known, undefined when the job is not
+ */
+export function explainJob (scheduler: Scheduler, id: string, opts: { queue: QueueLookup, now: number }): Record<string, unknown> | undefined {
+  const tracked = scheduler.table.jobs.get(id)
+  if (tracked === undefined) return undefined
+  const order = orderSteps(scheduler.table.ready, opts)
+  const occurrences = [...tracked.occurrences.values()].map(occurrence => ({
+    number: occurrence.number,
+    steps: occurrence.steps.map(step => explainStep(scheduler, step, order, opts))
+  }))
+  return {
+    id,
+    queue: tracked.job.queue,
+    state: scheduler.table.stateOf(id),
+    outcomeWaitsForStore: tracked.outcome !== tracked.durableOutcome,
+    heardMsAgo: Math.round(opts.now - tracked.heardAt),
+    waitedMs: tracked.waitedMs,
+    acceptedInThisTerm: tracked.fresh,
+    occurrences
+  }
+}
+
+/**
+ * Tells how a worker stands.
+ * @param scheduler - of its service
+ * @param name - id of the worker, or of its VM
+ * @param now - of the injected clock
+ * @returns what is known, undefined when there is no such worker
+ */
+export function explainWorker (scheduler: Scheduler, name: string, now: number): Record<string, unknown> | undefined {
+  const worker = [...scheduler.workers.values()].find(({ entry }) => entry.id === name || entry.vm === name)
+  if (worker === undefined) return undefined
+  return {
+    id: worker.entry.id,
+    vm: worker.entry.vm,
+    takesStarts: worker.takesStarts(now),
+    why: whyNoStarts(worker, now),
+    lastAnswerMsAgo: worker.reachedAt === undefined ? undefined : Math.round(now - worker.reachedAt),
+    failuresInARow: worker.failuresInARow,
+    used: worker.used(),
+    capacity: worker.entry.capacity,
+    endsNotDurable: worker.pendingEnds.size,
+    runs: [...worker.runs.values()].slice(0, MOST_TASKS).map(({ task, attempt, phase, percent, stopReason }) => ({ task: task.name, attempt, phase, percent, stopReason }))
+  }
+}
+
+function explainStep (scheduler: Scheduler, step: TrackedStep, order: readonly TrackedStep[], opts: { queue: QueueLookup, now: number }): Record<string, unknown> {
+  const place = order.indexOf(step)
+  return {
+    number: step.number,
+    tasks: step.tasks.length,
+    left: step.left,
+    after: step.spec.after,
+    ...(place < 0 ? {} : { placeInOrder: place }),
+    ...(place >= 0 && step.tasks.some(isIdle) ? { waitsFor: whyWaiting(scheduler, step, opts) } : {}),
+    underWay: step.tasks.filter(task => !task.done && (task.runs.length > 0 || task.failedAttempts.length > 0)).slice(0, MOST_TASKS).map(explainTask)
+  }
+}
+
+function explainTask (task: Task): Record<string, unknown> {
+  return {
+    task: task.name,
+    failedAttempts: task.failedAttempts,
+    runs: task.runs.map(({ worker, attempt, phase, percent, stopReason }) => ({ worker: worker.entry.id, attempt, phase, percent, stopReason }))
+  }
+}
+
+function isIdle (task: Task): boolean {
+  return !task.done && task.runs.length === 0
+}
+
+function whyWaiting (scheduler: Scheduler, step: TrackedStep, opts: { queue: QueueLookup, now: number }): Wait {
+  if (scheduler.isBlind(opts.now) && !step.job.fresh) return 'EARLIER_LEADERS_WORKERS_SILENT'
+  const usable = [...scheduler.workers.values()].filter(worker => worker.takesStarts(opts.now))
+  if (usable.length === 0) return 'NO_USABLE_WORKER'
+  const labelled = usable.filter(worker => step.spec.label === '' || worker.entry.labels.includes(step.spec.label))
+  if (labelled.length === 0) return 'NO_WORKER_WITH_LABEL'
+  const roomy = labelled.filter(worker => mayRun(step, worker))
+  if (roomy.length === 0) return 'NO_ROOM'
+  const needsPermit = opts.queue(step.job.job.queue)?.needsPermit === true
+  if (needsPermit && !roomy.some(worker => step.permits.for(worker, opts.now) !== undefined)) return 'NO_PERMIT'
+  return 'UNSETTLED_OR_RESTING'
+}
+
+function whyNoStarts (worker: TrackedWorker, now: number): string | undefined {
+  if (worker.ended) return 'LIFE_ENDED'
+  if (!worker.fenced) return 'NOT_MET'
+  if (!worker.reachable) return 'NO_ANSWER'
+  if (worker.delisted) return 'NOT_REGISTERED'
+  if (worker.entry.draining) return 'DRAINING'
+  if (worker.withdrawn) return 'BEING_EMPTIED'
+  if (now < worker.restUntil) return 'RESTS'
+  return undefined
+}
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -1,13 +1,13 @@
 import { linkAbort, pause, Wakeup, within } from '@wisteriaslip/core.result'
 import type { Job, JobState } from '@wisteriaslip/jobs.model'
-import type { ServiceLoad } from '@wisteriaslip/jobs.protocol'
-import { LostLives, Scheduler, type PermitQuestion, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
-import { idOfKey, type ServiceRecords, type TermRecord } from '@wisteriaslip/jobs.store'
-import { decodeEnvelope, type WatchBatch } from '@wisteriaslip/store.client'
+import type { ExplainRequest, ServiceLoad } from '@wisteriaslip/jobs.protocol'
+import { explainJob, explainWorker, LostLives, Scheduler, type PermitQuestion, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
+import type { ServiceRecords, TermRecord } from '@wisteriaslip/jobs.store'
 import { cleanUp } from './clean-up.ts'
 import { serviceLoad, withdrawWorkers } from './load.ts'
 import type { TermOpts } from './ports.ts'
 import { ProgressWriter } from './progress-writer.ts'
+import { RequestFeed } from './request-feed.ts'
 import { WorkerRecord } from './worker-record.ts'
 import { WorkerSession } from './worker-session.ts'
 
@@ -15,7 +15,6 @@
 const STEP_MS = 100
 /** Decisions are at least this far apart, so that news that come together are taken together. */
 const GAP_MS = 3
-const WATCH_GAP_MS = 400
 const CLEAN_UP_MS = 5_000
 /** Leases of earlier leaders may last longer by this factor, as clocks of workers may be slow. */
 const LEASE_SLACK = 1.05
@@ -35,10 +34,8 @@
   private readonly news = new Wakeup()
   private readonly sessions = new Map<TrackedWorker, WorkerSession>()
   private readonly record: WorkerRecord
-  private parts: { scheduler: Scheduler, writer: ProgressWriter } | undefined
+  private parts: { scheduler: Scheduler, writer: ProgressWriter, feed: RequestFeed } | undefined
   private blindUntil = 0
-  /** Revision up to which requests are known. */
-  private requestsAt = 0
 
   constructor (opts: TermOpts) {
     this.opts = opts
@@ -57,10 +54,10 @@
     try {
       await this.takeOver(ending.signal)
       if (this.parts === undefined || ending.signal.aborted) return
-      const { writer, scheduler } = this.parts
+      const { writer, scheduler, feed } = this.parts
       await Promise.all([
         writer.run(ending.signal),
-        this.followRequests(ending.signal),
+        feed.run(ending.signal),
         this.decide(ending.signal),
         this.record.run(scheduler, () => this.news.wake(), ending.signal),
         this.findLostLives(scheduler, ending.signal),
@@ -122,6 +119,20 @@
     return this.parts === undefined ? undefined : serviceLoad(this.parts.scheduler, this.opts.clock.now())
   }
 
+  /**
+   * @param about - a job, a worker or the pool of this service
+   * @returns how it stands and what it waits for, undefined when it is not known here
+   */
+  explain (about: ExplainRequest): unknown {
+    if (this.parts === undefined) return undefined
+    const { scheduler } = this.parts
+    const now = this.opts.clock.now()
+    if (about.kind === 'job') return explainJob(scheduler, about.name, { queue: this.opts.queue, now })
+    if (about.kind === 'worker') return explainWorker(scheduler, about.name, now)
+    if (about.kind !== 'pool' || about.name !== this.service) return undefined
+    return { token: this.token, readyToPlaceAll: !scheduler.isBlind(now), ...serviceLoad(scheduler, now) }
+  }
+
   /**
    * Empties workers; all others take work again.
    * @param vms - on which the workers to be emptied live
@@ -166,41 +177,12 @@
     this.blindUntil = clock.now() + OVERLAP_MS + earlierLeaseMs
     scheduler.setWorkers(term.workers, { blindUntil: this.blindUntil })
     this.listWorkers(scheduler)
-    this.requestsAt = all.revision
-    this.parts = { scheduler, writer }
+    const { store, records } = this.opts
+    const feed = new RequestFeed({ service, store, records, onJob: job => this.push(job), onCancelled: id => this.cancel(id) }, all.revision)
+    this.parts = { scheduler, writer, feed }
     logger.info({ service, token: this.token, term: term.number, jobs: all.jobs.length, tookMs: Math.round(clock.now() - startedAt) }, 'term begun')
   }
 
-  /** The leader is told of requests by the entries that took them; the store's watch brings those that were not. */
-  private async followRequests (signal: AbortSignal): Promise<void> {
-    const prefix = this.opts.records.keys.requests(this.service)
-    while (!signal.aborted) {
-      const ended = await this.opts.store.watch(prefix, this.requestsAt + 1, batch => this.takeRequests(batch), signal)
-      if (signal.aborted) return
-      if (ended.kind === 'compacted') await this.readRequests()
-      await pause(WATCH_GAP_MS, signal)
-    }
-  }
-
-  private async readRequests (): Promise<void> {
-    const all = await this.opts.records.readAll(this.service)
-    if (!all.ok) return
-    for (const doc of all.value.jobs) this.push(doc.value)
-    for (const id of all.value.cancelled) this.cancel(id)
-    this.requestsAt = Math.max(this.requestsAt, all.value.revision)
-  }
-
-  private takeRequests (batch: WatchBatch): void {
-    const jobsAt = `${this.opts.records.keys.requests(this.service)}jobs/`
-    this.requestsAt = Math.max(this.requestsAt, batch.revision)
-    for (const kv of batch.changed) {
-      const doc = decodeEnvelope(kv)
-      if (doc === undefined) continue
-      if (kv.key.startsWith(jobsAt)) this.push(doc.value as Job)
-      else this.cancel(idOfKey(kv.key))
-    }
-  }
-
   private async decide (signal: AbortSignal): Promise<void> {
     const parts = this.parts
     if (parts === undefined) return
