Jobs through the product's own interface: entries, command line, workers over HTTP, demo

'wisteriaslip entry' serves jobs when its settings have a part 'jobs'; 'wisteriaslip jobs' hands in, cancels, shows and explains.

--- a/cli/cli/src/cli.ts
+++ b/cli/cli/src/cli.ts
@@ -5,6 +5,7 @@
 import { entryCommand } from './commands/entry.ts'
 import { explainCommand } from './commands/explain.ts'
 import { getCommand } from './commands/get.ts'
+import { jobsCommand } from './commands/jobs.ts'
 import { serveCommand } from './commands/serve.ts'
 import { statusCommand } from './commands/status.ts'
 import { validateCommand } from './commands/validate.ts'
@@ -14,7 +15,7 @@
 
 const commands: readonly Command[] = [
   entryCommand, serveCommand, applyCommand, getCommand, validateCommand, statusCommand,
-  labelCommand, cordonCommand, uncordonCommand, waveCommand, explainCommand
+  labelCommand, cordonCommand, uncordonCommand, waveCommand, explainCommand, jobsCommand
 ]
 
 const flags = {
--- a/cli/cli/src/commands/entry.ts
+++ b/cli/cli/src/commands/entry.ts
@@ -23,12 +23,16 @@
       return exitCodes.usage
     }
     const { Entry } = await import('@wisteriaslip/cli.entry')
+    const { runJobs } = await import('@wisteriaslip/cli.jobs')
     const { settings, keys } = read.value
     const logger = createLogger('wisteriaslip', { level: settings.logLevel })
     const stop = new AbortController()
     for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => stop.abort())
     const entry = new Entry({ settings, keys, logger: logger.child({ entry: settings.id }) })
-    await entry.run(stop.signal, addresses => logger.info({ entry: settings.id, ...addresses }, 'listening'))
+    await Promise.all([
+      entry.run(stop.signal, addresses => logger.info({ entry: settings.id, ...addresses }, 'listening')),
+      runJobs(settings, keys, { logger: logger.child({ entry: settings.id, side: 'jobs' }), signal: stop.signal })
+    ])
     return exitCodes.ok
   }
 }
--- a/cli/cli/src/operator-client.ts
+++ b/cli/cli/src/operator-client.ts
@@ -52,7 +52,15 @@
     return await this.call<T>('POST', path, JSON.stringify(body))
   }
 
-  private async call<T> (method: 'GET' | 'POST', path: string, body: string | undefined): Promise<Result<T, OperatorError>> {
+  /**
+   * @param path - of what is to go
+   * @returns the answer's body
+   */
+  async delete<T> (path: string): Promise<Result<T, OperatorError>> {
+    return await this.call<T>('DELETE', path, undefined)
+  }
+
+  private async call<T> (method: 'GET' | 'POST' | 'DELETE', path: string, body: string | undefined): Promise<Result<T, OperatorError>> {
     try {
       const res = await request(`${this.entry}${path}`, {
         method,
@@ -61,7 +69,7 @@
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS)
       })
       const answer = await res.body.json()
-      if (res.statusCode === 200) return ok(answer as T)
+      if (res.statusCode === 200 || res.statusCode === 202) return ok(answer as T)
       const exitCode = res.statusCode >= 500 ? exitCodes.unavailable : exitCodes.refused
       return err({ ...(answer as Omit<OperatorError, 'exitCode'>), exitCode })
     } catch (error) {
--- /dev/null
+++ b/cli/jobs/src/run-jobs.ts
@@ -0,0 +1,81 @@
+import type { Server } from 'node:http'
+import type { Logger } from '@wisteriaslip/core.logger'
+import type { Keys, Settings } from '@wisteriaslip/config.settings'
+import { JobEntry } from '@wisteriaslip/jobs.entry'
+import { createJobServer, HttpWorkers, jobSources } from '@wisteriaslip/jobs.http'
+import type { JobLimits, StoreSources } from '@wisteriaslip/jobs.model'
+import type { Driver } from '@wisteriaslip/store.client'
+import { EtcdGateway } from '@wisteriaslip/store.etcd-gateway'
+
+const WRITE_TIMEOUT_MS = 2_000
+/** VMs are maintained by the request side's waves. */
+const NO_MAINTENANCE_MS = 0
+
+/**
+ * Serves jobs until the signal aborts.
+ * @param settings - with a part for jobs
+ * @param keys - of operators and peers; undefined in a trial
+ * @param opts - logger, ending signal
+ */
+export async function runJobs (settings: Settings, keys: Keys | undefined, opts: { logger: Logger, signal: AbortSignal }): Promise<void> {
+  const { jobs } = settings
+  if (jobs === undefined) return
+  const prefix = `${settings.store.prefix}-jobs`
+  const driver = new EtcdGateway(settings.store.endpoints)
+  const sources = jobSources(prefix)
+  const workers = new HttpWorkers()
+  const entry = new JobEntry({
+    id: settings.id,
+    zone: settings.zone,
+    region: settings.region,
+    keyPrefix: prefix,
+    processors: 1,
+    peers: jobs.peers,
+    peerKey: keys?.peers,
+    driver,
+    store: { readsPerSecond: settings.store.readsPerSecond, writesPerSecond: settings.store.writesPerSecond },
+    sources,
+    workers,
+    fleet: undefined,
+    permits: undefined,
+    limits: toLimits(settings),
+    logger: opts.logger
+  })
+  const server = createJobServer({
+    key: keys?.operators,
+    intake: entry.intake,
+    queue: name => entry.site.queue(name),
+    configure: async (text, version) => await configure(driver, sources, { text, version }),
+    status: async () => await entry.status(),
+    explain: async (kind, name) => await entry.explain({ kind, name })
+  })
+  server.prependListener('request', (_req, res) => { res.once('close', entry.beginRequest()) })
+  await listen(server, jobs.listen)
+  await entry.run(opts.signal, [server])
+  await workers.close()
+}
+
+function toLimits (settings: Settings): JobLimits {
+  const { longestLeaseMs = 0, stopMs = 0, keepMs = 0 } = settings.jobs ?? {}
+  return { longestLeaseMs, stopMs, keepMs, graceMs: settings.shutdownMs, maintenanceMs: NO_MAINTENANCE_MS }
+}
+
+/** A configuration is stored only in place of an older one. */
+async function configure (driver: Driver, sources: StoreSources, next: { text: string, version: number }): Promise<'stored' | 'older' | 'unavailable'> {
+  const signal = AbortSignal.timeout(WRITE_TIMEOUT_MS)
+  const known = await driver.range(sources.configKey, { signal })
+  if (!known.ok) return 'unavailable'
+  const present = known.value.kvs[0]
+  const version = present === undefined ? 0 : sources.decodeConfig(present.value)?.version ?? 0
+  if (next.version <= version) return 'older'
+  const written = await driver.txn({ guards: [{ key: sources.configKey, modRevision: present?.modRevision ?? 0 }], puts: [{ key: sources.configKey, value: next.text }], deletes: [] }, signal)
+  if (!written.ok) return 'unavailable'
+  return written.value.succeeded ? 'stored' : 'older'
+}
+
+async function listen (server: Server, at: { host: string, port: number }): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(at.port, at.host, resolve)
+  })
+}
--- a/config/settings/src/schema.ts
+++ b/config/settings/src/schema.ts
@@ -50,6 +50,14 @@
     queueBytes: z.number().int().min(1).default(16_777_216),
     callerTimeoutMs: z.number().int().min(100).default(10_000)
   }).default({}),
+  /** Jobs are taken, too, if this is set. */
+  jobs: z.strictObject({
+    listen: address,
+    peers: address,
+    longestLeaseMs: z.number().int().min(1_000).default(10_000),
+    stopMs: z.number().int().min(0).default(1_000),
+    keepMs: z.number().int().min(1_000).default(600_000)
+  }).optional(),
   shutdownMs: z.number().int().min(0).default(60_000),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info')
 }).refine(settings => settings.keys !== undefined || settings.trialWithoutKeys, {
--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -46,6 +46,8 @@
   /** Processors that this entry may use, in cores. */
   readonly processors: number
   readonly peers: PeerAddress
+  /** Key by which entries prove themselves to each other; undefined where the network does that. */
+  readonly peerKey?: string | undefined
   readonly driver: Driver
   readonly store: { readonly readsPerSecond: number, readonly writesPerSecond: number }
   readonly sources: StoreSources
@@ -110,7 +112,7 @@
     this.lease = new EntryLease(this.store, { ttlMs: LEASE_TTL_MS, clock, logger: topicLogger(logger, 'lease'), signal: this.leaving.signal })
     this.leadership = new Leadership({ store: this.store, mirror, members: this.members, lease: this.lease, keys: this.keys, clock, logger: topicLogger(logger, 'leadership') })
     this.election = new Election({ members: this.members, lease: this.lease, leadership: this.leadership, store: this.store, resources: () => this.resources(), onStep: () => this.reconcile(), clock, logger })
-    this.clients = new PeerClients<JobPeerService>({ key: undefined, metrics })
+    this.clients = new PeerClients<JobPeerService>({ key: opts.peerKey, metrics })
     this.records = new JobRecords(this.store, new JobKeys(opts.keyPrefix))
     this.exchange = new PeerExchange({ members: this.members, mirror, site: this.site, clients: this.clients, clock, hasStore: () => this.hasStore() })
     this.terms = new Terms((resource, token) => this.beginServiceTerm(resource, token), { logger, signal: this.leaving.signal })
@@ -178,7 +180,7 @@
    */
   async run (signal: AbortSignal, callers: readonly Server[]): Promise<void> {
     const onBytes = (received: number, sent: number): void => this.metrics.count('peer_bytes_total', {}, received + sent)
-    const peerServer = createPeerServer(createJobRouter(this.service), { key: undefined, onBytes })
+    const peerServer = createPeerServer(createJobRouter(this.service), { key: this.opts.peerKey, onBytes })
     await new Promise<void>((resolve, reject) => {
       peerServer.once('error', reject)
       peerServer.listen(this.opts.peers.port, this.opts.peers.host, resolve)
--- a/testing/demo/src/index.ts
+++ b/testing/demo/src/index.ts
@@ -1,9 +1,10 @@
 /**
  * Demo on loopback: three entries as processes, stand-ins for the store, the VM platform and the executors,
- * and a few real requests.
+ * a few real requests, and jobs, one of which loses its leader.
  * @module
  */
 import { callOnce, Site } from '@wisteriaslip/testing.site'
+import { showJobs } from './jobs.ts'
 
 const REQUESTS = 30
 
@@ -29,9 +30,15 @@
 say(`  node --import tsx cli/cli/src/main.ts wave declare kernel --selector service=quoting --entry ${first?.operators ?? ''}`)
 say(`  node --import tsx cli/cli/src/main.ts explain wave kernel --entry ${first?.operators ?? ''}`)
 
-if (process.argv.includes('--once')) await site.stop()
+const jobs = await showJobs(say)
+const live = jobs.entries.find(entry => entry.process.child.exitCode === null && entry.process.child.signalCode === null)
+say(`  node --import tsx cli/cli/src/main.ts jobs status --entry ${live?.jobs ?? ''}`)
+say(`  node --import tsx cli/cli/src/main.ts jobs explain job stormy --entry ${live?.jobs ?? ''}`)
+
+const stop = async (): Promise<void> => { await Promise.all([site.stop(), jobs.stop()]) }
+if (process.argv.includes('--once')) await stop()
 else {
   say('Ctrl-C ends the demo.')
-  process.once('SIGINT', () => { site.stop().finally(() => process.exit(0)).catch(() => {}) })
-  process.once('SIGTERM', () => { site.stop().finally(() => process.exit(0)).catch(() => {}) })
+  process.once('SIGINT', () => { stop().finally(() => process.exit(0)).catch(() => {}) })
+  process.once('SIGTERM', () => { stop().finally(() => process.exit(0)).catch(() => {}) })
 }
--- /dev/null
+++ b/testing/jobs/src/worker-hosts.ts
@@ -0,0 +1,54 @@
+import type { Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { pause, systemClock } from '@wisteriaslip/core.result'
+import { createWorkerServer, jobSources } from '@wisteriaslip/jobs.http'
+import type { WorkerEntry } from '@wisteriaslip/jobs.model'
+import { EtcdGateway } from '@wisteriaslip/store.etcd-gateway'
+import { JobWorkers, type TaskPlan } from './workers.ts'
+
+const WRITE_TIMEOUT_MS = 2_000
+const RETRY_MS = 200
+
+/** Workers that listen on loopback and stand in the store, for demos and tests with entries as processes. */
+export class WorkerHosts {
+  readonly workers: JobWorkers
+  private readonly servers: Server[] = []
+
+  /** @param plan - what becomes of each run */
+  constructor (plan: (task: string, attempt: number) => TaskPlan) {
+    this.workers = new JobWorkers(() => systemClock.now(), plan)
+  }
+
+  /**
+   * Starts workers and registers them.
+   * @param store - URL of the store
+   * @param opts - service, how many, and the prefix of the product's keys
+   */
+  async start (store: string, opts: { service: string, count: number, prefix: string }): Promise<void> {
+    const driver = new EtcdGateway([store])
+    const sources = jobSources(opts.prefix)
+    const port = await this.listen()
+    for (let number = 0; number < opts.count; number++) {
+      const entry: WorkerEntry = { id: `${opts.service}-${number}`, born: Date.now(), service: opts.service, host: '127.0.0.1', port, zone: 'here', vm: `vm-${opts.service}-${number}`, draining: false, capacity: { cpu: 4_000, memMb: 8_192, accelerators: 0 }, labels: [], rack: `rack-${number >> 1}` }
+      this.workers.add(entry)
+      const put = { key: sources.workerPrefix + entry.id, value: JSON.stringify(entry) }
+      while (!(await driver.txn({ guards: [], puts: [put], deletes: [] }, AbortSignal.timeout(WRITE_TIMEOUT_MS))).ok) await pause(RETRY_MS, new AbortController().signal)
+    }
+  }
+
+  /** Stops listening and ends all runs. */
+  stop (): void {
+    this.workers.close()
+    for (const server of this.servers) {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+
+  private async listen (): Promise<number> {
+    const server = createWorkerServer(this.workers)
+    this.servers.push(server)
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    return (server.address() as AddressInfo).port
+  }
+}
