--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -6,6 +6,7 @@
 import { checkBound, print } from './bounds.ts'
 import { benchEntryCost } from './entry-cost.ts'
 import { benchFlood, floods } from './floods.ts'
+import { playPeaks, policies } from './job-peaks.ts'
 import { benchLeaderLoss } from './leader-loss.ts'
 import { benchMoves } from './moves.ts'
 import { benchPlanning } from './planning.ts'
@@ -65,6 +66,16 @@
     print('planning', benchPlanning())
     return {}
   },
+  jobPeaks: async () => {
+    const results = Object.fromEntries(await Promise.all(Object.entries(policies).map(async ([name, policy]) => [name, await playPeaks(policy, SEED)] as const)))
+    print('jobPeaks', results)
+    const { product, firstCome, fixedPools, threshold, bound } = results
+    const others = Math.max(firstCome?.inTime ?? Number.NaN, fixedPools?.inTime ?? Number.NaN, threshold?.inTime ?? Number.NaN)
+    return {
+      inTimeOverBound: (product?.inTime ?? Number.NaN) / (bound?.inTime ?? Number.NaN),
+      inTimeOverOthers: (product?.inTime ?? Number.NaN) / others
+    }
+  },
   entryCost: async () => {
     const cost = await benchEntryCost(BINARY)
     print('entryCost', cost)
--- a/jobs/http/src/job-server.ts
+++ b/jobs/http/src/job-server.ts
@@ -21,6 +21,29 @@
   readonly explain: (kind: keyof typeof ask, name: string) => Promise<unknown>
 }
 
+/** What a server that only tells answers from. */
+export interface InsightServerOpts extends Pick<JobServerOpts, 'status' | 'explain'> {
+  readonly metrics: () => string
+}
+
+/**
+ * HTTP server for what only tells: `GET /metrics`, `GET /v1/job-status`, `GET /v1/explain`.
+ * @param opts - what it answers from
+ * @returns a server that does not listen yet
+ */
+export function createInsightServer (opts: InsightServerOpts): Server {
+  return createServer((req, res) => {
+    tell(req, res, opts).catch(error => sendJson(res, 500, { code: 'INTERNAL', message: String(error), hint: 'See the entry\'s log.' }))
+  })
+}
+
+async function tell (req: IncomingMessage, res: ServerResponse, opts: InsightServerOpts): Promise<void> {
+  const url = new URL(req.url ?? '/', 'http://entry')
+  if (url.pathname === '/v1/job-status') return sendJson(res, 200, await opts.status())
+  if (url.pathname === '/v1/explain') return await explain(url, res, opts)
+  res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(opts.metrics())
+}
+
 /**
  * HTTP server for callers that hand jobs in and for operators who ask about them.
  * @param opts - what it answers from
@@ -87,7 +110,7 @@
   refuse(res, 503, 'STORE_UNAVAILABLE', 'the store does not answer', 'Try again.')
 }
 
-async function explain (url: URL, res: ServerResponse, opts: JobServerOpts): Promise<void> {
+async function explain (url: URL, res: ServerResponse, opts: Pick<JobServerOpts, 'explain'>): Promise<void> {
   const kind = url.searchParams.get('kind') ?? ''
   const name = url.searchParams.get('name') ?? ''
   if (!(kind in ask) || name === '') return refuse(res, 400, 'BAD_SUBJECT', 'kind or name is missing or wrong', `Use one of ${Object.keys(ask).join(', ')}.`)
