--- a/cli/cli/src/commands/serve.ts
+++ b/cli/cli/src/commands/serve.ts
@@ -1,4 +1,5 @@
 import { exitCodes, printError, type Command } from '../command.ts'
+import { allowYoungGrowth } from '../memory.ts'
 
 /** `wisteriaslip serve`: runs an entry for jobs on the platform. */
 export const serveCommand: Command = {
@@ -18,6 +19,7 @@
       printError({ code: 'SETTINGS_MISSING', message: 'no settings given', hint: 'Pass --settings FILE or set WISTERIASLIP_SETTINGS.' })
       return exitCodes.usage
     }
+    allowYoungGrowth()
     const { runOnPlatform } = await import('@wisteriaslip/platform')
     const stop = new AbortController()
     for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => stop.abort())
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -1,5 +1,5 @@
 import { linkAbort, pause, Wakeup, within } from '@wisteriaslip/core.result'
-import type { Job, JobState } from '@wisteriaslip/jobs.model'
+import type { Job, JobState, WorkerEntry } from '@wisteriaslip/jobs.model'
 import type { ExplainRequest, ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import { explainJob, explainWorker, LostLives, Scheduler, type PermitQuestion, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import type { ServiceRecords, TermRecord } from '@wisteriaslip/jobs.store'
@@ -15,6 +15,8 @@
 const STEP_MS = 100
 /** Decisions are at least this far apart, so that news that come together are taken together. */
 const GAP_MS = 3
+/** A pass looks at all workers, so that it is worth its while only after more news where there are many. */
+const GAP_MS_PER_WORKER = 0.1
 const CLEAN_UP_MS = 5_000
 /** Leases of earlier leaders may last longer by this factor, as clocks of workers may be slow. */
 const LEASE_SLACK = 1.05
@@ -36,6 +38,8 @@
   private readonly record: WorkerRecord
   private parts: { scheduler: Scheduler, writer: ProgressWriter, feed: RequestFeed } | undefined
   private blindUntil = 0
+  /** The list of workers that the scheduler has. */
+  private listed: readonly WorkerEntry[] | undefined
 
   constructor (opts: TermOpts) {
     this.opts = opts
@@ -195,7 +199,7 @@
       for (const question of parts.scheduler.permitsDue()) this.askPermits(parts.scheduler, question, signal).catch(() => {})
       parts.writer.wake()
       await this.news.sleep(parts.scheduler.table.nextDueInMs(STEP_MS), signal)
-      await pause(GAP_MS, signal)
+      await pause(Math.max(GAP_MS, GAP_MS_PER_WORKER * parts.scheduler.workers.size), signal)
     }
   }
 
@@ -211,7 +215,9 @@
 
   private listWorkers (scheduler: Scheduler): void {
     const registered = this.opts.registered()
-    if (registered !== undefined) scheduler.setWorkers(registered, { blindUntil: this.blindUntil })
+    if (registered === undefined || registered === this.listed) return
+    this.listed = registered
+    scheduler.setWorkers(registered, { blindUntil: this.blindUntil })
   }
 
   /** A worker gets no lease before the term's record names it: a later leader must know whom to ask. */
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -5,8 +5,12 @@
 
 /** Length of a worker's lease. It outlives the change of a leader, and frees the tasks of a lost worker after it. */
 export const LEASE_MS = 4_000
-/** A look waits this long for an end. */
+/** A look waits this long for an end; progress of runs is only worth a look while some will end. */
 const LOOK_WAIT_MS = 500
+const LOOK_WAIT_LASTING_MS = 1_000
+const LOOK_WAIT_EMPTY_MS = 2_000
+/** Two looks at a worker are at least this far apart for each worker that the leader has, so that many do not swamp it. */
+const LOOK_GAP_MS_PER_WORKER = 0.4
 const LOOK_SLACK_MS = 700
 const ORDER_TIMEOUT_MS = 800
 const RETRY_MS = 150
@@ -87,7 +91,7 @@
   private async look (signal: AbortSignal): Promise<void> {
     const { worker } = this
     const sentAt = this.opts.clock.now()
-    const waitMs = worker.fenced && worker.reachable ? LOOK_WAIT_MS : 0
+    const waitMs = worker.fenced && worker.reachable ? this.lookWaitMs() : 0
     const leaseUntilMs = this.mayExtend(sentAt) ? worker.extendLease(sentAt, LEASE_MS) : undefined
     const answer = await within(waitMs + LOOK_SLACK_MS, signal, async inner => await this.opts.calls.look(this.target(), { leaseUntilMs, seenSeq: worker.seenSeq(), waitMs }, inner))
     if (signal.aborted) return
@@ -105,12 +109,15 @@
     }
     const wasFenced = worker.fenced
     if (!wasFenced) this.opts.logger.info({ worker: worker.entry.id, running: report.running.length, ended: report.ended.length, born: report.born, listed: worker.entry.born }, 'worker met')
-    const found = this.scheduler.takeReport(worker, report, { sentAt, receivedAt: this.opts.clock.now() })
+    const receivedAt = this.opts.clock.now()
+    const found = this.scheduler.takeReport(worker, report, { sentAt, receivedAt })
     if (found.unknownJobs.length > 0) await this.events.lookUp(found.unknownJobs)
     this.stopOrphans(found.orphans, signal)
     this.pace(signal)
     if (report.ended.length > 0 || !wasFenced) this.events.onNews()
-    if (report.ended.length > 0 && worker.pendingEnds.size > 0) await this.recorded.sleep(RECORD_WAIT_MS, signal)
+    if (report.ended.length === 0) return
+    if (worker.pendingEnds.size > 0) await this.recorded.sleep(RECORD_WAIT_MS, signal)
+    await pause(LOOK_GAP_MS_PER_WORKER * this.scheduler.workers.size - (this.opts.clock.now() - receivedAt), signal)
   }
 
   private pace (signal: AbortSignal): void {
@@ -133,6 +140,15 @@
     }
   }
 
+  private lookWaitMs (): number {
+    const { runs } = this.worker
+    if (runs.size === 0) return LOOK_WAIT_EMPTY_MS
+    for (const { task: { step: { spec } } } of runs.values()) {
+      if (!spec.lasting || spec.latencyTargetMs > 0 || spec.backfill) return LOOK_WAIT_MS
+    }
+    return LOOK_WAIT_LASTING_MS
+  }
+
   private mayExtend (now: number): boolean {
     const { worker } = this
     if (!worker.hasClock() || worker.reachedAt === undefined) return false
