A new fleet leader goes on with waves where the one before left them

Ruled out: refused orders (none), lack of spare VMs. Change: a record of each wave (VMs that have begun, complete or not, for how long it goes on), written under the leader's token when it changes, read before anything is done.

--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -22,6 +22,7 @@
 import { fleetResource, serviceOf, serviceResource } from './resources.ts'
 import { SiteView } from './site-view.ts'
 import { Terms } from './terms.ts'
+import { StoredWaveLedger } from './wave-ledger.ts'
 import { WorkerList } from './worker-list.ts'
 
 const LEASE_TTL_MS = 1_500
@@ -293,7 +294,9 @@
       services: this.leaders,
       waves: () => this.site.waves(),
       config: () => this.site.config(),
+      ledger: new StoredWaveLedger(this.store, { key: this.records.keys.fleet(), guard: this.leadership.guard(fleetResource, token) }),
       maintenanceMs: this.opts.limits.maintenanceMs,
+      wallClock: Date.now,
       writeStatus: async (wave, done) => await this.writeWaveStatus(sources.waveStatusKey(wave), sources.encodeWaveStatus(done)),
       clock: this.clock,
       logger: topicLogger(this.logger, 'fleet'),
--- /dev/null
+++ b/jobs/entry/src/wave-ledger.ts
@@ -0,0 +1,39 @@
+import type { WaveLedger, WaveRecord } from '@wisteriaslip/jobs.fleet'
+import type { Guard, Store, Versioned } from '@wisteriaslip/store.client'
+
+/** One document with the records of all waves, by number. */
+type WaveDoc = Readonly<Record<string, WaveRecord>>
+
+/** Records of waves in the store, written under the fleet leader's token. */
+export class StoredWaveLedger implements WaveLedger {
+  private readonly store: Store
+  private readonly opts: { key: string, guard: Guard }
+  private prior: Versioned | undefined
+
+  /**
+   * @param store - where the records lie
+   * @param opts - their key, and what proves that this entry leads the fleet
+   */
+  constructor (store: Store, opts: { key: string, guard: Guard }) {
+    this.store = store
+    this.opts = opts
+  }
+
+  async read (): Promise<ReadonlyMap<number, WaveRecord> | undefined> {
+    const doc = await this.store.get(this.opts.key)
+    if (!doc.ok) return undefined
+    this.prior = doc.value
+    return new Map(Object.entries((doc.value?.value ?? {}) as WaveDoc).map(([wave, record]) => [Number(wave), record]))
+  }
+
+  async write (records: ReadonlyMap<number, WaveRecord>): Promise<boolean> {
+    const value: WaveDoc = Object.fromEntries(records)
+    const written = await this.store.update([{ key: this.opts.key, prior: this.prior, value }], { guards: [this.opts.guard] })
+    if (!written.ok) {
+      if (written.error.kind === 'conflict') await this.read()
+      return false
+    }
+    this.prior = { key: this.opts.key, value, createRevision: this.prior?.createRevision ?? written.value, modRevision: written.value, writeIds: [] }
+    return true
+  }
+}
--- a/jobs/fleet/src/index.ts
+++ b/jobs/fleet/src/index.ts
@@ -3,6 +3,6 @@
  * @module
  */
 export { FleetTerm } from './term.ts'
-export type { FleetTermOpts, ServiceOrders } from './ports.ts'
+export type { FleetTermOpts, ServiceOrders, WaveLedger, WaveRecord } from './ports.ts'
 export { PoolSizes, type PlannedMove } from './pool-sizes.ts'
 export { WaveProgress } from './wave-progress.ts'
--- a/jobs/fleet/src/term.ts
+++ b/jobs/fleet/src/term.ts
@@ -2,7 +2,7 @@
 import type { Service, Vm, Wave } from '@wisteriaslip/jobs.model'
 import type { ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import { PoolSizes, type PlannedMove } from './pool-sizes.ts'
-import type { FleetTermOpts } from './ports.ts'
+import type { FleetTermOpts, WaveRecord } from './ports.ts'
 import { WaveProgress } from './wave-progress.ts'
 
 const STEP_MS = 200
@@ -21,6 +21,9 @@
   private readonly waves = new Map<number, WaveProgress>()
   private readonly completed = new Set<number>()
   private readonly announced = new Set<number>()
+  /** Records of waves as the store holds them; undefined before they are read. */
+  private recorded: ReadonlyMap<number, WaveRecord> | undefined
+  private writing = false
 
   constructor (opts: FleetTermOpts) {
     this.opts = opts
@@ -45,6 +48,7 @@
   }
 
   private async step (signal: AbortSignal): Promise<void> {
+    if (!await this.readRecords()) return
     const services = this.opts.config()?.services ?? []
     const [listed, loads] = await Promise.all([
       within(CALL_TIMEOUT_MS, signal, async inner => await this.opts.calls.list(inner)),
@@ -63,6 +67,30 @@
       ...moves.filter(move => empty.has(move.vm)).map(async move => await this.move(move, signal)),
       this.maintainAll(maintenances.filter(each => empty.has(each.vm)), signal)
     ])
+    this.writeRecords()
+  }
+
+  /** A wave goes on where the leader before left it, and one that is complete stays so. */
+  private async readRecords (): Promise<boolean> {
+    if (this.recorded !== undefined) return true
+    this.recorded = await this.opts.ledger.read()
+    if (this.recorded === undefined) return false
+    for (const [wave, { completed }] of this.recorded) if (completed) this.completed.add(wave)
+    return true
+  }
+
+  private writeRecords (): void {
+    const { clock, wallClock, ledger, logger } = this.opts
+    const records = new Map(this.recorded)
+    for (const [wave, progress] of this.waves) {
+      records.set(wave, { begun: progress.begun(), completed: this.completed.has(wave), elapsedMs: progress.elapsedMs(clock.now()), at: wallClock() })
+    }
+    if (this.writing || sameRecords(records, this.recorded ?? new Map())) return
+    this.writing = true
+    ledger.write(records)
+      .then(written => { if (written) this.recorded = records })
+      .catch(error => logger.error({ err: error }, 'waves not recorded'))
+      .finally(() => { this.writing = false })
   }
 
   private async loadsOf (services: readonly Service[]): Promise<Map<string, ServiceLoad>> {
@@ -98,7 +126,14 @@
   private progressOf (wave: Wave): WaveProgress {
     let progress = this.waves.get(wave.number)
     if (progress === undefined) {
-      progress = new WaveProgress(wave, { now: this.opts.clock.now(), maintenanceMs: this.opts.maintenanceMs })
+      const known = this.recorded?.get(wave.number)
+      const sinceMs = known === undefined ? 0 : Math.min(Math.max(0, this.opts.wallClock() - known.at), wave.durationMs)
+      progress = new WaveProgress(wave, {
+        now: this.opts.clock.now(),
+        maintenanceMs: this.opts.maintenanceMs,
+        begun: known?.begun ?? [],
+        elapsedMs: (known?.elapsedMs ?? 0) + sinceMs
+      })
       this.waves.set(wave.number, progress)
     }
     return progress
@@ -143,3 +178,11 @@
     else if (answer.error.kind === 'refused') progress.noteRefused(vm, answer.error.reason, this.opts.clock.now())
   }
 }
+
+function sameRecords (a: ReadonlyMap<number, WaveRecord>, b: ReadonlyMap<number, WaveRecord>): boolean {
+  if (a.size !== b.size) return false
+  return [...a].every(([wave, { begun, completed }]) => {
+    const other = b.get(wave)
+    return other !== undefined && other.completed === completed && other.begun.length === begun.length && begun.every(vm => other.begun.includes(vm))
+  })
+}
--- a/jobs/fleet/src/wave-progress.ts
+++ b/jobs/fleet/src/wave-progress.ts
@@ -24,13 +24,14 @@
 
   /**
    * @param wave - as declared
-   * @param opts - time of the injected clock, and how long a maintenance takes in milliseconds
+   * @param opts - time of the injected clock, how long a maintenance takes in milliseconds; from leaders before: VMs that have begun theirs, and for how long the wave goes on
    */
-  constructor (wave: Wave, opts: { now: number, maintenanceMs: number }) {
+  constructor (wave: Wave, opts: { now: number, maintenanceMs: number, begun?: readonly string[], elapsedMs?: number }) {
     this.wave = wave
-    this.startedAt = opts.now
+    this.startedAt = opts.now - (opts.elapsedMs ?? 0)
     this.maintenanceMs = opts.maintenanceMs
     for (const vm of wave.vms) this.progressOf.set(vm, { phase: 'waiting', since: opts.now, seenDown: false })
+    for (const vm of opts.begun ?? []) this.enter(vm, 'down', opts.now)
   }
 
   /**
@@ -74,6 +75,19 @@
     return waiting.slice(0, Math.max(0, Math.min(room, due)))
   }
 
+  /**
+   * @param now - of the injected clock
+   * @returns milliseconds since the wave was first seen
+   */
+  elapsedMs (now: number): number {
+    return Math.round(now - this.startedAt)
+  }
+
+  /** @returns VMs that have begun their maintenance */
+  begun (): string[] {
+    return [...this.progressOf].filter(([, { phase }]) => phase === 'down' || phase === 'done').map(([id]) => id)
+  }
+
   /**
    * @param vms - the platform's list
    * @returns whether every VM that is still there has begun its maintenance
