--- /dev/null
+++ b/jobs/service/test/records.model.test.ts
@@ -0,0 +1,173 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { err, ok, type Result } from '@wisteriaslip/core.result'
+import { silentLogger } from '@wisteriaslip/core.logger'
+import { Metrics } from '@wisteriaslip/core.metrics'
+import type { Job, Queue, Step, WorkerEntry } from '@wisteriaslip/jobs.model'
+import { Scheduler, type Progress } from '@wisteriaslip/jobs.scheduler'
+import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
+import type { Change, Guard, Store, StoreError, Versioned } from '@wisteriaslip/store.client'
+import { ProgressWriter } from '../src/progress-writer.ts'
+import type { TermOpts } from '../src/ports.ts'
+
+const RUNS = Number(process.env.WISTERIASLIP_RUNS ?? 3_000)
+const SEED = 11
+const TASKS = 4
+const LEADER_KEY = 'w/leaders/s'
+const ID = '00000000000000aa'
+const KEY = new JobKeys('w').progress('s', ID)
+
+const limits = { longestLeaseMs: 6_000, stopMs: 400, graceMs: 6_000, keepMs: 1e9, maintenanceMs: 2_000 }
+const queue: Queue = { name: 'q', host: '', pathPrefix: '', service: 's', priority: 0, attempts: 2, stretch: 1, objectiveMs: 0, timeoutMs: 0, needsPermit: false }
+const step: Step = { tasks: TASKS, demand: { cpu: 1, memMb: 1, accelerators: 0 }, estimateMs: 100, after: [], checkpoints: false, gang: false, oneRack: false, label: '', dataRack: '', perWorker: 0, copies: false, lasting: false, image: '', latencyTargetMs: 0, backfill: false, mayMiss: 0 }
+const job: Job = { id: ID, queue: 'q', service: 's', payload: '', steps: [step], acceptedAt: 0, acceptedUnder: 1 }
+const worker: WorkerEntry = { id: 'w', born: 1, service: 's', host: '', port: 0, zone: '', vm: 'v', draining: false, capacity: { cpu: 100, memMb: 100, accelerators: 0 }, labels: [], rack: '' }
+
+type Fate = 'fine' | 'lost' | 'answer-lost' | 'late'
+type Fault = 'none' | 'guards-ignored' | 'lost-is-durable'
+
+/** A store whose writes are lost, unanswered, or carried out later if their conditions still hold. */
+class FateStore {
+  readonly docs = new Map<string, Versioned>()
+  readonly late: Array<() => void> = []
+  readonly written: Array<{ by: number, leader: number, progress: Progress }> = []
+  fate: Fate = 'fine'
+  private revision = 0
+  private readonly fault: Fault
+
+  constructor (fault: Fault) {
+    this.fault = fault
+  }
+
+  elect (): number {
+    this.revision += 1
+    this.docs.set(LEADER_KEY, { key: LEADER_KEY, value: {}, createRevision: this.revision, modRevision: this.revision, writeIds: [] })
+    return this.revision
+  }
+
+  leader (): number {
+    return this.docs.get(LEADER_KEY)?.createRevision ?? 0
+  }
+
+  async update (changes: readonly Change[], opts: { guards?: readonly Guard[] } = {}): Promise<Result<number, StoreError>> {
+    const guards = opts.guards ?? []
+    const apply = (): boolean => this.apply(changes, guards)
+    const lost = err<StoreError>({ kind: 'unavailable', code: 'STORE_UNAVAILABLE', maybeApplied: true, message: 'no answer' })
+    const answer = this.fault === 'lost-is-durable' ? ok(this.revision) : lost
+    if (this.fate === 'lost') return answer
+    if (this.fate === 'late') {
+      this.late.push(apply)
+      return answer
+    }
+    const applied = apply()
+    if (this.fate === 'answer-lost') return answer
+    return applied ? ok(this.revision) : err({ kind: 'conflict', code: 'STORE_CONFLICT', message: 'changed' })
+  }
+
+  async get (key: string): Promise<Result<Versioned | undefined, StoreError>> {
+    return ok(this.docs.get(key))
+  }
+
+  private apply (changes: readonly Change[], guards: readonly Guard[]): boolean {
+    const guarded = this.fault === 'guards-ignored' || guards.every(guard => this.docs.get(guard.key)?.createRevision === guard.createRevision)
+    if (!guarded || !changes.every(change => (this.docs.get(change.key)?.modRevision ?? 0) === (change.prior?.modRevision ?? 0))) return false
+    this.revision += 1
+    for (const { key, value } of changes) {
+      this.docs.set(key, { key, value, createRevision: this.docs.get(key)?.createRevision ?? this.revision, modRevision: this.revision, writeIds: [] })
+      this.written.push({ by: guards[0]?.createRevision ?? 0, leader: this.leader(), progress: value as Progress })
+    }
+    return true
+  }
+}
+
+/** A leader that learns of ends and writes them down. */
+class Leader {
+  readonly token: number
+  readonly scheduler: Scheduler
+  readonly writer: ProgressWriter
+  private seq = 0
+  private readonly store: FateStore
+
+  constructor (store: FateStore) {
+    this.store = store
+    this.token = store.elect()
+    this.scheduler = new Scheduler({ clock: { now: () => 0 }, wallClock: () => 0, limits, queue: () => queue, term: this.token, earlierLeaseMs: 6_000 })
+    const records = new JobRecords(store as unknown as Store, new JobKeys('w'))
+    const opts = { service: 's', token: this.token, guard: { key: LEADER_KEY, createRevision: this.token }, store, records, logger: silentLogger, metrics: new Metrics(), wallClock: () => 0 }
+    this.writer = new ProgressWriter(this.scheduler, opts as unknown as TermOpts, { onRecorded: () => {}, onFenced: () => {} })
+    const known = store.docs.get(KEY) as Versioned<Progress> | undefined
+    if (known !== undefined) this.writer.setPrior(ID, known)
+    this.scheduler.table.admit(job, { fresh: false, progress: known?.value })
+    this.scheduler.setWorkers([worker], { blindUntil: 0 })
+  }
+
+  end (index: number, how: 'done' | 'failed'): void {
+    this.seq += 1
+    const present = this.scheduler.workers.get('w')
+    if (present === undefined) return
+    this.scheduler.takeReport(present, { clockMs: 0, born: 1, running: [], ended: [{ seq: this.seq, task: `${ID}.0.0.${index}`, attempt: this.token * 10_000 + this.seq, how, checkpoint: '' }] }, { sentAt: 0, receivedAt: 0 })
+  }
+
+  /** What the worker is told to forget must be in the store, or overtaken by the job's end or a newer leader. */
+  assertForgettable (): void {
+    const seen = this.scheduler.workers.get('w')?.seenSeq() ?? 0
+    if (seen === 0 || this.store.leader() !== this.token) return
+    assert.ok(this.store.docs.has(KEY), `ends up to ${seen} are forgotten, and nothing is stored`)
+  }
+}
+
+type Command =
+  | { readonly kind: 'end', readonly leader: number, readonly index: number, readonly how: 'done' | 'failed' }
+  | { readonly kind: 'flush', readonly leader: number, readonly fate: Fate }
+  | { readonly kind: 'deliver' }
+  | { readonly kind: 'elect' }
+
+const leaderAt = fc.nat({ max: 2 })
+const command: fc.Arbitrary<Command> = fc.oneof(
+  { weight: 4, arbitrary: fc.record({ kind: fc.constant('end' as const), leader: leaderAt, index: fc.nat({ max: TASKS - 1 }), how: fc.constantFrom('done' as const, 'done' as const, 'failed' as const) }) },
+  { weight: 4, arbitrary: fc.record({ kind: fc.constant('flush' as const), leader: leaderAt, fate: fc.constantFrom('fine' as const, 'fine' as const, 'lost' as const, 'answer-lost' as const, 'late' as const) }) },
+  { weight: 1, arbitrary: fc.constant({ kind: 'deliver' as const }) },
+  { weight: 1, arbitrary: fc.constant({ kind: 'elect' as const }) }
+)
+
+async function play (commands: readonly Command[], fault: Fault): Promise<void> {
+  const store = new FateStore(fault)
+  const leaders = [new Leader(store)]
+  for (const each of commands) {
+    const leader = 'leader' in each ? leaders.at(-1 - each.leader) : undefined
+    if (each.kind === 'elect') leaders.push(new Leader(store))
+    if (each.kind === 'deliver') store.late.shift()?.()
+    if (each.kind === 'end') leader?.end(each.index, each.how)
+    if (each.kind === 'flush') {
+      store.fate = each.fate
+      await leader?.writer.flush()
+      store.fate = 'fine'
+    }
+    for (const known of leaders) known.assertForgettable()
+    assertRecords(store)
+  }
+}
+
+/** Only the leader of the time writes; what is done stays done, and an outcome stays as it is. */
+function assertRecords (store: FateStore): void {
+  let before: Progress | undefined
+  for (const { by, leader, progress } of store.written) {
+    assert.equal(by, leader, 'a leader of before wrote')
+    if (before?.outcome !== undefined) assert.equal(progress.outcome, before.outcome, 'an outcome changed')
+    const stays = progress.outcome !== undefined || Object.entries(before?.tasks ?? {}).every(([place, task]) => task.done !== true || progress.tasks[place]?.done === true || progress.stepsDone.includes('0.0'))
+    assert.ok(stays, 'a done task is open again')
+    before = progress
+  }
+}
+
+test('late, lost and repeated writes of several leaders leave records that only go forward', async () => {
+  await fc.assert(fc.asyncProperty(fc.array(command, { maxLength: 40 }), async commands => await play(commands, 'none')), { numRuns: RUNS, seed: SEED })
+})
+
+for (const fault of ['guards-ignored', 'lost-is-durable'] as const) {
+  test(`the checker notices a store or a leader with a fault (${fault})`, async () => {
+    const found = await fc.check(fc.asyncProperty(fc.array(command, { maxLength: 40 }), async commands => await play(commands, fault)), { numRuns: RUNS, seed: SEED })
+    assert.equal(found.failed, true)
+  })
+}
