--- a/bench/src/job-peaks.ts
+++ b/bench/src/job-peaks.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import { PoolSizes } from '@wisteriaslip/jobs.fleet'
-import type { Job, JobLimits, Queue, Service, Step, Vm, WorkerEntry } from '@wisteriaslip/jobs.model'
+import type { Job, JobLimits, Queue, Resources, Service, Step, Vm, WorkerEntry } from '@wisteriaslip/jobs.model'
 import { Scheduler, type Run } from '@wisteriaslip/jobs.scheduler'
 import { serviceLoad, withdrawWorkers } from '@wisteriaslip/jobs.service'
+import { plainStep } from '@wisteriaslip/testing.jobs'
 import { Random } from './random.ts'
 import { VirtualLoop } from './virtual-loop.ts'
 
@@ -122,9 +123,9 @@
 
   private steps (): Step[] {
     const count = this.random.uniform() < 0.6 ? 2 : 1
-    return Array.from({ length: count }, (_, number) => stepOf({
+    return Array.from({ length: count }, (_, number) => plainStep({
       tasks: 2 + Math.floor(this.random.uniform() * 8),
-      cpu: 2_000 + Math.floor(this.random.uniform() * 5_000),
+      demand: demandOf(2_000 + Math.floor(this.random.uniform() * 5_000)),
       estimateMs: 500 + this.random.uniform() * 1_000,
       after: number === 0 ? [] : [number - 1]
     }))
@@ -143,7 +144,7 @@
   /** Each service has tasks that never end, each on a worker of its own. */
   private handInLasting (name: string): void {
     const tasks = this.policy.pools === 'shared' ? LASTING_TASKS * SERVICES.length : LASTING_TASKS
-    const step = { ...stepOf({ tasks, cpu: LASTING_CPU, estimateMs: 0, after: [] }), lasting: true, perWorker: 1 }
+    const step = plainStep({ tasks, demand: demandOf(LASTING_CPU), estimateMs: 0, lasting: true, perWorker: 1 })
     this.schedulers.get(name)?.takeJob({ id: name.padStart(16, '0'), queue: `${name}/0`, service: name, payload: '', steps: [step], acceptedAt: 0, acceptedUnder: 0 }, { fresh: true })
   }
 
@@ -255,6 +256,6 @@
   return { name, host: '', pathPrefix: '', service: '', priority: policy.order === 'first-come' ? number : 0, attempts: 3, stretch: STRETCH, objectiveMs: OBJECTIVE_MS, timeoutMs: 0, needsPermit: false }
 }
 
-function stepOf (shape: { tasks: number, cpu: number, estimateMs: number, after: number[] }): Step {
-  return { tasks: shape.tasks, demand: { cpu: shape.cpu, memMb: 4_000, accelerators: 0 }, estimateMs: shape.estimateMs, after: shape.after, checkpoints: false, gang: false, oneRack: false, label: '', dataRack: '', perWorker: 0, copies: false, lasting: false, image: '', latencyTargetMs: 0, backfill: false, mayMiss: 0 }
+function demandOf (cpu: number): Resources {
+  return { cpu, memMb: 4_000, accelerators: 0 }
 }
--- a/jobs/scheduler/test/bench.ts
+++ b/jobs/scheduler/test/bench.ts
@@ -1,5 +1,8 @@
-import type { EndedTask, Job, JobLimits, Queue, RunningTask, Step, WorkerEntry } from '@wisteriaslip/jobs.model'
+import type { EndedTask, Job, JobLimits, Queue, RunningTask, WorkerEntry } from '@wisteriaslip/jobs.model'
 import { Scheduler, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
+import { plainStep as step } from '@wisteriaslip/testing.jobs'
+
+export { step }
 
 /** Limits as a deployment might set them. */
 export const limits: JobLimits = {
@@ -80,28 +83,6 @@
   return { id, born: 1, service: 's', host: 'h', port: 1, zone: 'z', vm: `vm-${id}`, draining: false, capacity: { cpu: 4_000, memMb: 8_000, accelerators: 0 }, labels: ['a', 'r1'], rack: 'r1', ...overrides }
 }
 
-export function step (overrides: Partial<Step> = {}): Step {
-  return {
-    tasks: 1,
-    demand: { cpu: 1_000, memMb: 100, accelerators: 0 },
-    estimateMs: 1_000,
-    after: [],
-    checkpoints: false,
-    gang: false,
-    oneRack: false,
-    label: '',
-    dataRack: '',
-    perWorker: 0,
-    copies: false,
-    lasting: false,
-    image: '',
-    latencyTargetMs: 0,
-    backfill: false,
-    mayMiss: 0,
-    ...overrides
-  }
-}
-
 export function job (overrides: Partial<Job> = {}): Job {
   return { id: '00000000000000aa', queue: 'q', service: 's', payload: 'p', steps: [step()], acceptedAt: 0, acceptedUnder: 0, ...overrides }
 }
--- a/jobs/service/test/records.model.test.ts
+++ b/jobs/service/test/records.model.test.ts
@@ -4,9 +4,10 @@
 import { err, ok, type Result } from '@wisteriaslip/core.result'
 import { silentLogger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
-import type { Job, Queue, Step, WorkerEntry } from '@wisteriaslip/jobs.model'
+import type { Job, Queue, WorkerEntry } from '@wisteriaslip/jobs.model'
 import { Scheduler, type Progress } from '@wisteriaslip/jobs.scheduler'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
+import { plainStep } from '@wisteriaslip/testing.jobs'
 import type { Change, Guard, Store, StoreError, Versioned } from '@wisteriaslip/store.client'
 import { ProgressWriter } from '../src/progress-writer.ts'
 import type { TermOpts } from '../src/ports.ts'
@@ -20,7 +21,7 @@
 
 const limits = { longestLeaseMs: 6_000, stopMs: 400, graceMs: 6_000, keepMs: 1e9, maintenanceMs: 2_000 }
 const queue: Queue = { name: 'q', host: '', pathPrefix: '', service: 's', priority: 0, attempts: 2, stretch: 1, objectiveMs: 0, timeoutMs: 0, needsPermit: false }
-const step: Step = { tasks: TASKS, demand: { cpu: 1, memMb: 1, accelerators: 0 }, estimateMs: 100, after: [], checkpoints: false, gang: false, oneRack: false, label: '', dataRack: '', perWorker: 0, copies: false, lasting: false, image: '', latencyTargetMs: 0, backfill: false, mayMiss: 0 }
+const step = plainStep({ tasks: TASKS, demand: { cpu: 1, memMb: 1, accelerators: 0 } })
 const job: Job = { id: ID, queue: 'q', service: 's', payload: '', steps: [step], acceptedAt: 0, acceptedUnder: 1 }
 const worker: WorkerEntry = { id: 'w', born: 1, service: 's', host: '', port: 0, zone: '', vm: 'v', draining: false, capacity: { cpu: 100, memMb: 100, accelerators: 0 }, labels: [], rack: '' }
 
--- /dev/null
+++ b/testing/jobs/src/step.ts
@@ -0,0 +1,28 @@
+import type { Step } from '@wisteriaslip/jobs.model'
+
+/**
+ * A step with one small task and nothing special about it.
+ * @param overrides - what is to differ
+ * @returns the step
+ */
+export function plainStep (overrides: Partial<Step> = {}): Step {
+  return {
+    tasks: 1,
+    demand: { cpu: 1_000, memMb: 100, accelerators: 0 },
+    estimateMs: 1_000,
+    after: [],
+    checkpoints: false,
+    gang: false,
+    oneRack: false,
+    label: '',
+    dataRack: '',
+    perWorker: 0,
+    copies: false,
+    lasting: false,
+    image: '',
+    latencyTargetMs: 0,
+    backfill: false,
+    mayMiss: 0,
+    ...overrides
+  }
+}
--- a/testing/jobs/test/jobs.test.ts
+++ b/testing/jobs/test/jobs.test.ts
@@ -1,30 +1,12 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { Step } from '@wisteriaslip/jobs.model'
-import { JobSite, until, type SeenRun } from '@wisteriaslip/testing.jobs'
+import { JobSite, plainStep, until, type SeenRun } from '@wisteriaslip/testing.jobs'
 
 const ID = '00000000000000aa'
 
 function step (overrides: Partial<Step> = {}): Step {
-  return {
-    tasks: 1,
-    demand: { cpu: 1_000, memMb: 100, accelerators: 0 },
-    estimateMs: 30,
-    after: [],
-    checkpoints: false,
-    gang: false,
-    oneRack: false,
-    label: '',
-    dataRack: '',
-    perWorker: 0,
-    copies: false,
-    lasting: false,
-    image: '',
-    latencyTargetMs: 0,
-    backfill: false,
-    mayMiss: 0,
-    ...overrides
-  }
+  return plainStep({ estimateMs: 30, ...overrides })
 }
 
 async function withSite (run: (site: JobSite) => Promise<void>): Promise<void> {
