Never say 503 for a job whose first write may still take effect

Change: an entry remembers jobs of which a write got no answer, and answers 504 for them until they are stored. Test: 'a job whose first write may still take effect is not said to never run' (fails before).

--- a/jobs/intake/src/intake.ts
+++ b/jobs/intake/src/intake.ts
@@ -45,6 +45,8 @@
 export class Intake {
   private readonly opts: IntakeOpts
   private readonly accepted = new Map<string, string>()
+  /** Jobs of which a write got no answer here: it may still take effect. */
+  private readonly uncertain = new Set<string>()
 
   constructor (opts: IntakeOpts) {
     this.opts = opts
@@ -63,8 +65,10 @@
     this.opts.metrics.observe('job_accept_us', { queue: job.queue }, this.opts.clock.now() - startedAt)
     this.opts.metrics.count('jobs_handed_in_total', { queue: job.queue, result: stored.kind })
     this.opts.logger.info({ job: job.id, queue: job.queue, service: job.service, result: stored.kind }, 'job handed in')
+    if (stored.kind === 'unknown') this.noteUncertain(job.id)
+    if (stored.kind === 'unknown' || (stored.kind === 'not-stored' && this.uncertain.has(job.id))) return { kind: 'unknown' }
     if (stored.kind === 'not-stored') return { kind: 'refused', retryAfterS: 1 }
-    if (stored.kind === 'unknown') return { kind: 'unknown' }
+    this.uncertain.delete(job.id)
     this.remember(job)
     if (stored.kind === 'stored') this.tell(job.service, job.id, async () => await this.opts.leaders.push(job.service, { job }))
     return { kind: 'accepted' }
@@ -108,6 +112,12 @@
     return await this.opts.leaders.pending(queue.service, queue.name)
   }
 
+  private noteUncertain (id: string): void {
+    this.uncertain.add(id)
+    const oldest = this.uncertain.values().next()
+    if (this.uncertain.size > REMEMBERED_JOBS && oldest.done !== true) this.uncertain.delete(oldest.value)
+  }
+
   private remember (job: Job): void {
     this.accepted.set(job.id, job.service)
     const oldest = this.accepted.keys().next()
--- a/testing/jobs/test/jobs.test.ts
+++ b/testing/jobs/test/jobs.test.ts
@@ -139,6 +139,17 @@
   })
 })
 
+test('a job whose first write may still take effect is not said to never run', async () => {
+  await withSite(async site => {
+    await site.elect()
+    const req = site.request(ID, [step()])
+    for (let tries = 0; tries < 40; tries++) site.handInFaults.push('lose-call')
+    assert.deepEqual(await site.intake.handIn(req), { kind: 'unknown' })
+    for (let number = 0; (await site.intake.handIn(site.request(`00000000000002${String(number).padStart(2, '0')}`, [step()]))).kind !== 'refused'; number++) assert.ok(number < 40, 'the breaker opens')
+    assert.deepEqual(await site.intake.handIn(req), { kind: 'unknown' })
+  })
+})
+
 test('a job that was refused because the store is away never runs', async () => {
   await withSite(async site => {
     await site.elect()
