Hold a worker back for a lasting task that fits nowhere

In the scheduler alone small tasks take each bit of memory that frees, and a lasting task that needs more never starts: shown by a test that failed. Change: while a lasting task fits nowhere, the worker that lacks least room for it takes nothing else.

--- a/jobs/scheduler/src/placement.ts
+++ b/jobs/scheduler/src/placement.ts
@@ -1,14 +1,8 @@
-import type { Task, TrackedStep } from './tracked-job.ts'
+import type { TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
 
 const AVOID_PENALTY = 100
 
-/** A task and the worker that it is to start on. */
-export interface Placement {
-  readonly task: Task
-  readonly worker: TrackedWorker
-}
-
 /**
  * Chooses a worker for one more task of a step. Tasks fill workers that are already in use, so that others stay empty
  * and can be given away; lasting tasks, which pin a worker, go where others of their kind are.
@@ -44,6 +38,53 @@
   return spec.perWorker === 0 || tasksOn(step, worker) < spec.perWorker
 }
 
+/**
+ * Chooses a worker that is to take nothing else until a lasting task finds room there: small tasks would take each bit
+ * that frees.
+ * @param step - a lasting step with a task that fits nowhere now
+ * @param workers - workers that take starts
+ * @returns the worker that lacks least room, undefined when none could have it without stopping lasting tasks
+ */
+export function chooseReserve (step: TrackedStep, workers: readonly TrackedWorker[]): TrackedWorker | undefined {
+  let best: TrackedWorker | undefined
+  let least = Number.POSITIVE_INFINITY
+  for (const worker of workers) {
+    if (!couldRun(step, worker)) continue
+    const lacking = lackOf(step, worker)
+    if (lacking < least) {
+      best = worker
+      least = lacking
+    }
+  }
+  return best
+}
+
+/** Whether the step may run there once all that ends by itself has ended. */
+function couldRun (step: TrackedStep, worker: TrackedWorker): boolean {
+  const { spec } = step
+  const { capacity, labels } = worker.entry
+  if (spec.label !== '' && !labels.includes(spec.label)) return false
+  if (spec.perWorker > 0 && tasksOn(step, worker) >= spec.perWorker) return false
+  let { cpu, memMb, accelerators } = spec.demand
+  for (const { task: { step: { spec: other } } } of worker.runs.values()) {
+    if (!other.lasting) continue
+    cpu += other.backfill ? 0 : other.demand.cpu
+    memMb += other.demand.memMb
+    accelerators += other.demand.accelerators
+  }
+  return memMb <= capacity.memMb && accelerators <= capacity.accelerators && (spec.backfill || cpu <= capacity.cpu)
+}
+
+/** Largest share of its capacity that a worker lacks for a task of the step. */
+function lackOf (step: TrackedStep, worker: TrackedWorker): number {
+  const { capacity } = worker.entry
+  const used = worker.used()
+  const { demand, backfill } = step.spec
+  const cpu = backfill || capacity.cpu === 0 ? 0 : (used.cpu + demand.cpu) / capacity.cpu
+  const memMb = capacity.memMb === 0 ? 0 : (used.memMb + demand.memMb) / capacity.memMb
+  return Math.max(cpu, memMb)
+}
+
 function scoreOf (step: TrackedStep, worker: TrackedWorker): number {
   const near = step.spec.dataRack !== '' && step.spec.dataRack === worker.entry.rack ? 10 : 0
   const share = worker.cpuShare()
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -3,7 +3,7 @@
 import { Arrivals } from './arrivals.ts'
 import { JobTable } from './job-table.ts'
 import { orderSteps, type QueueLookup } from './order.ts'
-import { chooseWorker, mayRun, type Placement } from './placement.ts'
+import { chooseReserve, chooseWorker, mayRun } from './placement.ts'
 import type { PermitQuestion } from './permits.ts'
 import type { Run } from './run.ts'
 import { DurationBook, findStragglers } from './stragglers.ts'
@@ -208,7 +208,7 @@
    */
   placeReady (): Run[] {
     const now = this.opts.clock.now()
-    const workers = [...this.workers.values()].filter(worker => worker.takesStarts(now) && worker.hasClock())
+    let workers = [...this.workers.values()].filter(worker => worker.takesStarts(now) && worker.hasClock())
     if (workers.length === 0 || this.table.ready.size === 0) return []
     const blind = this.isBlind(now)
     const runs: Run[] = []
@@ -216,6 +216,10 @@
       if (blind && !step.job.fresh) continue
       const placements = step.spec.gang ? this.placeGang(step, workers, now) : this.placeTasks(step, workers, now)
       runs.push(...placements)
+      if (step.spec.lasting && step.tasks.some(task => startable(task, now))) {
+        const reserve = chooseReserve(step, workers)
+        workers = workers.filter(worker => worker !== reserve)
+      }
     }
     return runs
   }
@@ -438,7 +442,7 @@
       if (!startable(task, now)) continue
       const worker = chooseWorker(step, this.permitted(step, workers, now), { avoid: task.failedOn })
       if (worker === undefined) break
-      runs.push(this.startRun({ task, worker }, this.nextAttempt([task])))
+      runs.push(this.addRun(task, worker, this.nextAttempt([task])))
     }
     return runs
   }
@@ -454,7 +458,7 @@
       for (const task of step.tasks) {
         const worker = chooseWorker(step, permitted, { avoid: task.failedOn, ...(rack === undefined ? {} : { rack }) })
         if (worker === undefined) break
-        runs.push(this.startRun({ task, worker }, attempt))
+        runs.push(this.addRun(task, worker, attempt))
       }
       if (runs.length === step.tasks.length) return runs
       for (const run of runs) this.release(run)
@@ -467,11 +471,6 @@
     return Math.max(last, this.opts.term * ATTEMPTS_PER_TERM) + 1
   }
 
-  private startRun (placement: Placement, attempt: number): Run {
-    const { task, worker } = placement
-    return this.addRun(task, worker, attempt)
-  }
-
   private addRun (task: Task, worker: TrackedWorker, attempt: number): Run {
     const now = this.opts.clock.now()
     const run: Run = {
--- a/jobs/scheduler/test/scheduler.test.ts
+++ b/jobs/scheduler/test/scheduler.test.ts
@@ -328,3 +328,25 @@
   bench.report('w1', { ended: ends })
   assert.equal(bench.scheduler.table.jobs.get(ID)?.outcome, 'completed')
 })
+
+test('a lasting task that needs much room is not kept out by small ones that take each bit that frees', () => {
+  const bench = new Bench()
+  bench.meet(worker('w1'), worker('w2'))
+  const small = step({ tasks: 4, demand: { cpu: 500, memMb: 2_000, accelerators: 0 } })
+  for (let number = 0; number < 8; number++) bench.admit({ id: `00000000000001${String(number).padStart(2, '0')}`, steps: [small] })
+  const running = new Map(bench.startAll().map((run, number) => [run, number]))
+  bench.admit({ id: '00000000000000bb', steps: [step({ lasting: true, demand: { cpu: 500, memMb: 6_000, accelerators: 0 } })] })
+  let seq = 0
+  for (let turn = 0; turn < 24; turn++) {
+    bench.now += 100
+    const [oldest] = running.keys()
+    if (oldest === undefined) break
+    running.delete(oldest)
+    seq += 1
+    const held = [...oldest.worker.runs.values()].filter(run => run !== oldest).map(run => ({ task: run.task.name, attempt: run.attempt, checkpoint: '', percent: 90, load: 0 }))
+    bench.report(oldest.worker.entry.id, { ended: [ended(seq, oldest.task.name, oldest.attempt)], running: held })
+    for (const run of bench.startAll()) running.set(run, turn)
+    if ([...running.keys()].some(run => run.task.step.spec.lasting)) return
+  }
+  assert.fail('it never ran')
+})
