--- a/jobs/entry/src/wave-ledger.ts
+++ b/jobs/entry/src/wave-ledger.ts
@@ -1,5 +1,5 @@
 import type { WaveLedger, WaveRecord } from '@wisteriaslip/jobs.fleet'
-import type { Guard, Store, Versioned } from '@wisteriaslip/store.client'
+import { asWritten, type Guard, type Store, type Versioned } from '@wisteriaslip/store.client'
 
 /** One document with the records of all waves, by number. */
 type WaveDoc = Readonly<Record<string, WaveRecord>>
@@ -28,12 +28,13 @@
 
   async write (records: ReadonlyMap<number, WaveRecord>): Promise<boolean> {
     const value: WaveDoc = Object.fromEntries(records)
-    const written = await this.store.update([{ key: this.opts.key, prior: this.prior, value }], { guards: [this.opts.guard] })
+    const change = { key: this.opts.key, prior: this.prior, value }
+    const written = await this.store.update([change], { guards: [this.opts.guard] })
     if (!written.ok) {
       if (written.error.kind === 'conflict') await this.read()
       return false
     }
-    this.prior = { key: this.opts.key, value, createRevision: this.prior?.createRevision ?? written.value, modRevision: written.value, writeIds: [] }
+    this.prior = asWritten(change, written.value)
     return true
   }
 }
--- a/jobs/http/src/sources.ts
+++ b/jobs/http/src/sources.ts
@@ -1,3 +1,4 @@
+import { parseJson } from '@wisteriaslip/core.result'
 import type { JobConfig, StoreSources, WorkerEntry } from '@wisteriaslip/jobs.model'
 import { configSchema, workerEntrySchema } from './wire.ts'
 
@@ -34,11 +35,3 @@
   const parsed = workerEntrySchema.safeParse(parseJson(text))
   return parsed.success ? parsed.data : undefined
 }
-
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
--- a/jobs/http/src/wire.ts
+++ b/jobs/http/src/wire.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { parseJson } from '@wisteriaslip/core.result'
 import { z } from 'zod'
 
 /** Paths of a worker's interface. */
@@ -110,12 +111,7 @@
     bytes += chunk.length
     if (bytes <= MAX_BODY_BYTES) chunks.push(chunk)
   }
-  if (bytes > MAX_BODY_BYTES) return undefined
-  try {
-    return JSON.parse(Buffer.concat(chunks).toString()) as unknown
-  } catch {
-    return undefined
-  }
+  return bytes > MAX_BODY_BYTES ? undefined : parseJson(Buffer.concat(chunks).toString())
 }
 
 /**
--- a/jobs/model/src/job.ts
+++ b/jobs/model/src/job.ts
@@ -119,14 +119,6 @@
   readonly index: number
 }
 
-/**
- * @param name - of a task
- * @returns its text
- */
-export function formatTaskName (name: TaskName): string {
-  return `${name.job}.${name.occurrence}.${name.step}.${name.index}`
-}
-
 /**
  * @param text - a task's name
  * @returns its parts, undefined when it is none
--- a/jobs/model/src/worker.ts
+++ b/jobs/model/src/worker.ts
@@ -55,8 +55,6 @@
 export type WorkerError =
   /** No usable answer: the order may have been carried out, or may still be. */
   | { readonly kind: 'unknown', readonly message: string }
-  /** Nothing listens at the address: the life that did has ended. */
-  | { readonly kind: 'gone', readonly message: string }
   /** Another life answered. */
   | { readonly kind: 'other-life', readonly message: string }
   /** Refused; nothing was done. */
--- a/jobs/protocol/src/service.ts
+++ b/jobs/protocol/src/service.ts
@@ -1,4 +1,4 @@
-import type { Job, JobConfig, JobState, Wave } from '@wisteriaslip/jobs.model'
+import type { Job, JobConfig, JobState } from '@wisteriaslip/jobs.model'
 import type { Delta } from '@wisteriaslip/store.mirror'
 import type { RelayCall, RelayReply } from '@wisteriaslip/peers.protocol'
 
@@ -57,9 +57,8 @@
   readonly delta?: Delta | undefined
   /** Version of its configuration, -1 for none. */
   readonly configVersion: number
-  /** Its configuration and waves, if newer than the caller's, and asked for. */
+  /** Its configuration, if newer than the caller's, and asked for. */
   readonly config?: JobConfig | undefined
-  readonly waves?: readonly Wave[] | undefined
 }
 
 /** What an entry does for its peers. */
--- a/jobs/service/src/progress-writer.ts
+++ b/jobs/service/src/progress-writer.ts
@@ -1,6 +1,6 @@
 import { pause, Wakeup } from '@wisteriaslip/core.result'
 import { progressOf, type PendingEnd, type Progress, type Scheduler, type TrackedJob } from '@wisteriaslip/jobs.scheduler'
-import type { Versioned } from '@wisteriaslip/store.client'
+import { asWritten, type Versioned } from '@wisteriaslip/store.client'
 import type { TermOpts } from './ports.ts'
 
 /** What happens within this time goes into one write. */
@@ -85,7 +85,7 @@
       return false
     }
     for (const { tracked, ends, progress, key } of records) {
-      this.priors.set(tracked.job.id, { key, value: progress, createRevision: 0, modRevision: written.value, writeIds: [] })
+      this.priors.set(tracked.job.id, asWritten({ key, prior: this.priors.get(tracked.job.id), value: progress }, written.value))
       this.scheduler.table.noteDurable(tracked, progress.outcome, ends)
       if (progress.outcome !== undefined) this.noteEnded(tracked)
     }
--- a/jobs/service/src/worker-record.ts
+++ b/jobs/service/src/worker-record.ts
@@ -58,9 +58,9 @@
    */
   async run (scheduler: Scheduler, onWritten: () => void, signal: AbortSignal): Promise<void> {
     while (await this.news.sleep(PRUNE_MS, signal)) {
-      if (this.fits(scheduler)) continue
-      if (await this.write(scheduler)) onWritten()
-      else await pause(RETRY_MS, signal)
+      const before = this.record
+      if (!await this.write(scheduler)) await pause(RETRY_MS, signal)
+      else if (this.record !== before) onWritten()
     }
   }
 
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -2,7 +2,7 @@
 import type { Job, JobState, WorkerEntry } from '@wisteriaslip/jobs.model'
 import { isFinal } from '@wisteriaslip/jobs.model'
 import type { Progress } from '@wisteriaslip/jobs.scheduler'
-import type { Guard, Store, StoreError, Versioned } from '@wisteriaslip/store.client'
+import { asWritten, type Guard, type Store, type StoreError, type Versioned } from '@wisteriaslip/store.client'
 import { GroupWriter } from './group-writer.ts'
 import { idOfKey, type JobKeys } from './keys.ts'
 
@@ -145,6 +145,6 @@
     const key = this.keys.term(service)
     const written = await this.store.update([{ key, prior, value }], { guards: [guard] })
     if (!written.ok) return err(written.error)
-    return ok({ key, value, createRevision: prior?.createRevision ?? written.value, modRevision: written.value, writeIds: [] })
+    return ok(asWritten({ key, prior, value }, written.value))
   }
 }
--- a/peers/membership/src/index.ts
+++ b/peers/membership/src/index.ts
@@ -5,5 +5,4 @@
 export { EntryLease } from './lease.ts'
 export { Members, type Member } from './members.ts'
 export { Leadership, type LeaderRecord } from './leadership.ts'
-export { rankMembers } from './rendezvous.ts'
 export { Keys } from './keys.ts'
--- a/routing/idempotency/src/partitions.ts
+++ b/routing/idempotency/src/partitions.ts
@@ -3,7 +3,7 @@
 import { pause, Wakeup, type Clock } from '@wisteriaslip/core.result'
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { ClaimReply, ClaimRequest, ClaimSettlement } from '@wisteriaslip/peers.protocol'
-import type { Change, Guard, Store, Versioned } from '@wisteriaslip/store.client'
+import { asWritten, type Change, type Guard, type Store, type Versioned } from '@wisteriaslip/store.client'
 import { ClaimTable } from './claim-table.ts'
 
 /** Number of partitions of the key space. */
@@ -154,8 +154,8 @@
   }
 
   private committed (partition: Partition, pending: readonly PendingClaim[], write: { change: Change, segment: Segment }, revision: number): void {
-    const prior = write.change.prior
-    const doc: Versioned = { key: write.change.key, value: write.segment, createRevision: prior?.createRevision ?? revision, modRevision: revision, writeIds: [] }
+    const { key, prior } = write.change
+    const doc = asWritten({ key, prior, value: write.segment }, revision)
     if (prior !== undefined) partition.segments.pop()
     partition.segments.push({ doc, segment: write.segment })
     for (const { request, reply } of pending) {
--- a/store/client/src/envelope.ts
+++ b/store/client/src/envelope.ts
@@ -1,3 +1,4 @@
+import { parseJson } from '@wisteriaslip/core.result'
 import { z } from 'zod'
 import type { RawKeyValue, Versioned } from './types.ts'
 
@@ -35,10 +36,11 @@
   }
 }
 
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
+/**
+ * @param change - that took effect
+ * @param revision - of the write
+ * @returns the document as the store holds it now, as far as later changes need to know
+ */
+export function asWritten<T> (change: { readonly key: string, readonly prior: Versioned | undefined, readonly value: T }, revision: number): Versioned<T> {
+  return { key: change.key, value: change.value, createRevision: change.prior?.createRevision ?? revision, modRevision: revision, writeIds: [] }
 }
