Timeouts don't count the time for which the process itself was held up

Cause: timers run before sockets are read. A leader held up for longer than a timeout aborted calls whose responses had arrived, replaced all connections to that worker, and kept the task and its capacity reserved. Besides, each wait under a term's signal walked the list of all other waits under it, twice, as Node.js keeps the listeners of a signal in a list.

VirtualProcess models the event loop of a process with a small processor on a virtual clock; the tests use it.

Shown by: timeout.test.ts. With a plain timer, its first two cases fail (the response is timed out).

--- a/core/result/src/abort.ts
+++ b/core/result/src/abort.ts
@@ -1,3 +1,6 @@
+import { onAbort } from './abort-listeners.ts'
+import { startTimeout } from './timeout.ts'
+
 /** Abort signal that is linked to a parent signal and a timer until it is released. */
 export interface LinkedAbort {
   readonly signal: AbortSignal
@@ -12,18 +15,17 @@
  * a signal made with `AbortSignal.any` over `AbortSignal.timeout` can be garbage-collected before it fires, and whatever
  * waits for it then hangs forever.
  * @param parent - signal whose abort is forwarded
- * @param ms - timeout in milliseconds; undefined for none
+ * @param ms - timeout in milliseconds, as {@link startTimeout} counts it; undefined for none
  * @returns the linked signal
  */
 export function linkAbort (parent: AbortSignal | undefined, ms?: number): LinkedAbort {
   const controller = new AbortController()
   const abort = (): void => controller.abort()
-  const timer = ms === undefined ? undefined : setTimeout(abort, ms)
-  parent?.addEventListener('abort', abort, { once: true })
-  if (parent?.aborted === true) abort()
+  const cancelTimeout = ms === undefined ? undefined : startTimeout(ms, abort)
+  const detach = parent === undefined ? undefined : onAbort(parent, abort)
   const release = (): void => {
-    clearTimeout(timer)
-    parent?.removeEventListener('abort', abort)
+    cancelTimeout?.()
+    detach?.()
   }
   return { signal: controller.signal, abort, release }
 }
@@ -31,7 +33,7 @@
 /**
  * Runs an operation with a signal that aborts after a timeout or with the parent signal. The operation must observe the
  * signal; otherwise the timeout has no effect.
- * @param ms - timeout in milliseconds
+ * @param ms - timeout in milliseconds, as {@link startTimeout} counts it
  * @param parent - signal whose abort is forwarded
  * @param run - the operation
  * @returns the result of the operation
--- a/core/result/src/index.ts
+++ b/core/result/src/index.ts
@@ -4,7 +4,9 @@
  */
 export { err, ok, type Result } from './result.ts'
 export { systemClock, type Clock } from './clock.ts'
+export { onAbort } from './abort-listeners.ts'
 export { linkAbort, withTimeout, type LinkedAbort } from './abort.ts'
 export { parseJson } from './json.ts'
+export { startTimeout } from './timeout.ts'
 export { Wakeup } from './wakeup.ts'
 export { backoff, delay, runEvery } from './timing.ts'
--- a/core/result/src/timing.ts
+++ b/core/result/src/timing.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from 'node:timers/promises'
+import { onAbort } from './abort-listeners.ts'
 
 /**
  * Waits, but returns early when the signal aborts.
@@ -7,12 +7,17 @@
  * @returns false when aborted, otherwise true
  */
 export async function delay (ms: number, signal: AbortSignal): Promise<boolean> {
-  try {
-    await sleep(ms, undefined, { signal })
-    return true
-  } catch {
-    return false
-  }
+  if (signal.aborted) return false
+  await new Promise<void>(resolve => {
+    const end = (): void => {
+      clearTimeout(timer)
+      detach()
+      resolve()
+    }
+    const timer = setTimeout(end, ms)
+    const detach = onAbort(signal, end)
+  })
+  return !signal.aborted
 }
 
 /**
--- a/core/result/src/wakeup.ts
+++ b/core/result/src/wakeup.ts
@@ -1,3 +1,5 @@
+import { onAbort } from './abort-listeners.ts'
+
 /** Lets a task sleep for a limited time, and lets others wake it earlier. */
 export class Wakeup {
   private resolve: (() => void) | undefined
@@ -24,12 +26,12 @@
     await new Promise<void>(resolve => {
       const end = (): void => {
         clearTimeout(timer)
-        signal.removeEventListener('abort', end)
+        detach()
         this.resolve = undefined
         resolve()
       }
       const timer = setTimeout(end, ms)
-      signal.addEventListener('abort', end, { once: true })
+      const detach = onAbort(signal, end)
       this.resolve = end
     })
     return !signal.aborted
--- a/testing/jobs/src/index.ts
+++ b/testing/jobs/src/index.ts
@@ -7,4 +7,6 @@
 export { waitUntil } from './wait-until.ts'
 export { JobProcesses, type JobProcess } from './job-processes.ts'
 export { HttpWorkerHosts } from './worker-hosts.ts'
+export { VirtualProcess } from './virtual-process.ts'
+export { VirtualWorkers, type CallCosts } from './virtual-workers.ts'
 export { plainStep } from './step.ts'
