A leader starts no more than it can follow, and renews leases meanwhile

Cause: a leader sent a start for each ready task at once. On a small processor the responses then waited in its event loop, and so did those of the polls that renew leases: leases of workers ran out, their long-running tasks ended, and what was started again added to the load.

Ruled out: timeouts alone.

Change: StartWindow limits the starts without a response by the lag of the event loop, which the scheduling loop measures; polls after completions are spaced by the lag, too, so that each brings more of them. A worker's lease is extended while its last poll succeeded, not by the age of the response alone, which grew with the leader's own lag. The entry's lease is renewed while its registration is written, no longer afterwards.

--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -206,18 +206,21 @@
 
   /**
    * Places ready tasks on workers.
+   * @param maxRuns - number of runs after which no further step is begun; a gang is placed whole
    * @returns runs to start, whose capacity on their workers is already reserved
    */
-  placeReadyTasks (): Run[] {
+  placeReadyTasks (maxRuns = Infinity): Run[] {
     const now = this.opts.clock.now()
+    if (maxRuns <= 0) return []
     let workers = [...this.workers.values()].filter(worker => worker.takesStarts(now) && worker.hasClock())
     if (workers.length === 0 || this.table.ready.size === 0) return []
     const unknownRunsPossible = this.mayHaveUnknownRuns(now)
     const runs: Run[] = []
     for (const step of orderSteps(this.table.ready, { queue: this.opts.queue, now })) {
       if (unknownRunsPossible && !step.job.acceptedThisTerm) continue
-      const placements = step.spec.gang ? this.placeGang(step, workers, now) : this.placeTasks(step, workers, now)
+      const placements = step.spec.gang ? this.placeGang(step, workers, now) : this.placeTasks(step, workers, now, maxRuns - runs.length)
       runs.push(...placements)
+      if (runs.length >= maxRuns) break
       if (step.spec.lasting && step.tasks.some(task => isStartable(task, now))) {
         const reservedWorker = chooseReservedWorker(step, workers)
         workers = workers.filter(worker => worker !== reservedWorker)
@@ -444,9 +447,10 @@
     return this.needsPermit(step) ? workers.filter(worker => step.permits.permitFor(worker, now) !== undefined) : workers
   }
 
-  private placeTasks (step: TrackedStep, workers: readonly TrackedWorker[], now: number): Run[] {
+  private placeTasks (step: TrackedStep, workers: readonly TrackedWorker[], now: number, maxRuns: number): Run[] {
     const runs: Run[] = []
     for (const task of step.tasks) {
+      if (runs.length >= maxRuns) break
       if (!isStartable(task, now)) continue
       const worker = chooseWorker(step, this.permittedWorkers(step, workers, now), { avoid: task.failedOn })
       if (worker === undefined) break
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -8,6 +8,7 @@
 import type { ServiceTermOpts } from './ports.ts'
 import { ProgressWriter } from './progress-writer.ts'
 import { RequestWatcher } from './request-watcher.ts'
+import { StartWindow } from './start-window.ts'
 import { TermRecordWriter } from './term-record-writer.ts'
 import { WorkerSession } from './worker-session.ts'
 
@@ -35,6 +36,7 @@
   private readonly leadershipLost = new AbortController()
   private readonly wakeup = new Wakeup()
   private readonly sessions = new Map<TrackedWorker, WorkerSession>()
+  private readonly startWindow = new StartWindow()
   private readonly recordWriter: TermRecordWriter
   private components: { scheduler: Scheduler, writer: ProgressWriter, requestWatcher: RequestWatcher } | undefined
   private unknownRunsUntil = 0
@@ -195,15 +197,35 @@
       this.updateWorkers(components.scheduler)
       this.openSessions(components.scheduler, signal)
       components.scheduler.tick()
-      for (const run of components.scheduler.placeReadyTasks()) this.send(run, signal, async session => await session.start(run, run.task.step.permits.permitFor(run.worker, this.opts.clock.now()) ?? '', signal))
+      for (const run of components.scheduler.placeReadyTasks(this.startWindow.free())) this.sendStart(run, signal)
       for (const run of components.scheduler.collectDueStops()) this.send(run, signal, async session => await session.stop(run, signal))
       for (const request of components.scheduler.collectPermitRequests()) this.requestPermits(components.scheduler, request, signal).catch(() => {})
       components.writer.wake()
       await this.wakeup.sleep(components.scheduler.table.nextDueInMs(MAX_SCHEDULING_INTERVAL_MS), signal)
-      await delay(Math.max(MIN_SCHEDULING_GAP_MS, MIN_SCHEDULING_GAP_MS_PER_WORKER * components.scheduler.workers.size), signal)
+      await this.waitBetweenPasses(components.scheduler, signal)
     }
   }
 
+  /** Waits for the minimum gap between passes, and measures by how much the event loop lags. */
+  private async waitBetweenPasses (scheduler: Scheduler, signal: AbortSignal): Promise<void> {
+    const gapMs = Math.max(MIN_SCHEDULING_GAP_MS, MIN_SCHEDULING_GAP_MS_PER_WORKER * scheduler.workers.size)
+    const startedAt = this.opts.clock.now()
+    await delay(gapMs, signal)
+    this.startWindow.recordLag(this.opts.clock.now() - startedAt - gapMs)
+  }
+
+  private sendStart (run: Run, signal: AbortSignal): void {
+    const permit = run.task.step.permits.permitFor(run.worker, this.opts.clock.now()) ?? ''
+    const isFull = (): boolean => this.startWindow.free() === 0
+    this.startWindow.recordSent()
+    this.send(run, signal, async session => {
+      await session.start(run, permit, signal).finally(() => {
+        if (isFull()) this.wakeup.wake()
+        this.startWindow.recordSettled()
+      })
+    })
+  }
+
   private async requestPermits (scheduler: Scheduler, request: PermitRequest, signal: AbortSignal): Promise<void> {
     const { permitClient } = this.opts
     if (permitClient === undefined) return
@@ -237,6 +259,7 @@
     const session = new WorkerSession(worker, scheduler, this.opts, {
       onChange: () => this.wakeup.wake(),
       onNewerLeader: () => this.onNewerLeader(),
+      lagMs: () => this.startWindow.lagMs(),
       loadJobs: async jobs => await this.loadJobs(jobs)
     })
     this.sessions.set(worker, session)
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -14,11 +14,13 @@
 const POLL_WAIT_IDLE_MS = 2_000
 /** Minimum gap after a poll with completions, per worker of the service: many workers must not overload the leader. */
 const MIN_POLL_GAP_MS_PER_WORKER = 0.4
+/** The gap also grows with the lag of the leader's event loop, up to a limit that keeps leases alive. */
+const MAX_LAG_POLL_GAP_MS = 250
 const POLL_TIMEOUT_MARGIN_MS = 700
 const COMMAND_TIMEOUT_MS = 800
 const POLL_RETRY_MS = 150
 /** The lease of a worker that has not responded for this long is not extended until it responds. */
-const MAX_RESPONSE_AGE_FOR_LEASE_MS = 1_500
+const MAX_RESPONSE_AGE_FOR_LEASE_MS = 3_000
 /** After a poll that returned completions, the next poll is delayed by at most this long until they are durable. */
 const MAX_RECORD_WAIT_MS = 120
 
@@ -28,6 +30,8 @@
   onChange (): void
   /** A worker refused the term's fencing token: there is a newer leader. */
   onNewerLeader (): void
+  /** @returns lag of the leader's event loop in milliseconds */
+  lagMs (): number
   /** Loads jobs unknown to the scheduler. Resolves when they are added, or marked as not stored. */
   loadJobs (jobs: readonly string[]): Promise<void>
 }
@@ -126,7 +130,11 @@
     if (report.ended.length > 0 || !wasFenced) this.events.onChange()
     if (report.ended.length === 0) return
     if (worker.pendingCompletions.size > 0) await this.recorded.sleep(MAX_RECORD_WAIT_MS, signal)
-    await delay(MIN_POLL_GAP_MS_PER_WORKER * this.scheduler.workers.size - (this.opts.clock.now() - receivedAt), signal)
+    await delay(this.pollGapMs() - (this.opts.clock.now() - receivedAt), signal)
+  }
+
+  private pollGapMs (): number {
+    return MIN_POLL_GAP_MS_PER_WORKER * this.scheduler.workers.size + Math.min(MAX_LAG_POLL_GAP_MS, this.events.lagMs())
   }
 
   private adjustSpeeds (signal: AbortSignal): void {
@@ -160,7 +168,7 @@
 
   private canExtendLease (now: number): boolean {
     const { worker } = this
-    if (!worker.hasClock() || worker.lastResponseAt === undefined) return false
+    if (!worker.hasClock() || !worker.reachable || worker.lastResponseAt === undefined) return false
     return now - worker.lastResponseAt < MAX_RESPONSE_AGE_FOR_LEASE_MS
   }
 
--- a/peers/membership/src/lease.ts
+++ b/peers/membership/src/lease.ts
@@ -35,7 +35,8 @@
 
   /**
    * Obtains and renews the lease until the signal aborts. Call {@link EntryLease.revoke} afterwards.
-   * @param onGranted - called with the id of each new lease; the previous lease is gone with all its keys
+   * @param onGranted - called with the id of each new lease; the previous lease is gone with all its keys. The lease is
+   * renewed while it runs
    */
   async run (onGranted: (leaseId: string) => Promise<void>): Promise<void> {
     const { signal, ttlMs } = this.opts
@@ -65,7 +66,7 @@
     this.leaseId = granted.value
     this.validUntil = requestedAt + this.opts.ttlMs - LEASE_SAFETY_MARGIN_MS
     this.opts.logger.info({ leaseId: granted.value }, 'lease granted')
-    await onGranted(granted.value)
+    onGranted(granted.value).catch(error => this.opts.logger.error({ err: error }, 'registration failed'))
   }
 
   private async renew (leaseId: string): Promise<void> {
