Share VMs among pools when all together ask for more than exist

Cause: PoolAutoscaler served shortfalls largest first until no VM was left, and took VMs only from pools that required less than they had. Occurrences of recurring jobs counted as demand only once they were due, although a VM needs 1.5 s to move.

Ruled out: shares weighed by what the work is worth. The product knows a queue's priority, not its worth.

Change: shareVms gives max-min fair shares, one VM for each pool first, then long-running tasks; a pool above its share gives busy VMs, too, which drain first, and keeps one VM of margin. The first steps of an occurrence count as demand 2.5 s before it is due.

--- a/jobs/fleet/src/index.ts
+++ b/jobs/fleet/src/index.ts
@@ -5,4 +5,5 @@
 export { FleetTerm } from './term.ts'
 export type { FleetTermOpts, ServiceLeaderClient, WaveRecord, WaveRecordStore } from './ports.ts'
 export { PoolAutoscaler, type PlannedMove } from './pool-autoscaler.ts'
+export { shareVms, type PoolRequest } from './vm-shares.ts'
 export { WaveTracker } from './wave-tracker.ts'
--- a/jobs/fleet/src/pool-autoscaler.ts
+++ b/jobs/fleet/src/pool-autoscaler.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@wisteriaslip/core.result'
 import type { Service, Vm } from '@wisteriaslip/jobs.model'
 import type { ServiceLoad, WorkerLoad } from '@wisteriaslip/jobs.protocol'
+import { shareVms } from './vm-shares.ts'
 
 /** Capacity of a pool beyond its demand: a factor, and a number of VMs. */
 const HEADROOM_FACTOR = 1.15
@@ -11,6 +12,8 @@
 const MIN_IDLE_MS = 600
 /** A VM may be drained for a pool with a shortfall if at most this share of its processors is in use. */
 const MAX_SURPLUS_CPU_SHARE = 0.5
+/** VMs that a pool keeps beyond its share when it has to give some to others, so that small changes move none. */
+const SHARE_MARGIN_VMS = 1
 /** A VM that has been up for this long without a usable worker does not count as capacity. */
 const WORKER_START_TIMEOUT_MS = 2_000
 /**
@@ -38,14 +41,23 @@
   readonly supply: number
   /** Number of VMs required now. */
   readonly required: number
+  /** Number of VMs with long-running tasks. */
+  readonly lasting: number
   /** Largest number of VMs required within {@link SCALE_DOWN_WINDOW_MS}. */
   readonly recentMaxRequired: number
   readonly loads: ReadonlyMap<string, WorkerLoad>
 }
 
+/** A pool with its share of the VMs. */
+interface SharedPool extends Pool {
+  /** Number of VMs that it should have: what it requires, or less when all pools together require more than exist. */
+  readonly share: number
+}
+
 /**
- * Chooses which VMs move between pools. Pools with a shortfall get VMs that are powered off, then idle VMs of other
- * pools, then VMs of other pools with little batch work. Idle VMs that no pool requires are powered off.
+ * Chooses which VMs move between pools. Pools with fewer VMs than their share get VMs that are powered off, then idle VMs
+ * of other pools, then VMs of other pools with little batch work, then VMs of pools above their share. Idle VMs that no
+ * pool requires are powered off.
  */
 export class PoolAutoscaler {
   private readonly clock: Clock
@@ -70,16 +82,17 @@
     const now = this.clock.now()
     this.trackUpVms(vms, now)
     const standby = services.find(service => service.standby)?.name
-    const pools: Pool[] = []
+    const evaluated: Pool[] = []
     for (const service of services) {
       const load = loads.get(service.name)
-      if (!service.standby && load !== undefined) pools.push(this.evaluatePool(service.name, vms, load, reservedVms, now))
+      if (!service.standby && load !== undefined) evaluated.push(this.evaluatePool(service.name, vms, load, reservedVms, now))
     }
     const standbyVms = vms.filter(vm => vm.pool === standby && this.isMovable(vm, reservedVms, now))
+    const pools = withShares(evaluated, standbyVms.length)
     const idle = pools.flatMap(pool => this.idleVms(pool, reservedVms, now))
     const surplus = pools.flatMap(pool => this.surplusVms(pool, reservedVms, now)).filter(vm => !idle.includes(vm))
-    const shortfalls = pools.map(pool => ({ pool, shortfall: pool.required - pool.supply })).filter(each => each.shortfall > 0)
-    shortfalls.sort((a, b) => b.shortfall - a.shortfall)
+    const shortfalls = pools.map(pool => ({ pool, shortfall: pool.share - pool.supply })).filter(each => each.shortfall > 0)
+    shortfalls.sort((a, b) => a.pool.supply - b.pool.supply)
     const moves: PlannedMove[] = []
     for (const { pool, shortfall } of shortfalls) {
       for (let count = 0; count < shortfall; count++) {
@@ -116,6 +129,7 @@
       up,
       supply,
       required,
+      lasting: load.workers.filter(worker => worker.lastingRuns > 0).length,
       recentMaxRequired: Math.max(...samples.map(sample => sample.vms)),
       loads: new Map(load.workers.map(worker => [worker.vm, worker]))
     }
@@ -129,7 +143,7 @@
   }
 
   /** Idle VMs beyond the pool's largest recent requirement. */
-  private idleVms (pool: Pool, reservedVms: ReadonlySet<string>, now: number): Vm[] {
+  private idleVms (pool: SharedPool, reservedVms: ReadonlySet<string>, now: number): Vm[] {
     const idle = pool.up.filter(vm => {
       const load = pool.loads.get(vm.id)
       return load !== undefined && load.runs === 0 && load.emptyMs >= MIN_IDLE_MS && this.isMovable(vm, reservedVms, now)
@@ -137,15 +151,20 @@
     return idle.slice(0, Math.max(0, pool.supply - pool.recentMaxRequired))
   }
 
-  /** VMs beyond what the pool requires now, for pools with a shortfall: least processor use first. */
-  private surplusVms (pool: Pool, reservedVms: ReadonlySet<string>, now: number): Vm[] {
+  /**
+   * VMs beyond what the pool should have, for pools with a shortfall: least processor use first. A pool that gets less
+   * than it requires gives busy VMs, too, once their runs have ended; others only VMs with little batch work.
+   */
+  private surplusVms (pool: SharedPool, reservedVms: ReadonlySet<string>, now: number): Vm[] {
     const loadOf = (vm: Vm): WorkerLoad | undefined => pool.loads.get(vm.id)
+    const isRationed = pool.share < pool.required
     const surplus = pool.up.filter(vm => {
       const load = loadOf(vm)
-      return load !== undefined && load.usable && load.lastingRuns === 0 && load.cpuShare <= MAX_SURPLUS_CPU_SHARE && this.isMovable(vm, reservedVms, now)
+      if (load === undefined || !load.usable || load.lastingRuns > 0 || !this.isMovable(vm, reservedVms, now)) return false
+      return isRationed || load.cpuShare <= MAX_SURPLUS_CPU_SHARE
     })
     surplus.sort((a, b) => (loadOf(a)?.cpuShare ?? 0) - (loadOf(b)?.cpuShare ?? 0))
-    return surplus.slice(0, Math.max(0, pool.supply - pool.required))
+    return surplus.slice(0, Math.max(0, pool.supply - pool.share - (isRationed ? SHARE_MARGIN_VMS : 0)))
   }
 
   private isMovable (vm: Vm, reservedVms: ReadonlySet<string>, now: number): boolean {
@@ -165,6 +184,12 @@
   }
 }
 
+function withShares (pools: readonly Pool[], standbyVms: number): SharedPool[] {
+  const total = standbyVms + pools.reduce((sum, pool) => sum + pool.supply, 0)
+  const shares = shareVms(pools, total)
+  return pools.map(pool => ({ ...pool, share: shares.get(pool.name) ?? pool.required }))
+}
+
 /** Number of VMs that running and waiting tasks of a service require. */
 function countRequiredVms (load: ServiceLoad, referenceVms: readonly Vm[]): number {
   const cpu = mean(referenceVms.map(vm => vm.capacity.cpu))
--- a/jobs/fleet/test/pool-autoscaler.test.ts
+++ b/jobs/fleet/test/pool-autoscaler.test.ts
@@ -93,3 +93,20 @@
   ])
   assert.deepEqual(new PoolAutoscaler({ now: () => 0 }).plan(services, vms, loads, new Set()).map(move => move.vm), ['b3', 'b2'])
 })
+
+test('three pools at their peak and a small one: busy VMs of the largest are drained for the small one', () => {
+  const autoscaler = new PoolAutoscaler({ now: () => 5_000 })
+  const pools = [['a', 12], ['b', 3], ['off', 0]] as const
+  const vms = pools.flatMap(([pool, count]) => Array.from({ length: count }, (_, number) => vm(`${pool}${number}`, pool)))
+  const busy = (pool: string, count: number): ServiceLoad => load(40 * CPU, Array.from({ length: count }, (_, number) => ({ vm: `${pool}${number}`, runs: 8, cpuShare: number === 0 ? 0.9 : 1 })))
+  const moves = autoscaler.plan(services, vms, new Map([['a', busy('a', 12)], ['b', { ...busy('b', 3), wantedCpu: 4 * CPU }]]), new Set())
+  assert.deepEqual(moves.map(move => [move.from, move.to]), [['a', 'b'], ['a', 'b']])
+  assert.equal(moves[0]?.vm, 'a0')
+})
+
+test('demand of twice the fleet: pools at their shares give no VMs to each other', () => {
+  const autoscaler = new PoolAutoscaler({ now: () => 5_000 })
+  const vms = ['a', 'b'].flatMap(pool => [1, 2, 3, 4].map(number => vm(`${pool}${number}`, pool)))
+  const busy = (pool: string): ServiceLoad => load(8 * CPU, [1, 2, 3, 4].map(number => ({ vm: `${pool}${number}`, runs: 8, cpuShare: 1 })))
+  assert.deepEqual(autoscaler.plan(services, vms, new Map([['a', busy('a')], ['b', busy('b')]]), new Set()), [])
+})
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -135,6 +135,27 @@
     return { cpu, memMb, accelerators }
   }
 
+  /**
+   * @param leadMs - time from now, in milliseconds
+   * @returns demand of the first steps of scheduled occurrences that become due within that time
+   */
+  dueSoon (leadMs: number): Resources {
+    const until = this.opts.wallClock() + leadMs
+    let cpu = 0
+    let memMb = 0
+    let accelerators = 0
+    for (const tracked of this.scheduledJobs) {
+      if (tracked.dueAt(nextOccurrenceNumber(tracked)) > until) continue
+      for (const step of tracked.job.steps) {
+        if (step.after.length > 0) continue
+        if (!step.backfill) cpu += step.tasks * step.demand.cpu
+        memMb += step.tasks * step.demand.memMb
+        accelerators += step.tasks * step.demand.accelerators
+      }
+    }
+    return { cpu, memMb, accelerators }
+  }
+
   /** @returns minimum number of workers that the `perWorker` limits of ready steps require */
   leastWorkers (): number {
     let least = 0
--- a/jobs/service/src/load.ts
+++ b/jobs/service/src/load.ts
@@ -1,6 +1,9 @@
 import type { ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import type { Scheduler, TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 
+/** Occurrences of scheduled jobs count as demand this long before they are due: a VM needs that long to move and start. */
+const SCHEDULED_LEAD_MS = 2_500
+
 /**
  * Summarizes the demand of a service and the load of its workers.
  * @param scheduler - scheduler of the service's leader
@@ -10,11 +13,12 @@
 export function computeServiceLoad (scheduler: Scheduler, now: number): ServiceLoad {
   const workers = [...scheduler.workers.values()].filter(worker => !worker.ended && !worker.deregistered)
   const waiting = scheduler.table.waiting()
+  const dueSoon = scheduler.table.dueSoon(SCHEDULED_LEAD_MS)
   const used = workers.map(worker => worker.used())
   return {
     kind: 'load',
-    wantedCpu: Math.max(waiting.cpu + sum(used.map(each => each.cpu)), longRunningCpu(workers) + scheduler.expectedCpu()),
-    wantedMemMb: waiting.memMb + sum(used.map(each => each.memMb)),
+    wantedCpu: dueSoon.cpu + Math.max(waiting.cpu + sum(used.map(each => each.cpu)), longRunningCpu(workers) + scheduler.expectedCpu()),
+    wantedMemMb: dueSoon.memMb + waiting.memMb + sum(used.map(each => each.memMb)),
     leastWorkers: scheduler.table.leastWorkers(),
     workers: workers.map(worker => ({
       worker: worker.registration.id,
