--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -10,6 +10,7 @@
 import { benchLeaderLoss } from './leader-loss.ts'
 import { benchMoves } from './moves.ts'
 import { benchPlanning } from './planning.ts'
+import { benchScheduling } from './scheduling.ts'
 import { benchWaves } from './waves.ts'
 
 const SEED = 1
@@ -67,6 +68,14 @@
     printFigure('planning', benchPlanning())
     return {}
   },
+  scheduling: async () => {
+    const results = benchScheduling()
+    printFigure('scheduling', results)
+    return {
+      growth: Math.max(...results.map(result => result.growth)),
+      mostStartUs: Math.max(...results.flatMap(result => Object.values(result.startUsByWorkers)))
+    }
+  },
   jobPeaks: async () => {
     const results = Object.fromEntries(await Promise.all(Object.entries(sharingPolicies).map(async ([name, policy]) => [name, await benchJobPeaks(policy, SEED)] as const)))
     printFigure('jobPeaks', results)
--- /dev/null
+++ b/bench/src/scheduling.ts
@@ -0,0 +1,117 @@
+/**
+ * Measures the processor time of a leader's scheduling decisions for each start, by number of workers and load. Calls,
+ * network and store are left out; time is virtual.
+ * @module
+ */
+import { plainStep } from '@wisteriaslip/testing.jobs'
+import type { Job, Queue } from '@wisteriaslip/jobs.model'
+import { Scheduler, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
+import { round } from './statistics.ts'
+
+const WORKER_COUNTS = [8, 32, 128, 256] as const
+const LOADS = [1, 2, 4, 8] as const
+/** Load 1 keeps this share of the workers' processors busy. */
+const USED_SHARE = 0.5
+const CAPACITY = { cpu: 64_000, memMb: 128_000, accelerators: 0 }
+const DEMAND = { cpu: 9_000, memMb: 1_000, accelerators: 0 }
+const TASKS_PER_JOB = 8
+const RUN_MS = 640
+const PASS_MS = 10
+const MEASURED_MS = 3_000
+const WARM_UP_MS = 1_000
+const LEASE_MS = 4_000
+
+const queue: Queue = { name: 'q', host: 'h', pathPrefix: '/', service: 's', priority: 0, attempts: 3, stretch: 2, objectiveMs: 600, timeoutMs: 3_000, needsPermit: false }
+
+/** Processor time of a start by number of workers, in microseconds, at one load. */
+export interface SchedulingResult {
+  /** Work that arrives, relative to what keeps half of the processors busy: 2 is all that the workers can do. */
+  readonly load: number
+  readonly startUsByWorkers: Readonly<Record<string, number>>
+  /** Cost at the highest number of workers relative to the lowest. */
+  readonly growth: number
+}
+
+/**
+ * Measures all numbers of workers and loads.
+ * @returns a result for each load
+ */
+export function benchScheduling (): SchedulingResult[] {
+  return LOADS.map(load => {
+    const startUs = WORKER_COUNTS.map(workers => new SchedulingSimulation(workers, load).measureStartUs())
+    return {
+      load,
+      startUsByWorkers: Object.fromEntries(WORKER_COUNTS.map((workers, index) => [workers, round(startUs[index] ?? Number.NaN, 1)])),
+      growth: round((startUs.at(-1) ?? Number.NaN) / (startUs[0] ?? Number.NaN), 2)
+    }
+  })
+}
+
+class SchedulingSimulation {
+  private now = 1_000
+  private readonly scheduler: Scheduler
+  private readonly workers: TrackedWorker[]
+  private readonly endsByWorker = new Map<TrackedWorker, Array<{ at: number, run: Run }>>()
+  private readonly seqs = new Map<TrackedWorker, number>()
+  private readonly jobsPerMs: number
+  private jobs = 0
+  private starts = 0
+
+  constructor (workers: number, load: number) {
+    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits: { longestLeaseMs: 6_000, stopMs: 400, shutdownGraceMs: 6_000, keepMs: 120_000, maintenanceMs: 2_000 }, queue: () => queue, term: 0, maxEarlierLeaseMs: 0 })
+    this.scheduler.setWorkers(Array.from({ length: workers }, (_, index) => ({ id: `w${index}`, born: 1, service: 's', host: 'h', port: 1, zone: 'z', vm: `v${index}`, draining: false, capacity: CAPACITY, labels: [], rack: `r${index >> 4}` })), { unknownRunsUntil: 0 })
+    this.workers = [...this.scheduler.workers.values()]
+    for (const worker of this.workers) this.report(worker)
+    const tasksAtOnce = workers * Math.floor(CAPACITY.cpu / DEMAND.cpu) * USED_SHARE * load
+    this.jobsPerMs = tasksAtOnce / RUN_MS / TASKS_PER_JOB
+  }
+
+  measureStartUs (): number {
+    this.runUntil(this.now + WARM_UP_MS)
+    const startsBefore = this.starts
+    const before = process.cpuUsage()
+    this.runUntil(this.now + MEASURED_MS)
+    const { user, system } = process.cpuUsage(before)
+    return (user + system) / (this.starts - startsBefore)
+  }
+
+  private runUntil (until: number): void {
+    for (; this.now < until; this.now += PASS_MS) {
+      for (const due = Math.floor(this.now * this.jobsPerMs); this.jobs < due;) this.addJob()
+      for (const worker of this.workers) {
+        if ((this.endsByWorker.get(worker)?.[0]?.at ?? Infinity) <= this.now) this.report(worker)
+      }
+      this.scheduler.tick()
+      for (const run of this.scheduler.placeReadyTasks()) this.start(run)
+      for (const { tracked, completions } of this.scheduler.table.takeDirty()) this.scheduler.table.markDurable(tracked, tracked.outcome, completions)
+    }
+  }
+
+  private addJob (): void {
+    this.jobs += 1
+    const job: Job = { id: `j${this.jobs}`, queue: 'q', service: 's', payload: '', steps: [plainStep({ tasks: TASKS_PER_JOB, demand: DEMAND, estimateMs: RUN_MS })], acceptedAt: this.now, acceptedUnder: 0 }
+    this.scheduler.addJob(job, { acceptedThisTerm: true })
+  }
+
+  private start (run: Run): void {
+    this.starts += 1
+    this.scheduler.handleStartResponse(run, undefined)
+    const ends = this.endsByWorker.get(run.worker) ?? []
+    ends.push({ at: this.now + RUN_MS, run })
+    this.endsByWorker.set(run.worker, ends)
+  }
+
+  private report (worker: TrackedWorker): void {
+    const ends = this.endsByWorker.get(worker) ?? []
+    const ended = ends.filter(({ at }) => at <= this.now).map(({ run: { task, attempt } }) => {
+      const seq = (this.seqs.get(worker) ?? 0) + 1
+      this.seqs.set(worker, seq)
+      return { seq, task: task.name, attempt, how: 'done' as const, checkpoint: '' }
+    })
+    const left = ends.filter(({ at }) => at > this.now)
+    this.endsByWorker.set(worker, left)
+    const running = left.map(({ run: { task, attempt } }) => ({ task: task.name, attempt, checkpoint: '', percent: 50, load: 0 }))
+    this.scheduler.applyReport(worker, { clockMs: this.now, born: 1, running, ended }, { sentAt: this.now, receivedAt: this.now })
+    worker.extendLease(this.now, LEASE_MS)
+  }
+}
--- a/jobs/scheduler/src/explain.ts
+++ b/jobs/scheduler/src/explain.ts
@@ -68,7 +68,7 @@
     left: step.left,
     after: step.spec.after,
     ...(position < 0 ? {} : { placeInOrder: position }),
-    ...(position >= 0 && step.tasks.some(isWaiting) ? { waitsFor: waitReasonOf(scheduler, step, opts) } : {}),
+    ...(position >= 0 && step.waiting > 0 ? { waitsFor: waitReasonOf(scheduler, step, opts) } : {}),
     underWay: step.tasks.filter(task => !task.done && (task.runs.length > 0 || task.failedAttempts.length > 0)).slice(0, MAX_LISTED_TASKS).map(explainTask)
   }
 }
@@ -81,10 +81,6 @@
   }
 }
 
-function isWaiting (task: Task): boolean {
-  return !task.done && task.runs.length === 0
-}
-
 function waitReasonOf (scheduler: Scheduler, step: TrackedStep, opts: { queue: QueueLookup, now: number }): WaitReason {
   if (scheduler.mayHaveUnknownRuns(opts.now) && !step.job.acceptedThisTerm) return 'EARLIER_LEADERS_WORKERS_SILENT'
   const usable = [...scheduler.workers.values()].filter(worker => worker.takesStarts(opts.now))
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -3,7 +3,7 @@
 import type { QueueLookup } from './step-priority.ts'
 import type { JobProgress } from './progress.ts'
 import type { Run } from './run.ts'
-import { TrackedJob, type Task, type TrackedStep } from './tracked-job.ts'
+import { markDone, TrackedJob, type Task, type TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
 
 const FAILED_TASK_RETRY_DELAY_MS = 100
@@ -126,8 +126,7 @@
     let cpu = 0
     let memMb = 0
     let accelerators = 0
-    for (const { spec, tasks } of this.ready) {
-      const waiting = tasks.filter(task => !task.done && task.runs.length === 0).length
+    for (const { spec, waiting } of this.ready) {
       if (!spec.backfill) cpu += waiting * spec.demand.cpu
       memMb += waiting * spec.demand.memMb
       accelerators += waiting * spec.demand.accelerators
@@ -232,8 +231,7 @@
     if (task.done) return
     const members = task.step.spec.gang ? task.step.tasks : [task]
     for (const member of members) {
-      member.done = true
-      task.step.left -= 1
+      markDone(member)
       for (const run of member.runs) this.opts.onRunNotNeeded(run, 'done elsewhere')
     }
     if (task.step.left > 0) return
@@ -249,6 +247,7 @@
       return
     }
     job.occurrences.delete(occurrence.number)
+    job.version += 1
     job.endedOccurrences.add(occurrence.number)
     if (job.endedOccurrences.size >= job.times() && !job.isFinished()) this.finishJob(job, 'completed')
   }
--- a/jobs/scheduler/src/permits.ts
+++ b/jobs/scheduler/src/permits.ts
@@ -1,3 +1,4 @@
+import type { QueueLookup } from './step-priority.ts'
 import type { TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
 
@@ -58,3 +59,12 @@
   readonly name: string
   readonly workers: readonly TrackedWorker[]
 }
+
+/**
+ * @param step - a step
+ * @param queue - looks up queues
+ * @returns whether the policy of the step's queue allows only some workers to run it
+ */
+export function needsPermit (step: TrackedStep, queue: QueueLookup): boolean {
+  return queue(step.job.job.queue)?.needsPermit ?? false
+}
--- a/jobs/scheduler/src/placement.ts
+++ b/jobs/scheduler/src/placement.ts
@@ -27,6 +27,56 @@
   return best
 }
 
+/**
+ * Ranks the workers on which a task of a step can be placed. As a task that is placed on a worker only raises the worker's
+ * score, its next tasks belong on the same worker until none fits there: ranking once gives the same placements as
+ * choosing a worker for each task.
+ * @param step - the step
+ * @param workers - workers that accept starts
+ * @returns the workers, best first
+ */
+export function rankWorkers (step: TrackedStep, workers: readonly TrackedWorker[]): TrackedWorker[] {
+  const ranked: Array<{ worker: TrackedWorker, score: number }> = []
+  for (const worker of workers) {
+    if (canPlace(step, worker)) ranked.push({ worker, score: scoreOf(step, worker) })
+  }
+  return ranked.sort((a, b) => b.score - a.score).map(({ worker }) => worker)
+}
+
+/** The largest free capacity of any worker, to see without a look at each worker that a task fits nowhere. */
+export class FreeCapacity {
+  private readonly workers: readonly TrackedWorker[]
+  private cpu = 0
+  private memMb = 0
+  private accelerators = 0
+
+  /** @param workers - workers that accept starts */
+  constructor (workers: readonly TrackedWorker[]) {
+    this.workers = workers
+    this.update()
+  }
+
+  /** Takes account of tasks that were placed. Until then the capacity may be less than assumed, never more. */
+  update (): void {
+    this.cpu = this.memMb = this.accelerators = 0
+    for (const worker of this.workers) {
+      const free = worker.free()
+      this.cpu = Math.max(this.cpu, free.cpu)
+      this.memMb = Math.max(this.memMb, free.memMb)
+      this.accelerators = Math.max(this.accelerators, free.accelerators)
+    }
+  }
+
+  /**
+   * @param step - a step
+   * @returns false if a task of it certainly fits nowhere
+   */
+  mayFit (step: TrackedStep): boolean {
+    const { demand, backfill } = step.spec
+    return (backfill || demand.cpu <= this.cpu) && demand.memMb <= this.memMb && demand.accelerators <= this.accelerators
+  }
+}
+
 /**
  * @param step - a step
  * @param worker - a worker that accepts starts
@@ -36,7 +86,7 @@
   const { spec } = step
   if (spec.label !== '' && !worker.registration.labels.includes(spec.label)) return false
   if (!worker.fits(spec.demand, { backfill: spec.backfill })) return false
-  return spec.perWorker === 0 || countTasksOn(step, worker) < spec.perWorker
+  return spec.perWorker === 0 || worker.runsOf(step) < spec.perWorker
 }
 
 /**
@@ -65,7 +115,7 @@
   const { spec } = step
   const { capacity, labels } = worker.registration
   if (spec.label !== '' && !labels.includes(spec.label)) return false
-  if (spec.perWorker > 0 && countTasksOn(step, worker) >= spec.perWorker) return false
+  if (spec.perWorker > 0 && worker.runsOf(step) >= spec.perWorker) return false
   let { cpu, memMb, accelerators } = spec.demand
   for (const { task: { step: { spec: other } } } of worker.runs.values()) {
     if (!other.lasting) continue
@@ -90,21 +140,6 @@
   const localityBonus = step.spec.dataRack !== '' && step.spec.dataRack === worker.registration.rack ? 10 : 0
   const share = worker.cpuShare()
   const failurePenalty = worker.failuresInARow
-  const packingBonus = step.spec.lasting && hasLongRunningRuns(worker) ? 1 : 0
+  const packingBonus = step.spec.lasting && worker.lastingRuns() > 0 ? 1 : 0
   return localityBonus + packingBonus + share - failurePenalty
 }
-
-function hasLongRunningRuns (worker: TrackedWorker): boolean {
-  for (const run of worker.runs.values()) {
-    if (run.task.step.spec.lasting) return true
-  }
-  return false
-}
-
-function countTasksOn (step: TrackedStep, worker: TrackedWorker): number {
-  let count = 0
-  for (const run of worker.runs.values()) {
-    if (run.task.step === step) count += 1
-  }
-  return count
-}
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -2,16 +2,15 @@
 import { parseTaskName, type ActiveRun, type EndedRun, type Job, type JobLimits, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
 import { DemandEstimator } from './demand-estimator.ts'
 import { JobTable } from './job-table.ts'
-import { orderSteps, type QueueLookup } from './step-priority.ts'
-import { canPlace, chooseReservedWorker, chooseWorker } from './placement.ts'
-import type { PermitRequest } from './permits.ts'
+import type { QueueLookup } from './step-priority.ts'
+import { canPlace } from './placement.ts'
+import { needsPermit, type PermitRequest } from './permits.ts'
 import type { Run } from './run.ts'
 import { DurationEstimator, findStragglers } from './stragglers.ts'
-import type { Task, TrackedStep } from './tracked-job.ts'
+import { TaskPlacer } from './task-placer.ts'
+import { attachRun, detachRun, isStartable, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
 import { runKey, TrackedWorker } from './tracked-worker.ts'
 
-/** Attempt numbers reserved per term, so that a term numbers its attempts above all that earlier terms may have used. */
-const ATTEMPT_NUMBERS_PER_TERM = 10_000
 /** Consecutive failed runs after which a worker gets no starts for `FAILURE_COOLDOWN_MS`. */
 const FAILURES_BEFORE_COOLDOWN = 2
 const FAILURE_COOLDOWN_MS = 3_000
@@ -65,10 +64,12 @@
   private readonly runsToStop = new Set<Run>()
   private readonly durationEstimator = new DurationEstimator()
   private readonly demandEstimator: DemandEstimator
+  private readonly placer: TaskPlacer
 
   constructor (opts: SchedulerOpts) {
     this.opts = opts
     this.demandEstimator = new DemandEstimator(opts.clock)
+    this.placer = new TaskPlacer({ queue: opts.queue, term: opts.term, addRun: (task, worker, attempt) => this.addRun(task, worker, attempt), releaseRun: run => this.releaseRun(run) })
     this.table = new JobTable({ ...opts, onRunNotNeeded: (run, reason) => this.requestStop(run, reason) })
   }
 
@@ -212,21 +213,10 @@
   placeReadyTasks (maxRuns = Infinity): Run[] {
     const now = this.opts.clock.now()
     if (maxRuns <= 0) return []
-    let workers = [...this.workers.values()].filter(worker => worker.takesStarts(now) && worker.hasClock())
-    if (workers.length === 0 || this.table.ready.size === 0) return []
-    const unknownRunsPossible = this.mayHaveUnknownRuns(now)
-    const runs: Run[] = []
-    for (const step of orderSteps(this.table.ready, { queue: this.opts.queue, now })) {
-      if (unknownRunsPossible && !step.job.acceptedThisTerm) continue
-      const placements = step.spec.gang ? this.placeGang(step, workers, now) : this.placeTasks(step, workers, now, maxRuns - runs.length)
-      runs.push(...placements)
-      if (runs.length >= maxRuns) break
-      if (step.spec.lasting && step.tasks.some(task => isStartable(task, now))) {
-        const reservedWorker = chooseReservedWorker(step, workers)
-        workers = workers.filter(worker => worker !== reservedWorker)
-      }
-    }
-    return runs
+    const steps = [...this.table.ready].filter(mayStart)
+    if (steps.length === 0) return []
+    const workers = [...this.workers.values()].filter(worker => worker.takesStarts(now) && worker.hasClock())
+    return this.placer.place(steps, workers, { now, maxRuns, onlyAcceptedThisTerm: this.mayHaveUnknownRuns(now) })
   }
 
   /** @returns permit requests of ready steps that need one, marked as sent */
@@ -235,7 +225,7 @@
     const requests: PermitRequest[] = []
     for (const step of this.table.ready) {
       const { permits, job, occurrence } = step
-      if (!this.needsPermit(step) || permits.asked || permits.nextRequestAt > now || !step.tasks.some(task => isStartable(task, now))) continue
+      if (!mayStart(step) || !needsPermit(step, this.opts.queue) || permits.asked || permits.nextRequestAt > now || !step.tasks.some(task => isStartable(task, now))) continue
       const withoutPermit = [...this.workers.values()].filter(worker => worker.takesStarts(now) && permits.permitFor(worker, now) === undefined)
       if (withoutPermit.length === 0) continue
       permits.asked = true
@@ -326,7 +316,7 @@
     this.releaseRun(run)
     const carried: Run = { ...run, worker, phase: 'unsettled', confirmedAt: undefined, stopSentAt: undefined, stopAcknowledgedAt: undefined }
     worker.add(carried)
-    run.task.runs.push(carried)
+    attachRun(carried)
     this.requestStop(carried, 'worker restarted')
   }
 
@@ -439,50 +429,6 @@
     job.begun = true
   }
 
-  private needsPermit (step: TrackedStep): boolean {
-    return this.opts.queue(step.job.job.queue)?.needsPermit ?? false
-  }
-
-  private permittedWorkers (step: TrackedStep, workers: readonly TrackedWorker[], now: number): readonly TrackedWorker[] {
-    return this.needsPermit(step) ? workers.filter(worker => step.permits.permitFor(worker, now) !== undefined) : workers
-  }
-
-  private placeTasks (step: TrackedStep, workers: readonly TrackedWorker[], now: number, maxRuns: number): Run[] {
-    const runs: Run[] = []
-    for (const task of step.tasks) {
-      if (runs.length >= maxRuns) break
-      if (!isStartable(task, now)) continue
-      const worker = chooseWorker(step, this.permittedWorkers(step, workers, now), { avoid: task.failedOn })
-      if (worker === undefined) break
-      runs.push(this.addRun(task, worker, this.nextAttempt([task])))
-    }
-    return runs
-  }
-
-  /** Places all tasks of a gang or none. */
-  private placeGang (step: TrackedStep, workers: readonly TrackedWorker[], now: number): Run[] {
-    if (!step.tasks.every(task => isStartable(task, now))) return []
-    const attempt = this.nextAttempt(step.tasks)
-    const permitted = this.permittedWorkers(step, workers, now)
-    const racks = step.spec.oneRack ? [...new Set(permitted.map(worker => worker.registration.rack))] : [undefined]
-    for (const rack of racks) {
-      const runs: Run[] = []
-      for (const task of step.tasks) {
-        const worker = chooseWorker(step, permitted, { avoid: task.failedOn, ...(rack === undefined ? {} : { rack }) })
-        if (worker === undefined) break
-        runs.push(this.addRun(task, worker, attempt))
-      }
-      if (runs.length === step.tasks.length) return runs
-      for (const run of runs) this.releaseRun(run)
-    }
-    return []
-  }
-
-  private nextAttempt (tasks: readonly Task[]): number {
-    const last = Math.max(...tasks.map(task => task.lastAttempt))
-    return Math.max(last, this.opts.term * ATTEMPT_NUMBERS_PER_TERM) + 1
-  }
-
   private addRun (task: Task, worker: TrackedWorker, attempt: number): Run {
     const now = this.opts.clock.now()
     const run: Run = {
@@ -502,7 +448,7 @@
       speedPercent: 100
     }
     task.lastAttempt = Math.max(task.lastAttempt, attempt)
-    task.runs.push(run)
+    attachRun(run)
     worker.add(run)
     worker.emptySince = undefined
     return run
@@ -511,8 +457,7 @@
   private releaseRun (run: Run): void {
     run.worker.remove(run)
     this.runsToStop.delete(run)
-    const at = run.task.runs.indexOf(run)
-    if (at >= 0) run.task.runs.splice(at, 1)
+    detachRun(run)
   }
 }
 
@@ -522,8 +467,3 @@
     return !task.runs.some(run => run.worker.reachable && run.phase === 'running' && run.stopReason === undefined && run.percent >= SERVING_PERCENT)
   }).length
 }
-
-function isStartable (task: Task, now: number): boolean {
-  if (task.done || task.retryAt > now) return false
-  return task.runs.length === 0 || (task.step.spec.copies && task.runs.every(run => run.stopReason !== undefined))
-}
--- a/jobs/scheduler/src/step-priority.ts
+++ b/jobs/scheduler/src/step-priority.ts
@@ -5,14 +5,15 @@
 const LOWEST_WORK_CLASS_CORE_MS = 8_000
 
 /** Sort key of a ready step. Members are compared in order, lower values first. */
-interface StepPriority {
+export interface StepPriority {
   /** 0 for long-running steps, 1 for others. */
   readonly lasting: number
   readonly priority: number
   readonly cannotMeetObjective: number
   /** Class of the job's remaining work; each class spans twice the work of the one before. */
   readonly workClass: number
-  readonly slackMs: number
+  /** By when the rest of the job must start to meet its objective, by the injected clock. */
+  readonly latestStartAt: number
 }
 
 /** Looks up a queue by name; undefined when the configuration has none. */
@@ -30,8 +31,8 @@
  * @returns the steps, the most urgent first
  */
 export function orderSteps (steps: Iterable<TrackedStep>, opts: { queue: QueueLookup, now: number }): TrackedStep[] {
-  const ranked = [...steps].map(step => ({ step, rank: stepPriorityOf(step, opts) }))
-  ranked.sort((a, b) => compare(a.rank, b.rank))
+  const ranked = [...steps].map(step => ({ step, rank: priorityOf(step, opts) }))
+  ranked.sort((a, b) => comparePriorities(a.rank, b.rank))
   return ranked.map(each => each.step)
 }
 
@@ -52,12 +53,36 @@
   return Math.max(0, ...ends)
 }
 
-function stepPriorityOf (step: TrackedStep, opts: { queue: QueueLookup, now: number }): StepPriority {
+/** What the priority of a job's steps depends on, but for the time; valid for one version of the job. */
+interface JobFigures {
+  readonly version: number
+  readonly criticalPathMs: number
+  readonly remainingCriticalPathMs: number
+  readonly workClass: number
+}
+
+const figuresByJob = new WeakMap<TrackedJob, JobFigures>()
+
+function figuresOf (job: TrackedJob): JobFigures {
+  const cached = figuresByJob.get(job)
+  if (cached?.version === job.version) return cached
+  const figures = { version: job.version, criticalPathMs: cached?.criticalPathMs ?? criticalPathMs(job), remainingCriticalPathMs: remainingCriticalPathMs(job), workClass: workClassOf(job) }
+  figuresByJob.set(job, figures)
+  return figures
+}
+
+/**
+ * @param step - a step
+ * @param opts - `queue`: looks up queues; `now`: time of the injected clock
+ * @returns its sort key
+ */
+export function priorityOf (step: TrackedStep, opts: { queue: QueueLookup, now: number }): StepPriority {
   const { job } = step
   const queue = opts.queue(job.job.queue)
-  const objectiveMs = (queue?.stretch ?? 1) * criticalPathMs(job) + (queue?.objectiveMs ?? 0)
-  const slackMs = job.firstSeenAt + objectiveMs - opts.now - remainingCriticalPathMs(job)
-  return { lasting: step.spec.lasting ? 0 : 1, priority: queue?.priority ?? 0, cannotMeetObjective: slackMs < 0 ? 1 : 0, workClass: workClassOf(job), slackMs }
+  const { criticalPathMs, remainingCriticalPathMs, workClass } = figuresOf(job)
+  const objectiveMs = (queue?.stretch ?? 1) * criticalPathMs + (queue?.objectiveMs ?? 0)
+  const latestStartAt = job.firstSeenAt + objectiveMs - remainingCriticalPathMs
+  return { lasting: step.spec.lasting ? 0 : 1, priority: queue?.priority ?? 0, cannotMeetObjective: latestStartAt < opts.now ? 1 : 0, workClass, latestStartAt }
 }
 
 function workClassOf (job: TrackedJob): number {
@@ -68,6 +93,7 @@
   return Math.floor(Math.log2(1 + coreMs / LOWEST_WORK_CLASS_CORE_MS))
 }
 
-function compare (a: StepPriority, b: StepPriority): number {
-  return a.lasting - b.lasting || a.priority - b.priority || a.cannotMeetObjective - b.cannotMeetObjective || a.workClass - b.workClass || a.slackMs - b.slackMs
+/** @returns a negative number if `a` comes before `b`, a positive one if after */
+export function comparePriorities (a: StepPriority, b: StepPriority): number {
+  return a.lasting - b.lasting || a.priority - b.priority || a.cannotMeetObjective - b.cannotMeetObjective || a.workClass - b.workClass || a.latestStartAt - b.latestStartAt
 }
--- /dev/null
+++ b/jobs/scheduler/src/task-placer.ts
@@ -0,0 +1,114 @@
+import type { Run } from './run.ts'
+import { canPlace, chooseReservedWorker, chooseWorker, FreeCapacity, rankWorkers } from './placement.ts'
+import { needsPermit } from './permits.ts'
+import { StepOrder } from './step-order.ts'
+import type { QueueLookup } from './step-priority.ts'
+import { isStartable, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
+import type { TrackedWorker } from './tracked-worker.ts'
+
+/** Attempt numbers reserved per term, so that a term numbers its attempts above all that earlier terms may have used. */
+const ATTEMPT_NUMBERS_PER_TERM = 10_000
+
+/** Options of {@link TaskPlacer}. */
+export interface TaskPlacerOpts {
+  readonly queue: QueueLookup
+  /** Number of this term. */
+  readonly term: number
+  /** Creates a run and reserves its capacity. */
+  addRun (task: Task, worker: TrackedWorker, attempt: number): Run
+  /** Undoes {@link TaskPlacerOpts.addRun}. */
+  releaseRun (run: Run): void
+}
+
+/** Options of one pass. */
+export interface PlacementOpts {
+  /** Time of the injected clock. */
+  readonly now: number
+  /** Number of runs after which no further step is begun. */
+  readonly maxRuns: number
+  /** Some worker may execute runs of earlier leaders: only jobs that were accepted in this term are placed. */
+  readonly onlyAcceptedThisTerm: boolean
+}
+
+/** Chooses workers for ready tasks, in the order of their priority. */
+export class TaskPlacer {
+  private readonly opts: TaskPlacerOpts
+  private readonly stepOrder: StepOrder
+
+  constructor (opts: TaskPlacerOpts) {
+    this.opts = opts
+    this.stepOrder = new StepOrder(opts.queue)
+  }
+
+  /**
+   * Places tasks.
+   * @param steps - steps with tasks to start
+   * @param workers - workers that accept starts
+   * @param opts - time and limits of the pass
+   * @returns runs to start
+   */
+  place (steps: readonly TrackedStep[], workers: readonly TrackedWorker[], opts: PlacementOpts): Run[] {
+    if (workers.length === 0) return []
+    const { now, maxRuns } = opts
+    let usable = workers
+    let freeCapacity = new FreeCapacity(usable)
+    const runs: Run[] = []
+    for (const step of this.stepOrder.order(steps, now)) {
+      if (opts.onlyAcceptedThisTerm && !step.job.acceptedThisTerm) continue
+      if (!freeCapacity.mayFit(step) && !step.spec.lasting) continue
+      runs.push(...step.spec.gang ? this.placeGang(step, usable, now) : this.placeTasks(step, usable, now, maxRuns - runs.length))
+      if (runs.length >= maxRuns) break
+      if (mayStart(step)) freeCapacity.update()
+      if (step.spec.lasting && step.tasks.some(task => isStartable(task, now))) {
+        const reservedWorker = chooseReservedWorker(step, usable)
+        usable = usable.filter(worker => worker !== reservedWorker)
+        freeCapacity = new FreeCapacity(usable)
+      }
+    }
+    return runs
+  }
+
+  private permittedWorkers (step: TrackedStep, workers: readonly TrackedWorker[], now: number): readonly TrackedWorker[] {
+    return needsPermit(step, this.opts.queue) ? workers.filter(worker => step.permits.permitFor(worker, now) !== undefined) : workers
+  }
+
+  private placeTasks (step: TrackedStep, workers: readonly TrackedWorker[], now: number, maxRuns: number): Run[] {
+    const runs: Run[] = []
+    const permitted = this.permittedWorkers(step, workers, now)
+    const ranked = rankWorkers(step, permitted)
+    let next = 0
+    for (const task of step.tasks) {
+      if (runs.length >= maxRuns) break
+      if (!isStartable(task, now)) continue
+      while (ranked[next] !== undefined && !canPlace(step, ranked[next] as TrackedWorker)) next += 1
+      const worker = task.failedOn.size === 0 ? ranked[next] : chooseWorker(step, permitted, { avoid: task.failedOn })
+      if (worker === undefined) break
+      runs.push(this.opts.addRun(task, worker, this.nextAttempt([task])))
+    }
+    return runs
+  }
+
+  /** Places all tasks of a gang or none. */
+  private placeGang (step: TrackedStep, workers: readonly TrackedWorker[], now: number): Run[] {
+    if (!step.tasks.every(task => isStartable(task, now))) return []
+    const attempt = this.nextAttempt(step.tasks)
+    const permitted = this.permittedWorkers(step, workers, now)
+    const racks = step.spec.oneRack ? [...new Set(permitted.map(worker => worker.registration.rack))] : [undefined]
+    for (const rack of racks) {
+      const runs: Run[] = []
+      for (const task of step.tasks) {
+        const worker = chooseWorker(step, permitted, { avoid: task.failedOn, ...(rack === undefined ? {} : { rack }) })
+        if (worker === undefined) break
+        runs.push(this.opts.addRun(task, worker, attempt))
+      }
+      if (runs.length === step.tasks.length) return runs
+      for (const run of runs) this.opts.releaseRun(run)
+    }
+    return []
+  }
+
+  private nextAttempt (tasks: readonly Task[]): number {
+    const last = Math.max(...tasks.map(task => task.lastAttempt))
+    return Math.max(last, this.opts.term * ATTEMPT_NUMBERS_PER_TERM) + 1
+  }
+}
--- a/jobs/scheduler/src/tracked-job.ts
+++ b/jobs/scheduler/src/tracked-job.ts
@@ -32,6 +32,8 @@
   readonly tasks: readonly Task[]
   /** Number of tasks that are not done. */
   left: number
+  /** Number of tasks that are not done and have no run. Kept by {@link attachRun}, {@link detachRun} and {@link markDone}. */
+  waiting: number
   /** Permits to start tasks of the step, for queues that need them. */
   readonly permits: StepPermits
 }
@@ -55,6 +57,8 @@
   /** When this leader first learned of the job, by the injected clock. */
   readonly firstSeenAt: number
   begun = false
+  /** Increases whenever a task, step or occurrence of the job changes its state. */
+  version = 0
   /** Milliseconds from `firstSeenAt` to the first start, undefined unless this leader observed it. */
   waitedMs: number | undefined
   /** Final state as decided by this leader; visible to callers once it is durable. */
@@ -104,6 +108,7 @@
     for (const [index, spec] of this.job.steps.entries()) steps.push(this.createStep(occurrence, index, spec))
     occurrence.stepsLeft = steps.filter(step => step.left > 0).length
     this.occurrences.set(number, occurrence)
+    this.version += 1
     return occurrence
   }
 
@@ -122,12 +127,13 @@
 
   private createStep (occurrence: Occurrence, number: number, spec: Step): TrackedStep {
     const tasks: Task[] = []
-    const step: TrackedStep = { job: this, occurrence, number, spec, tasks, left: spec.tasks, permits: new StepPermits() }
+    const step: TrackedStep = { job: this, occurrence, number, spec, tasks, left: spec.tasks, waiting: 0, permits: new StepPermits() }
     for (let index = 0; index < spec.tasks; index++) {
       const progressKey = `${occurrence.number}.${number}.${index}`
       const savedProgress = this.restoredProgress.tasks[progressKey]
       const done = savedProgress?.done === true || this.restoredProgress.stepsDone.includes(`${occurrence.number}.${number}`)
       if (done) step.left -= 1
+      else step.waiting += 1
       tasks.push({
         step,
         index,
@@ -145,3 +151,62 @@
     return step
   }
 }
+
+/**
+ * Adds a run to its task.
+ * @param run - the run
+ */
+export function attachRun (run: Run): void {
+  const { task } = run
+  if (isWaiting(task)) task.step.waiting -= 1
+  task.runs.push(run)
+}
+
+/**
+ * Removes a run from its task. Does nothing if the task does not have it.
+ * @param run - the run
+ */
+export function detachRun (run: Run): void {
+  const { task } = run
+  const at = task.runs.indexOf(run)
+  if (at < 0) return
+  task.runs.splice(at, 1)
+  if (isWaiting(task)) task.step.waiting += 1
+}
+
+/**
+ * Marks a task as done.
+ * @param task - a task that is not done
+ */
+export function markDone (task: Task): void {
+  if (isWaiting(task)) task.step.waiting -= 1
+  task.done = true
+  task.step.left -= 1
+  task.step.job.version += 1
+}
+
+/**
+ * @param task - a task
+ * @returns whether it is not done and has no run
+ */
+export function isWaiting (task: Task): boolean {
+  return !task.done && task.runs.length === 0
+}
+
+/**
+ * @param step - a ready step
+ * @returns whether a run may be started for some task of it, once the task's retry delay has passed
+ */
+export function mayStart (step: TrackedStep): boolean {
+  return step.waiting > 0 || (step.spec.copies && step.left > 0)
+}
+
+/**
+ * @param task - a task of a ready step
+ * @param now - time of the injected clock
+ * @returns whether a run of it may be started now
+ */
+export function isStartable (task: Task, now: number): boolean {
+  if (task.done || task.retryAt > now) return false
+  return task.runs.length === 0 || (task.step.spec.copies && task.runs.every(run => run.stopReason !== undefined))
+}
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -1,5 +1,6 @@
 import type { Resources, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { Run } from './run.ts'
+import type { TrackedStep } from './tracked-job.ts'
 
 /** Slowest rate of a worker's monotonic clock that is allowed for, relative to the local clock. */
 const MIN_CLOCK_RATE = 0.98
@@ -48,6 +49,8 @@
   private cpu = 0
   private memMb = 0
   private accelerators = 0
+  private lasting = 0
+  private readonly runsByStep = new Map<TrackedStep, number>()
 
   constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number }) {
     this.registration = registration
@@ -89,6 +92,25 @@
     return { cpu: this.cpu, memMb: this.memMb, accelerators: this.accelerators }
   }
 
+  /** @returns capacity that is not in use */
+  free (): Resources {
+    const { cpu, memMb, accelerators } = this.registration.capacity
+    return { cpu: cpu - this.cpu, memMb: memMb - this.memMb, accelerators: accelerators - this.accelerators }
+  }
+
+  /** @returns number of runs of long-running tasks */
+  lastingRuns (): number {
+    return this.lasting
+  }
+
+  /**
+   * @param step - a step
+   * @returns number of runs of its tasks
+   */
+  runsOf (step: TrackedStep): number {
+    return this.runsByStep.get(step) ?? 0
+  }
+
   /**
    * Adds a run and reserves its capacity.
    * @param run - the run
@@ -171,7 +193,12 @@
   }
 
   private count (run: Run, sign: 1 | -1): void {
-    const { demand, backfill } = run.task.step.spec
+    const { step } = run.task
+    const { demand, backfill } = step.spec
+    const runsOfStep = this.runsOf(step) + sign
+    if (runsOfStep === 0) this.runsByStep.delete(step)
+    else this.runsByStep.set(step, runsOfStep)
+    if (step.spec.lasting) this.lasting += sign
     if (!backfill) this.cpu += sign * demand.cpu
     this.memMb += sign * demand.memMb
     this.accelerators += sign * demand.accelerators
--- a/jobs/service/src/load.ts
+++ b/jobs/service/src/load.ts
@@ -25,7 +25,7 @@
       vm: worker.registration.vm,
       cpuShare: worker.cpuShare(),
       runs: worker.runs.size,
-      lastingRuns: lastingRuns(worker),
+      lastingRuns: worker.lastingRuns(),
       emptyMs: worker.emptySince === undefined ? 0 : Math.round(now - worker.emptySince),
       withdrawn: worker.withdrawn,
       usable: worker.fenced && worker.reachable && !worker.registration.draining
@@ -42,10 +42,6 @@
   return sum(runs.map(({ task }) => task.step.spec.lasting && !task.step.spec.backfill ? task.step.spec.demand.cpu : 0))
 }
 
-function lastingRuns (worker: TrackedWorker): number {
-  return [...worker.runs.values()].filter(run => run.task.step.spec.lasting).length
-}
-
 /**
  * Withdraws the workers on the given VMs: they get no new runs, batch runs finish, and long-running tasks are stopped as
  * far as `mayMiss` allows and another worker can take them. Workers on all other VMs accept runs again.
