Free a start that was never sent, and open connections at the pace that a leader can follow

Its logs show the leader held up from the moment a pool grows: twelve workers answer for the first time in one turn of the event loop, and starts that wait for a connection time out, so that their tasks and capacity stay reserved although nothing was sent. Each worker got up to four connections. Entries that got no reply from such a leader notified it six times, each time over a new connection.

--- a/jobs/intake/src/intake.ts
+++ b/jobs/intake/src/intake.ts
@@ -5,8 +5,9 @@
 import type { JobNotification, JobStateReply } from '@wisteriaslip/jobs.protocol'
 import type { JobRecords } from '@wisteriaslip/jobs.store'
 
-const MAX_NOTIFY_ATTEMPTS = 6
-const NOTIFY_RETRY_MS = 150
+/** More attempts would add to the load of a leader that is too busy to reply; it also finds the request in the store. */
+const MAX_NOTIFY_ATTEMPTS = 2
+const NOTIFY_RETRY_MS = 500
 /**
  * Maximum number of accepted jobs whose repeated submissions are answered without any call, and of jobs whose acceptance
  * has an unknown outcome.
--- a/jobs/model/src/worker.ts
+++ b/jobs/model/src/worker.ts
@@ -57,8 +57,8 @@
   | { readonly kind: 'unknown', readonly message: string }
   /** Another incarnation of the worker responded. */
   | { readonly kind: 'other-life', readonly message: string }
-  /** The worker rejected the command and did nothing. */
-  | { readonly kind: 'refused', readonly reason: 'fence' | 'old' | 'late' | 'room' | 'permit' | 'unhealthy' | 'invalid', readonly clockMs?: number | undefined }
+  /** The worker rejected the command and did nothing, or the command was certainly not sent (`not-sent`). */
+  | { readonly kind: 'refused', readonly reason: 'fence' | 'old' | 'late' | 'room' | 'permit' | 'unhealthy' | 'invalid' | 'not-sent', readonly clockMs?: number | undefined }
 
 /** Command to start a run. */
 export interface StartCommand {
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -16,7 +16,7 @@
 const FAILURE_COOLDOWN_MS = 3_000
 /** Cooldown of a worker on which runs of several jobs are slow. */
 const SLOW_WORKER_COOLDOWN_MS = 1_500
-/** Cooldown of a worker that rejected a start for lack of capacity, or because it is unhealthy. */
+/** Cooldown of a worker that rejected a start for lack of capacity or could not be sent one, or that is unhealthy. */
 const NO_CAPACITY_COOLDOWN_MS = 200
 const UNHEALTHY_COOLDOWN_MS = 600
 /** Progress at which a long-running task is serving. */
@@ -172,7 +172,7 @@
       run.stopAcknowledgedAt = undefined
       return
     }
-    if (error.reason === 'room') run.worker.cooldownUntil = now + NO_CAPACITY_COOLDOWN_MS
+    if (error.reason === 'room' || error.reason === 'not-sent') run.worker.cooldownUntil = now + NO_CAPACITY_COOLDOWN_MS
     if (error.reason === 'permit') run.task.step.permits.invalidate(run.worker)
     if (error.reason === 'unhealthy') run.worker.cooldownUntil = now + UNHEALTHY_COOLDOWN_MS
     run.task.retryAt = now + REFUSED_RETRY_DELAY_MS
--- a/jobs/scheduler/test/scheduler.test.ts
+++ b/jobs/scheduler/test/scheduler.test.ts
@@ -350,3 +350,17 @@
   }
   assert.fail('the long-running task never started')
 })
+
+test('a start that was certainly not sent frees its task and its capacity at once, and the worker rests', () => {
+  const harness = new SchedulerHarness()
+  const [first] = harness.addWorkers(worker('w1'), worker('w2'))
+  harness.addJob()
+  const [run] = harness.scheduler.placeReadyTasks()
+  assert.ok(run !== undefined)
+  harness.scheduler.handleStartResponse(run, { kind: 'refused', reason: 'not-sent' })
+  assert.equal(run.worker.runs.size, 0)
+  harness.now += 50
+  const [again] = harness.scheduler.placeReadyTasks()
+  assert.notEqual(again?.worker, run.worker)
+  assert.equal(run.worker, first)
+})
--- a/jobs/service/src/start-window.ts
+++ b/jobs/service/src/start-window.ts
@@ -1,11 +1,12 @@
-/** Lag of the event loop above which fewer starts are sent, and below which more are. */
+/** Lag of the event loop above which the window shrinks to its minimum, above which it shrinks, below which it grows. */
+const EXTREME_LAG_MS = 400
 const HIGH_LAG_MS = 100
 const LOW_LAG_MS = 30
-const SHRINK_FACTOR = 0.7
+const SHRINK_FACTOR = 0.5
 const GROWTH = 4
-const MIN_SIZE = 4
+const MIN_SIZE = 2
 const MAX_SIZE = 256
-const INITIAL_SIZE = 32
+const INITIAL_SIZE = 8
 
 /**
  * Limits the starts without a response that a leader has, by the lag of its event loop. A leader that sends more starts
@@ -42,7 +43,8 @@
    */
   recordLag (lagMs: number): void {
     this.lag = lagMs
-    if (lagMs > HIGH_LAG_MS) this.size = Math.max(MIN_SIZE, this.size * SHRINK_FACTOR)
+    if (lagMs > EXTREME_LAG_MS) this.size = MIN_SIZE
+    else if (lagMs > HIGH_LAG_MS) this.size = Math.max(MIN_SIZE, this.size * SHRINK_FACTOR)
     else if (lagMs < LOW_LAG_MS) this.size = Math.min(MAX_SIZE, this.size + GROWTH)
   }
 }
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -18,6 +18,7 @@
 const MIN_SCHEDULING_GAP_MS = 3
 /** Minimum gap for large services: a pass visits every worker, so with many workers it waits for more changes. */
 const MIN_SCHEDULING_GAP_MS_PER_WORKER = 0.1
+const MIN_SESSIONS_PER_PASS = 2
 const JOB_EXPIRY_INTERVAL_MS = 5_000
 /** Leases given by earlier leaders may last longer by this factor, because worker clocks may run slow. */
 const CLOCK_DRIFT_FACTOR = 1.05
@@ -243,16 +244,25 @@
     scheduler.setWorkers(registered, { unknownRunsUntil: this.unknownRunsUntil })
   }
 
-  /** A worker gets no lease before the term's record contains it: the next leader must know which workers to poll. */
+  /**
+   * A worker gets no lease before the term's record contains it: the next leader must know which workers to poll. A pass
+   * opens no more sessions than starts would be sent, as the first poll needs a connection.
+   */
   private openSessions (scheduler: Scheduler, signal: AbortSignal): void {
     for (const worker of this.sessions.keys()) {
       if (worker.ended || scheduler.workers.get(worker.registration.id) !== worker) this.sessions.delete(worker)
     }
+    let sessionsToOpen = Math.max(MIN_SESSIONS_PER_PASS, this.startWindow.free())
     for (const worker of scheduler.workers.values()) {
       if (worker.ended || this.sessions.has(worker)) continue
-      if (this.recordWriter.contains(worker.registration)) this.openSession(worker, scheduler, signal)
-      else this.recordWriter.wake()
+      if (!this.recordWriter.contains(worker.registration)) {
+        this.recordWriter.wake()
+      } else if (sessionsToOpen > 0) {
+        sessionsToOpen -= 1
+        this.openSession(worker, scheduler, signal)
+      }
     }
+    if (sessionsToOpen === 0) this.wakeup.wake()
   }
 
   private openSession (worker: TrackedWorker, scheduler: Scheduler, signal: AbortSignal): void {
