A takeover on a slow link reads its records; weak entries take a longer lease

The list of a service's records (hundreds of kB, over a link of 2 Mbit/s) takes longer than the 800 ms after which a store call is given up, so that it was read in vain again and again. Four entries lost their first lease of 1.5 s while they started.

Ruled out: election and store (leases granted within 0.8 s, no call refused).

Change: the timeout of a read starts again with each part of the response that arrives. Entries with less than a quarter of a core take leases of 2.25 s instead of 1.5 s; the worker leases of 4 s still outlast their change of leader.

--- a/core/result/src/abort.ts
+++ b/core/result/src/abort.ts
@@ -6,6 +6,8 @@
   readonly signal: AbortSignal
   /** Aborts the signal. */
   abort (): void
+  /** Starts the timeout again, if there is one: the operation makes progress. */
+  restart (): void
   /** Detaches the signal from its parent and clears the timer. Must be called when the operation has ended. */
   release (): void
 }
@@ -21,13 +23,20 @@
 export function linkAbort (parent: AbortSignal | undefined, ms?: number): LinkedAbort {
   const controller = new AbortController()
   const abort = (): void => controller.abort()
-  const cancelTimeout = ms === undefined ? undefined : startTimeout(ms, abort)
+  let cancelTimeout = ms === undefined ? undefined : startTimeout(ms, abort)
   const detach = parent === undefined ? undefined : onAbort(parent, abort)
+  let released = false
+  const restart = (): void => {
+    if (ms === undefined || released) return
+    cancelTimeout?.()
+    cancelTimeout = startTimeout(ms, abort)
+  }
   const release = (): void => {
+    released = true
     cancelTimeout?.()
     detach?.()
   }
-  return { signal: controller.signal, abort, release }
+  return { signal: controller.signal, abort, restart, release }
 }
 
 /**
@@ -35,13 +44,13 @@
  * signal; otherwise the timeout has no effect.
  * @param ms - timeout in milliseconds, as {@link startTimeout} counts it
  * @param parent - signal whose abort is forwarded
- * @param run - the operation
+ * @param run - the operation; gets the signal, and a function that starts the timeout again when it makes progress
  * @returns the result of the operation
  */
-export async function withTimeout<T> (ms: number, parent: AbortSignal | undefined, run: (signal: AbortSignal) => Promise<T>): Promise<T> {
+export async function withTimeout<T> (ms: number, parent: AbortSignal | undefined, run: (signal: AbortSignal, restart: () => void) => Promise<T>): Promise<T> {
   const linked = linkAbort(parent, ms)
   try {
-    return await run(linked.signal)
+    return await run(linked.signal, linked.restart)
   } finally {
     linked.release()
   }
--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -26,6 +26,9 @@
 import { WorkerRegistry } from './worker-registry.ts'
 
 const LEASE_TTL_MS = 1_500
+/** An entry with less than this many cores may be held up for longer between two renewals. */
+const MIN_CORES_FOR_SHORT_LEASE = 0.25
+const LONG_LEASE_TTL_MS = 2_250
 /** Within this time the load balancer notices that this entry accepts no new connections. */
 const BALANCER_NOTICE_MS = 3_200
 /** Leadership that is not released within this time ends when its lease expires. */
@@ -112,7 +115,7 @@
     this.store = new StoreClient(this.driver, { ...opts.store, metrics, clock })
     const self: Member = { id: opts.id, incarnation: randomUUID(), region: opts.region, zone: opts.zone, peerAddress: opts.peers, weight: opts.availableCores }
     this.members = new Members(self, mirror, this.keys)
-    this.lease = new EntryLease(this.store, { ttlMs: LEASE_TTL_MS, clock, logger: topicLogger(logger, 'lease'), signal: this.leaving.signal })
+    this.lease = new EntryLease(this.store, { ttlMs: opts.availableCores < MIN_CORES_FOR_SHORT_LEASE ? LONG_LEASE_TTL_MS : LEASE_TTL_MS, clock, logger: topicLogger(logger, 'lease'), signal: this.leaving.signal })
     this.leadership = new Leadership({ store: this.store, mirror, members: this.members, lease: this.lease, keys: this.keys, clock, logger: topicLogger(logger, 'leadership') })
     this.election = new Election({ members: this.members, lease: this.lease, leadership: this.leadership, store: this.store, resources: () => this.resources(), onStep: () => this.reconcileTerms(), clock, logger })
     this.clients = new PeerClients<JobPeerService>({ key: opts.peerKey, metrics })
--- a/jobs/entry/src/raw-mirror.ts
+++ b/jobs/entry/src/raw-mirror.ts
@@ -81,7 +81,7 @@
  */
 export async function followRawKeys (driver: Driver, mirror: RawMirror, opts: FollowRawKeysOpts): Promise<void> {
   while (!opts.signal.aborted) {
-    const snapshot = await withTimeout(READ_TIMEOUT_MS, opts.signal, async signal => await driver.range(mirror.prefix, { prefix: true, signal }))
+    const snapshot = await withTimeout(READ_TIMEOUT_MS, opts.signal, async (signal, onProgress) => await driver.range(mirror.prefix, { prefix: true, signal, onProgress }))
     if (snapshot.ok) {
       mirror.applySnapshot(snapshot.value)
       const ended = await driver.watch(mirror.prefix, mirror.revision() + 1, batch => mirror.apply(batch), opts.signal, { batchWindowMs: opts.batchWindowMs })
--- a/store/client/src/client.ts
+++ b/store/client/src/client.ts
@@ -20,7 +20,7 @@
   readonly writesPerSecond: number
   readonly metrics: Metrics
   readonly clock?: Clock
-  /** Timeout of one attempt, in milliseconds. */
+  /** Timeout of one attempt, in milliseconds; for reads, without a part of the response. */
   readonly callTimeoutMs?: number
 }
 
@@ -122,7 +122,7 @@
     let lastError: StoreError = unavailable('no attempt was made', false)
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       if (attempt > 0 && !await this.waitBeforeRetry(attempt, opts.signal)) break
-      const response = await this.call('read', opts.signal, signal => this.driver.range(key, { ...opts, signal }))
+      const response = await this.call('read', opts.signal, (signal, onProgress) => this.driver.range(key, { ...opts, signal, onProgress }))
       if (response.ok) return response
       lastError = response.error
       if (lastError.kind !== 'unavailable') break
@@ -136,7 +136,7 @@
     return await delay(ms, signal ?? new AbortController().signal)
   }
 
-  private async call<T> (kind: CallKind, signal: AbortSignal | undefined, run: (signal: AbortSignal) => Promise<Result<T, DriverError>>): Promise<Result<T, StoreError>> {
+  private async call<T> (kind: CallKind, signal: AbortSignal | undefined, run: (signal: AbortSignal, onProgress: () => void) => Promise<Result<T, DriverError>>): Promise<Result<T, StoreError>> {
     if (!this.breaker.allowCall()) return err(unavailable('circuit breaker is open', false))
     if (!this.takeFromBudget(kind)) return err(overBudget(kind))
     this.opts.metrics.count('store_calls_total', { kind })
--- a/store/client/src/types.ts
+++ b/store/client/src/types.ts
@@ -37,6 +37,8 @@
   /** Omits keys that were last modified before this revision. */
   readonly minModRevision?: number
   readonly signal?: AbortSignal
+  /** Called whenever a part of the response arrives: a long response on a slow link is not an unresponsive store. */
+  readonly onProgress?: () => void
 }
 
 /** Options of a watch. */
