--- a/jobs/entry/src/leader-client.ts
+++ b/jobs/entry/src/leader-client.ts
@@ -5,7 +5,12 @@
 import type { PeerClients, PeerError } from '@wisteriaslip/peers.protocol'
 import { fleetResource, serviceResource } from './resources.ts'
 
+/** Callers wait for the reply. */
 const LEADER_CALL_TIMEOUT_MS = 400
+/** Nobody waits for the reply: a leader that is held up gets more time, as a repetition would cost it more. */
+const BACKGROUND_CALL_TIMEOUT_MS = 1_200
+
+const backgroundMethods: ReadonlySet<LeaderMethod> = new Set<LeaderMethod>(['push', 'load', 'withdraw'])
 
 type LeaderMethod = 'push' | 'cancelled' | 'state' | 'pending' | 'load' | 'withdraw' | 'explain'
 
@@ -72,7 +77,8 @@
     }
     const member = members.find(leader.record.id)
     if (member === undefined) return undefined
-    const reply = await clients.call(member.peerAddress, method, input as never, { timeoutMs: LEADER_CALL_TIMEOUT_MS, signal }) as Result<Awaited<ReturnType<JobPeerService[M]>>, PeerError>
+    const timeoutMs = backgroundMethods.has(method) ? BACKGROUND_CALL_TIMEOUT_MS : LEADER_CALL_TIMEOUT_MS
+    const reply = await clients.call(member.peerAddress, method, input as never, { timeoutMs, signal }) as Result<Awaited<ReturnType<JobPeerService[M]>>, PeerError>
     return reply.ok ? reply.value : undefined
   }
 }
--- a/jobs/fleet/src/term.ts
+++ b/jobs/fleet/src/term.ts
@@ -7,6 +7,8 @@
 
 const STEP_INTERVAL_MS = 200
 const CALL_TIMEOUT_MS = 1_500
+/** A leader that has confirmed that none of its workers is withdrawn is told so again after this time: it may be a new one. */
+const REPEAT_EMPTY_WITHDRAWAL_MS = 1_000
 
 interface Maintenance {
   readonly wave: Wave
@@ -24,6 +26,8 @@
   /** Records of waves as stored, undefined until they have been read. */
   private storedRecords: ReadonlyMap<number, WaveRecord> | undefined
   private writing = false
+  /** When the leader of a service last confirmed that none of its workers is withdrawn. */
+  private readonly noneWithdrawnAt = new Map<string, number>()
 
   constructor (opts: FleetTermOpts) {
     this.opts = opts
@@ -152,8 +156,14 @@
         for (const vm of poolVms) empty.add(vm)
         return
       }
+      const now = this.opts.clock.now()
+      const isRepetition = poolVms.length === 0 && now - (this.noneWithdrawnAt.get(service.name) ?? Number.NEGATIVE_INFINITY) < REPEAT_EMPTY_WITHDRAWAL_MS
+      if (isRepetition) return
+      this.noneWithdrawnAt.delete(service.name)
       const reply = await this.opts.services.withdraw(service.name, poolVms)
-      if (reply?.kind === 'withdrawn') for (const vm of reply.empty) empty.add(vm)
+      if (reply?.kind !== 'withdrawn') return
+      for (const vm of reply.empty) empty.add(vm)
+      if (poolVms.length === 0) this.noneWithdrawnAt.set(service.name, now)
     }))
     return empty
   }
