Poll less often the longer the leader is held up

Change: the gap after a poll with completions grows with four times the lag, up to 0.6 s, instead of the lag, up to 0.25 s.

--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -14,8 +14,9 @@
 const POLL_WAIT_IDLE_MS = 2_000
 /** Minimum gap after a poll with completions, per worker of the service: many workers must not overload the leader. */
 const MIN_POLL_GAP_MS_PER_WORKER = 0.4
-/** The gap also grows with the lag of the leader's event loop, up to a limit that keeps leases alive. */
-const MAX_LAG_POLL_GAP_MS = 250
+/** The gap also grows with the lag of the leader's event loop, by this factor and up to a limit that keeps leases alive. */
+const POLL_GAP_PER_LAG = 4
+const MAX_LAG_POLL_GAP_MS = 600
 const POLL_TIMEOUT_MARGIN_MS = 700
 const COMMAND_TIMEOUT_MS = 800
 const POLL_RETRY_MS = 150
@@ -134,7 +135,7 @@
   }
 
   private pollGapMs (): number {
-    return MIN_POLL_GAP_MS_PER_WORKER * this.scheduler.workers.size + Math.min(MAX_LAG_POLL_GAP_MS, this.events.lagMs())
+    return MIN_POLL_GAP_MS_PER_WORKER * this.scheduler.workers.size + Math.min(MAX_LAG_POLL_GAP_MS, POLL_GAP_PER_LAG * this.events.lagMs())
   }
 
   private adjustSpeeds (signal: AbortSignal): void {
