--- a/jobs/fleet/src/term.ts
+++ b/jobs/fleet/src/term.ts
@@ -6,6 +6,7 @@
 import { WaveTracker } from './wave-tracker.ts'
 
 const STEP_INTERVAL_MS = 200
+const MAX_STEP_INTERVAL_MS = 1_000
 const CALL_TIMEOUT_MS = 1_500
 /** A leader that has confirmed that none of its workers is withdrawn is told so again after this time: it may be a new one. */
 const REPEAT_EMPTY_WITHDRAWAL_MS = 1_000
@@ -40,8 +41,12 @@
    * @param signal - ends the term
    */
   async run (signal: AbortSignal): Promise<void> {
-    while (await delay(STEP_INTERVAL_MS, signal)) {
+    let tookMs = 0
+    // Steps that take long show that the leaders of services are held up, which more calls would make worse.
+    while (await delay(Math.max(STEP_INTERVAL_MS, tookMs), signal)) {
+      const startedAt = this.opts.clock.now()
       if (this.opts.isLeader()) await this.step(signal)
+      tookMs = Math.min(MAX_STEP_INTERVAL_MS, this.opts.clock.now() - startedAt)
     }
   }
 
