Leaders log when they are held up and when they have caught up

Cause: a log showed only the consequences of an overloaded leader: starts without a response, leases that ran out.

--- a/jobs/service/src/start-window.ts
+++ b/jobs/service/src/start-window.ts
@@ -7,6 +7,8 @@
 const MIN_SIZE = 2
 const MAX_SIZE = 256
 const INITIAL_SIZE = 8
+/** A leader that was held up has caught up when the window has grown to this size. */
+const CAUGHT_UP_SIZE = 64
 
 /**
  * Limits the starts without a response that a leader has, by the lag of its event loop. A leader that sends more starts
@@ -16,6 +18,7 @@
   private size = INITIAL_SIZE
   private inFlight = 0
   private lag = 0
+  private heldUp = false
 
   /** @returns number of starts that may be sent now */
   free (): number {
@@ -27,6 +30,11 @@
     return this.lag
   }
 
+  /** @returns whether the leader has recently been unable to follow its own starts */
+  isHeldUp (): boolean {
+    return this.heldUp
+  }
+
   /** Counts a start that is sent. */
   recordSent (): void {
     this.inFlight += 1
@@ -46,5 +54,7 @@
     if (lagMs > EXTREME_LAG_MS) this.size = MIN_SIZE
     else if (lagMs > HIGH_LAG_MS) this.size = Math.max(MIN_SIZE, this.size * SHRINK_FACTOR)
     else if (lagMs < LOW_LAG_MS) this.size = Math.min(MAX_SIZE, this.size + GROWTH)
+    if (this.size <= MIN_SIZE) this.heldUp = true
+    else if (this.size >= CAUGHT_UP_SIZE) this.heldUp = false
   }
 }
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -212,7 +212,13 @@
     const gapMs = Math.max(MIN_SCHEDULING_GAP_MS, MIN_SCHEDULING_GAP_MS_PER_WORKER * scheduler.workers.size)
     const startedAt = this.opts.clock.now()
     await delay(gapMs, signal)
-    this.startWindow.recordLag(this.opts.clock.now() - startedAt - gapMs)
+    const lagMs = Math.max(0, this.opts.clock.now() - startedAt - gapMs)
+    const wasHeldUp = this.startWindow.isHeldUp()
+    this.startWindow.recordLag(lagMs)
+    this.opts.metrics.observe('leader_lag_us', { service: this.service }, lagMs)
+    if (this.startWindow.isHeldUp() === wasHeldUp) return
+    const waiting = [...scheduler.table.ready].reduce((sum, step) => sum + step.waiting, 0)
+    this.opts.logger.info({ service: this.service, token: this.token, lagMs: Math.round(lagMs), waitingTasks: waiting }, wasHeldUp ? 'leader caught up' : 'leader held up: it sends few starts until it catches up')
   }
 
   private sendStart (run: Run, signal: AbortSignal): void {
