A lost response to a renewal no longer ends an entry's lease

Cause: a renewal without a response was waited for 800 ms, and the next one came 500 ms later: 1.3 s after the first, while the lease of 1.5 s counts as valid for 1 s. So one lost response ended the leaderships of an entry.

Ruled out: a longer lease, which would delay each takeover.

Change: a renewal is given up after a quarter of the lease and repeated 50 ms later.

--- a/peers/membership/src/lease.ts
+++ b/peers/membership/src/lease.ts
@@ -1,10 +1,13 @@
-import { delay, type Clock } from '@wisteriaslip/core.result'
+import { delay, withTimeout, type Clock } from '@wisteriaslip/core.result'
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { Store } from '@wisteriaslip/store.client'
 
 /** The holder stops using the lease this long before it can expire. */
 const LEASE_SAFETY_MARGIN_MS = 500
 const RENEWALS_PER_TTL = 3
+/** A renewal without a response is repeated after this share of the lease, so that one lost response does not end it. */
+const RENEWAL_TIMEOUT_SHARE = 0.25
+const FAILED_RENEWAL_RETRY_MS = 50
 
 /** Options of {@link EntryLease}. */
 export interface EntryLeaseOpts {
@@ -41,9 +44,9 @@
   async run (onGranted: (leaseId: string) => Promise<void>): Promise<void> {
     const { signal, ttlMs } = this.opts
     while (!signal.aborted) {
-      if (this.leaseId === undefined) await this.grant(onGranted)
-      else await this.renew(this.leaseId)
-      await delay(ttlMs / RENEWALS_PER_TTL / (this.leaseId === undefined ? RENEWALS_PER_TTL : 1), signal)
+      const succeeded = this.leaseId === undefined ? await this.grant(onGranted) : await this.renew(this.leaseId)
+      const retryMs = this.leaseId === undefined ? ttlMs / RENEWALS_PER_TTL / RENEWALS_PER_TTL : FAILED_RENEWAL_RETRY_MS
+      await delay(succeeded ? ttlMs / RENEWALS_PER_TTL : retryMs, signal)
     }
   }
 
@@ -56,29 +59,34 @@
     await this.store.revokeLease(leaseId, AbortSignal.timeout(LEASE_SAFETY_MARGIN_MS * 2))
   }
 
-  private async grant (onGranted: (leaseId: string) => Promise<void>): Promise<void> {
+  /** @returns whether a lease is granted */
+  private async grant (onGranted: (leaseId: string) => Promise<void>): Promise<boolean> {
     const requestedAt = this.opts.clock.now()
     const granted = await this.store.grantLease(this.opts.ttlMs, this.opts.signal)
     if (!granted.ok) {
       this.opts.logger.info({ error: granted.error }, 'lease not granted')
-      return
+      return false
     }
     this.leaseId = granted.value
     this.validUntil = requestedAt + this.opts.ttlMs - LEASE_SAFETY_MARGIN_MS
     this.opts.logger.info({ leaseId: granted.value }, 'lease granted')
     onGranted(granted.value).catch(error => this.opts.logger.error({ err: error }, 'registration failed'))
+    return true
   }
 
-  private async renew (leaseId: string): Promise<void> {
-    const requestedAt = this.opts.clock.now()
-    const renewed = await this.store.keepAlive(leaseId, this.opts.signal)
+  /** @returns whether the lease is renewed; it is unset when it has expired */
+  private async renew (leaseId: string): Promise<boolean> {
+    const { clock, logger, signal, ttlMs } = this.opts
+    const requestedAt = clock.now()
+    const renewed = await withTimeout(ttlMs * RENEWAL_TIMEOUT_SHARE, signal, async inner => await this.store.keepAlive(leaseId, inner))
     if (renewed.ok) {
-      this.validUntil = requestedAt + this.opts.ttlMs - LEASE_SAFETY_MARGIN_MS
-      return
+      this.validUntil = requestedAt + ttlMs - LEASE_SAFETY_MARGIN_MS
+      return true
     }
-    if (renewed.error.kind !== 'lease-lost') return
-    this.opts.logger.warn('lease expired')
+    if (renewed.error.kind !== 'lease-lost') return false
+    logger.warn('lease expired')
     this.leaseId = undefined
     this.validUntil = Number.NEGATIVE_INFINITY
+    return false
   }
 }
