Command line: refuse incomplete arguments instead of guessing

Change: each is refused with a code of its own and a hint before anything is sent; a wait makes at least one attempt.

Shown by: cli.test.ts, which fails before (the commands call an entry and exit with 3).

--- a/cli/cli/src/commands/apply.ts
+++ b/cli/cli/src/commands/apply.ts
@@ -3,9 +3,15 @@
 import { exitCodes, print, printError, type Command, type ExitCode, type Flags } from '../command.ts'
 import { readDocuments } from '../documents.ts'
 import { printOperatorError, OperatorClient } from '../operator-client.ts'
+import { splitPair } from '../pairs.ts'
 
 const POLL_INTERVAL_MS = 200
 
+interface DocumentName {
+  readonly kind: string
+  readonly name: string
+}
+
 /** `wisteriaslip apply`: writes and deletes operator documents. */
 export const applyCommand: Command = {
   name: 'apply',
@@ -26,8 +32,16 @@
       printError(documents.error)
       return exitCodes.usage
     }
+    const deletes: DocumentName[] = []
+    for (const text of flags.delete as string[] | undefined ?? []) {
+      const pair = splitPair(text, '/')
+      if (pair === undefined) {
+        printError({ code: 'DELETE_INVALID', message: `cannot delete ${text}`, hint: 'Use --delete KIND/NAME.' })
+        return exitCodes.usage
+      }
+      deletes.push({ kind: pair[0], name: pair[1] })
+    }
     const client = await OperatorClient.from(flags)
-    const deletes = (flags.delete as string[] | undefined ?? []).map(parseDocumentName)
     const seen = expectedRevisions(documents.value, flags.revision)
     const applied = await client.post<{ revision: number }>('/v1/apply', { documents: documents.value, deletes, seen })
     if (!applied.ok) return printOperatorError(applied.error)
@@ -37,11 +51,6 @@
   }
 }
 
-function parseDocumentName (text: string): { kind: string, name: string } {
-  const slash = text.indexOf('/')
-  return { kind: text.slice(0, slash), name: text.slice(slash + 1) }
-}
-
 function expectedRevisions (documents: readonly unknown[], revision: unknown): Record<string, number> {
   if (typeof revision !== 'number') return {}
   return Object.fromEntries(documents.map(document => {
@@ -51,7 +60,7 @@
 }
 
 async function waitUntilInEffect (client: OperatorClient, revision: number, flags: Flags): Promise<ExitCode> {
-  const maxAttempts = Math.ceil(Number(flags.waitMs) / POLL_INTERVAL_MS)
+  const maxAttempts = Math.max(1, Math.ceil(Number(flags.waitMs) / POLL_INTERVAL_MS))
   let outdatedMembers: string[] = []
   for (let attempt = 0; attempt < maxAttempts; attempt++) {
     const status = await client.get<EntryStatus>('/v1/status')
--- a/cli/cli/src/commands/vm.ts
+++ b/cli/cli/src/commands/vm.ts
@@ -15,6 +15,11 @@
       printError({ code: 'LABELS_MISSING', message: 'no labels given', hint: 'Use KEY=VALUE to set and KEY- to remove.' })
       return exitCodes.usage
     }
+    const invalid = changes.find(change => !/^[^=]+(=.*|-)$/.test(change))
+    if (invalid !== undefined) {
+      printError({ code: 'LABEL_INVALID', message: `cannot change labels by ${invalid}`, hint: 'Use KEY=VALUE to set and KEY- to remove.' })
+      return exitCodes.usage
+    }
     return await changeDocument({ kind: 'vm', name }, flags, vm => ({ ...vm, labels: changeLabels(vm.labels as Record<string, string>, changes) }))
   }
 }
--- a/cli/cli/src/commands/wave.ts
+++ b/cli/cli/src/commands/wave.ts
@@ -1,6 +1,7 @@
 import { changeDocument } from '../change-document.ts'
 import { exitCodes, print, printError, type Command, type ExitCode, type Flags } from '../command.ts'
 import { printOperatorError, OperatorClient } from '../operator-client.ts'
+import { splitPair } from '../pairs.ts'
 
 const stateByAction = { pause: 'paused', resume: 'running', cancel: 'cancelled' } as const
 
@@ -32,7 +33,15 @@
     printError({ code: 'WAVE_INCOMPLETE', message: 'a wave needs a name and a selector', hint: 'Use wave declare NAME --selector KEY=VALUE.' })
     return exitCodes.usage
   }
-  const selector = Object.fromEntries(pairs.map(pair => [pair.slice(0, pair.indexOf('=')), pair.slice(pair.indexOf('=') + 1)]))
+  const selector: Record<string, string> = {}
+  for (const text of pairs) {
+    const pair = splitPair(text, '=')
+    if (pair === undefined) {
+      printError({ code: 'SELECTOR_INVALID', message: `cannot select by ${text}`, hint: 'Use --selector KEY=VALUE.' })
+      return exitCodes.usage
+    }
+    selector[pair[0]] = pair[1]
+  }
   const client = await OperatorClient.from(flags)
   const applied = await client.post<{ revision: number }>('/v1/apply', { documents: [{ kind: 'wave', name, selector }], seen: { [`wave/${name}`]: 0 } })
   if (!applied.ok) return printOperatorError(applied.error)
--- a/cli/cli/test/cli.test.ts
+++ b/cli/cli/test/cli.test.ts
@@ -42,7 +42,13 @@
     [['entry', '--settings', '/nowhere/at/all'], 2, /SETTINGS_UNREADABLE/],
     [['status', '--entry', 'http://127.0.0.1:1'], 3, /ENTRY_UNREACHABLE/],
     [['wave', 'declare', 'x'], 2, /WAVE_INCOMPLETE/],
-    [['label', 'vm-1'], 2, /LABELS_MISSING/]
+    [['label', 'vm-1'], 2, /LABELS_MISSING/],
+    [['label', 'vm-1', 'rack=r1', 'rack'], 2, /LABEL_INVALID.*rack/],
+    [['label', 'vm-1', '=r1'], 2, /LABEL_INVALID/],
+    [['wave', 'declare', 'x', '--selector', 'rack'], 2, /SELECTOR_INVALID.*rack/],
+    [['wave', 'declare', 'x', '--selector', '=r1'], 2, /SELECTOR_INVALID/],
+    [['apply', '--delete', 'pool'], 2, /DELETE_INVALID.*pool/],
+    [['apply', '--delete', 'pool/'], 2, /DELETE_INVALID/]
   ]
   for (const [args, code, message] of cases) {
     const result = await run(...args)
