Count a start against the window only if its worker has a session

A run that was placed on a worker without a session would have held its place in the window until the end of the term. No way is known in which that happens; found by reading.

--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -222,6 +222,7 @@
   }
 
   private sendStart (run: Run, signal: AbortSignal): void {
+    if (!this.sessions.has(run.worker)) return
     const permit = run.task.step.permits.permitFor(run.worker, this.opts.clock.now()) ?? ''
     const isFull = (): boolean => this.startWindow.free() === 0
     this.startWindow.recordSent()
