Drain VMs with long-running tasks from the beginning of a wave

A wave took the VMs with the fewest runs first, so that those with long-running tasks, whose tasks may move a few of a step at a time, all came last, and nothing was drained while the limit of VMs that are down was reached.

Ruled out: the pace of the schedule (85% of the wave's time), which empty VMs kept.

Change: beside the VMs that the limit leaves room for, up to a third of the limit of VMs with long-running tasks are drained ahead, those with the fewest of them first. Their maintenance starts as before, within the limit.

--- a/jobs/fleet/src/term.ts
+++ b/jobs/fleet/src/term.ts
@@ -3,7 +3,7 @@
 import type { ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import { PoolAutoscaler, type PlannedMove } from './pool-autoscaler.ts'
 import type { FleetTermOpts, WaveRecord } from './ports.ts'
-import { WaveTracker } from './wave-tracker.ts'
+import { WaveTracker, type VmLoad } from './wave-tracker.ts'
 
 const STEP_INTERVAL_MS = 200
 const MAX_STEP_INTERVAL_MS = 1_000
@@ -115,8 +115,8 @@
   }
 
   private async chooseMaintenances (vms: readonly Vm[], loads: ReadonlyMap<string, ServiceLoad>): Promise<Maintenance[]> {
-    const runs = new Map<string, number>()
-    for (const load of loads.values()) for (const worker of load.workers) runs.set(worker.vm, worker.runs)
+    const vmLoads = new Map<string, VmLoad>()
+    for (const load of loads.values()) for (const worker of load.workers) vmLoads.set(worker.vm, worker)
     const chosen: Maintenance[] = []
     for (const wave of this.opts.waves()) {
       if (this.completed.has(wave.number)) continue
@@ -124,7 +124,7 @@
       tracker.observe(vms, this.opts.clock.now())
       if (!this.announced.has(wave.number) && await this.opts.writeStatus(wave.number, false)) this.announced.add(wave.number)
       if (tracker.hasStartedEverywhere(vms)) await this.complete(wave)
-      else for (const vm of tracker.chooseNext(vms, { now: this.opts.clock.now(), runs: vm => runs.get(vm) ?? 0 })) chosen.push({ wave, vm })
+      else for (const vm of tracker.chooseNext(vms, { now: this.opts.clock.now(), load: vm => vmLoads.get(vm) ?? { runs: 0, lastingRuns: 0 } })) chosen.push({ wave, vm })
     }
     return chosen
   }
--- a/jobs/fleet/src/wave-tracker.ts
+++ b/jobs/fleet/src/wave-tracker.ts
@@ -2,6 +2,11 @@
 
 /** Maintenance is spread over this share of the wave's duration. */
 const SCHEDULE_SHARE = 0.85
+/**
+ * VMs with long-running tasks that are drained in advance, relative to the wave's limit of VMs that are down at once. Their
+ * drains take longest, as only a few tasks of a step may move at a time.
+ */
+const DRAINED_AHEAD_SHARE = 1 / 3
 /** A request with unknown outcome is sent again after this long. The platform carries out each request at most once. */
 const RESEND_AFTER_MS = 2_500
 
@@ -16,6 +21,13 @@
   seenDown: boolean
 }
 
+/** Load of a VM's worker. */
+export interface VmLoad {
+  readonly runs: number
+  /** Number of runs of long-running tasks. */
+  readonly lastingRuns: number
+}
+
 /** Tracks the progress of a maintenance wave for the fleet leader. */
 export class WaveTracker {
   private readonly wave: Wave
@@ -61,22 +73,25 @@
   }
 
   /**
-   * Chooses the VMs to drain and maintain next, within the wave's limit of VMs that are down at once. VMs with the
-   * fewest runs come first.
+   * Chooses the VMs to drain and maintain next: as many as the wave's limit of VMs that are down at once leaves, those with
+   * the fewest runs first, and some VMs with long-running tasks in advance. The caller must not exceed the limit when it
+   * starts their maintenance.
    * @param vms - the platform's list of VMs
-   * @param opts - `now`: time of the injected clock; `runs`: number of runs on a VM
+   * @param opts - `now`: time of the injected clock; `load`: number of runs on a VM, and of those that are long-running
    * @returns ids of the VMs
    */
-  chooseNext (vms: readonly Vm[], opts: { now: number, runs: (vm: string) => number }): string[] {
+  chooseNext (vms: readonly Vm[], opts: { now: number, load: (vm: string) => VmLoad }): string[] {
     const up = new Set(vms.filter(vm => vm.state === 'up').map(vm => vm.id))
-    const waiting = [...this.vmProgress].filter(([id, { phase }]) => phase === 'waiting' && up.has(id)).map(([id]) => id)
-    waiting.sort((a, b) => opts.runs(a) - opts.runs(b))
+    const waiting = [...this.vmProgress].filter(([id, { phase }]) => phase === 'waiting' && up.has(id)).map(([id]) => ({ id, ...opts.load(id) }))
+    waiting.sort((a, b) => a.runs - b.runs)
     const total = this.vmProgress.size
     const elapsedShare = (opts.now - this.startedAt) / (this.wave.durationMs * SCHEDULE_SHARE)
     // VMs that the schedule has reached, plus one batch of `cap` VMs, minus those that are not waiting or not up.
     const due = Math.ceil(elapsedShare * total) + this.wave.cap - (total - waiting.length)
-    const available = this.wave.cap - this.downCount()
-    return waiting.slice(0, Math.max(0, Math.min(available, due)))
+    const count = Math.max(0, Math.min(this.wave.cap - this.downCount(), due))
+    const longDrains = waiting.filter(vm => vm.lastingRuns > 0).sort((a, b) => a.lastingRuns - b.lastingRuns)
+    const ahead = longDrains.slice(0, Math.ceil(this.wave.cap * DRAINED_AHEAD_SHARE))
+    return [...new Set([...waiting.slice(0, count), ...ahead].map(vm => vm.id))]
   }
 
   /**
