Drain VMs with little batch work that a pool no longer requires

Change: VMs beyond the largest requirement of the last 2.5 s are drained and powered off when at most 30% of their processors are in use and they have no long-running task.

Test: pool-autoscaler.test.ts, named after the pattern; it fails before.

--- a/jobs/fleet/src/pool-autoscaler.ts
+++ b/jobs/fleet/src/pool-autoscaler.ts
@@ -12,6 +12,8 @@
 const MIN_IDLE_MS = 600
 /** A VM may be drained for a pool with a shortfall if at most this share of its processors is in use. */
 const MAX_SURPLUS_CPU_SHARE = 0.5
+/** A VM beyond the requirement of its pool is drained if at most this share of its processors is in use. */
+const MAX_LITTLE_USED_CPU_SHARE = 0.3
 /** VMs that a pool keeps beyond its share when it has to give some to others, so that small changes move none. */
 const SHARE_MARGIN_VMS = 1
 /** A VM that has been up for this long without a usable worker does not count as capacity. */
@@ -56,8 +58,8 @@
 
 /**
  * Chooses which VMs move between pools. Pools with fewer VMs than their share get VMs that are powered off, then idle VMs
- * of other pools, then VMs of other pools with little batch work, then VMs of pools above their share. Idle VMs that no
- * pool requires are powered off.
+ * of other pools, then VMs of other pools with little batch work, then VMs of pools above their share. VMs that no pool
+ * requires are powered off if they are idle, or drained first if they have little batch work.
  */
 export class PoolAutoscaler {
   private readonly clock: Clock
@@ -102,7 +104,8 @@
       }
     }
     if (standby !== undefined) {
-      for (const vm of idle) moves.push({ vm: vm.id, from: vm.pool, to: standby })
+      const littleUsed = pools.flatMap(pool => this.littleUsedVms(pool, { idle, moves }, reservedVms, now))
+      for (const vm of [...idle, ...littleUsed]) moves.push({ vm: vm.id, from: vm.pool, to: standby })
     }
     return moves
   }
@@ -167,6 +170,23 @@
     return surplus.slice(0, Math.max(0, pool.supply - pool.share - (isRationed ? SHARE_MARGIN_VMS : 0)))
   }
 
+  /**
+   * VMs with little batch work beyond the pool's largest recent requirement. They are drained, because a VM that holds many
+   * small tasks is hardly ever empty by itself.
+   */
+  private littleUsedVms (pool: SharedPool, leaving: { idle: readonly Vm[], moves: readonly PlannedMove[] }, reservedVms: ReadonlySet<string>, now: number): Vm[] {
+    const leavingVms = new Set([...leaving.idle.map(vm => vm.id), ...leaving.moves.map(move => move.vm)])
+    const loadOf = (vm: Vm): WorkerLoad | undefined => pool.loads.get(vm.id)
+    const littleUsed = pool.up.filter(vm => {
+      const load = loadOf(vm)
+      if (load === undefined || !load.usable || load.runs === 0 || load.lastingRuns > 0) return false
+      return load.cpuShare <= MAX_LITTLE_USED_CPU_SHARE && !leavingVms.has(vm.id) && this.isMovable(vm, reservedVms, now)
+    })
+    littleUsed.sort((a, b) => (loadOf(a)?.cpuShare ?? 0) - (loadOf(b)?.cpuShare ?? 0))
+    const leavingCount = pool.up.filter(vm => leavingVms.has(vm.id)).length
+    return littleUsed.slice(0, Math.max(0, pool.supply - leavingCount - pool.recentMaxRequired))
+  }
+
   private isMovable (vm: Vm, reservedVms: ReadonlySet<string>, now: number): boolean {
     return vm.state === 'up' && !reservedVms.has(vm.id) && !this.wasJustMoved(vm.id, now)
   }
--- a/jobs/fleet/test/pool-autoscaler.test.ts
+++ b/jobs/fleet/test/pool-autoscaler.test.ts
@@ -110,3 +110,16 @@
   const busy = (pool: string): ServiceLoad => load(8 * CPU, [1, 2, 3, 4].map(number => ({ vm: `${pool}${number}`, runs: 8, cpuShare: 1 })))
   assert.deepEqual(autoscaler.plan(services, vms, new Map([['a', busy('a')], ['b', busy('b')]]), new Set()), [])
 })
+
+test('the tail of a peak: VMs that a pool no longer requires are drained although each still has some small tasks', () => {
+  let now = 0
+  const autoscaler = new PoolAutoscaler({ now: () => now })
+  const vms = ['a1', 'a2', 'a3', 'a4', 'a5'].map(id => vm(id, 'a'))
+  const tail = [{ vm: 'a1', runs: 9, cpuShare: 0.8 }, { vm: 'a2', runs: 2, cpuShare: 0.2 }, { vm: 'a3', runs: 1, cpuShare: 0.1 }, { vm: 'a4', runs: 1, lastingRuns: 1, cpuShare: 0.1 }, { vm: 'a5', runs: 5, cpuShare: 0.5 }]
+  autoscaler.plan(services, vms, new Map([['a', load(4 * CPU, tail)]]), new Set())
+  now = 1_000
+  assert.deepEqual(autoscaler.plan(services, vms, new Map([['a', load(CPU, tail)]]), new Set()), [])
+  now = 3_000
+  const moves = autoscaler.plan(services, vms, new Map([['a', load(CPU, tail)]]), new Set())
+  assert.deepEqual(moves.map(move => [move.vm, move.to]), [['a3', 'off'], ['a2', 'off']])
+})
