--- a/testing/jobs/src/index.ts
+++ b/testing/jobs/src/index.ts
@@ -4,6 +4,7 @@
  */
 export { JobSite, type SiteLeader } from './job-site.ts'
 export { InMemoryWorkers, type StartFault, type RecordedRun } from './memory-workers.ts'
+export { untilState, withSite } from './with-site.ts'
 export { waitUntil } from './wait-until.ts'
 export { JobProcesses, type JobProcess } from './job-processes.ts'
 export { HttpWorkerHosts } from './worker-hosts.ts'
--- a/testing/jobs/test/jobs.test.ts
+++ b/testing/jobs/test/jobs.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { Step } from '@wisteriaslip/jobs.model'
-import { JobSite, plainStep, waitUntil, type RecordedRun } from '@wisteriaslip/testing.jobs'
+import { plainStep, untilState, waitUntil, withSite, type JobSite, type RecordedRun } from '@wisteriaslip/testing.jobs'
 
 const ID = '00000000000000aa'
 
@@ -9,20 +9,6 @@
   return plainStep({ estimateMs: 30, ...overrides })
 }
 
-async function withSite (run: (site: JobSite) => Promise<void>): Promise<void> {
-  const site = new JobSite()
-  try {
-    site.addWorkers('w1', 'w2', 'w3')
-    await run(site)
-  } finally {
-    await site.close()
-  }
-}
-
-async function untilState (site: JobSite, id: string, state: string): Promise<void> {
-  await waitUntil(`${id} is ${state}`, async () => await site.intake.state(site.queue, id) === state)
-}
-
 /** Asserts that no task has two concurrent runs and that none starts after a run of it is done. */
 function assertNoDuplicateRuns (runs: readonly RecordedRun[]): void {
   for (const run of runs) {
--- a/testing/jobs/test/power-loss.test.ts
+++ b/testing/jobs/test/power-loss.test.ts
@@ -1,24 +1,10 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { JobSite, plainStep, waitUntil } from '@wisteriaslip/testing.jobs'
+import { plainStep, untilState, waitUntil, withSite, type JobSite } from '@wisteriaslip/testing.jobs'
 
 const ID = '00000000000000aa'
 const OTHER_ID = '00000000000000bb'
 
-async function withSite (run: (site: JobSite) => Promise<void>): Promise<void> {
-  const site = new JobSite()
-  try {
-    site.addWorkers('w1', 'w2', 'w3')
-    await run(site)
-  } finally {
-    await site.close()
-  }
-}
-
-async function untilState (site: JobSite, id: string, state: string): Promise<void> {
-  await waitUntil(`${id} is ${state}`, async () => await site.intake.state(site.queue, id) === state)
-}
-
 function doneRuns (site: JobSite, job: string): string[] {
   return site.workers.recordedRuns.filter(run => run.task.startsWith(job) && run.how === 'done').map(run => run.task).sort()
 }
