Read as a newcomer: a comment that claimed too much, plainer loops of the virtual process, one more test

The order of shortfalls has its reason beside it. The turn of the virtual process handles its three queues by one method. New: a test that the fleet's leader tells a leader without withdrawn workers so once a second only; it fails without the interval. No behaviour changed.

--- a/cli/cli/src/cli.ts
+++ b/cli/cli/src/cli.ts
@@ -3,7 +3,7 @@
 
 const VERSION = '0.1.0'
 
-/** A command that is loaded when it is run: an entry starts faster without the modules of the other commands. */
+/** A command that is loaded when it is run, so that a start evaluates the modules of that command only. */
 interface CommandEntry {
   readonly name: string
   readonly summary: string
--- a/jobs/fleet/src/pool-autoscaler.ts
+++ b/jobs/fleet/src/pool-autoscaler.ts
@@ -94,6 +94,7 @@
     const idle = pools.flatMap(pool => this.idleVms(pool, reservedVms, now))
     const surplus = pools.flatMap(pool => this.surplusVms(pool, reservedVms, now)).filter(vm => !idle.includes(vm))
     const shortfalls = pools.map(pool => ({ pool, shortfall: pool.share - pool.supply })).filter(each => each.shortfall > 0)
+    // While VMs have yet to become free, a small pool loses more by waiting for one than a large pool.
     shortfalls.sort((a, b) => a.pool.supply - b.pool.supply)
     const moves: PlannedMove[] = []
     for (const { pool, shortfall } of shortfalls) {
--- a/jobs/fleet/test/term.test.ts
+++ b/jobs/fleet/test/term.test.ts
@@ -14,6 +14,8 @@
 class FakeFleet {
   readonly maintained: string[] = []
   readonly statuses: boolean[] = []
+  /** Calls to withdraw workers of the service, with the time on the leader's clock. */
+  readonly withdrawals: Array<{ at: number, vms: readonly string[] }> = []
   records: ReadonlyMap<number, WaveRecord> | undefined = new Map()
   private readonly waveRecords: WaveRecordStore = {
     read: async () => this.records,
@@ -24,14 +26,14 @@
   }
 
   /** Runs a new leader's term on its own clock until it has checked its leadership `steps` times. */
-  async runTerm (steps: number): Promise<void> {
+  async runTerm (steps: number, opts: { stepMs: number, services: typeof services } = { stepMs: 1_000, services: [] }): Promise<void> {
     const ending = new AbortController()
     const clock = new ManualClock()
     let left = steps
     const term = new FleetTerm({
       token: 1,
       isLeader: () => {
-        clock.advance(1_000)
+        clock.advance(opts.stepMs)
         left -= 1
         if (left < 0) ending.abort()
         return left >= 0
@@ -44,9 +46,15 @@
           return ok(undefined)
         }
       },
-      services: { load: async () => undefined, withdraw: async () => undefined },
+      services: {
+        load: async () => undefined,
+        withdraw: async (_service, vms) => {
+          this.withdrawals.push({ at: clock.now(), vms })
+          return { kind: 'withdrawn', empty: [] }
+        }
+      },
       waves: () => [wave],
-      config: () => ({ version: 1, queues: [], services, maxBodyBytes: 1 }),
+      config: () => ({ version: 1, queues: [], services: [...services, ...opts.services], maxBodyBytes: 1 }),
       waveRecords: this.waveRecords,
       writeStatus: async (_wave, done) => {
         this.statuses.push(done)
@@ -79,3 +87,11 @@
   await fleet.runTerm(5)
   assert.deepEqual(fleet.maintained, [])
 })
+
+test('a leader none of whose workers is withdrawn is told so once a second, not in every step', async () => {
+  const fleet = new FakeFleet()
+  await fleet.runTerm(12, { stepMs: 200, services: [{ name: 'quoting', guardsCapacity: true, standby: false }] })
+  const times = fleet.withdrawals.map(({ at }) => at)
+  assert.ok(times.length >= 2, `${times.length} calls`)
+  for (const [index, at] of times.entries()) assert.ok(index === 0 || at - (times[index - 1] ?? 0) >= 1_000)
+})
--- a/testing/jobs/src/virtual-process.ts
+++ b/testing/jobs/src/virtual-process.ts
@@ -18,7 +18,7 @@
   private order = 0
   private readonly outside: ScheduledEvent[] = []
   private readonly timers: ScheduledEvent[] = []
-  private readonly received: Array<() => void> = []
+  private readonly received: Array<{ callback: () => void }> = []
   private readonly immediates: Array<{ callback: () => void }> = []
   private readonly originals: TimerGlobals
   private readonly originalNow = performance.now
@@ -73,7 +73,7 @@
    * @param callback - handles it
    */
   deliver (callback: () => void): void {
-    this.received.push(callback)
+    this.received.push({ callback })
   }
 
   /**
@@ -89,11 +89,21 @@
 
   private async runTurn (): Promise<boolean> {
     const startedAt = this.timeMs
+    const timers = await this.handleFirst(this.timers, ({ at }) => at <= startedAt, Infinity)
+    const received = await this.handleFirst(this.received, () => true, this.received.length)
+    const immediates = await this.handleFirst(this.immediates, () => true, this.immediates.length)
+    return timers + received + immediates > 0
+  }
+
+  /** Handles items from the head of a queue while they are due; what is added meanwhile waits, once `most` are handled. */
+  private async handleFirst<T extends { readonly callback: () => void }> (queue: T[], isDue: (item: T) => boolean, most: number): Promise<number> {
     let handled = 0
-    for (; this.timers[0] !== undefined && this.timers[0].at <= startedAt; handled++) await this.handle((this.timers.shift() as ScheduledEvent).callback)
-    for (let left = this.received.length; left > 0; left--, handled++) await this.handle(this.received.shift() as () => void)
-    for (let left = this.immediates.length; left > 0 && this.immediates[0] !== undefined; left--, handled++) await this.handle((this.immediates.shift() as { callback: () => void }).callback)
-    return handled > 0
+    for (let item = queue[0]; item !== undefined && handled < most && isDue(item); item = queue[0]) {
+      queue.shift()
+      await this.handle(item.callback)
+      handled += 1
+    }
+    return handled
   }
 
   /** Runs one callback and the continuations of the promises that it settled. */
