Log why workers get no tasks: failed writes of the term record, and what a takeover waits for

A failed write of the term record was silent; how long jobs of earlier terms waited, and for which workers, was not written either.

No decision changes.

Shown by: lost-replies.test.ts, which finds the line of the first kind in a leader's log.

--- a/core/logger/src/index.ts
+++ b/core/logger/src/index.ts
@@ -39,3 +39,12 @@
 
 /** A logger that writes nothing. */
 export const silentLogger: Logger = pino({ level: 'silent' })
+
+/**
+ * Creates a logger that keeps the messages of its lines in a list.
+ * @param messages - list to which the messages are added
+ * @returns a pino logger
+ */
+export function recordingLogger (messages: string[]): Logger {
+  return pino({}, { write: (line: string) => { messages.push((JSON.parse(line) as { msg: string }).msg) } })
+}
--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -64,7 +64,7 @@
   /** Returns whether the worker does not respond and scheduling depends on what runs there. */
   private isSuspect (worker: TrackedWorker): boolean {
     if (worker.reachable || worker.ended || this.scheduler.workers.get(worker.registration.id) !== worker) return false
-    return worker.runs.size > 0 || (!worker.hasKnownRuns() && this.clock.now() < worker.unknownRunsUntil)
+    return worker.runs.size > 0 || worker.mayHaveUnknownRuns(this.clock.now())
   }
 }
 
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -266,11 +266,19 @@
    */
   mayHaveUnknownRuns (now: number): boolean {
     for (const worker of this.workers.values()) {
-      if (!worker.hasKnownRuns() && now < worker.unknownRunsUntil) return true
+      if (worker.mayHaveUnknownRuns(now)) return true
     }
     return false
   }
 
+  /**
+   * @param now - time of the injected clock
+   * @returns the workers that may execute runs of earlier leaders that are not tracked here
+   */
+  workersWithUnknownRuns (now: number): TrackedWorker[] {
+    return [...this.workers.values()].filter(worker => worker.mayHaveUnknownRuns(now))
+  }
+
   /**
    * Marks a run to be stopped.
    * @param run - the run
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -57,9 +57,12 @@
     this.unknownRunsUntil = opts.unknownRunsUntil
   }
 
-  /** @returns whether all runs of the incarnation are tracked */
-  hasKnownRuns (): boolean {
-    return this.fenced || this.ended
+  /**
+   * @param now - time of the injected clock
+   * @returns whether runs of earlier leaders may be in progress that are not tracked here
+   */
+  mayHaveUnknownRuns (now: number): boolean {
+    return !this.fenced && !this.ended && now < this.unknownRunsUntil
   }
 
   /**
--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -22,6 +22,8 @@
   private readonly wakeup = new Wakeup()
   private record: Versioned<TermRecord> | undefined
   private readonly recordedWorkers = new Set<string>()
+  /** First of the writes that have failed since the last successful one. */
+  private failure: { readonly since: number, readonly code: string } | undefined
 
   constructor (opts: ServiceTermOpts) {
     this.opts = opts
@@ -78,6 +80,7 @@
     if (this.isCurrent(scheduler)) return true
     const workers = liveWorkers(scheduler)
     const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers }, this.opts.guard)
+    this.recordOutcome(written.ok ? undefined : written.error, workers)
     if (!written.ok) return false
     this.record = written.value
     this.recordedWorkers.clear()
@@ -85,6 +88,19 @@
     return true
   }
 
+  /** Logs when writes begin to fail, when they fail for another reason, and when they succeed again. */
+  private recordOutcome (error: StoreError | undefined, workers: readonly WorkerRegistration[]): void {
+    const { service, token, clock, logger, metrics } = this.opts
+    const now = clock.now()
+    if (error !== undefined) metrics.count('term_record_failures_total', { service, code: error.code })
+    if (error?.code === this.failure?.code) return
+    const failedForMs = this.failure === undefined ? 0 : Math.round(now - this.failure.since)
+    const fields = { service, token, failedForMs }
+    if (error === undefined) logger.info({ ...fields, workers: workers.length }, 'term record written again')
+    else logger.warn({ ...fields, code: error.code, waitingWorkers: workers.filter(worker => !this.contains(worker)).map(worker => worker.id) }, 'failed to write term record: workers that it does not name get no tasks')
+    this.failure = error === undefined ? undefined : { since: this.failure?.since ?? now, code: error.code }
+  }
+
   private nextRecord (before: TermRecord | undefined): TermRecord {
     const maxEarlierLeaseMs = before === undefined ? 0 : before.leaseMs ?? this.opts.limits.longestLeaseMs
     return { number: (before?.number ?? -1) + 1, leaseMs: Math.max(maxEarlierLeaseMs, WORKER_LEASE_MS), workers: before?.workers ?? [] }
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -9,6 +9,7 @@
 import { ProgressWriter } from './progress-writer.ts'
 import { RequestWatcher } from './request-watcher.ts'
 import { StartWindow } from './start-window.ts'
+import { TakeoverMonitor } from './takeover-monitor.ts'
 import { TermRecordWriter } from './term-record-writer.ts'
 import { WorkerSession } from './worker-session.ts'
 
@@ -194,10 +195,12 @@
   private async runSchedulingLoop (signal: AbortSignal): Promise<void> {
     const components = this.components
     if (components === undefined) return
+    const takeoverMonitor = new TakeoverMonitor(this.opts)
     while (!signal.aborted) {
       this.updateWorkers(components.scheduler)
       this.openSessions(components.scheduler, signal)
       components.scheduler.tick()
+      takeoverMonitor.observe(components.scheduler)
       for (const run of components.scheduler.placeReadyTasks(this.startWindow.free())) this.sendStart(run, signal)
       for (const run of components.scheduler.collectDueStops()) this.send(run, signal, async session => await session.stop(run, signal))
       for (const request of components.scheduler.collectPermitRequests()) this.requestPermits(components.scheduler, request, signal).catch(() => {})
--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -1,11 +1,11 @@
 import { err, systemClock, type Result } from '@wisteriaslip/core.result'
-import { silentLogger } from '@wisteriaslip/core.logger'
+import { recordingLogger, silentLogger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { Intake, type LeaderClient } from '@wisteriaslip/jobs.intake'
 import type { JobLimits, JobRequest, Queue, Step, Vm, WorkerClient, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import { ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
-import { StoreClient, type Driver, type DriverError } from '@wisteriaslip/store.client'
+import { StoreClient, type Driver, type DriverError, type DriverTxn } from '@wisteriaslip/store.client'
 import { MemoryDriver, type DriverFault } from '@wisteriaslip/testing.stand-ins'
 import { InMemoryWorkers, type RunPlan } from './memory-workers.ts'
 
@@ -34,6 +34,10 @@
   readonly queue = queue
   /** Faults of the next writes of the intake, in order; later writes succeed. */
   readonly submitFaults: DriverFault[] = []
+  /** Faults of the leaders' next writes of the term record, in order; later writes succeed. */
+  readonly termRecordFaults: DriverFault[] = []
+  /** Messages that the leaders have logged. */
+  readonly logged: string[] = []
   /** Planned outcomes of runs, by task and attempt; overrides the defaults. */
   plan: (task: string, attempt: number) => Partial<RunPlan> = () => ({})
   /** The platform's list of VMs. */
@@ -45,7 +49,7 @@
   constructor () {
     this.workers = new InMemoryWorkers(() => systemClock.now(), (task, attempt) => ({ runMs: 30, how: 'done', demand: { cpu: 1_000, memMb: 100, accelerators: 0 }, members: 1, ...this.plan(task, attempt) }))
     const metrics = new Metrics()
-    this.intake = new Intake({ records: this.createRecords(this.createSubmitDriver()), leaderClient: this.createLeaderClient(), clock: systemClock, logger: silentLogger, metrics, signal: this.shutdown.signal })
+    this.intake = new Intake({ records: this.createRecords(withWriteFaults(this.driver, this.submitFaults, () => true)), leaderClient: this.createLeaderClient(), clock: systemClock, logger: silentLogger, metrics, signal: this.shutdown.signal })
   }
 
   /** @param ids - ids of workers to start, each on its own VM */
@@ -81,7 +85,8 @@
     const link = { up: true }
     const termAbort = new AbortController()
     this.shutdown.signal.addEventListener('abort', () => termAbort.abort(), { once: true })
-    const driver = disconnectable(this.driver, link, connectionLost)
+    const writesTermRecord = (txn: DriverTxn): boolean => txn.puts.some(put => put.key === new JobKeys('w').term(SERVICE))
+    const driver = disconnectable(withWriteFaults(this.driver, this.termRecordFaults, writesTermRecord), link, connectionLost)
     const term = new ServiceTerm({
       service: SERVICE,
       token,
@@ -96,7 +101,7 @@
       limits,
       clock: systemClock,
       wallClock: Date.now,
-      logger: silentLogger,
+      logger: recordingLogger(this.logged),
       metrics: new Metrics()
     })
     const leader = { term, token, reachable: true }
@@ -148,16 +153,6 @@
     }
   }
 
-  private createSubmitDriver (): Driver {
-    const txn: Driver['txn'] = async call => {
-      const fault = this.submitFaults.shift() ?? 'fine'
-      if (fault === 'lose-call') return await connectionLost()
-      const reply = await this.driver.txn(call)
-      return fault === 'lose-reply' ? await connectionLost() : reply
-    }
-    return new Proxy<Driver>(this.driver, { get: (driver, name) => name === 'txn' ? txn : (Reflect.get(driver, name) as () => unknown).bind(driver) })
-  }
-
   private createStoreClient (driver: Driver): StoreClient {
     return new StoreClient(driver, { readsPerSecond: 1e6, writesPerSecond: 1e6, metrics: new Metrics() })
   }
@@ -167,6 +162,17 @@
   }
 }
 
+/** Wraps a driver: the writes that `applies` selects meet the given faults, in order. */
+function withWriteFaults (driver: Driver, faults: DriverFault[], applies: (txn: DriverTxn) => boolean): Driver {
+  const txn: Driver['txn'] = async (call, signal) => {
+    const fault = applies(call) ? faults.shift() ?? 'fine' : 'fine'
+    if (fault === 'lose-call') return await connectionLost()
+    const reply = await driver.txn(call, signal)
+    return fault === 'lose-reply' ? await connectionLost() : reply
+  }
+  return new Proxy<Driver>(driver, { get: (target, name) => name === 'txn' ? txn : (Reflect.get(target, name) as () => unknown).bind(target) })
+}
+
 async function connectionLost (): Promise<Result<never, DriverError>> {
   return err({ kind: 'lost', message: 'disconnected' })
 }
