--- a/testing/jobs/test/lost-replies.test.ts
+++ b/testing/jobs/test/lost-replies.test.ts
@@ -16,6 +16,14 @@
   await waitUntil('the outcome of a write is unknown', () => site.termRecordFaults.length <= 1)
 }
 
+// A leader whose write of the term record got no reply could not give tasks to any worker that joined afterwards.
+test('workers that join a pool get tasks although the reply to a write of the term record was lost', async () => {
+  await withSite(async site => {
+    await addWorkerWithUnknownOutcome(site)
+    await waitUntil('the worker that joined runs a task', () => site.workers.recordedRuns.some(run => run.worker === 'w4'))
+  })
+})
+
 test('a leader logs that it cannot write its term record', async () => {
   await withSite(async site => {
     await addWorkerWithUnknownOutcome(site)
