Read the term record again after a conflict

Cause: a write without a response may have taken effect. TermRecordWriter went on from the version that it had before, so that each later write conflicted. A worker gets its first lease only once the record names it. Class: the outcome of a write is unknown, and the writer takes it as not done. Progress records and wave records are read again after a conflict; this one was not.

Change: after a conflict the record is read again, and taken if it is of this term. If the conflict is that of a newer leader, nothing changes: the guard of the next write fails too.

--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -38,8 +38,7 @@
     if (this.record !== undefined) return { ok: true, value: this.record.value }
     const written = await records.startTerm(service, before => this.nextRecord(before), guard)
     if (!written.ok) return written
-    this.record = written.value
-    for (const worker of written.value.value.workers) this.recordedWorkers.add(incarnationKey(worker))
+    this.setRecord(written.value)
     return { ok: true, value: written.value.value }
   }
 
@@ -81,11 +80,21 @@
     const workers = liveWorkers(scheduler)
     const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers }, this.opts.guard)
     this.recordOutcome(written.ok ? undefined : written.error, workers)
-    if (!written.ok) return false
-    this.record = written.value
+    if (written.ok) this.setRecord(written.value)
+    else if (written.error.kind === 'conflict') await this.readRecord(this.record.value.number)
+    return written.ok
+  }
+
+  /** Reads the record again after a conflict: an earlier write without a response may have taken effect. */
+  private async readRecord (term: number): Promise<void> {
+    const stored = await this.opts.records.term(this.opts.service)
+    if (stored.ok && stored.value?.value.number === term) this.setRecord(stored.value)
+  }
+
+  private setRecord (record: Versioned<TermRecord>): void {
+    this.record = record
     this.recordedWorkers.clear()
-    for (const worker of workers) this.recordedWorkers.add(incarnationKey(worker))
-    return true
+    for (const worker of record.value.workers) this.recordedWorkers.add(incarnationKey(worker))
   }
 
   /** Logs when writes begin to fail, when they fail for another reason, and when they succeed again. */
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -123,6 +123,14 @@
     return ok({ revision: requests.value.revision, jobs, cancelled, progress: progressById })
   }
 
+  /**
+   * @param service - name of the service
+   * @returns the record of the service's latest term, undefined if there is none, or the store's error
+   */
+  async term (service: string): Promise<Result<Versioned<TermRecord> | undefined, StoreError>> {
+    return await this.store.get(this.keys.term(service)) as Result<Versioned<TermRecord> | undefined, StoreError>
+  }
+
   /**
    * Starts a term: replaces the record of the previous term by one with the new number, which carries over what earlier
    * terms leave behind (their workers and longest lease).
@@ -132,10 +140,9 @@
    * @returns the record as written, or the store's error
    */
   async startTerm (service: string, next: (before: TermRecord | undefined) => TermRecord, guard: Guard): Promise<Result<Versioned<TermRecord>, StoreError>> {
-    const before = await this.store.get(this.keys.term(service))
+    const before = await this.term(service)
     if (!before.ok) return before
-    const prior = before.value as Versioned<TermRecord> | undefined
-    return await this.writeTerm(service, prior, next(prior?.value), guard)
+    return await this.writeTerm(service, before.value, next(before.value?.value), guard)
   }
 
   /**
