Release unanswered starts of a lost worker once its id cannot return

The end of an incarnation kept such a start for twice the longest lease, 20 s on this site, as the command may still reach the next incarnation under the same id.

Class: a reservation that ends by a fixed time only, chosen for safety, where the platform proves earlier that it is over.

Change: the list of VMs is asked further while an ended incarnation holds unanswered starts. They are released when two consecutive lists show another worker on the VM, or no such VM: the id names one worker of one VM. A VM that is down, or that has the same worker again, proves nothing; then the next incarnation blocks the start as before. The line says what was released, and the line of a lost worker what it holds.

Shown by: lost-worker-detector.test.ts; red before (expected w2 to be started, got nothing).

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -9,14 +9,26 @@
 const REQUIRED_VM_LISTS = 2
 
 interface SuspectedLoss {
-  /** When the worker was first seen unresponsive, by the injected clock. */
+  /** When the worker was first seen unresponsive, or its incarnation ended, by the injected clock. */
   readonly since: number
   confirmations: number
 }
 
+/** What a list of VMs has proven about a worker. */
+export interface LostWorker {
+  readonly worker: TrackedWorker
+  /** `ended`: nothing runs there any more; `replaced`: nor will anything, as its id does not return. */
+  readonly proof: 'ended' | 'replaced'
+  /** Starts with an unknown outcome: those that are kept after `ended`, those that are released after `replaced`. */
+  readonly unansweredStarts: number
+  /** State of the VM in the last list; undefined when it is not listed. */
+  readonly vmState: Vm['state'] | undefined
+}
+
 /**
  * Detects from the list of VMs that incarnations of unresponsive workers have ended, long before their leases expire: a
- * VM that was moved, maintained or powered off no longer runs what it ran before.
+ * VM that was moved, maintained or powered off no longer runs what it ran before. Starts with an unknown outcome may
+ * still arrive if the worker restarts under its id; they are released once its VM has another worker or is gone.
  */
 export class LostWorkerDetector {
   private readonly scheduler: Scheduler
@@ -41,35 +53,51 @@
   }
 
   /**
-   * Applies a list of VMs, and ends the incarnations in the scheduler that are proven to be over.
+   * Applies a list of VMs: ends the incarnations in the scheduler that are proven to be over, and releases the runs of
+   * those whose id is proven not to return.
    * @param vms - VMs as the platform lists them
    * @param requestedAt - when the list was requested, by the injected clock
-   * @returns the lost workers
+   * @returns the workers for which the list completed a proof
    */
-  applyVmList (vms: readonly Vm[], requestedAt: number): TrackedWorker[] {
+  applyVmList (vms: readonly Vm[], requestedAt: number): LostWorker[] {
     const byId = new Map(vms.map(vm => [vm.id, vm]))
-    const lost: TrackedWorker[] = []
+    const lost: LostWorker[] = []
     for (const [worker, suspect] of this.suspects) {
       if (!this.isSuspect(worker) || requestedAt - suspect.since < VM_LIST_CHECK_AFTER_MS) continue
       const vm = byId.get(worker.registration.vm)
-      suspect.confirmations = vm !== undefined && provesIncarnationEnded(vm, worker) ? suspect.confirmations + 1 : 0
+      const proof = worker.ended ? 'replaced' : 'ended'
+      const isProof = proof === 'replaced' ? provesReplaced(vm, worker) : provesIncarnationEnded(vm, worker)
+      suspect.confirmations = isProof ? suspect.confirmations + 1 : 0
       if (suspect.confirmations < REQUIRED_VM_LISTS) continue
-      this.scheduler.endIncarnation(worker)
+      if (proof === 'ended') this.scheduler.endIncarnation(worker)
+      lost.push({ worker, proof, unansweredStarts: worker.runs.size, vmState: vm?.state })
+      if (proof === 'replaced') this.scheduler.releaseRuns(worker)
       this.suspects.delete(worker)
-      lost.push(worker)
     }
     return lost
   }
 
-  /** Returns whether the worker does not respond and scheduling depends on what runs there. */
+  /** Returns whether the worker does not respond or has ended, and scheduling depends on what runs there. */
   private isSuspect (worker: TrackedWorker): boolean {
-    if (worker.reachable || worker.ended || this.scheduler.workers.get(worker.registration.id) !== worker) return false
+    if (this.scheduler.workers.get(worker.registration.id) !== worker) return false
+    if (worker.ended) return worker.runs.size > 0
+    if (worker.reachable) return false
     return worker.runs.size > 0 || worker.mayHaveUnknownRuns(this.clock.now())
   }
 }
 
 /** Returns whether the VM, as listed, cannot be running this incarnation of the worker. */
-function provesIncarnationEnded (vm: Vm, worker: TrackedWorker): boolean {
+function provesIncarnationEnded (vm: Vm | undefined, worker: TrackedWorker): boolean {
+  if (vm === undefined) return false
   if (vm.state !== 'up' || vm.pool !== worker.registration.service) return true
   return vm.worker !== '' && vm.worker !== worker.registration.id
 }
+
+/**
+ * Returns whether the worker, whose incarnation has ended, cannot restart under its id: its VM has another worker, or no
+ * longer exists.
+ */
+function provesReplaced (vm: Vm | undefined, worker: TrackedWorker): boolean {
+  if (worker.registration.vm === '') return false
+  return vm === undefined || (vm.worker !== '' && vm.worker !== worker.registration.id)
+}
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -103,7 +103,8 @@
 
   /**
    * Ends an incarnation of a worker: nothing runs there any more, so its confirmed runs are released. Starts with an
-   * unknown outcome are kept, because the command may still reach the next incarnation under the same id.
+   * unknown outcome are kept, because the command may still reach the next incarnation under the same id; see
+   * {@link Scheduler.releaseRuns}.
    * @param worker - the incarnation that has ended
    */
   endIncarnation (worker: TrackedWorker): void {
@@ -117,6 +118,14 @@
     if (removable && this.workers.get(worker.registration.id) === worker) this.workers.delete(worker.registration.id)
   }
 
+  /**
+   * Releases all runs of a worker.
+   * @param worker - a worker on which they neither run now nor can start later
+   */
+  releaseRuns (worker: TrackedWorker): void {
+    for (const run of [...worker.runs.values()]) this.releaseRun(run)
+  }
+
   /**
    * Applies a worker's response to a poll.
    * @param worker - the worker that responded
@@ -195,9 +204,7 @@
   tick (): void {
     const now = this.opts.clock.now()
     for (const worker of [...this.workers.values()]) {
-      if (worker.runs.size > 0 && worker.haveLeasesExpired(now)) {
-        for (const run of [...worker.runs.values()]) this.releaseRun(run)
-      }
+      if (worker.runs.size > 0 && worker.haveLeasesExpired(now)) this.releaseRuns(worker)
       if (worker.deregistered && worker.runs.size === 0 && worker.pendingCompletions.size === 0 && (worker.fenced || now >= worker.unknownRunsUntil)) {
         this.workers.delete(worker.registration.id)
       }
--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import type { Vm } from '@wisteriaslip/jobs.model'
 import { LostWorkerDetector } from '@wisteriaslip/jobs.scheduler'
-import { SchedulerHarness, worker } from './harness.ts'
+import { SchedulerHarness, step, worker } from './harness.ts'
 
 const TASK = '00000000000000aa.0.0.0'
 
@@ -71,3 +71,57 @@
   assert.deepEqual(harness.startReadyTasks().map(run => run.worker.registration.id), ['w2'])
   assert.equal(harness.worker('w1').ended, true)
 })
+
+/** A task whose start got no response, on a worker whose VM proved to be down; another worker could run it. */
+function loseWorkerWithUnansweredStart () {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
+  harness.addJob({ steps: [step({ lasting: true })] })
+  harness.startWithoutResponse()
+  harness.worker('w1').reachable = false
+  harness.scheduler.setWorkers([worker('w2')], { unknownRunsUntil: 0 })
+  harness.report('w2')
+  const down = [vm({ state: 'down', worker: '' })]
+  assert.equal(applyVmListAfterDelay(harness, detector, down) + applyVmListAfterDelay(harness, detector, down), 1)
+  return { harness, detector }
+}
+
+// A long-running task whose start got no response from a crashed worker was not started again for twice the longest lease.
+for (const [name, vms] of [['has another worker', [vm({ worker: 'w9' })]], ['is gone', [vm({ id: 'vm-other' })]]] as const) {
+  test(`an unanswered start on a lost worker is released once its VM ${name}`, () => {
+    const { harness, detector } = loseWorkerWithUnansweredStart()
+    assert.deepEqual(harness.startReadyTasks(), [], 'the worker may restart under its id')
+    for (let lists = 0; lists < 3; lists++) applyVmListAfterDelay(harness, detector, [...vms])
+    harness.report('w2')
+    harness.scheduler.tick()
+    assert.deepEqual(harness.startReadyTasks().map(run => run.worker.registration.id), ['w2'])
+  })
+}
+
+// The start may still arrive at the next incarnation under the same id, and would run twice.
+for (const [name, listedVm] of [['is still down', vm({ state: 'down', worker: '' })], ['has no worker yet', vm({ worker: '' })], ['has this worker again', vm()]] as const) {
+  test(`an unanswered start on a lost worker is kept while its VM ${name}`, () => {
+    const { harness, detector } = loseWorkerWithUnansweredStart()
+    for (let lists = 0; lists < 4; lists++) assert.equal(applyVmListAfterDelay(harness, detector, [listedVm]), 0)
+    harness.report('w2')
+    harness.scheduler.tick()
+    assert.deepEqual(harness.startReadyTasks(), [])
+  })
+}
+
+test('no VM list proves that a worker without a known VM cannot restart', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1', { vm: '' }))
+  const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
+  harness.addJob()
+  harness.scheduler.endIncarnation(harness.startWithoutResponse().worker)
+  for (let lists = 0; lists < 4; lists++) assert.equal(applyVmListAfterDelay(harness, detector, [vm()]), 0)
+})
+
+test('contradictory VM lists do not prove that a lost worker cannot restart', () => {
+  const { harness, detector } = loseWorkerWithUnansweredStart()
+  for (const listedVm of [vm({ worker: 'w9' }), vm({ state: 'down', worker: '' }), vm({ worker: 'w9' })]) {
+    assert.equal(applyVmListAfterDelay(harness, detector, [listedVm]), 0)
+  }
+})
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -298,7 +298,11 @@
       const vms = await this.opts.vms(signal)
       if (vms === undefined) return
       const lost = detector.applyVmList(vms, requestedAt)
-      for (const worker of lost) this.opts.logger.info({ worker: worker.registration.id, vm: worker.registration.vm }, 'worker lost: its VM was moved, maintained or powered off')
+      for (const { worker: { registration }, proof, unansweredStarts, vmState } of lost) {
+        const fields = { worker: registration.id, vm: registration.vm, vmState, unansweredStarts }
+        if (proof === 'ended') this.opts.logger.info(fields, 'worker lost: its VM was moved, maintained or powered off')
+        else this.opts.logger.info(fields, 'unanswered starts released: the VM of their worker has another one or is gone')
+      }
       if (lost.length > 0) this.wakeup.wake()
     })
   }
