An occurrence that a report opened before it was due starts its other tasks when it is due

Callers saw a job with a schedule stay `running`: tasks of one occurrence were not started for the rest of a leader's term, with all capacity free.

Cause: a report of a run opens its occurrence in the job, without the table, so that its steps were not added to the ready steps; and the table opened only occurrences that did not exist yet. A leader gets such a report before the occurrence is due by its own time of day when an earlier leader's time of day was ahead, or has jumped, and when a run's job is looked up and the next report comes before the next tick.

Now an occurrence knows whether it is due. One that a report opened is not, starts nothing early, and is opened by the table like all others when it is. Ruled out: opening it in the table at the report, which would start its tasks before their time.

--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -243,7 +243,7 @@
     const { occurrence, job } = step
     occurrence.stepsLeft -= 1
     if (occurrence.stepsLeft > 0) {
-      this.addReadySteps(occurrence.steps)
+      if (occurrence.due) this.addReadySteps(occurrence.steps)
       return
     }
     job.occurrences.delete(occurrence.number)
@@ -278,6 +278,7 @@
   private openOccurrence (tracked: TrackedJob, number: number): void {
     const occurrence = tracked.openOccurrence(number)
     if (occurrence === undefined) return
+    occurrence.due = true
     // The stored progress has all steps done: completes the occurrence as if its last step had just ended.
     if (occurrence.stepsLeft === 0) {
       occurrence.stepsLeft = 1
@@ -302,8 +303,9 @@
   }
 }
 
+/** Returns the number of the first occurrence that has not become due. */
 function nextOccurrenceNumber (tracked: TrackedJob): number {
   let number = 0
-  while (tracked.endedOccurrences.has(number) || tracked.occurrences.has(number)) number += 1
+  while (tracked.endedOccurrences.has(number) || tracked.occurrences.get(number)?.due === true) number += 1
   return number
 }
--- a/jobs/scheduler/src/tracked-job.ts
+++ b/jobs/scheduler/src/tracked-job.ts
@@ -43,6 +43,8 @@
   readonly number: number
   readonly steps: readonly TrackedStep[]
   stepsLeft: number
+  /** False while only a worker's report of a run has opened it: its tasks are not started before it is due. */
+  due: boolean
 }
 
 /** The leader's state of a job. */
@@ -104,7 +106,7 @@
     if (existing !== undefined) return existing
     if (number >= this.times() || this.endedOccurrences.has(number)) return undefined
     const steps: TrackedStep[] = []
-    const occurrence: Occurrence = { number, steps, stepsLeft: this.job.steps.length }
+    const occurrence: Occurrence = { number, steps, stepsLeft: this.job.steps.length, due: false }
     for (const [index, spec] of this.job.steps.entries()) steps.push(this.createStep(occurrence, index, spec))
     occurrence.stepsLeft = steps.filter(step => step.left > 0).length
     this.occurrences.set(number, occurrence)
--- a/jobs/scheduler/test/scheduler.test.ts
+++ b/jobs/scheduler/test/scheduler.test.ts
@@ -147,6 +147,28 @@
   assert.deepEqual(harness.startReadyTasks().map(run => run.task.name), [`${ID}.1.0.0`])
 })
 
+// The other tasks of an occurrence were never started if a worker's report of a run had opened it before it was due.
+test('an occurrence whose run is reported before it is due starts its other tasks when it is due', () => {
+  for (const due of [12_000, 10_000]) {
+    const harness = new SchedulerHarness({ term: 1 })
+    harness.addWorkers(worker('w1'))
+    harness.addJob({ steps: [step({ tasks: 2 }), step({ after: [0] })], schedule: { times: 1, firstMs: due, everyMs: 1_000 } })
+    harness.report('w1', { running: [running(TASK, 1)] })
+    harness.now += 100
+    harness.report('w1', { ended: [ended(1, TASK, 1)] })
+    harness.now = Math.max(harness.now, due - 1)
+    harness.scheduler.tick()
+    if (harness.now < due) assert.deepEqual(harness.startReadyTasks(), [])
+    harness.now += 1
+    harness.scheduler.tick()
+    const [run] = harness.startReadyTasks()
+    assert.equal(run?.task.name, `${ID}.0.0.1`)
+    harness.now += 100
+    harness.report('w1', { ended: [ended(2, `${ID}.0.0.1`, run?.attempt ?? 0)] })
+    assert.deepEqual(harness.startReadyTasks().map(next => next.task.name), [`${ID}.0.1.0`])
+  }
+})
+
 test('a long-running task is restarted whatever its outcome, and stopped for maintenance only within mayMiss', () => {
   const harness = new SchedulerHarness()
   harness.addWorkers(worker('w1'), worker('w2'), worker('w3'))
