A restarted worker that stays silent holds back only the tasks of its unanswered starts

Callers saw nothing of any job of earlier terms being started, for up to two of the longest leases (20 s on the platform), while all other workers responded with free capacity.

Cause: when a worker restarts under its id with unanswered starts, these are carried over to its next incarnation, where they may still arrive. The time until then was kept as `unknownRunsUntil`, which also says that runs of earlier leaders may be in progress untracked. So, while the next incarnation did not respond, the leader placed only jobs of its own term, as in a takeover. But the carried starts are tracked and hold their own tasks, and earlier leaders used no incarnation that began in this term: they would have had to write it into the record of a term first.

Now that time is kept separately. The unanswered starts hold their tasks and capacity as long as before.

--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -313,8 +313,8 @@
     if (existing !== undefined && (registration.born < existing.registration.born || (existing.ended && registration.born === existing.registration.born))) return
     if (existing !== undefined) this.endIncarnation(existing)
     const unresolvedRuns = [...existing?.runs.values() ?? []]
-    const blockUntil = unresolvedRuns.length === 0 ? 0 : this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
-    const worker = new TrackedWorker(registration, { unknownRunsUntil: existing === undefined ? unknownRunsUntil : blockUntil })
+    const lateStartsUntil = unresolvedRuns.length === 0 ? 0 : this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
+    const worker = new TrackedWorker(registration, { unknownRunsUntil: existing === undefined ? unknownRunsUntil : 0, lateStartsUntil })
     this.workers.set(registration.id, worker)
     for (const run of unresolvedRuns) this.carryOverRun(run, worker)
   }
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -41,6 +41,8 @@
    * starts that were sent to an ended incarnation may still arrive.
    */
   unknownRunsUntil: number
+  /** Until this time of the injected clock, starts that were sent to the previous incarnation may still arrive. */
+  private readonly lateStartsUntil: number
   /** When a report first showed the worker without runs, by the injected clock; undefined while there is no such report. */
   emptySince: number | undefined
   private clockMs = 0
@@ -52,9 +54,10 @@
   private lasting = 0
   private readonly runsByStep = new Map<TrackedStep, number>()
 
-  constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number }) {
+  constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number, lateStartsUntil?: number }) {
     this.registration = registration
     this.unknownRunsUntil = opts.unknownRunsUntil
+    this.lateStartsUntil = opts.lateStartsUntil ?? 0
   }
 
   /**
@@ -182,9 +185,10 @@
    */
   haveLeasesExpired (now: number): boolean {
     if (this.ended) return now >= this.unknownRunsUntil
-    if (now < this.unknownRunsUntil && !this.fenced) return false
+    const unknownUntil = Math.max(this.unknownRunsUntil, this.lateStartsUntil)
+    if (now < unknownUntil && !this.fenced) return false
     const hasLease = this.hasClock() && this.leaseUntilMs !== Number.NEGATIVE_INFINITY
-    if (!hasLease) return now >= this.unknownRunsUntil
+    if (!hasLease) return now >= unknownUntil
     return this.clockMs + (now - this.clockReadAt) * MIN_CLOCK_RATE > this.leaseUntilMs
   }
 
--- a/jobs/scheduler/test/scheduler.test.ts
+++ b/jobs/scheduler/test/scheduler.test.ts
@@ -303,6 +303,28 @@
   assert.equal(harness.startReadyTasks().length, 1)
 })
 
+// A restarted worker that was silent held back all jobs of earlier terms for two of the longest leases.
+test('a start without a response at a worker that restarts and stays silent holds back only its own task', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  harness.addJob()
+  harness.startWithoutResponse()
+  harness.addJob({ id: '00000000000000bb' }, { acceptedThisTerm: false })
+  harness.scheduler.setWorkers([worker('w1', { born: 2 }), worker('w2')], { unknownRunsUntil: 0 })
+  harness.now += 100
+  harness.report('w2')
+  harness.scheduler.tick()
+  assert.deepEqual(harness.startReadyTasks().map(run => run.task.name), ['00000000000000bb.0.0.0'])
+  harness.now += 2 * limits.longestLeaseMs - 1_000
+  harness.report('w2', { running: [running('00000000000000bb.0.0.0', 1)] })
+  harness.scheduler.tick()
+  assert.deepEqual(harness.startReadyTasks(), [], 'the late start may still arrive at w1')
+  harness.now += 1_000
+  harness.report('w2', { running: [running('00000000000000bb.0.0.0', 1)] })
+  harness.scheduler.tick()
+  assert.deepEqual(harness.startReadyTasks().map(run => run.task.name), [TASK])
+})
+
 test('a queue with a policy starts tasks only where it has a permit, and requests a new one when a permit is rejected', () => {
   const harness = new SchedulerHarness({ queue: { needsPermit: true } })
   harness.addWorkers(worker('w1'), worker('w2'))
