Slow runs count against their worker once, so that its rest ends

Callers would see a ready task, a long-running one too, wait as long as slow runs last, at workers that respond and have room.

Cause: a worker with slow runs of two jobs rests for 1.5 s, and each report (every 0.5 s) began that rest anew while these runs went on. Runs that were restarted once, that gain nothing by a restart, or that no other worker can take are not stopped: they kept their worker from all starts until they ended. When all workers had such runs (slow machines, estimates that are too low, backfill runs that the leader itself had paused), nothing was started anywhere.

Now a run counts once when it is found slow. A worker on which further runs become slow rests again.

Ruled out: a limit on the whole rest, which would use a worker again while more and more of its runs become slow.

--- a/jobs/scheduler/src/run.ts
+++ b/jobs/scheduler/src/run.ts
@@ -31,6 +31,8 @@
   /** When `percent` last increased, on the worker's clock. */
   progressedWorkerClockMs: number
   load: number
+  /** The run has been found slow, and has counted against its worker. */
+  foundSlow: boolean
   /** Speed last set for the run, in percent of full speed; NaN when it is not known. */
   speedPercent: number
 }
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -453,6 +453,7 @@
       startedWorkerClockMs: undefined,
       progressedWorkerClockMs: worker.clockAt(now),
       load: 0,
+      foundSlow: false,
       speedPercent: 100
     }
     task.lastAttempt = Math.max(task.lastAttempt, attempt)
--- a/jobs/scheduler/src/stragglers.ts
+++ b/jobs/scheduler/src/stragglers.ts
@@ -55,14 +55,14 @@
 
 /** Result of the evaluation of a worker's runs. */
 export interface Stragglers {
-  /** The worker should get no new runs for a while. */
+  /** The worker should get no new runs for a while. A run counts once, so that this ends although no other can take it. */
   readonly workerIsSlow: boolean
   /** Runs that would complete sooner on another worker. */
   readonly toRestart: readonly Run[]
 }
 
 /**
- * Evaluates the progress of the runs of a worker.
+ * Evaluates the progress of the runs of a worker, and marks those that are found slow.
  * @param worker - the worker, with its last report applied
  * @param durationEstimator - expected durations
  * @param clockMs - reading of the worker's clock at the report, in milliseconds
@@ -80,7 +80,9 @@
     if (remainingMs > restartMs * MIN_RESTART_GAIN && run.task.slowRestarts < MAX_SLOW_RESTARTS) toRestart.push(run)
   }
   const jobs = new Set(slow.map(run => run.task.step.job))
-  return { workerIsSlow: jobs.size >= MIN_SLOW_JOBS, toRestart }
+  const workerIsSlow = jobs.size >= MIN_SLOW_JOBS && slow.some(run => !run.foundSlow)
+  for (const run of slow) run.foundSlow ||= jobs.size >= MIN_SLOW_JOBS
+  return { workerIsSlow, toRestart }
 }
 
 /** Estimates the remaining time of a slow run in milliseconds: infinite if stalled, undefined if not slow. */
--- a/jobs/scheduler/test/scheduler.test.ts
+++ b/jobs/scheduler/test/scheduler.test.ts
@@ -243,6 +243,25 @@
   assert.deepEqual(harness.scheduler.collectDueStops(), [])
 })
 
+// Slow runs that no other worker could take kept their worker from all starts until they ended.
+test('slow runs count against their worker once, so that it takes starts again while they run on', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  harness.addJob()
+  harness.addJob({ id: '00000000000000bb' })
+  const held = harness.startReadyTasks().map(run => running(run.task.name, 1, 10))
+  harness.addJob({ id: '00000000000000cc', steps: [step({ lasting: true })] })
+  const startedAt: number[] = []
+  for (harness.now += 600; harness.now < 20_000; harness.now += 100) {
+    harness.report('w1', { running: held })
+    for (const run of harness.startReadyTasks()) {
+      startedAt.push(harness.now)
+      held.push(running(run.task.name, run.attempt, 100))
+    }
+  }
+  assert.deepEqual(startedAt, [10_600 + 1_500])
+})
+
 test('runs at their usual speed are not restarted', () => {
   const harness = new SchedulerHarness()
   harness.addWorkers(worker('w1'), worker('w2'))
