--- a/jobs/scheduler/test/scheduler.test.ts
+++ b/jobs/scheduler/test/scheduler.test.ts
@@ -147,6 +147,28 @@
   assert.deepEqual(harness.startReadyTasks().map(run => run.task.name), [`${ID}.1.0.0`])
 })
 
+// The other tasks of an occurrence were never started if a worker's report of a run had opened it before it was due.
+test('an occurrence whose run is reported before it is due starts its other tasks when it is due', () => {
+  for (const due of [12_000, 10_000]) {
+    const harness = new SchedulerHarness({ term: 1 })
+    harness.addWorkers(worker('w1'))
+    harness.addJob({ steps: [step({ tasks: 2 }), step({ after: [0] })], schedule: { times: 1, firstMs: due, everyMs: 1_000 } })
+    harness.report('w1', { running: [running(TASK, 1)] })
+    harness.now += 100
+    harness.report('w1', { ended: [ended(1, TASK, 1)] })
+    harness.now = Math.max(harness.now, due - 1)
+    harness.scheduler.tick()
+    if (harness.now < due) assert.deepEqual(harness.startReadyTasks(), [])
+    harness.now += 1
+    harness.scheduler.tick()
+    const [run] = harness.startReadyTasks()
+    assert.equal(run?.task.name, `${ID}.0.0.1`)
+    harness.now += 100
+    harness.report('w1', { ended: [ended(2, `${ID}.0.0.1`, run?.attempt ?? 0)] })
+    assert.deepEqual(harness.startReadyTasks().map(next => next.task.name), [`${ID}.0.1.0`])
+  }
+})
+
 test('a long-running task is restarted whatever its outcome, and stopped for maintenance only within mayMiss', () => {
   const harness = new SchedulerHarness()
   harness.addWorkers(worker('w1'), worker('w2'), worker('w3'))
@@ -221,6 +243,25 @@
   assert.deepEqual(harness.scheduler.collectDueStops(), [])
 })
 
+// Slow runs that no other worker could take kept their worker from all starts until they ended.
+test('slow runs count against their worker once, so that it takes starts again while they run on', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  harness.addJob()
+  harness.addJob({ id: '00000000000000bb' })
+  const held = harness.startReadyTasks().map(run => running(run.task.name, 1, 10))
+  harness.addJob({ id: '00000000000000cc', steps: [step({ lasting: true })] })
+  const startedAt: number[] = []
+  for (harness.now += 600; harness.now < 20_000; harness.now += 100) {
+    harness.report('w1', { running: held })
+    for (const run of harness.startReadyTasks()) {
+      startedAt.push(harness.now)
+      held.push(running(run.task.name, run.attempt, 100))
+    }
+  }
+  assert.deepEqual(startedAt, [10_600 + 1_500])
+})
+
 test('runs at their usual speed are not restarted', () => {
   const harness = new SchedulerHarness()
   harness.addWorkers(worker('w1'), worker('w2'))
@@ -281,6 +322,28 @@
   assert.equal(harness.startReadyTasks().length, 1)
 })
 
+// A restarted worker that was silent held back all jobs of earlier terms for two of the longest leases.
+test('a start without a response at a worker that restarts and stays silent holds back only its own task', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  harness.addJob()
+  harness.startWithoutResponse()
+  harness.addJob({ id: '00000000000000bb' }, { acceptedThisTerm: false })
+  harness.scheduler.setWorkers([worker('w1', { born: 2 }), worker('w2')], { unknownRunsUntil: 0 })
+  harness.now += 100
+  harness.report('w2')
+  harness.scheduler.tick()
+  assert.deepEqual(harness.startReadyTasks().map(run => run.task.name), ['00000000000000bb.0.0.0'])
+  harness.now += 2 * limits.longestLeaseMs - 1_000
+  harness.report('w2', { running: [running('00000000000000bb.0.0.0', 1)] })
+  harness.scheduler.tick()
+  assert.deepEqual(harness.startReadyTasks(), [], 'the late start may still arrive at w1')
+  harness.now += 1_000
+  harness.report('w2', { running: [running('00000000000000bb.0.0.0', 1)] })
+  harness.scheduler.tick()
+  assert.deepEqual(harness.startReadyTasks().map(run => run.task.name), [TASK])
+})
+
 test('a queue with a policy starts tasks only where it has a permit, and requests a new one when a permit is rejected', () => {
   const harness = new SchedulerHarness({ queue: { needsPermit: true } })
   harness.addWorkers(worker('w1'), worker('w2'))
