A failed run no longer ends a job whose queue the leader does not know

What callers saw: a job of a queue with several attempts is shown as `failed` after one failed run.

Cause: the scheduler took 1 for the attempts of a queue that the leader's configuration lacks. An entry accepts a job as soon as it has the configuration that adds the queue; the leader, which gets that configuration by its own watch, may have the job first. A removed queue leaves its jobs with the same limit.

Now the accepting entry stores the attempts with the job; the leader uses the queue's while it knows the queue, then those. Unlimited attempts instead would run tasks again beyond a limit that the caller's queue has. Jobs stored by earlier versions have no such field and keep the limit of 1.

--- a/jobs/http/src/job-server.ts
+++ b/jobs/http/src/job-server.ts
@@ -77,7 +77,7 @@
   if (!parsed.success) return sendError(res, 400, 'JOB_INVALID', formatIssues(parsed.error.issues, body).join('; '), 'Correct the job; nothing was stored.')
   const queue = opts.queue(parsed.data.queue)
   if (queue === undefined) return sendQueueNotFound(res, parsed.data.queue)
-  const result = await opts.intake.submit({ ...parsed.data, service: queue.service, acceptedAt: Date.now() })
+  const result = await opts.intake.submit({ ...parsed.data, service: queue.service, attempts: queue.attempts, acceptedAt: Date.now() })
   if (result.kind === 'accepted') return sendJson(res, 202, { id: parsed.data.id, state: 'accepted' })
   if (result.kind === 'unknown') return sendError(res, 504, 'JOB_UNKNOWN', 'it is unknown whether the job was accepted', 'Submit it again with the same id: it remains one job.')
   sendJson(res, 503, { code: 'JOB_REFUSED', message: 'the job was not accepted; this request never runs it', hint: 'Submit it again later.' }, { 'retry-after': String(result.retryAfterS) })
--- a/jobs/model/src/job.ts
+++ b/jobs/model/src/job.ts
@@ -61,6 +61,12 @@
    * leader or a later one is notified of the job.
    */
   readonly acceptedUnder: number
+  /**
+   * Attempts that the queue allowed at acceptance. They apply while the leader's configuration lacks the queue: a leader
+   * may receive a job before the configuration that added its queue, and keeps jobs of removed queues. Undefined in
+   * records of earlier versions.
+   */
+  readonly attempts?: number | undefined
 }
 
 /** A job as a caller submits it. */
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -223,7 +223,7 @@
     task.retryAt = this.opts.clock.now() + FAILED_TASK_RETRY_DELAY_MS
     if (spec.lasting || task.failedAttempts.includes(attempt)) return
     task.failedAttempts.push(attempt)
-    const attempts = this.opts.queue(job.job.queue)?.attempts ?? 1
+    const attempts = this.opts.queue(job.job.queue)?.attempts ?? job.job.attempts ?? 1
     if (task.failedAttempts.length >= attempts && !task.done && !job.isFinished()) this.finishJob(job, 'failed')
   }
 
--- a/jobs/scheduler/test/harness.ts
+++ b/jobs/scheduler/test/harness.ts
@@ -29,11 +29,13 @@
 /** A scheduler with a manually set clock. */
 export class SchedulerHarness {
   now = 10_000
+  /** Whether the configuration that the leader has received contains the queue. */
+  queueKnown = true
   readonly scheduler: Scheduler
 
   constructor (opts: { term?: number, queue?: Partial<Queue> } = {}) {
     const mergedQueue = { ...queue, ...opts.queue }
-    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits, queue: () => mergedQueue, term: opts.term ?? 0, maxEarlierLeaseMs: limits.longestLeaseMs })
+    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits, queue: () => this.queueKnown ? mergedQueue : undefined, term: opts.term ?? 0, maxEarlierLeaseMs: limits.longestLeaseMs })
   }
 
   /** Registers workers and applies a first report of each, without any runs. */
