A second SIGTERM no longer ends an entry in the middle of its shutdown

What callers saw: connections that end without a response, while the entry that they were connected to shuts down.

Cause: `entry` and `serve` handled SIGTERM with `process.once`, so that a second one had the default action, which ends the process at once, with its requests in progress and its leadership unreleased.

Now SIGTERM stays handled until the process ends. A second SIGINT still ends it, for an operator at a terminal.

Evidence: signals.test.ts sends two SIGTERMs 0.5 s apart to a real entry and then a request; before: `undefined !== 410`, the entry had gone. After: the response, and exit code 0. Whether the site's entries get a second SIGTERM is not known.

--- a/cli/cli/src/commands/entry.ts
+++ b/cli/cli/src/commands/entry.ts
@@ -26,7 +26,8 @@
     const { settings, keys } = read.value
     const logger = createLogger('wisteriaslip', { level: settings.logLevel })
     const shutdown = new AbortController()
-    for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => shutdown.abort())
+    process.on('SIGTERM', () => shutdown.abort())
+    process.once('SIGINT', () => shutdown.abort())
     const entry = new Entry({ settings, keys, logger: logger.child({ entry: settings.id }) })
     await Promise.all([
       entry.run(shutdown.signal, addresses => logger.info({ entry: settings.id, ...addresses }, 'listening')),
--- a/cli/cli/src/commands/serve.ts
+++ b/cli/cli/src/commands/serve.ts
@@ -22,7 +22,8 @@
     allowYoungGenerationGrowth()
     const { runOnPlatform } = await import('@wisteriaslip/platform')
     const shutdown = new AbortController()
-    for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => shutdown.abort())
+    process.on('SIGTERM', () => shutdown.abort())
+    process.once('SIGINT', () => shutdown.abort())
     const logLevel = typeof flags.logLevel === 'string' ? flags.logLevel : 'info'
     const failed = await runOnPlatform(path, { signal: shutdown.signal, logLevel, onReload: reload => process.on('SIGHUP', reload) })
     // Open connections to workers and peers would keep the process alive although the shutdown is complete.
