--- a/cli/cli/src/commands/serve.ts
+++ b/cli/cli/src/commands/serve.ts
@@ -1,5 +1,6 @@
 import { exitCodes, printError, type Command } from '../command.ts'
 import { allowYoungGenerationGrowth } from '../memory.ts'
+import { handleSignals } from '../signals.ts'
 
 /** `wisteriaslip serve`: runs a job entry on the platform. */
 export const serveCommand: Command = {
@@ -19,13 +20,11 @@
       printError({ code: 'SETTINGS_MISSING', message: 'no settings given', hint: 'Pass --settings FILE or set WISTERIASLIP_SETTINGS.' })
       return exitCodes.usage
     }
+    const { shutdown, onReload } = handleSignals()
     allowYoungGenerationGrowth()
     const { runOnPlatform } = await import('@wisteriaslip/platform')
-    const shutdown = new AbortController()
-    process.on('SIGTERM', () => shutdown.abort())
-    process.once('SIGINT', () => shutdown.abort())
     const logLevel = typeof flags.logLevel === 'string' ? flags.logLevel : 'info'
-    const failed = await runOnPlatform(path, { signal: shutdown.signal, logLevel, onReload: reload => process.on('SIGHUP', reload) })
+    const failed = await runOnPlatform(path, { signal: shutdown, logLevel, onReload })
     // Open connections to workers and peers would keep the process alive although the shutdown is complete.
     if (failed === undefined) process.exit(exitCodes.ok)
     printError(failed)
