Each response after a shutdown has begun closes its connection

What callers saw: requests cut off at the end of an entry's shutdown, on connections that they had kept.

Cause: the product's own job interface never sent `connection: close`, so that callers that are always busy kept their connections until the end of the grace period.

--- a/cli/jobs/src/run-jobs.ts
+++ b/cli/jobs/src/run-jobs.ts
@@ -51,7 +51,7 @@
     status: async () => await entry.status(),
     explain: async (kind, name) => await entry.explain({ kind, name })
   })
-  server.prependListener('request', (_req, res) => { res.once('close', entry.trackRequest()) })
+  server.prependListener('request', (_req, res) => entry.trackRequest(res))
   await listen(server, jobs.listen)
   await entry.run(opts.signal, [server])
   await workers.close()
--- /dev/null
+++ b/jobs/entry/src/caller-connections.ts
@@ -0,0 +1,44 @@
+import type { Server, ServerResponse } from 'node:http'
+
+/** Callers' requests in progress, and how their connections end in a shutdown: after a complete response. */
+export class CallerConnections {
+  private readonly inProgress = new Set<ServerResponse>()
+  private closing = false
+
+  /**
+   * Counts a request as in progress until its response is complete or its connection has ended. Call it before the
+   * response is begun.
+   * @param res - response to the request
+   */
+  track (res: ServerResponse): void {
+    this.inProgress.add(res)
+    res.once('close', () => this.inProgress.delete(res))
+    if (this.closing) closeAfterResponse(res)
+  }
+
+  /** @returns number of requests in progress */
+  count (): number {
+    return this.inProgress.size
+  }
+
+  /** From now on each response closes its connection, also those to requests in progress. */
+  closeAfterResponses (): void {
+    this.closing = true
+    for (const res of this.inProgress) closeAfterResponse(res)
+  }
+}
+
+/**
+ * Stops listening and closes idle connections.
+ * @param servers - servers for callers
+ */
+export function stopListening (servers: readonly Server[]): void {
+  for (const server of servers) {
+    server.close()
+    server.closeIdleConnections()
+  }
+}
+
+function closeAfterResponse (res: ServerResponse): void {
+  if (!res.headersSent) res.setHeader('connection', 'close')
+}
--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
-import { createServer, type Server } from 'node:http'
+import { createServer, type Server, type ServerResponse } from 'node:http'
 import { delay, systemClock, withTimeout, type Clock } from '@wisteriaslip/core.result'
 import { topicLogger, type Logger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
@@ -14,6 +14,7 @@
 import { createPeerServer, PeerClients, RelayDriver, type PeerAddress } from '@wisteriaslip/peers.protocol'
 import { StoreClient, type Driver } from '@wisteriaslip/store.client'
 import { followStore, Mirror } from '@wisteriaslip/store.mirror'
+import { CallerConnections, stopListening } from './caller-connections.ts'
 import { Election } from './election.ts'
 import { PeerLeaderClient } from './leader-client.ts'
 import { EntryPeerService } from './peer-service.ts'
@@ -101,7 +102,7 @@
   private readonly serviceTerms: TermRunner<ServiceTerm>
   private readonly fleetTerms: TermRunner<FleetTerm>
   private readonly service: JobPeerService
-  private inFlight = 0
+  private readonly callerConnections = new CallerConnections()
 
   constructor (opts: JobEntryOpts) {
     this.opts = opts
@@ -166,18 +167,13 @@
     }
   }
 
-  /** @returns whether a shutdown has begun, so that callers should close their connections */
-  isShuttingDown (): boolean {
-    return this.leaving.signal.aborted
-  }
-
   /**
-   * Counts a caller's request as in flight until it completes; a shutdown waits for it.
-   * @returns a function to call once, when the request completes
+   * Counts a caller's request as in progress until its response is complete. A shutdown waits for it, and its response
+   * closes the connection then.
+   * @param res - response to the request, not begun yet
    */
-  trackRequest (): () => void {
-    this.inFlight += 1
-    return () => { this.inFlight -= 1 }
+  trackRequest (res: ServerResponse): void {
+    this.callerConnections.track(res)
   }
 
   /**
@@ -223,22 +219,24 @@
     const stopRequestedAt = this.clock.now()
     this.logger.info('stopping')
     this.leaving.abort()
+    this.callerConnections.closeAfterResponses()
     await Promise.race([this.releaseLeadership(), delay(LEADERSHIP_RELEASE_TIMEOUT_MS, NEVER_ABORTED)])
     this.logger.info({ tookMs: Math.round(this.clock.now() - stopRequestedAt) }, 'released leadership')
     await delay(BALANCER_NOTICE_MS - (this.clock.now() - stopRequestedAt), NEVER_ABORTED)
-    for (const server of callers) {
-      server.close()
-      server.closeIdleConnections()
-    }
+    stopListening(callers)
     const forcedStopAt = stopRequestedAt + this.opts.limits.shutdownGraceMs - SHUTDOWN_MARGIN_MS
-    while (this.inFlight > 0 && this.clock.now() < forcedStopAt) await delay(IN_FLIGHT_POLL_INTERVAL_MS, NEVER_ABORTED)
+    await this.waitForRequests(forcedStopAt)
     this.stopping.abort()
     for (const server of [...callers, peerServer]) {
       server.close()
       server.closeAllConnections()
     }
     await Promise.race([Promise.allSettled(tasks), delay(SHUTDOWN_MARGIN_MS / 2, NEVER_ABORTED)])
-    this.logger.info({ inFlight: this.inFlight }, 'stopped')
+    this.logger.info({ inFlight: this.callerConnections.count() }, 'stopped')
+  }
+
+  private async waitForRequests (deadline: number): Promise<void> {
+    while (this.callerConnections.count() > 0 && this.clock.now() < deadline) await delay(IN_FLIGHT_POLL_INTERVAL_MS, NEVER_ABORTED)
   }
 
   private async releaseLeadership (): Promise<void> {
--- a/testing/jobs/src/job-processes.ts
+++ b/testing/jobs/src/job-processes.ts
@@ -17,15 +17,27 @@
   readonly id: string
   /** Base URL of its job interface. */
   readonly jobs: string
+  readonly settingsFile: string
   readonly logFile: string
   readonly process: StartedProcess
 }
 
+/** Options of {@link JobProcesses.start}. */
+export interface JobProcessesOpts {
+  readonly entries: number
+  /** Planned outcomes of runs. */
+  readonly plan: (task: string, attempt: number) => RunPlan
+  /** Log level of the entries, `info` by default. */
+  readonly logLevel?: string
+  /** Grace period of the entries' shutdown in milliseconds; their default if undefined. */
+  readonly shutdownMs?: number
+}
+
 /** Entries as processes, on a stand-in for the store and with workers on loopback. */
 export class JobProcesses {
   readonly entries: JobProcess[] = []
   readonly hosts: HttpWorkerHosts
-  private readonly store = new StoreStandIn()
+  readonly store = new StoreStandIn()
   private folder = ''
 
   private constructor (plan: (task: string, attempt: number) => RunPlan) {
@@ -34,15 +46,15 @@
 
   /**
    * Starts a site with two services and waits until each has a leader that replies.
-   * @param opts - number of entries, planned outcomes of runs, log level of the entries, `info` by default
+   * @param opts - entries and workers
    * @returns the site
    * @throws when the site does not start in time; everything started so far is stopped
    */
-  static async start (opts: { entries: number, plan: (task: string, attempt: number) => RunPlan, logLevel?: string }): Promise<JobProcesses> {
+  static async start (opts: JobProcessesOpts): Promise<JobProcesses> {
     const site = new JobProcesses(opts.plan)
     site.folder = await mkdtemp(join(tmpdir(), 'wisteriaslip-jobs-'))
     try {
-      await site.startSite(opts.entries, opts.logLevel ?? 'info')
+      await site.startSite(opts)
       return site
     } catch (error) {
       await site.stop()
@@ -90,7 +102,17 @@
     return -1
   }
 
-  private async startSite (count: number, logLevel: string): Promise<void> {
+  /**
+   * Starts an entry again with its settings; its previous process must have exited.
+   * @param index - index of the entry
+   */
+  restart (index: number): void {
+    const entry = this.entries[index]
+    if (entry === undefined) throw new Error(`there is no entry ${index}`)
+    this.entries[index] = { ...entry, process: startEntry(entry.settingsFile, entry.logFile) }
+  }
+
+  private async startSite ({ entries: count, logLevel = 'info', shutdownMs }: JobProcessesOpts): Promise<void> {
     await new Promise<void>(resolve => this.store.server.listen(0, '127.0.0.1', resolve))
     const storeUrl = `http://127.0.0.1:${(this.store.server.address() as AddressInfo).port}`
     const ports = await freePorts(count * PORTS_PER_ENTRY)
@@ -109,9 +131,10 @@
         store: { endpoints: [storeUrl], prefix: KEY_PREFIX },
         jobs: { listen: at(index, 3), peers: at(index, 4) },
         trialWithoutKeys: true,
-        logLevel
+        logLevel,
+        shutdownMs
       }))
-      this.entries.push({ id, jobs: `http://127.0.0.1:${at(index, 3).port}`, logFile, process: startProcess(['entry', '--settings', settingsFile], { logFile }) })
+      this.entries.push({ id, jobs: `http://127.0.0.1:${at(index, 3).port}`, settingsFile, logFile, process: startEntry(settingsFile, logFile) })
     }
     const config = { version: 1, services: [{ name: 'quoting' }, { name: 'surveys' }], queues: [{ name: 'quotes', service: 'quoting' }, { name: 'photos', service: 'surveys' }] }
     await waitUntil('the configuration is stored', async () => [200, 409].includes((await this.call(0, 'POST', '/v1/job-config', config))?.status ?? 0))
@@ -120,3 +143,7 @@
     await waitUntil('both services have leaders', async () => await this.findLeader('quoting') >= 0 && await this.findLeader('surveys') >= 0)
   }
 }
+
+function startEntry (settingsFile: string, logFile: string): StartedProcess {
+  return startProcess(['entry', '--settings', settingsFile], { logFile })
+}
