A request in progress at the end of the grace period gets a response

Cause: the shutdown aborted its calls and closed all connections in the same step, so that no handler could respond.

Now requests whose response has not begun get 504 (the outcome is unknown; the caller may retry at another entry), have 100 ms to be written, and the connections are closed then. It is what an entry responds to a write without a reply, and for a query it tells no state. A response by its handler that comes too late is dropped.

Evidence: shutdown.test.ts: a grace period of 4.5 s, a store that needs 0.7 s for each call, a query 2.5 s after SIGTERM. Before: `socket hang up`. Which request lasts that long on a calm site is not known: calls to the store and to leaders end by their timeouts, 4 x 0.8 s at most for a write.

--- a/jobs/entry/src/caller-connections.ts
+++ b/jobs/entry/src/caller-connections.ts
@@ -26,6 +26,13 @@
     this.closing = true
     for (const res of this.inProgress) closeAfterResponse(res)
   }
+
+  /** Responds 504 to the requests in progress whose response has not begun: their outcome is unknown. */
+  respondToRemaining (): void {
+    for (const res of this.inProgress) {
+      if (!res.headersSent) res.writeHead(504, { 'content-length': 0 }).end()
+    }
+  }
 }
 
 /**
--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -37,6 +37,8 @@
 /** Part of the grace period kept for ending tasks and closing connections. */
 const SHUTDOWN_MARGIN_MS = 700
 const IN_FLIGHT_POLL_INTERVAL_MS = 20
+/** Responses at the end of the grace period have this long to be written. */
+const RESPONSE_FLUSH_MS = 100
 const VM_LIST_TIMEOUT_MS = 1_000
 const CONFIG_BATCH_WINDOW_MS = 50
 /** Workers rewrite their registrations often, so they are batched for longer; a draining worker must still be noticed well before its drain ends. */
@@ -226,13 +228,16 @@
     stopListening(callers)
     const forcedStopAt = stopRequestedAt + this.opts.limits.shutdownGraceMs - SHUTDOWN_MARGIN_MS
     await this.waitForRequests(forcedStopAt)
+    const unanswered = this.callerConnections.count()
+    this.callerConnections.respondToRemaining()
     this.stopping.abort()
+    await this.waitForRequests(this.clock.now() + RESPONSE_FLUSH_MS)
     for (const server of [...callers, peerServer]) {
       server.close()
       server.closeAllConnections()
     }
     await Promise.race([Promise.allSettled(tasks), delay(SHUTDOWN_MARGIN_MS / 2, NEVER_ABORTED)])
-    this.logger.info({ inFlight: this.callerConnections.count() }, 'stopped')
+    this.logger.info({ inFlight: unanswered }, 'stopped')
   }
 
   private async waitForRequests (deadline: number): Promise<void> {
--- a/testing/jobs/test/shutdown.test.ts
+++ b/testing/jobs/test/shutdown.test.ts
@@ -29,3 +29,14 @@
   assert.deepEqual(await begunBefore, { status: 410, connection: 'close' })
   assert.deepEqual(await get(url, agent), { status: 410, connection: 'close' })
 })
+
+// Guards against requests that get no response because they last until the end of the grace period.
+test('a request that is in progress at the end of the grace period gets a response', { timeout: 60_000 }, async t => {
+  const site = await JobProcesses.start({ entries: 1, plan, shutdownMs: 4_500 })
+  t.after(async () => await site.stop())
+  site.store.setFaults({ delayMs: 700 })
+  site.entries[0]?.process.child.kill('SIGTERM')
+  await sleep(2_500)
+  const response = await get(`${site.entries[0]?.jobs ?? ''}/v1/jobs/quotes/none`, new Agent({ keepAlive: true }))
+  assert.deepEqual(response, { status: 504, connection: 'close' })
+})
