Requests that arrived while an entry was busy are read before its connections are closed

What callers saw: a request that is cut off 3.2 s after SIGTERM, on a connection that had been idle or was new, although it had been sent long before, when the entry's event loop was held up.

Cause: a turn of the event loop handles timers before sockets. When the timer of the balancer's notice was due after a long turn, idle connections were closed before the requests that had arrived on them were read. Such a request has not been read and has not run, so the rule is kept; the caller pays with a retry.

Now the shutdown waits for two turns before: in the first, waiting connections are accepted and requests on open ones are read, in the second those on the accepted ones.

Evidence: caller-connections.test.ts, a server that is busy while a thread sends its request; before, for both kinds of connection: `read ECONNRESET`; with one turn only the new connection failed so.

--- a/jobs/entry/src/caller-connections.ts
+++ b/jobs/entry/src/caller-connections.ts
@@ -1,4 +1,8 @@
 import type { Server, ServerResponse } from 'node:http'
+import { setImmediate as nextTurn } from 'node:timers/promises'
+
+/** Turns of the event loop in which a connection that waits is accepted, and its request is read. */
+const TURNS_TO_READ = 2
 
 /** Callers' requests in progress, and how their connections end in a shutdown: after a complete response. */
 export class CallerConnections {
@@ -36,10 +40,12 @@
 }
 
 /**
- * Stops listening and closes idle connections.
+ * Stops listening and closes idle connections. Requests that have already arrived are read before, also when the process
+ * was too busy until now: a turn of the event loop handles timers first.
  * @param servers - servers for callers
  */
-export function stopListening (servers: readonly Server[]): void {
+export async function stopListening (servers: readonly Server[]): Promise<void> {
+  for (let turn = 0; turn < TURNS_TO_READ; turn++) await nextTurn()
   for (const server of servers) {
     server.close()
     server.closeIdleConnections()
--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -225,7 +225,7 @@
     await Promise.race([this.releaseLeadership(), delay(LEADERSHIP_RELEASE_TIMEOUT_MS, NEVER_ABORTED)])
     this.logger.info({ tookMs: Math.round(this.clock.now() - stopRequestedAt) }, 'released leadership')
     await delay(BALANCER_NOTICE_MS - (this.clock.now() - stopRequestedAt), NEVER_ABORTED)
-    stopListening(callers)
+    await stopListening(callers)
     const forcedStopAt = stopRequestedAt + this.opts.limits.shutdownGraceMs - SHUTDOWN_MARGIN_MS
     await this.waitForRequests(forcedStopAt)
     const unanswered = this.callerConnections.count()
