A write without a reply is not reported as 'not made' when the call budget ends

What callers saw: nothing yet; found by reading every path after a lost reply. An entry whose call budget ended (or whose lease was gone) between the attempts of one write answered 503, 'not accepted and never runs', for a job whose first attempt had taken effect, and which then ran.

Cause: StoreClient.update returned the error of the last attempt as it was, unless it was 'unavailable'. 'over-budget' says that the call was not made, which holds for the last attempt only. JobRecords.accept takes that as 'not stored'.

Test: store.client, failed before with kind 'over-budget', maybeApplied false, instead of 'unavailable', maybeApplied true.

Ruled out: 429 and 503 of the store, and an open circuit breaker, between the attempts; both were reported as unknown already.

Why this works: every error that ends the attempts now goes through the one return that knows whether a reply was lost.

--- a/store/client/src/client.ts
+++ b/store/client/src/client.ts
@@ -79,7 +79,7 @@
       if (response.ok && response.value.succeeded) return ok(response.value.revision)
       if (response.ok) return replyLost ? await this.resolveLostWrite(changes, writeId, opts.signal) : err(conflict())
       lastError = response.error
-      if (lastError.kind !== 'unavailable') return err(lastError)
+      if (lastError.kind !== 'unavailable') break
       replyLost = replyLost || lastError.maybeApplied
     }
     return err(replyLost ? unavailable('no reply to a write; it may have been applied', true) : lastError)
--- a/store/client/test/client.test.ts
+++ b/store/client/test/client.test.ts
@@ -31,6 +31,16 @@
   assert.equal(!written.ok && written.error.kind, 'conflict')
 })
 
+// A caller that was told that nothing was written refused a job that then ran.
+test('update reports an unknown outcome when the call budget ends after a lost reply', async () => {
+  const driver = new MemoryDriver()
+  const store = client(driver, { writesPerSecond: 0.5 })
+  driver.faults.push('lose-reply')
+  const written = await store.update([{ key: 'a', prior: undefined, value: 1 }])
+  assert.ok(!written.ok)
+  assert.deepEqual({ kind: written.error.kind, maybeApplied: written.error.kind === 'unavailable' && written.error.maybeApplied }, { kind: 'unavailable', maybeApplied: true })
+})
+
 test('concurrent increments with lost calls and replies count each success once', async () => {
   const fault = fc.constantFrom<DriverFault>('fine', 'lose-call', 'lose-reply')
   await fc.assert(fc.asyncProperty(fc.array(fault, { maxLength: 12 }), async faults => {
