A write relayed through a peer without a reply counts as lost

What callers saw: nothing yet; found by reading every path after a lost reply. An entry that is cut off from the store relays its writes through a peer. When the peer carried out a write and its reply was lost, the entry made the same call again directly, as one attempt of the store client. The second call found the key there: a conflict, so that the entry took its own write for another's; or the store turned it away (503), so that the entry answered 'not accepted and never runs' for a job that was stored and ran.

Cause: PeerSync.relay (and that of the request side) returned the same for 'no peer' and 'no reply of the peer', and RelayDriver took both as 'call directly'.

Ruled out: retries inside the peers' client or the HTTP client (there are none for such calls); errors that the peer itself reports, which were passed on with their kind.

Why this works: a call without a reply is 'lost', which the store client knows how to resolve by the stored write ids. Its retry goes to another peer, or directly when no peer reaches the store.

--- a/cli/entry/src/entry.ts
+++ b/cli/entry/src/entry.ts
@@ -4,7 +4,7 @@
 import { topicLogger, type Logger } from '@wisteriaslip/core.logger'
 import type { Address, Settings } from '@wisteriaslip/config.settings'
 import { createOperatorServer } from '@wisteriaslip/cli.operators'
-import { createPeerServer, createPeerRouter, type PeerService, type RelayRequest, type RelayReply } from '@wisteriaslip/peers.protocol'
+import { createPeerServer, createPeerRouter, toRelayReply, type PeerService, type RelayRequest, type RelayReply } from '@wisteriaslip/peers.protocol'
 import { followStore } from '@wisteriaslip/store.mirror'
 import { bootstrapFromPeers } from './bootstrap.ts'
 import { createComponents, type EntryComponents } from './components.ts'
@@ -154,8 +154,7 @@
 async function relay (state: EntryState, components: EntryComponents | undefined, call: RelayRequest, signal: AbortSignal | undefined): Promise<RelayReply | undefined> {
   const peer = components?.sync.peersWithStore()[0]
   if (peer === undefined) return undefined
-  const reply = await state.peers.call(peer.peerAddress, 'relay', call, signal === undefined ? {} : { signal })
-  return reply.ok ? reply.value : undefined
+  return toRelayReply(await state.peers.call(peer.peerAddress, 'relay', call, signal === undefined ? {} : { signal }))
 }
 
 async function waitUntilStopped (state: EntryState, signal: AbortSignal): Promise<void> {
--- a/jobs/entry/src/peer-sync.ts
+++ b/jobs/entry/src/peer-sync.ts
@@ -1,7 +1,7 @@
 import { delay, type Clock } from '@wisteriaslip/core.result'
 import type { JobPeerService } from '@wisteriaslip/jobs.protocol'
 import type { Member, Members } from '@wisteriaslip/peers.membership'
-import type { PeerClients, RelayRequest, RelayReply } from '@wisteriaslip/peers.protocol'
+import { toRelayReply, type PeerClients, type RelayRequest, type RelayReply } from '@wisteriaslip/peers.protocol'
 import type { Mirror } from '@wisteriaslip/store.mirror'
 import type { SiteView } from './site-view.ts'
 
@@ -69,15 +69,14 @@
    * Relays a store call through a peer that reaches the store.
    * @param call - the store call
    * @param signal - aborts the call
-   * @returns the peer's reply, undefined when no peer replied
+   * @returns the peer's reply, `lost` without one; undefined when no peer reaches the store
    */
   async relay (call: RelayRequest, signal: AbortSignal | undefined): Promise<RelayReply | undefined> {
     const peer = this.peerWithStore()
     if (peer === undefined) return undefined
-    const reply = await this.opts.clients.call(peer.peerAddress, 'relay', call, { timeoutMs: RELAY_TIMEOUT_MS, ...(signal === undefined ? {} : { signal }) })
-    const usable = reply.ok && (reply.value.ok || reply.value.error.kind === 'refused')
-    if (!usable) this.storeAccessReportedAt.delete(peer.incarnation)
-    return reply.ok ? reply.value : undefined
+    const reply = toRelayReply(await this.opts.clients.call(peer.peerAddress, 'relay', call, { timeoutMs: RELAY_TIMEOUT_MS, ...(signal === undefined ? {} : { signal }) }))
+    if (!reply.ok && reply.error.kind === 'lost') this.storeAccessReportedAt.delete(peer.incarnation)
+    return reply
   }
 
   private async syncWithPeer (peer: Member, signal: AbortSignal): Promise<void> {
--- a/peers/protocol/src/index.ts
+++ b/peers/protocol/src/index.ts
@@ -5,5 +5,5 @@
 export type { ClaimReply, ClaimRequest, ClaimSettlement, RecordedResponse, PeerService, PoolLoad, RelayRequest, RelayReply, SyncReply, SyncRequest } from './service.ts'
 export { createPeerServer, type PeerServerOpts } from './server.ts'
 export { PeerClients, type PeerAddress, type PeerError } from './client.ts'
-export { RelayDriver } from './relay-driver.ts'
+export { RelayDriver, toRelayReply } from './relay-driver.ts'
 export { createPeerRouter, type PeerRouter } from './router.ts'
--- a/peers/protocol/src/relay-driver.ts
+++ b/peers/protocol/src/relay-driver.ts
@@ -1,5 +1,6 @@
 import { err, type Result } from '@wisteriaslip/core.result'
 import type { Driver, DriverError, DriverTxn, KeyRange, RangeOpts, WatchBatch, WatchOpts } from '@wisteriaslip/store.client'
+import type { PeerError } from './client.ts'
 import type { RelayRequest, RelayReply } from './service.ts'
 
 /** After this many consecutive failures of direct calls, calls go through a peer until a direct call succeeds. */
@@ -16,7 +17,8 @@
 
   /**
    * @param direct - driver that calls the store
-   * @param relay - relays a call through a peer that reaches the store; resolves to undefined if there is no such peer
+   * @param relay - relays a call through a peer that reaches the store; resolves to undefined if there is no such peer, in
+   * which case the call is made directly. A call without a reply must be `lost` (see {@link toRelayReply})
    */
   constructor (direct: Driver, relay: (request: RelayRequest, signal: AbortSignal | undefined) => Promise<RelayReply | undefined>) {
     this.direct = direct
@@ -66,3 +68,12 @@
     return result
   }
 }
+
+/**
+ * Converts the result of a peer call that relays a store call.
+ * @param result - result of the peer call
+ * @returns the peer's reply; without one, `lost`, as the peer may have carried out the call
+ */
+export function toRelayReply (result: Result<RelayReply, PeerError>): RelayReply {
+  return result.ok ? result.value : err({ kind: 'lost', message: result.error.message })
+}
