A leader that does not know whether it removed an expired job goes on removing them

What callers saw: nothing; found by reading every path after a lost reply. The records of ended jobs were kept for the rest of the term, so that the leader's memory, and the time of the next takeover, grew with every job.

Cause: removeExpiredJobs deletes the progress record at the version that the progress writer holds. When the deletion took effect without a reply, the store client cannot resolve it (a deleted key has no write ids), and each later call repeated the deletion of the absent record: a conflict each time. The oldest job is the first of each call, and a call stops at the first error, so that no other job was removed either.

Test: jobs.service expired-jobs, failed before with one and with four lost calls: 2 jobs left instead of 0; with none it passed.

Ruled out: the records of the job and its cancellation, which were read at each call; a term record or a progress record, which are read again after a conflict or have no such deletion.

Why this works: all three records are read at each call, and a job without records needs no write.

--- a/jobs/service/src/progress-writer.ts
+++ b/jobs/service/src/progress-writer.ts
@@ -36,14 +36,6 @@
     this.priors.set(id, prior)
   }
 
-  /**
-   * @param id - id of the job
-   * @returns the progress record as last written, undefined if there is none
-   */
-  prior (id: string): Versioned<JobProgress> | undefined {
-    return this.priors.get(id)
-  }
-
   /** @param id - id of a job whose records were deleted */
   removeJob (id: string): void {
     this.priors.delete(id)
