An owner that does not know whether it deleted an expired segment of claims goes on deleting them

What callers saw: nothing; found by reading every path after a lost reply. Claims of idempotency keys that had expired stayed in the store and in memory for as long as the entry owned the partition, up to the limit of claims, beyond which none is granted.

A deletion that took effect without a reply was repeated every minute at the old version: a conflict each time. Only the oldest segment is deleted, so that no other was either.

Test: routing.idempotency, failed before with one and with three lost calls: 2 segments left instead of 1; with none it passed.

Ruled out: writes of claims, after which the partition is loaded again whatever their error; the holder records of entries, whose versions come from the mirror at each step.

Why this works: after a failed deletion the segment is read; if it is absent, it is dropped from memory like a deleted one.

--- a/routing/idempotency/src/partitions.ts
+++ b/routing/idempotency/src/partitions.ts
@@ -228,12 +228,18 @@
       if (!partition.loaded || oldest === undefined || partition.segments.length < 2 || oldest.segment.since > expiredBefore) continue
       const guards = [this.opts.guard(partitionResource(partition.number), partition.token)]
       const segmentDeletion = await this.opts.store.update([{ key: oldest.doc.key, prior: oldest.doc, value: undefined }], { guards })
-      if (!segmentDeletion.ok) continue
+      if (!segmentDeletion.ok && !await this.isDeleted(oldest.doc.key)) continue
       partition.segments.shift()
       for (const [id] of oldest.segment.claims) partition.table.removeClaim(id)
     }
   }
 
+  /** Returns whether a segment is certainly absent: a deletion with an unknown outcome may have taken effect. */
+  private async isDeleted (key: string): Promise<boolean> {
+    const current = await this.opts.store.get(key)
+    return current.ok && current.value === undefined
+  }
+
   private segmentPrefix (partition: number): string {
     return `${this.opts.prefix}${String(partition).padStart(2, '0')}/`
   }
--- a/routing/idempotency/test/partitions.test.ts
+++ b/routing/idempotency/test/partitions.test.ts
@@ -13,6 +13,7 @@
 
 class PartitionOwner {
   token: number | undefined
+  wallTime = 0
   readonly clock = new ManualClock()
   readonly partitions: ClaimPartitions
   readonly store: StoreClient
@@ -23,7 +24,7 @@
       store: this.store,
       prefix: 'claims/',
       clock: this.clock,
-      wallClock: () => 0,
+      wallClock: () => this.wallTime,
       logger: silentLogger,
       token: each => each === resource ? this.token : undefined,
       guard: (each, token) => ({ key: `leaders/${each}`, createRevision: token }),
@@ -156,3 +157,39 @@
   assert.equal((await first).state, 'unavailable')
   assert.equal((await second).state, 'run')
 })
+
+/** Ids of claims of the same partition as the request. */
+function idsOfPartition (count: number): string[] {
+  const ids = Array.from({ length: 100 * count }, (_, index) => `claim-${index}`)
+  return ids.filter(id => partitionOf(id) === partitionOf(request.id)).slice(0, count)
+}
+
+// An owner that did not know whether it had deleted an expired segment deleted none any more.
+for (const faults of [[], ['lose-reply'], ['lose-reply', 'lose-call', 'lose-call']] as const) {
+  test(`expired segments are deleted when ${faults.length} calls of a deletion get no reply`, async t => {
+    const driver = new MemoryDriver()
+    const owner = new PartitionOwner(driver)
+    await owner.acquireLeadership()
+    const prefix = `claims/${String(partitionOf(request.id)).padStart(2, '0')}/`
+    for (const since of [0, 1, 2]) await owner.store.update([{ key: `${prefix}${since}`, prior: undefined, value: { since, claims: [] } }])
+    owner.wallTime = 48 * 60 * 60 * 1_000
+    const { txn } = driver
+    driver.txn = async call => {
+      if (call.deletes.length > 0) {
+        driver.txn = txn
+        driver.faults.push(...faults)
+      }
+      return await txn.call(driver, call)
+    }
+    const shutdown = new AbortController()
+    t.after(() => shutdown.abort())
+    owner.partitions.run(shutdown.signal).catch(assert.ifError)
+    for (const id of idsOfPartition(4)) {
+      owner.clock.advance(61_000)
+      await owner.partitions.claim({ ...request, id })
+      await new Promise(resolve => setTimeout(resolve, 500))
+    }
+    const stored = await owner.store.list(prefix)
+    assert.equal(stored.ok && stored.value.count, 1)
+  })
+}
