The leader of the fleet does not wait without end for the write of a wave's status

What callers saw: nothing yet; found by reading every write whose response may be lost. When the response to the read or the write of a wave's status was lost on a connection that stayed open, the step of the fleet's leader did not end: no maintenance was started and no VM was moved until the HTTP client gave up (5 minutes), or until it replaced its connections because another call had been aborted.

Cause: JobEntry.writeWaveStatus used the driver without the store client, whose calls have a timeout, and set none of its own.

Test: jobs.entry wave-status, on the function as it was, moved to a module of its own: it failed for both calls, 'waits' instead of false after 3 s.

Ruled out: a write whose outcome is unknown and that took effect: the next step finds the same text. One that is carried out late has the revision that it read as its condition, so that it cannot replace a newer status. All other calls of the driver outside the store client have timeouts, but for watches, which the driver polls, and calls that an entry makes for a peer.

--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -23,6 +23,7 @@
 import { SiteView } from './site-view.ts'
 import { TermRunner } from './term-runner.ts'
 import { StoredWaveRecords } from './wave-record-store.ts'
+import { writeWaveStatus } from './wave-status.ts'
 import { WorkerRegistry } from './worker-registry.ts'
 
 const LEASE_TTL_MS = 1_500
@@ -304,22 +305,12 @@
       waveRecords: new StoredWaveRecords(this.store, { key: this.records.keys.waveRecords(), guard: this.leadership.guard(fleetResource, token) }),
       maintenanceMs: this.opts.limits.maintenanceMs,
       wallClock: Date.now,
-      writeStatus: async (wave, done) => await this.writeWaveStatus(storeLayout.waveStatusKey(wave), storeLayout.encodeWaveStatus(done)),
+      writeStatus: async (wave, done) => await writeWaveStatus(this.driver, { key: storeLayout.waveStatusKey(wave), text: storeLayout.encodeWaveStatus(done) }, this.leaving.signal),
       clock: this.clock,
       logger: topicLogger(this.logger, 'fleet'),
       metrics: this.metrics
     })
   }
-
-  /** Writes through the driver, because the store client would add its envelope to the operators' format. */
-  private async writeWaveStatus (key: string, text: string): Promise<boolean> {
-    const range = await this.driver.range(key, {})
-    if (!range.ok) return false
-    const current = range.value.kvs[0]
-    if (current?.value === text) return true
-    const written = await this.driver.txn({ guards: [{ key, modRevision: current?.modRevision ?? 0 }], puts: [{ key, value: text }], deletes: [] }, this.leaving.signal)
-    return written.ok && written.value.succeeded
-  }
 }
 
 /**
