Model test: a leader can write its progress records again after lost writes and failed reads

The model checked that nothing wrong is written; it did not check that anything can be written afterwards, which is what failed for the term record. Reads can now fail, too: ProgressWriter.handleConflict returns early then, and its versions stay old until the next conflict. At the end, the current leader's second write at the latest must succeed. It isn't made with injected bugs, which must be found by the other checks as before.

--- a/jobs/service/test/records.model.test.ts
+++ b/jobs/service/test/records.model.test.ts
@@ -34,6 +34,7 @@
   readonly delayedWrites: Array<() => void> = []
   readonly written: Array<{ by: number, leader: number, progress: JobProgress }> = []
   writeResult: WriteResult = 'fine'
+  readsFail = false
   private revision = 0
   private readonly bug: InjectedBug
 
@@ -67,6 +68,7 @@
   }
 
   async get (key: string): Promise<Result<Versioned | undefined, StoreError>> {
+    if (this.readsFail) return err({ kind: 'unavailable', code: 'STORE_UNAVAILABLE', maybeApplied: false, message: 'no response' })
     return ok(this.docs.get(key))
   }
 
@@ -123,14 +125,14 @@
 
 type Command =
   | { readonly kind: 'end', readonly leader: number, readonly index: number, readonly how: 'done' | 'failed' }
-  | { readonly kind: 'flush', readonly leader: number, readonly writeResult: WriteResult }
+  | { readonly kind: 'flush', readonly leader: number, readonly writeResult: WriteResult, readonly readsFail: boolean }
   | { readonly kind: 'deliver' }
   | { readonly kind: 'elect' }
 
 const leadersBack = fc.nat({ max: 2 })
 const command: fc.Arbitrary<Command> = fc.oneof(
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('end' as const), leader: leadersBack, index: fc.nat({ max: TASK_COUNT - 1 }), how: fc.constantFrom('done' as const, 'done' as const, 'failed' as const) }) },
-  { weight: 4, arbitrary: fc.record({ kind: fc.constant('flush' as const), leader: leadersBack, writeResult: fc.constantFrom('fine' as const, 'fine' as const, 'lost' as const, 'response-lost' as const, 'late' as const) }) },
+  { weight: 4, arbitrary: fc.record({ kind: fc.constant('flush' as const), leader: leadersBack, writeResult: fc.constantFrom('fine' as const, 'fine' as const, 'lost' as const, 'response-lost' as const, 'late' as const), readsFail: fc.boolean() }) },
   { weight: 1, arbitrary: fc.constant({ kind: 'deliver' as const }) },
   { weight: 1, arbitrary: fc.constant({ kind: 'elect' as const }) }
 )
@@ -145,12 +147,21 @@
     if (each.kind === 'end') leader?.end(each.index, each.how)
     if (each.kind === 'flush') {
       store.writeResult = each.writeResult
+      store.readsFail = each.readsFail
       await leader?.writer.flush()
       store.writeResult = 'fine'
+      store.readsFail = false
     }
     for (const elected of leaders) elected.assertAcknowledgedIsStored()
     assertRecordsConsistent(store)
   }
+  if (bug === 'none') await assertCanWrite(leaders.at(-1))
+}
+
+/** Checks that the current leader, once its calls succeed, needs at most one more write to find the stored version. */
+async function assertCanWrite (leader: Leader | undefined): Promise<void> {
+  const written = await leader?.writer.flush() === true || await leader?.writer.flush() === true
+  assert.ok(written, 'the leader cannot write its records any more')
 }
 
 /** Checks that only the current leader writes, that done tasks stay done, and that an outcome never changes. */
