The cancellation of a job that may still be stored is stored

What callers saw: nothing yet; found by reading what follows a write of unknown outcome. The write of a job got no reply (504); the caller then cancelled the job at the same entry, which answered 'no such job'; the write was carried out afterwards, and the job ran although its cancellation had been acknowledged.

Cause: Intake.cancel took a job that is not in the store as one that does not exist, although the entry remembers that its write may still be applied.

Test: testing.jobs, failed before: 'timed out waiting until the cancellation is stored', as each cancellation was answered with 'none'. The late write is a repetition of the submission, which has the same key and condition.

Ruled out: a cancellation of unknown outcome, which is answered 504 and found by the leader's watch if it is applied late; a cancellation that is stored before its job, which the scheduler keeps until the job is added, and a new leader reads.

Why this works: the cancellation is durable before it is acknowledged, whenever the job is stored. Limits: another entry is not aware of the write (as before, see JOBS.md), and the cancellation of a job that is never stored is not deleted.

--- a/jobs/intake/src/intake.ts
+++ b/jobs/intake/src/intake.ts
@@ -86,13 +86,13 @@
    * Cancels a job.
    * @param queue - queue that the job was submitted to
    * @param id - id of the job
-   * @returns `cancelled` also if the job has already ended, `none` if there is no such job, `unknown` if the
-   * cancellation may not be stored
+   * @returns `cancelled` also if the job has already ended or may still be stored, `none` if there is no such job,
+   * `unknown` if the cancellation may not be stored
    */
   async cancel (queue: Queue, id: string): Promise<'cancelled' | 'none' | 'unknown'> {
     const state = await this.state(queue, id)
-    if (state === 'none') return 'none'
-    if (state !== 'unavailable' && isFinal(state)) return 'cancelled'
+    if (state === 'none' && !this.uncertain.has(id)) return 'none'
+    if (state !== 'none' && state !== 'unavailable' && isFinal(state)) return 'cancelled'
     const stored = await this.opts.records.cancel(queue.service, id)
     this.opts.logger.info({ job: id, queue: queue.name, state, stored: stored.ok }, 'job cancelled')
     if (!stored.ok) return 'unknown'
--- a/testing/jobs/test/jobs.test.ts
+++ b/testing/jobs/test/jobs.test.ts
@@ -125,6 +125,21 @@
   })
 })
 
+// A cancellation was answered with "no such job", and the job was stored afterwards and ran.
+test('a job whose write takes effect after its cancellation does not run', async () => {
+  await withSite(async site => {
+    await site.elect()
+    site.submitFaults.push('lose-call', 'lose-call', 'lose-call', 'lose-call')
+    const req = site.request(ID, [step()])
+    assert.deepEqual(await site.intake.submit(req), { kind: 'unknown' })
+    await waitUntil('the cancellation is stored', async () => await site.intake.cancel(site.queue, ID) === 'cancelled')
+    site.submitFaults.length = 0
+    assert.deepEqual(await site.intake.submit(req), { kind: 'accepted' })
+    await untilState(site, ID, 'cancelled')
+    assert.equal(site.workers.recordedRuns.length, 0)
+  })
+})
+
 test('a job whose first write may still take effect is not refused', async () => {
   await withSite(async site => {
     await site.elect()
