An entry gives up a call that it makes for a peer when the peer has given it up

What callers saw: nothing yet; found by reading the relay of store calls. When the store's response to a relayed call was lost, the peer that made it waited until the HTTP client gave up (5 minutes) or replaced its connections. Meanwhile the call held one of the eight connections to the store; calls that found none free were sent later, long after the entry that asked had given up, as writes that are carried out late.

Cause: EntryPeerService.relay ran the call under the signal of the process only; the request side's has a timeout.

Test: jobs.entry peer-service, failed before for reads, writes and renewals: 'waits' instead of a lost call after 2 s.

Ruled out: harm by such a late write; it has the revisions that the entry knew as its conditions.

Why this works: the call ends after as long as the entry waits for the reply, and one that has no connection yet is not sent.

--- a/jobs/entry/src/peer-service.ts
+++ b/jobs/entry/src/peer-service.ts
@@ -1,4 +1,4 @@
-import { err, ok } from '@wisteriaslip/core.result'
+import { err, ok, withTimeout } from '@wisteriaslip/core.result'
 import type { ExplainRequest, JobPeerService, JobNotification, PeerState, ServiceLoad, JobStateReply, WithdrawReply } from '@wisteriaslip/jobs.protocol'
 import type { FleetTerm } from '@wisteriaslip/jobs.fleet'
 import type { ServiceTerm } from '@wisteriaslip/jobs.service'
@@ -6,6 +6,7 @@
 import type { RelayRequest, RelayReply } from '@wisteriaslip/peers.protocol'
 import type { Driver } from '@wisteriaslip/store.client'
 import type { Mirror } from '@wisteriaslip/store.mirror'
+import { RELAY_TIMEOUT_MS } from './peer-sync.ts'
 import type { SiteView } from './site-view.ts'
 
 /** Options of {@link EntryPeerService}. */
@@ -78,15 +79,19 @@
     return { told: found === undefined ? undefined : { service: found.service, ...found.about as object } }
   }
 
+  /** Runs a relayed call directly against the store, for no longer than the entry that asked for it waits. */
   async relay (call: RelayRequest): Promise<RelayReply> {
-    const { directDriver, signal } = this.opts
-    if (call.op === 'range') {
-      const { key, prefix } = call
-      return await directDriver.range(key, { prefix, signal, ...(call.minModRevision === undefined ? {} : { minModRevision: call.minModRevision }) })
-    }
-    if (call.op === 'txn') return await directDriver.txn(call.txn, signal)
-    if (call.op === 'grant') return await directDriver.grantLease(call.ttlMs, signal)
-    const done = call.op === 'keepAlive' ? await directDriver.keepAlive(call.leaseId, signal) : await directDriver.revokeLease(call.leaseId, signal)
-    return done.ok ? ok(null) : err(done.error)
+    return await withTimeout(RELAY_TIMEOUT_MS, this.opts.signal, async signal => await runStoreCall(this.opts.directDriver, call, signal))
+  }
+}
+
+async function runStoreCall (driver: Driver, call: RelayRequest, signal: AbortSignal): Promise<RelayReply> {
+  if (call.op === 'range') {
+    const { key, prefix } = call
+    return await driver.range(key, { prefix, signal, ...(call.minModRevision === undefined ? {} : { minModRevision: call.minModRevision }) })
   }
+  if (call.op === 'txn') return await driver.txn(call.txn, signal)
+  if (call.op === 'grant') return await driver.grantLease(call.ttlMs, signal)
+  const done = call.op === 'keepAlive' ? await driver.keepAlive(call.leaseId, signal) : await driver.revokeLease(call.leaseId, signal)
+  return done.ok ? ok(null) : err(done.error)
 }
--- a/jobs/entry/src/peer-sync.ts
+++ b/jobs/entry/src/peer-sync.ts
@@ -12,7 +12,8 @@
 const SYNC_TIMEOUT_MS = 600
 /** A peer's report that it reaches the store stays valid for this long. */
 const STORE_ACCESS_TTL_MS = 4_000
-const RELAY_TIMEOUT_MS = 700
+/** An entry waits this long for the reply of a peer to a relayed call, in milliseconds. */
+export const RELAY_TIMEOUT_MS = 700
 
 /** A newer configuration is requested from a peer only when the store has not delivered it within this time. */
 const CONFIG_FROM_PEER_DELAY_MS = 600
