Leases are renewed while the store client's circuit breaker is open

What callers saw: leaders that change again and again while some of the store's responses are lost, with a takeover each time.

Cause: three calls in a row without a response, of whatever kind, open the breaker, and it also held back the renewals of the entry's lease. One probe a second was let through, and whichever call came first took it; each failure of a call in flight put the next probe off by a second. The lease lasts 1.5 s and is renewed every 0.5 s: one open breaker was enough to lose it, and with it everything that the entry leads.

Ruled out: renewals themselves as the cause: the store carried out each one that it was sent, in time.

Failures while it is open don't put off the probe of other calls any more.

--- a/store/client/src/breaker.ts
+++ b/store/client/src/breaker.ts
@@ -41,6 +41,6 @@
   /** Records a failed call or a timeout. */
   failed (): void {
     this.failures += 1
-    if (!this.isClosed()) this.nextProbeAt = this.clock.now() + PROBE_INTERVAL_MS
+    if (this.failures === FAILURE_THRESHOLD) this.nextProbeAt = this.clock.now() + PROBE_INTERVAL_MS
   }
 }
--- a/store/client/test/client.test.ts
+++ b/store/client/test/client.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
+import { err } from '@wisteriaslip/core.result'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { StoreClient, type StoreClientOpts } from '@wisteriaslip/store.client'
 import { ManualClock, MemoryDriver, type DriverFault } from '@wisteriaslip/testing.stand-ins'
@@ -78,6 +79,30 @@
   assert.equal(store.available(), true)
 })
 
+// An entry that did not renew its lease after a few lost replies lost every leadership.
+test('a lease is renewed while the circuit breaker is open, and that closes it', async () => {
+  const driver = new MemoryDriver()
+  const store = client(driver)
+  driver.faults.push('lose-call', 'lose-call', 'lose-call')
+  await store.update([{ key: 'a', prior: undefined, value: 1 }])
+  assert.equal(store.available(), false)
+  assert.ok((await store.keepAlive('lease', new AbortController().signal)).ok)
+  assert.equal(store.available(), true)
+})
+
+test('renewals that fail do not postpone the probe of an open circuit breaker', async () => {
+  const driver = new MemoryDriver()
+  const clock = new ManualClock()
+  const store = client(driver, { clock })
+  driver.faults.push('lose-call', 'lose-call', 'lose-call')
+  await store.update([{ key: 'a', prior: undefined, value: 1 }])
+  driver.keepAlive = async () => err({ kind: 'lost', message: 'reply lost' })
+  clock.advance(900)
+  assert.equal((await store.keepAlive('lease', new AbortController().signal)).ok, false)
+  clock.advance(200)
+  assert.ok((await store.get('a')).ok)
+})
+
 test('calls that exceed the budget are rejected until it refills', async () => {
   const clock = new ManualClock()
   const store = client(new MemoryDriver(), { readsPerSecond: 2, clock })
