--- a/jobs/entry/src/peer-sync.ts
+++ b/jobs/entry/src/peer-sync.ts
@@ -1,7 +1,7 @@
 import { delay, type Clock } from '@wisteriaslip/core.result'
 import type { JobPeerService } from '@wisteriaslip/jobs.protocol'
 import type { Member, Members } from '@wisteriaslip/peers.membership'
-import type { PeerClients, RelayRequest, RelayReply } from '@wisteriaslip/peers.protocol'
+import { toRelayReply, type PeerClients, type RelayRequest, type RelayReply } from '@wisteriaslip/peers.protocol'
 import type { Mirror } from '@wisteriaslip/store.mirror'
 import type { SiteView } from './site-view.ts'
 
@@ -12,7 +12,8 @@
 const SYNC_TIMEOUT_MS = 600
 /** A peer's report that it reaches the store stays valid for this long. */
 const STORE_ACCESS_TTL_MS = 4_000
-const RELAY_TIMEOUT_MS = 700
+/** An entry waits this long for the reply of a peer to a relayed call, in milliseconds. */
+export const RELAY_TIMEOUT_MS = 700
 
 /** A newer configuration is requested from a peer only when the store has not delivered it within this time. */
 const CONFIG_FROM_PEER_DELAY_MS = 600
@@ -69,15 +70,14 @@
    * Relays a store call through a peer that reaches the store.
    * @param call - the store call
    * @param signal - aborts the call
-   * @returns the peer's reply, undefined when no peer replied
+   * @returns the peer's reply, `lost` without one; undefined when no peer reaches the store
    */
   async relay (call: RelayRequest, signal: AbortSignal | undefined): Promise<RelayReply | undefined> {
     const peer = this.peerWithStore()
     if (peer === undefined) return undefined
-    const reply = await this.opts.clients.call(peer.peerAddress, 'relay', call, { timeoutMs: RELAY_TIMEOUT_MS, ...(signal === undefined ? {} : { signal }) })
-    const usable = reply.ok && (reply.value.ok || reply.value.error.kind === 'refused')
-    if (!usable) this.storeAccessReportedAt.delete(peer.incarnation)
-    return reply.ok ? reply.value : undefined
+    const reply = toRelayReply(await this.opts.clients.call(peer.peerAddress, 'relay', call, { timeoutMs: RELAY_TIMEOUT_MS, ...(signal === undefined ? {} : { signal }) }))
+    if (!reply.ok && reply.error.kind === 'lost') this.storeAccessReportedAt.delete(peer.incarnation)
+    return reply
   }
 
   private async syncWithPeer (peer: Member, signal: AbortSignal): Promise<void> {
