Only renewals pass an open circuit breaker, and a lease that may have expired is renewed at the usual pace

While the store was away for long, an entry then sent a renewal every 50 ms: only the breaker had held these back (docs/CAPACITY.md promises one call a second).

Grants and revocations go through the breaker as before: there is no lease to lose. While the lease may still be alive, a failed renewal is repeated after 50 ms as before.

--- a/peers/membership/src/lease.ts
+++ b/peers/membership/src/lease.ts
@@ -45,8 +45,7 @@
     const { signal, ttlMs } = this.opts
     while (!signal.aborted) {
       const succeeded = this.leaseId === undefined ? await this.grant(onGranted) : await this.renew(this.leaseId)
-      const retryMs = this.leaseId === undefined ? ttlMs / RENEWALS_PER_TTL / RENEWALS_PER_TTL : FAILED_RENEWAL_RETRY_MS
-      await delay(succeeded ? ttlMs / RENEWALS_PER_TTL : retryMs, signal)
+      await delay(succeeded ? ttlMs / RENEWALS_PER_TTL : this.retryDelayMs(), signal)
     }
   }
 
@@ -59,6 +58,13 @@
     await this.store.revokeLease(leaseId, AbortSignal.timeout(LEASE_SAFETY_MARGIN_MS * 2))
   }
 
+  /** A lease that may have expired is renewed at the usual pace: a store that is away must not get more calls than usual. */
+  private retryDelayMs (): number {
+    const { clock, ttlMs } = this.opts
+    if (this.leaseId === undefined) return ttlMs / RENEWALS_PER_TTL / RENEWALS_PER_TTL
+    return clock.now() < this.validUntil + LEASE_SAFETY_MARGIN_MS ? FAILED_RENEWAL_RETRY_MS : ttlMs / RENEWALS_PER_TTL
+  }
+
   /** @returns whether a lease is granted */
   private async grant (onGranted: (leaseId: string) => Promise<void>): Promise<boolean> {
     const requestedAt = this.opts.clock.now()
--- a/peers/membership/test/lease.test.ts
+++ b/peers/membership/test/lease.test.ts
@@ -58,6 +58,30 @@
   assert.deepEqual(await timesWithoutLease(renewal => renewal % 2 === 0), [])
 })
 
+test('a lease that may have expired is renewed no more often than usual', async () => {
+  const process = new VirtualProcess()
+  process.install()
+  const abort = new AbortController()
+  try {
+    let renewals = 0
+    const store = {
+      grantLease: async () => ok('1'),
+      keepAlive: async () => {
+        renewals += 1
+        return err({ kind: 'unavailable', code: 'STORE_UNAVAILABLE', maybeApplied: false, message: 'refused' })
+      }
+    } as unknown as Store
+    new EntryLease(store, { ttlMs: TTL_MS, clock: process, logger: silentLogger, signal: abort.signal }).run(async () => {}).catch(assert.ifError)
+    await process.run(2 * TTL_MS)
+    const renewalsBefore = renewals
+    await process.run(2 * TTL_MS + 10_000)
+    assert.equal(renewals - renewalsBefore, 20)
+  } finally {
+    abort.abort()
+    process.uninstall()
+  }
+})
+
 test('a lease without any response is not used until it may have expired', async () => {
   const invalidAt = await timesWithoutLease(renewal => renewal >= 4)
   const [first] = invalidAt
--- a/store/client/src/client.ts
+++ b/store/client/src/client.ts
@@ -28,8 +28,8 @@
 
 /**
  * Store client on top of a driver. A call that exceeds its timeout counts as failed. The outcome of a write whose reply
- * was lost is determined from the write ids that are stored with each value. Calls of leases are made even while the
- * circuit breaker is open: a lease that isn't renewed in time takes everything with it that the entry leads.
+ * was lost is determined from the write ids that are stored with each value. Leases are renewed even while the circuit
+ * breaker is open: a lease that is not renewed in time takes everything with it that the entry leads.
  */
 export class StoreClient implements Store {
   private readonly driver: Driver
@@ -91,7 +91,7 @@
   }
 
   async keepAlive (leaseId: string, signal: AbortSignal): Promise<Result<void, StoreError>> {
-    return await this.call('lease', signal, inner => this.driver.keepAlive(leaseId, inner))
+    return await this.call('lease', signal, inner => this.driver.keepAlive(leaseId, inner), { evenWhileOpen: true })
   }
 
   async revokeLease (leaseId: string, signal: AbortSignal): Promise<Result<void, StoreError>> {
@@ -137,8 +137,8 @@
     return await delay(ms, signal ?? new AbortController().signal)
   }
 
-  private async call<T> (kind: CallKind, signal: AbortSignal | undefined, run: (signal: AbortSignal, onProgress: () => void) => Promise<Result<T, DriverError>>): Promise<Result<T, StoreError>> {
-    if (kind !== 'lease' && !this.breaker.allowCall()) return err(unavailable('circuit breaker is open', false))
+  private async call<T> (kind: CallKind, signal: AbortSignal | undefined, run: (signal: AbortSignal, onProgress: () => void) => Promise<Result<T, DriverError>>, opts: { evenWhileOpen?: boolean } = {}): Promise<Result<T, StoreError>> {
+    if (opts.evenWhileOpen !== true && !this.breaker.allowCall()) return err(unavailable('circuit breaker is open', false))
     if (!this.takeFromBudget(kind)) return err(overBudget(kind))
     this.opts.metrics.count('store_calls_total', { kind })
     const response = await withTimeout(this.opts.callTimeoutMs ?? CALL_TIMEOUT_MS, signal, run)
