A VM list that proves only the end of an incarnation does not count towards its replacement

What callers would see: a task that runs twice.

Cause: a suspected worker has one count of lists. An incarnation can end in another way than by the lists that count (status 421, a changed start time in a poll, a new registration). Then a list that showed its VM down, or one that was requested before the end, had already counted, and a single further list released its unanswered starts. A single list may be older than the incarnation. The time for which a worker must have been suspected also ran from when it first fell silent, not from its end.

Ruled out: the end by the lists themselves, after which the count starts anew.

Change: the count belongs to what is to be proven, and starts anew when that changes.

Shown by: lost-worker-detector.test.ts; red before ("the list was requested before the incarnation ended", 1 !== 0).

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -8,8 +8,12 @@
 /** Consecutive VM lists that must prove the end of an incarnation: a single one may be older than the incarnation. */
 const REQUIRED_VM_LISTS = 2
 
+type Proof = 'ended' | 'replaced'
+
 interface SuspectedLoss {
-  /** When the worker was first seen unresponsive, or its incarnation ended, by the injected clock. */
+  /** What is still to be proven. */
+  readonly proof: Proof
+  /** When the worker was first seen unresponsive, or its incarnation was first seen to have ended, by the injected clock. */
   readonly since: number
   confirmations: number
 }
@@ -18,7 +22,7 @@
 export interface LostWorker {
   readonly worker: TrackedWorker
   /** `ended`: nothing runs there any more; `replaced`: nor will anything, as its id does not return. */
-  readonly proof: 'ended' | 'replaced'
+  readonly proof: Proof
   /** Starts with an unknown outcome: those that are kept after `ended`, those that are released after `replaced`. */
   readonly unansweredStarts: number
   /** State of the VM in the last list; undefined when it is not listed. */
@@ -43,11 +47,12 @@
   /** @returns whether some worker has been unresponsive for long enough to check it against the list of VMs */
   needsVmList (): boolean {
     const now = this.clock.now()
-    for (const worker of this.suspects.keys()) {
-      if (!this.isSuspect(worker)) this.suspects.delete(worker)
+    for (const [worker, suspect] of this.suspects) {
+      if (this.proofNeeded(worker) !== suspect.proof) this.suspects.delete(worker)
     }
     for (const worker of this.scheduler.workers.values()) {
-      if (this.isSuspect(worker) && !this.suspects.has(worker)) this.suspects.set(worker, { since: now, confirmations: 0 })
+      const proof = this.proofNeeded(worker)
+      if (proof !== undefined && !this.suspects.has(worker)) this.suspects.set(worker, { proof, since: now, confirmations: 0 })
     }
     return [...this.suspects.values()].some(suspect => now - suspect.since >= VM_LIST_CHECK_AFTER_MS)
   }
@@ -63,9 +68,9 @@
     const byId = new Map(vms.map(vm => [vm.id, vm]))
     const lost: LostWorker[] = []
     for (const [worker, suspect] of this.suspects) {
-      if (!this.isSuspect(worker) || requestedAt - suspect.since < VM_LIST_CHECK_AFTER_MS) continue
+      const { proof, since } = suspect
+      if (this.proofNeeded(worker) !== proof || requestedAt - since < VM_LIST_CHECK_AFTER_MS) continue
       const vm = byId.get(worker.registration.vm)
-      const proof = worker.ended ? 'replaced' : 'ended'
       const isProof = proof === 'replaced' ? provesReplaced(vm, worker) : provesIncarnationEnded(vm, worker)
       suspect.confirmations = isProof ? suspect.confirmations + 1 : 0
       if (suspect.confirmations < REQUIRED_VM_LISTS) continue
@@ -77,12 +82,15 @@
     return lost
   }
 
-  /** Returns whether the worker does not respond or has ended, and scheduling depends on what runs there. */
-  private isSuspect (worker: TrackedWorker): boolean {
-    if (this.scheduler.workers.get(worker.registration.id) !== worker) return false
-    if (worker.ended) return worker.runs.size > 0
-    if (worker.reachable) return false
-    return worker.runs.size > 0 || worker.mayHaveUnknownRuns(this.clock.now())
+  /**
+   * Returns what must be proven about a worker that does not respond or has ended; undefined if scheduling does not depend
+   * on what runs there.
+   */
+  private proofNeeded (worker: TrackedWorker): Proof | undefined {
+    if (this.scheduler.workers.get(worker.registration.id) !== worker) return undefined
+    if (worker.ended) return worker.runs.size > 0 ? 'replaced' : undefined
+    if (worker.reachable) return undefined
+    return worker.runs.size > 0 || worker.mayHaveUnknownRuns(this.clock.now()) ? 'ended' : undefined
   }
 }
 
--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -125,3 +125,19 @@
     assert.equal(applyVmListAfterDelay(harness, detector, [listedVm]), 0)
   }
 })
+
+// A list that proved only the end of the incarnation counted as one of the two that prove that the id does not return.
+test('a list that showed the VM down does not count towards the proof that a restarted worker is replaced', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
+  harness.addJob()
+  harness.startWithoutResponse()
+  harness.worker('w1').reachable = false
+  assert.equal(applyVmListAfterDelay(harness, detector, [vm({ state: 'down', worker: '' })]), 0)
+  harness.scheduler.endIncarnation(harness.worker('w1'))
+  const replaced = [vm({ worker: 'w9' })]
+  assert.equal(detector.applyVmList(replaced, harness.now).length, 0, 'the list was requested before the incarnation ended')
+  assert.equal(applyVmListAfterDelay(harness, detector, replaced), 0, 'a single list may be outdated')
+  assert.equal(applyVmListAfterDelay(harness, detector, replaced), 1)
+})
