A VM that no list has shown does not prove that its worker is gone

What callers would see: a task that runs twice.

Cause: the absence of a VM from two lists counted as proof that it is gone, also if the lists never contain it: because the platform does not list the machine, or because its row cannot be read.

Ruled out: VMs that are listed; those of a restarted worker show its id.

Change: only a VM that an earlier list of the term showed can be gone. Otherwise the start waits as before the lists counted.

Shown by: lost-worker-detector.test.ts; red before (1 !== 0).

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -38,6 +38,8 @@
   private readonly scheduler: Scheduler
   private readonly clock: Clock
   private readonly suspects = new Map<TrackedWorker, SuspectedLoss>()
+  /** Ids of the VMs that some list has shown: only these can prove to be gone. */
+  private readonly listedVms = new Set<string>()
 
   constructor (scheduler: Scheduler, clock: Clock) {
     this.scheduler = scheduler
@@ -66,12 +68,13 @@
    */
   applyVmList (vms: readonly Vm[], requestedAt: number): LostWorker[] {
     const byId = new Map(vms.map(vm => [vm.id, vm]))
+    for (const id of byId.keys()) this.listedVms.add(id)
     const lost: LostWorker[] = []
     for (const [worker, suspect] of this.suspects) {
       const { proof, since } = suspect
       if (this.proofNeeded(worker) !== proof || requestedAt - since < VM_LIST_CHECK_AFTER_MS) continue
       const vm = byId.get(worker.registration.vm)
-      const isProof = proof === 'replaced' ? provesReplaced(vm, worker) : provesIncarnationEnded(vm, worker)
+      const isProof = proof === 'replaced' ? this.provesReplaced(vm, worker) : provesIncarnationEnded(vm, worker)
       suspect.confirmations = isProof ? suspect.confirmations + 1 : 0
       if (suspect.confirmations < REQUIRED_VM_LISTS) continue
       if (proof === 'ended') this.scheduler.endIncarnation(worker)
@@ -92,6 +95,16 @@
     if (worker.reachable) return undefined
     return worker.runs.size > 0 || worker.mayHaveUnknownRuns(this.clock.now()) ? 'ended' : undefined
   }
+
+  /**
+   * Returns whether the worker, whose incarnation has ended, cannot restart under its id: its VM has another worker, or no
+   * longer exists.
+   */
+  private provesReplaced (vm: Vm | undefined, worker: TrackedWorker): boolean {
+    const { id, vm: vmId } = worker.registration
+    if (vmId === '') return false
+    return vm === undefined ? this.listedVms.has(vmId) : vm.worker !== '' && vm.worker !== id
+  }
 }
 
 /** Returns whether the VM, as listed, cannot be running this incarnation of the worker. */
@@ -100,12 +113,3 @@
   if (vm.state !== 'up' || vm.pool !== worker.registration.service) return true
   return vm.worker !== '' && vm.worker !== worker.registration.id
 }
-
-/**
- * Returns whether the worker, whose incarnation has ended, cannot restart under its id: its VM has another worker, or no
- * longer exists.
- */
-function provesReplaced (vm: Vm | undefined, worker: TrackedWorker): boolean {
-  if (worker.registration.vm === '') return false
-  return vm === undefined || (vm.worker !== '' && vm.worker !== worker.registration.id)
-}
--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -141,3 +141,13 @@
   assert.equal(applyVmListAfterDelay(harness, detector, replaced), 0, 'a single list may be outdated')
   assert.equal(applyVmListAfterDelay(harness, detector, replaced), 1)
 })
+
+// A restarted worker on a VM that the platform does not list counted as gone, and its unanswered start could run twice.
+test('a VM that was never listed does not prove that a restarted worker is gone', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
+  harness.addJob()
+  harness.scheduler.endIncarnation(harness.startWithoutResponse().worker)
+  for (let lists = 0; lists < 4; lists++) assert.equal(applyVmListAfterDelay(harness, detector, [vm({ id: 'vm-other' })]), 0)
+})
