A worker that a write without a response may have removed from the term record gets no lease until it is recorded again

What callers would see: after a change of leader, a task that runs twice.

Cause: a write without a response that removes a worker from the record may have taken effect. TermRecordWriter went on from the list before it. When the worker registers again meanwhile, as registrations that expire while the store is down do, the list in memory equals the live workers: the record was not written again, and the worker got leases and tasks while the durable record did not name it. A next leader that does not see its registration would not poll it or wait for it. Class: the outcome of a write is unknown, and the writer takes it as not done.

Ruled out: a conflict, after which the record is read again; here no later write was made that could conflict.

Change: workers that a write removes count as not recorded from the moment it is sent, and after a failed write the record is written again even if nothing seems to differ.

--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -21,6 +21,7 @@
   private readonly opts: ServiceTermOpts
   private readonly wakeup = new Wakeup()
   private record: Versioned<TermRecord> | undefined
+  /** Workers that the durable record certainly contains. */
   private readonly recordedWorkers = new Set<string>()
   /** First of the writes that have failed since the last successful one. */
   private failure: { readonly since: number, readonly code: string } | undefined
@@ -78,6 +79,7 @@
     if (this.record === undefined) return false
     if (this.isCurrent(scheduler)) return true
     const workers = liveWorkers(scheduler)
+    this.forgetAllBut(workers)
     const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers }, this.opts.guard)
     this.recordOutcome(written.ok ? undefined : written.error, workers)
     if (written.ok) this.setRecord(written.value)
@@ -91,6 +93,14 @@
     if (stored.ok && stored.value?.value.number === term) this.setRecord(stored.value)
   }
 
+  /** Without a response, a write may have removed all other workers from the durable record, now or later. */
+  private forgetAllBut (workers: readonly WorkerRegistration[]): void {
+    const kept = new Set(workers.map(incarnationKey))
+    for (const key of this.recordedWorkers) {
+      if (!kept.has(key)) this.recordedWorkers.delete(key)
+    }
+  }
+
   private setRecord (record: Versioned<TermRecord>): void {
     this.record = record
     this.recordedWorkers.clear()
@@ -116,6 +126,7 @@
   }
 
   private isCurrent (scheduler: Scheduler): boolean {
+    if (this.failure !== undefined) return false
     const workers = liveWorkers(scheduler)
     return workers.length === this.recordedWorkers.size && workers.every(worker => this.contains(worker))
   }
--- /dev/null
+++ b/jobs/service/test/term-record-writer.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { err, ok, type Result } from '@wisteriaslip/core.result'
+import { silentLogger } from '@wisteriaslip/core.logger'
+import { Metrics } from '@wisteriaslip/core.metrics'
+import type { Queue, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import { Scheduler } from '@wisteriaslip/jobs.scheduler'
+import { JobKeys, JobRecords, type TermRecord } from '@wisteriaslip/jobs.store'
+import type { Change, Store, StoreError, Versioned } from '@wisteriaslip/store.client'
+import { TermRecordWriter } from '../src/term-record-writer.ts'
+import type { ServiceTermOpts } from '../src/ports.ts'
+
+const limits = { longestLeaseMs: 6_000, stopMs: 400, shutdownGraceMs: 6_000, keepMs: 1e9, maintenanceMs: 2_000 }
+const queue: Queue = { name: 'q', host: '', pathPrefix: '', service: 's', priority: 0, attempts: 2, stretch: 1, objectiveMs: 0, timeoutMs: 0, needsPermit: false }
+
+/** A store of one document, whose next write can take effect without a response. */
+class OneDocumentStore {
+  stored: Versioned | undefined
+  loseResponse = false
+
+  async get (): Promise<Result<Versioned | undefined, StoreError>> {
+    return ok(this.stored)
+  }
+
+  async update ([change]: readonly Change[]): Promise<Result<number, StoreError>> {
+    if (change === undefined || (this.stored?.modRevision ?? 0) !== (change.prior?.modRevision ?? 0)) return err({ kind: 'conflict', code: 'STORE_CONFLICT', message: 'changed' })
+    const modRevision = (this.stored?.modRevision ?? 0) + 1
+    this.stored = { key: change.key, value: change.value, createRevision: 1, modRevision, writeIds: [] }
+    if (!this.loseResponse) return ok(modRevision)
+    this.loseResponse = false
+    return err({ kind: 'unavailable', code: 'STORE_UNAVAILABLE', maybeApplied: true, message: 'no response' })
+  }
+
+  workers (): string[] {
+    return (this.stored?.value as TermRecord).workers.map(worker => worker.id)
+  }
+}
+
+function worker (id: string): WorkerRegistration {
+  return { id, born: 1, service: 's', host: '', port: 0, zone: '', vm: '', draining: false, capacity: { cpu: 1, memMb: 1, accelerators: 0 }, labels: [], rack: '' }
+}
+
+// A worker that registered again counted as recorded, although a write without a response had removed it from the record.
+test('a worker that a write with an unknown outcome removes is recorded again before it gets a lease', async () => {
+  const clock = { now: () => 10_000 }
+  const store = new OneDocumentStore()
+  const opts = { service: 's', token: 1, guard: { key: 'leader', createRevision: 1 }, records: new JobRecords(store as unknown as Store, new JobKeys('w')), limits, clock, logger: silentLogger, metrics: new Metrics() } as unknown as ServiceTermOpts
+  const writer = new TermRecordWriter(opts)
+  const scheduler = new Scheduler({ clock, wallClock: () => 10_000, limits, queue: () => queue, term: 0, maxEarlierLeaseMs: 6_000 })
+  const register = (...ids: string[]): void => {
+    scheduler.setWorkers(ids.map(worker), { unknownRunsUntil: 0 })
+    scheduler.tick()
+  }
+  await writer.startTerm()
+  register('w1', 'w2')
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  register('w1')
+  store.loseResponse = true
+  assert.equal(await writer.writeIfChanged(scheduler), false)
+  assert.deepEqual(store.workers(), ['w1'])
+  register('w1', 'w2')
+  assert.equal(writer.contains(worker('w2')), false)
+  assert.equal(writer.contains(worker('w1')), true)
+  while (!await writer.writeIfChanged(scheduler)) continue
+  assert.deepEqual(store.workers(), ['w1', 'w2'])
+  assert.equal(writer.contains(worker('w2')), true)
+})
