--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -8,8 +8,12 @@
 /** Consecutive VM lists that must prove the end of an incarnation: a single one may be older than the incarnation. */
 const REQUIRED_VM_LISTS = 2
 
+type Proof = 'ended' | 'replaced'
+
 interface SuspectedLoss {
-  /** When the worker was first seen unresponsive, or its incarnation ended, by the injected clock. */
+  /** What is still to be proven. */
+  readonly proof: Proof
+  /** When the worker was first seen unresponsive, or its incarnation was first seen to have ended, by the injected clock. */
   readonly since: number
   confirmations: number
 }
@@ -18,7 +22,7 @@
 export interface LostWorker {
   readonly worker: TrackedWorker
   /** `ended`: nothing runs there any more; `replaced`: nor will anything, as its id does not return. */
-  readonly proof: 'ended' | 'replaced'
+  readonly proof: Proof
   /** Starts with an unknown outcome: those that are kept after `ended`, those that are released after `replaced`. */
   readonly unansweredStarts: number
   /** State of the VM in the last list; undefined when it is not listed. */
@@ -34,6 +38,8 @@
   private readonly scheduler: Scheduler
   private readonly clock: Clock
   private readonly suspects = new Map<TrackedWorker, SuspectedLoss>()
+  /** Ids of the VMs that some list has shown: only these can prove to be gone. */
+  private readonly listedVms = new Set<string>()
 
   constructor (scheduler: Scheduler, clock: Clock) {
     this.scheduler = scheduler
@@ -43,11 +49,12 @@
   /** @returns whether some worker has been unresponsive for long enough to check it against the list of VMs */
   needsVmList (): boolean {
     const now = this.clock.now()
-    for (const worker of this.suspects.keys()) {
-      if (!this.isSuspect(worker)) this.suspects.delete(worker)
+    for (const [worker, suspect] of this.suspects) {
+      if (this.proofNeeded(worker) !== suspect.proof) this.suspects.delete(worker)
     }
     for (const worker of this.scheduler.workers.values()) {
-      if (this.isSuspect(worker) && !this.suspects.has(worker)) this.suspects.set(worker, { since: now, confirmations: 0 })
+      const proof = this.proofNeeded(worker)
+      if (proof !== undefined && !this.suspects.has(worker)) this.suspects.set(worker, { proof, since: now, confirmations: 0 })
     }
     return [...this.suspects.values()].some(suspect => now - suspect.since >= VM_LIST_CHECK_AFTER_MS)
   }
@@ -61,12 +68,13 @@
    */
   applyVmList (vms: readonly Vm[], requestedAt: number): LostWorker[] {
     const byId = new Map(vms.map(vm => [vm.id, vm]))
+    for (const id of byId.keys()) this.listedVms.add(id)
     const lost: LostWorker[] = []
     for (const [worker, suspect] of this.suspects) {
-      if (!this.isSuspect(worker) || requestedAt - suspect.since < VM_LIST_CHECK_AFTER_MS) continue
+      const { proof, since } = suspect
+      if (this.proofNeeded(worker) !== proof || requestedAt - since < VM_LIST_CHECK_AFTER_MS) continue
       const vm = byId.get(worker.registration.vm)
-      const proof = worker.ended ? 'replaced' : 'ended'
-      const isProof = proof === 'replaced' ? provesReplaced(vm, worker) : provesIncarnationEnded(vm, worker)
+      const isProof = proof === 'replaced' ? this.provesReplaced(vm, worker) : provesIncarnationEnded(vm, worker)
       suspect.confirmations = isProof ? suspect.confirmations + 1 : 0
       if (suspect.confirmations < REQUIRED_VM_LISTS) continue
       if (proof === 'ended') this.scheduler.endIncarnation(worker)
@@ -77,12 +85,25 @@
     return lost
   }
 
-  /** Returns whether the worker does not respond or has ended, and scheduling depends on what runs there. */
-  private isSuspect (worker: TrackedWorker): boolean {
-    if (this.scheduler.workers.get(worker.registration.id) !== worker) return false
-    if (worker.ended) return worker.runs.size > 0
-    if (worker.reachable) return false
-    return worker.runs.size > 0 || worker.mayHaveUnknownRuns(this.clock.now())
+  /**
+   * Returns what must be proven about a worker that does not respond or has ended; undefined if scheduling does not depend
+   * on what runs there.
+   */
+  private proofNeeded (worker: TrackedWorker): Proof | undefined {
+    if (this.scheduler.workers.get(worker.registration.id) !== worker) return undefined
+    if (worker.ended) return worker.runs.size > 0 ? 'replaced' : undefined
+    if (worker.reachable) return undefined
+    return worker.runs.size > 0 || worker.mayHaveUnknownRuns(this.clock.now()) ? 'ended' : undefined
+  }
+
+  /**
+   * Returns whether the worker, whose incarnation has ended, cannot restart under its id: its VM has another worker, or no
+   * longer exists.
+   */
+  private provesReplaced (vm: Vm | undefined, worker: TrackedWorker): boolean {
+    const { id, vm: vmId } = worker.registration
+    if (vmId === '') return false
+    return vm === undefined ? this.listedVms.has(vmId) : vm.worker !== '' && vm.worker !== id
   }
 }
 
@@ -92,12 +113,3 @@
   if (vm.state !== 'up' || vm.pool !== worker.registration.service) return true
   return vm.worker !== '' && vm.worker !== worker.registration.id
 }
-
-/**
- * Returns whether the worker, whose incarnation has ended, cannot restart under its id: its VM has another worker, or no
- * longer exists.
- */
-function provesReplaced (vm: Vm | undefined, worker: TrackedWorker): boolean {
-  if (worker.registration.vm === '') return false
-  return vm === undefined || (vm.worker !== '' && vm.worker !== worker.registration.id)
-}
--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -125,3 +125,29 @@
     assert.equal(applyVmListAfterDelay(harness, detector, [listedVm]), 0)
   }
 })
+
+// A list that proved only the end of the incarnation counted as one of the two that prove that the id does not return.
+test('a list that showed the VM down does not count towards the proof that a restarted worker is replaced', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
+  harness.addJob()
+  harness.startWithoutResponse()
+  harness.worker('w1').reachable = false
+  assert.equal(applyVmListAfterDelay(harness, detector, [vm({ state: 'down', worker: '' })]), 0)
+  harness.scheduler.endIncarnation(harness.worker('w1'))
+  const replaced = [vm({ worker: 'w9' })]
+  assert.equal(detector.applyVmList(replaced, harness.now).length, 0, 'the list was requested before the incarnation ended')
+  assert.equal(applyVmListAfterDelay(harness, detector, replaced), 0, 'a single list may be outdated')
+  assert.equal(applyVmListAfterDelay(harness, detector, replaced), 1)
+})
+
+// A restarted worker on a VM that the platform does not list counted as gone, and its unanswered start could run twice.
+test('a VM that was never listed does not prove that a restarted worker is gone', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
+  harness.addJob()
+  harness.scheduler.endIncarnation(harness.startWithoutResponse().worker)
+  for (let lists = 0; lists < 4; lists++) assert.equal(applyVmListAfterDelay(harness, detector, [vm({ id: 'vm-other' })]), 0)
+})
