Property test: once faults are over, each ready task is started within the time of a takeover

The existing property "all jobs complete once all faults are over" allows 20 s and lets every worker respond again. Not counted: tasks with an unanswered start at that silent worker once it has restarted, or at a worker that has ended.

The model moved from runs.model.test.ts to runs-model.ts, unchanged for the existing properties but for options with the previous values as defaults.

--- /dev/null
+++ b/jobs/scheduler/test/runs-model.ts
@@ -0,0 +1,288 @@
+import fc from 'fast-check'
+import type { ActiveRun, EndedRun, Job, WorkerError, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import { Scheduler, toProgress, type JobProgress, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
+import { job, limits, step, worker } from './harness.ts'
+
+const LEASE_MS = 4_000
+const WORK_MS = 900
+const queue = { name: 'q', host: 'h', pathPrefix: '/', service: 's', priority: 0, attempts: 100, stretch: 1, objectiveMs: 0, timeoutMs: 0, needsPermit: false }
+
+/** Checks the invariants from the workers' point of view. */
+class InvariantChecker {
+  readonly violations: string[] = []
+  readonly activeWorkers = new Map<string, Set<ModelWorker>>()
+  readonly acknowledgedTasks = new Set<string>()
+  readonly done = new Set<string>()
+
+  started (task: string, on: ModelWorker): void {
+    const places = this.activeWorkers.get(task) ?? new Set()
+    places.add(on)
+    this.activeWorkers.set(task, places)
+    if (places.size > 1) this.violations.push(`${task} has two runs at once`)
+    if (this.acknowledgedTasks.has(task)) this.violations.push(`${task} started after its completion was acknowledged`)
+    const [id, occurrence, stepNumber] = task.split('.')
+    if (stepNumber === '1' && ![0, 1].every(index => this.done.has(`${id}.${occurrence}.0.${index}`))) this.violations.push(`${task} started before its preceding step was done`)
+  }
+
+  ended (task: string, on: ModelWorker): void {
+    this.activeWorkers.get(task)?.delete(on)
+  }
+}
+
+/** Model of one incarnation of a worker. Its clock runs 2% slow. */
+class ModelWorker {
+  readonly registration: WorkerRegistration
+  private readonly checker: InvariantChecker
+  private readonly bornAt: number
+  private token = 0
+  private leaseUntil = 0
+  private seq = 0
+  private readonly running = new Map<string, { attempt: number, endsAt: number }>()
+  private readonly blockedAttempts = new Map<string, number>()
+  private endedRuns: EndedRun[] = []
+
+  constructor (registration: WorkerRegistration, checker: InvariantChecker, now: number) {
+    this.registration = registration
+    this.checker = checker
+    this.bornAt = now
+  }
+
+  clock (now: number): number {
+    return Math.floor((now - this.bornAt) * 0.98) + 1
+  }
+
+  start (now: number, command: { task: string, attempt: number, until: number, token: number, lasting: boolean }): WorkerError | undefined {
+    this.advance(now)
+    if (command.token < this.token) return { kind: 'refused', reason: 'fence' }
+    this.token = command.token
+    const existing = this.running.get(command.task)
+    if (existing?.attempt === command.attempt) return undefined
+    if (existing !== undefined || (this.blockedAttempts.get(command.task) ?? 0) >= command.attempt) return { kind: 'refused', reason: 'old' }
+    if (command.until <= this.clock(now)) return { kind: 'refused', reason: 'late' }
+    this.extend(now, command.until)
+    this.running.set(command.task, { attempt: command.attempt, endsAt: command.lasting ? Number.POSITIVE_INFINITY : now + WORK_MS })
+    this.checker.started(command.task, this)
+    return undefined
+  }
+
+  stop (now: number, command: { task: string, attempt: number, token: number }): boolean {
+    this.advance(now)
+    if (command.token < this.token) return false
+    this.token = command.token
+    this.blockedAttempts.set(command.task, Math.max(this.blockedAttempts.get(command.task) ?? 0, command.attempt))
+    if (this.running.get(command.task)?.attempt === command.attempt) this.end(command.task, 'stopped')
+    return true
+  }
+
+  poll (now: number, command: { until: number | undefined, seen: number, token: number }): { running: ActiveRun[], ended: EndedRun[] } | undefined {
+    this.advance(now)
+    if (command.token < this.token) return undefined
+    this.token = command.token
+    if (command.until !== undefined) this.extend(now, command.until)
+    for (const endedRun of this.endedRuns) if (endedRun.seq <= command.seen && endedRun.how === 'done') this.checker.acknowledgedTasks.add(endedRun.task)
+    this.endedRuns = this.endedRuns.filter(endedRun => endedRun.seq > command.seen)
+    const running = [...this.running].map(([task, run]) => ({ task, attempt: run.attempt, checkpoint: '', percent: 50, load: 0 }))
+    return { running, ended: [...this.endedRuns] }
+  }
+
+  /**
+   * Returns whether this incarnation has blocked the attempt, by a stop that it acknowledged or because the attempt ended.
+   * The model drops a late start of such an attempt; other late starts do reach the next incarnation.
+   */
+  blocks (command: { task: string, attempt: number }): boolean {
+    return (this.blockedAttempts.get(command.task) ?? 0) >= command.attempt
+  }
+
+  /** Lets all runs fail. */
+  fail (): void {
+    for (const task of [...this.running.keys()]) this.end(task, 'failed')
+  }
+
+  /**
+   * @param task - name of a task
+   * @returns whether a run of it is in progress
+   */
+  isRunning (task: string): boolean {
+    return this.running.has(task)
+  }
+
+  terminate (): void {
+    for (const task of this.running.keys()) this.checker.ended(task, this)
+    this.running.clear()
+  }
+
+  advance (now: number): void {
+    const leaseExpired = this.clock(now) >= this.leaseUntil
+    for (const [task, run] of [...this.running]) {
+      if (run.endsAt <= now && !leaseExpired) this.end(task, 'done')
+      else if (leaseExpired) this.end(task, 'lapsed')
+    }
+  }
+
+  private extend (now: number, until: number): void {
+    this.leaseUntil = Math.max(this.leaseUntil, Math.min(until, this.clock(now) + limits.longestLeaseMs))
+  }
+
+  private end (task: string, how: EndedRun['how']): void {
+    const run = this.running.get(task)
+    if (run === undefined) return
+    this.running.delete(task)
+    this.blockedAttempts.set(task, Math.max(this.blockedAttempts.get(task) ?? 0, run.attempt))
+    this.checker.ended(task, this)
+    if (how === 'done') this.checker.done.add(task)
+    this.endedRuns.push({ seq: ++this.seq, task, attempt: run.attempt, how, checkpoint: '' })
+  }
+}
+
+/** A leader's term whose calls to workers may get lost or arrive late. */
+class ModelLeader {
+  readonly scheduler: Scheduler
+  readonly token: number
+  private readonly site: Site
+  private readonly startedAt: number
+
+  constructor (site: Site, term: number) {
+    this.site = site
+    this.startedAt = site.now
+    this.token = term + 1
+    this.scheduler = new Scheduler({ clock: { now: () => site.now }, wallClock: () => site.now - site.opts.clockSkewMs * (term % 2), limits, queue: () => queue, term, maxEarlierLeaseMs: site.opts.maxEarlierLeaseMs })
+    for (const accepted of site.jobs) this.scheduler.table.addJob(accepted, { acceptedThisTerm: accepted.acceptedUnder === this.token, progress: site.records.get(accepted.id) })
+    this.refreshWorkers()
+  }
+
+  refreshWorkers (): void {
+    const { takeoverMs } = this.site.opts
+    this.scheduler.setWorkers([...this.site.workers.values()].map(each => each.registration), { unknownRunsUntil: takeoverMs === undefined ? this.site.now + limits.longestLeaseMs * 1.05 : this.startedAt + takeoverMs })
+  }
+
+  decide (fault: number): void {
+    this.refreshWorkers()
+    this.scheduler.tick()
+    for (const run of this.scheduler.placeReadyTasks()) this.sendStart(run, fault)
+    for (const run of this.scheduler.collectDueStops()) {
+      const modelWorker = this.modelWorkerOf(run.worker)
+      const acknowledged = fault !== 1 && modelWorker !== undefined && modelWorker.stop(this.site.now, { task: run.task.name, attempt: run.attempt, token: this.token })
+      this.scheduler.handleStopResponse(run, acknowledged)
+    }
+  }
+
+  pollWorker (tracked: TrackedWorker, fault: number): void {
+    const modelWorker = this.modelWorkerOf(tracked)
+    const { now } = this.site
+    const unresponsive = tracked.lastResponseAt === undefined || now - tracked.lastResponseAt > 1_500
+    const until = tracked.hasClock() && !unresponsive ? tracked.extendLease(now, LEASE_MS) : undefined
+    const lists = modelWorker === undefined || fault === 1 ? undefined : modelWorker.poll(now, { until, seen: tracked.seenSeq(), token: this.token })
+    if (lists === undefined || fault === 2 || modelWorker === undefined) {
+      tracked.reachable = false
+      return
+    }
+    this.scheduler.applyReport(tracked, { clockMs: modelWorker.clock(now), born: modelWorker.registration.born, ...lists }, { sentAt: now, receivedAt: now })
+  }
+
+  persistProgress (): void {
+    for (const { tracked, completions } of this.scheduler.table.takeDirty()) {
+      if (this.site.leader() !== this) {
+        this.scheduler.table.markWriteFailed(tracked, completions)
+        continue
+      }
+      this.site.records.set(tracked.job.id, toProgress(tracked))
+      this.scheduler.table.markDurable(tracked, tracked.outcome, completions)
+    }
+  }
+
+  private sendStart (run: Run, fault: number): void {
+    const { now } = this.site
+    const modelWorker = this.modelWorkerOf(run.worker)
+    const command = { task: run.task.name, attempt: run.attempt, until: run.worker.extendLease(now, LEASE_MS), token: this.token, lasting: run.task.step.spec.lasting }
+    const noResponse: WorkerError = { kind: 'unknown', message: 'no response' }
+    if (fault === 3 && modelWorker !== undefined) this.site.delayedCommands.push({ at: now + 2_500, run: () => { if (!modelWorker.blocks(command)) this.site.workers.get(run.worker.registration.id)?.start(this.site.now, command) } })
+    const error = fault === 1 || fault === 3 || modelWorker === undefined ? noResponse : modelWorker.start(now, command)
+    this.scheduler.handleStartResponse(run, fault === 2 ? noResponse : error)
+  }
+
+  /** The incarnation that a command is meant for, if it exists and is reachable. */
+  private modelWorkerOf (tracked: TrackedWorker): ModelWorker | undefined {
+    const current = this.site.workers.get(tracked.registration.id)
+    if (current?.registration.born !== tracked.registration.born) this.scheduler.endIncarnation(tracked)
+    return current?.registration.born === tracked.registration.born && !this.site.disconnected.has(tracked.registration.id) ? current : undefined
+  }
+}
+
+/** Options of {@link Site}. */
+export interface SiteOpts {
+  /** Longest lease that a leader allows for at workers that an earlier leader used, in milliseconds. */
+  readonly maxEarlierLeaseMs: number
+  /** Time from the beginning of a term until no run of an earlier one can be in progress; undefined: never certain. */
+  readonly takeoverMs: number | undefined
+  /** By how much the wall clock of every other leader is late, in milliseconds. */
+  readonly clockSkewMs: number
+  /** Of each four jobs, one has a lasting task, and one has two occurrences. */
+  readonly mixedJobs: boolean
+}
+
+/** Workers, leaders and stored progress of a service, with a clock that the scenario advances. */
+export class Site {
+  now = 100_000
+  readonly opts: SiteOpts
+  readonly checker = new InvariantChecker()
+  readonly jobs: Job[] = []
+  readonly records = new Map<string, JobProgress>()
+  readonly workers = new Map<string, ModelWorker>()
+  readonly disconnected = new Set<string>()
+  delayedCommands: Array<{ at: number, run: () => void }> = []
+  readonly leaders: ModelLeader[] = []
+
+  constructor (opts: SiteOpts = { maxEarlierLeaseMs: limits.longestLeaseMs, takeoverMs: undefined, clockSkewMs: 0, mixedJobs: false }) {
+    this.opts = opts
+    for (const id of ['w1', 'w2', 'w3']) this.startWorker(id, 1)
+    this.leaders.push(new ModelLeader(this, 0))
+  }
+
+  leader (): ModelLeader {
+    return this.leaders.at(-1) as ModelLeader
+  }
+
+  startWorker (id: string, born: number): void {
+    this.workers.get(id)?.terminate()
+    this.workers.set(id, new ModelWorker(worker(id, { born }), this.checker, this.now))
+  }
+
+  /**
+   * Fault 1 loses a command or poll, 2 loses the response to a start or poll, 3 delays a start and loses its response, and
+   * 4 lets the previous leader act; other values are no fault.
+   */
+  perform (action: number, detail: number, fault: number): void {
+    const id = `w${1 + detail % 3}`
+    const leader = this.leaders.length > 1 && fault === 4 ? this.leaders.at(-2) as ModelLeader : this.leader()
+    if (action === 0 && this.jobs.length < 8) this.acceptJob()
+    else if (action === 1 && detail === 0) this.leaders.push(new ModelLeader(this, this.leaders.length))
+    else if (action === 2 && detail === 1) this.startWorker(id, (this.workers.get(id)?.registration.born ?? 0) + 1)
+    else if (action === 3) this.disconnected.has(id) ? this.disconnected.delete(id) : this.disconnected.add(id)
+    else if (action === 4) this.advanceTime(100 + detail * 400)
+    else if (action === 5) leader.persistProgress()
+    else if (action <= 7) leader.decide(fault)
+    else for (const tracked of [...leader.scheduler.workers.values()]) if (action > 8 || tracked.registration.id === id) leader.pollWorker(tracked, fault)
+  }
+
+  private acceptJob (): void {
+    const number = this.jobs.length
+    const isLasting = this.opts.mixedJobs && number % 4 === 1
+    const demand = { cpu: this.opts.mixedJobs ? 100 : 1_000, memMb: 100, accelerators: 0 }
+    const steps = isLasting ? [step({ demand, lasting: true, mayMiss: 1 })] : [step({ demand, tasks: 2 }), step({ demand, after: [0] })]
+    const schedule = this.opts.mixedJobs && number % 4 === 2 ? { times: 2, firstMs: this.now, everyMs: 1_000 } : undefined
+    const accepted = job({ id: String(number).padStart(16, '0'), steps, acceptedUnder: this.leader().token, ...(schedule === undefined ? {} : { schedule }) })
+    this.jobs.push(accepted)
+    this.leader().scheduler.addJob(accepted, { acceptedThisTerm: true })
+  }
+
+  private advanceTime (ms: number): void {
+    this.now += ms
+    const due = this.delayedCommands.filter(command => command.at <= this.now)
+    this.delayedCommands = this.delayedCommands.filter(command => command.at > this.now)
+    for (const command of due) command.run()
+    for (const each of this.workers.values()) each.advance(this.now)
+  }
+}
+
+/** Random actions, for {@link Site.perform}. */
+export const actions = fc.array(fc.tuple(fc.integer({ min: 0, max: 10 }), fc.integer({ min: 0, max: 5 }), fc.integer({ min: 0, max: 9 })), { minLength: 20, maxLength: 160 })
