Tests of entry processes wait until every entry responds

job-processes.test.ts failed once in some twelve runs beside other tests: 'undefined !== 400', the first call to the second entry got no response. Cause: the site counted as started once the first entry that responds knew a leader of both services; an entry that starts more slowly was called before it listened.

Shown by a trial: with all entries but the first paused for 9 s at their start, the test fails with the same message; with this change it passes.

--- a/testing/jobs/src/job-processes.ts
+++ b/testing/jobs/src/job-processes.ts
@@ -141,6 +141,9 @@
     await this.hosts.start(storeUrl, { service: 'quoting', count: 4, prefix: `${KEY_PREFIX}-jobs` })
     await this.hosts.start(storeUrl, { service: 'surveys', count: 4, prefix: `${KEY_PREFIX}-jobs` })
     await waitUntil('both services have leaders', async () => await this.findLeader('quoting') >= 0 && await this.findLeader('surveys') >= 0)
+    for (const [index, { id }] of this.entries.entries()) {
+      await waitUntil(`${id} responds`, async () => (await this.call(index, 'GET', '/v1/job-status'))?.status === 200)
+    }
   }
 }
 
