Test: callers that keep their connections while real entries get SIGTERM and SIGHUP in series

Twelve callers, four at each of three entries, submit and query jobs without a break or with pauses, each on one connection, while entries get SIGTERM, SIGHUP and a second SIGTERM at seeded moments, two entries at once in some rounds, and start again. Each request that was sent gets a complete response, or its connection ends within 200 ms after it was sent, as when an idle connection ends. Accepted jobs are never 410, failed or cancelled, and complete; a shutdown ends within 15 s with exit code 0. RESTART_SEED and RESTART_ROUNDS make it longer by hand.

--- a/testing/jobs/src/index.ts
+++ b/testing/jobs/src/index.ts
@@ -7,6 +7,7 @@
 export { untilState, withSite } from './with-site.ts'
 export { waitUntil } from './wait-until.ts'
 export { JobProcesses, type JobProcess } from './job-processes.ts'
+export { KeepAliveCaller, type KeepAliveReply } from './keep-alive-caller.ts'
 export { HttpWorkerHosts } from './worker-hosts.ts'
 export { VirtualProcess } from './virtual-process.ts'
 export { VirtualWorkers, type CallCosts } from './virtual-workers.ts'
