--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -100,7 +100,7 @@
 }
 
 // The start may still arrive at the next incarnation under the same id, and would run twice.
-for (const [name, listedVm] of [['is still down', vm({ state: 'down', worker: '' })], ['has no worker yet', vm({ worker: '' })], ['has this worker again', vm()]] as const) {
+for (const [name, listedVm] of [['is still down', vm({ state: 'down', worker: '' })], ['has no worker yet', vm({ worker: '' })], ['has this worker again', vm()], ['is in another pool without a worker yet', vm({ pool: 'other', worker: '' })]] as const) {
   test(`an unanswered start on a lost worker is kept while its VM ${name}`, () => {
     const { harness, detector } = loseWorkerWithUnansweredStart()
     for (let lists = 0; lists < 4; lists++) assert.equal(applyVmListAfterDelay(harness, detector, [listedVm]), 0)
@@ -116,7 +116,7 @@
   const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
   harness.addJob()
   harness.scheduler.endIncarnation(harness.startWithoutResponse().worker)
-  for (let lists = 0; lists < 4; lists++) assert.equal(applyVmListAfterDelay(harness, detector, [vm()]), 0)
+  for (let lists = 0; lists < 4; lists++) assert.equal(applyVmListAfterDelay(harness, detector, [vm(), vm({ id: '', worker: 'w9' })]), 0)
 })
 
 test('contradictory VM lists do not prove that a lost worker cannot restart', () => {
@@ -151,3 +151,26 @@
   harness.scheduler.endIncarnation(harness.startWithoutResponse().worker)
   for (let lists = 0; lists < 4; lists++) assert.equal(applyVmListAfterDelay(harness, detector, [vm({ id: 'vm-other' })]), 0)
 })
+
+test('a list that is requested as soon as an incarnation ends does not count', () => {
+  const { harness, detector } = loseWorkerWithUnansweredStart()
+  const replaced = [vm({ worker: 'w9' })]
+  detector.needsVmList()
+  assert.equal(detector.applyVmList(replaced, harness.now).length, 0)
+  assert.equal(applyVmListAfterDelay(harness, detector, replaced), 0)
+  assert.equal(applyVmListAfterDelay(harness, detector, replaced), 1)
+})
+
+test('a release tells how many starts it ends, after which no list is needed', () => {
+  const { harness, detector } = loseWorkerWithUnansweredStart()
+  const replaced = [vm({ worker: 'w9' })]
+  applyVmListAfterDelay(harness, detector, replaced)
+  harness.report('w2')
+  harness.now += 300
+  const released = detector.applyVmList(replaced, harness.now).map(({ worker, ...proven }) => ({ id: worker.registration.id, ...proven }))
+  assert.deepEqual(released, [{ id: 'w1', proof: 'replaced', unansweredStarts: 1, vmState: 'up' }])
+  harness.now += 300
+  detector.needsVmList()
+  harness.now += 300
+  assert.equal(detector.needsVmList(), false)
+})
--- a/jobs/service/test/term-record-writer.test.ts
+++ b/jobs/service/test/term-record-writer.test.ts
@@ -13,10 +13,13 @@
 const limits = { longestLeaseMs: 6_000, stopMs: 400, shutdownGraceMs: 6_000, keepMs: 1e9, maintenanceMs: 2_000 }
 const queue: Queue = { name: 'q', host: '', pathPrefix: '', service: 's', priority: 0, attempts: 2, stretch: 1, objectiveMs: 0, timeoutMs: 0, needsPermit: false }
 
-/** A store of one document, whose next write can take effect without a response. */
+const NO_RESPONSE = err<StoreError>({ kind: 'unavailable', code: 'STORE_UNAVAILABLE', maybeApplied: true, message: 'no response' })
+
+/** A store of one document, whose next write can be lost, or take effect without a response. */
 class OneDocumentStore {
   stored: Versioned | undefined
   loseResponse = false
+  loseCall = false
 
   async get (): Promise<Result<Versioned | undefined, StoreError>> {
     return ok(this.stored)
@@ -24,11 +27,15 @@
 
   async update ([change]: readonly Change[]): Promise<Result<number, StoreError>> {
     if (change === undefined || (this.stored?.modRevision ?? 0) !== (change.prior?.modRevision ?? 0)) return err({ kind: 'conflict', code: 'STORE_CONFLICT', message: 'changed' })
+    if (this.loseCall) {
+      this.loseCall = false
+      return NO_RESPONSE
+    }
     const modRevision = (this.stored?.modRevision ?? 0) + 1
     this.stored = { key: change.key, value: change.value, createRevision: 1, modRevision, writeIds: [] }
     if (!this.loseResponse) return ok(modRevision)
     this.loseResponse = false
-    return err({ kind: 'unavailable', code: 'STORE_UNAVAILABLE', maybeApplied: true, message: 'no response' })
+    return NO_RESPONSE
   }
 
   workers (): string[] {
@@ -40,8 +47,8 @@
   return { id, born: 1, service: 's', host: '', port: 0, zone: '', vm: '', draining: false, capacity: { cpu: 1, memMb: 1, accelerators: 0 }, labels: [], rack: '' }
 }
 
-// A worker that registered again counted as recorded, although a write without a response had removed it from the record.
-test('a worker that a write with an unknown outcome removes is recorded again before it gets a lease', async () => {
+/** A term whose record names w1 and w2. */
+async function startTerm () {
   const clock = { now: () => 10_000 }
   const store = new OneDocumentStore()
   const opts = { service: 's', token: 1, guard: { key: 'leader', createRevision: 1 }, records: new JobRecords(store as unknown as Store, new JobKeys('w')), limits, clock, logger: silentLogger, metrics: new Metrics() } as unknown as ServiceTermOpts
@@ -54,6 +61,12 @@
   await writer.startTerm()
   register('w1', 'w2')
   assert.equal(await writer.writeIfChanged(scheduler), true)
+  return { store, writer, scheduler, register }
+}
+
+// A worker that registered again counted as recorded, although a write without a response had removed it from the record.
+test('a worker that a write with an unknown outcome removes is recorded again before it gets a lease', async () => {
+  const { store, writer, scheduler, register } = await startTerm()
   register('w1')
   store.loseResponse = true
   assert.equal(await writer.writeIfChanged(scheduler), false)
@@ -61,7 +74,26 @@
   register('w1', 'w2')
   assert.equal(writer.contains(worker('w2')), false)
   assert.equal(writer.contains(worker('w1')), true)
-  while (!await writer.writeIfChanged(scheduler)) continue
+  for (let tries = 0; tries < 3 && !await writer.writeIfChanged(scheduler); tries++) continue
   assert.deepEqual(store.workers(), ['w1', 'w2'])
   assert.equal(writer.contains(worker('w2')), true)
 })
+
+test('a write that was lost is repeated until the record no longer names a worker that is gone', async () => {
+  const { store, writer, scheduler, register } = await startTerm()
+  register('w1')
+  store.loseCall = true
+  assert.equal(await writer.writeIfChanged(scheduler), false)
+  for (let tries = 0; tries < 3 && !await writer.writeIfChanged(scheduler); tries++) continue
+  assert.deepEqual(store.workers(), ['w1'])
+})
+
+test('after a conflict, the record of a newer term is not taken', async () => {
+  const { store, writer, scheduler, register } = await startTerm()
+  const newer = { number: 1, leaseMs: 4_000, workers: [worker('w1')] }
+  store.stored = { key: 'term', value: newer, createRevision: 1, modRevision: 50, writeIds: [] }
+  register('w1', 'w2', 'w3')
+  for (let tries = 0; tries < 3; tries++) assert.equal(await writer.writeIfChanged(scheduler), false)
+  assert.deepEqual(store.stored.value, newer)
+  assert.equal(writer.contains(worker('w3')), false)
+})
