--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -55,7 +55,7 @@
   /** @param ids - ids of workers to start, each on its own VM */
   addWorkers (...ids: string[]): void {
     for (const id of ids) {
-      const registration: WorkerRegistration = { id, born: 1, service: SERVICE, host: 'h', port: 1, zone: 'z', vm: `vm-${id}`, draining: false, capacity: { cpu: 4_000, memMb: 8_000, accelerators: 0 }, labels: ['a', 'r1'], rack: 'r1' }
+      const registration = this.registration(id)
       this.workers.add(registration)
       this.vms.push({ id: registration.vm, pool: SERVICE, state: 'up', zone: 'z', rack: 'r1', labels: [], capacity: registration.capacity, worker: id })
     }
@@ -70,6 +70,16 @@
     this.vms = this.vms.map(vm => vm.worker === id ? { ...vm, pool: 'spare', worker: '' } : vm)
   }
 
+  /**
+   * Powers on the VM of a worker that was powered off, with a new worker.
+   * @param id - id of the worker that was powered off
+   * @param replacement - id of the new worker
+   */
+  replace (id: string, replacement: string): void {
+    this.workers.add({ ...this.registration(replacement), vm: `vm-${id}` })
+    this.vms = this.vms.map(vm => vm.id === `vm-${id}` ? { ...vm, pool: SERVICE, worker: replacement } : vm)
+  }
+
   /**
    * Replaces the current leader, if any, by a new one and starts its term.
    * @returns the new leader
@@ -138,6 +148,10 @@
     this.workers.close()
   }
 
+  private registration (id: string): WorkerRegistration {
+    return { id, born: 1, service: SERVICE, host: 'h', port: 1, zone: 'z', vm: `vm-${id}`, draining: false, capacity: { cpu: 4_000, memMb: 8_000, accelerators: 0 }, labels: ['a', 'r1'], rack: 'r1' }
+  }
+
   private createLeaderClient (): LeaderClient {
     const reachableTerm = (): ServiceTerm | undefined => this.leader?.reachable === true ? this.leader.term : undefined
     return {
--- a/testing/jobs/test/jobs.test.ts
+++ b/testing/jobs/test/jobs.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { Step } from '@wisteriaslip/jobs.model'
-import { plainStep, untilState, waitUntil, withSite, type JobSite, type RecordedRun } from '@wisteriaslip/testing.jobs'
+import { JobSite, plainStep, untilState, waitUntil, withSite, type RecordedRun } from '@wisteriaslip/testing.jobs'
 
 const ID = '00000000000000aa'
 
@@ -223,3 +223,23 @@
     assert.ok(runsOf(site, `${ID}.0.1.0`).length === 1)
   })
 })
+
+// Guards against LOST: a task whose start got no response from a crashed worker was kept for twice the longest lease.
+test('a task whose start got no response from a crashed worker runs once the VM has another worker', async () => {
+  const site = new JobSite()
+  try {
+    site.addWorkers('w1')
+    await site.elect()
+    await waitUntil('the leader knows the worker', () => site.logged.includes('first response from worker in this term'))
+    site.workers.startFaults.push('lose-command')
+    await site.intake.submit(site.request(ID, [step({ lasting: true })]))
+    await waitUntil('the start is sent', () => site.workers.startFaults.length === 0)
+    site.powerOff('w1')
+    await waitUntil('the worker is lost', () => site.logged.some(message => message.startsWith('worker lost')))
+    assert.deepEqual(site.workers.recordedRuns, [])
+    site.replace('w1', 'w2')
+    await waitUntil('the task runs', () => site.workers.recordedRuns.some(run => run.worker === 'w2'))
+  } finally {
+    await site.close()
+  }
+})
