--- a/jobs/service/src/takeover-monitor.ts
+++ b/jobs/service/src/takeover-monitor.ts
@@ -5,8 +5,8 @@
 const REPORT_INTERVAL_MS = 2_000
 
 /**
- * Logs how long tasks of earlier terms' jobs wait until the runs of all workers are known, and which workers they wait
- * for. Besides the takeover at the beginning of a term, a worker that restarts may cause such a wait.
+ * Logs how long tasks of earlier terms' jobs wait after a takeover until the runs of all workers are known, and which
+ * workers they wait for.
  */
 export class TakeoverMonitor {
   private readonly opts: ServiceTermOpts
