--- a/jobs/scheduler/test/liveness.test.ts
+++ b/jobs/scheduler/test/liveness.test.ts
@@ -2,6 +2,15 @@
 import { test } from 'node:test'
 import { SchedulerHarness, step, worker } from './harness.ts'
 
+/** Answers the permit requests that are due, allowing only the given workers. Returns the ids of the workers asked about. */
+function answerPermitRequests (harness: SchedulerHarness, allowed: readonly string[]): string[] {
+  return harness.scheduler.collectPermitRequests().flatMap(request => {
+    const ids = request.workers.map(each => each.registration.id)
+    harness.scheduler.handlePermitResponse(request, { permits: new Map(ids.filter(id => allowed.includes(id)).map(id => [id, 'permit'])), validMs: 60_000 })
+    return ids
+  })
+}
+
 // Workers that joined were asked about only after half the validity of the permits.
 test('permits for workers that join are requested at once, although others have been refused', () => {
   const harness = new SchedulerHarness({ queue: { needsPermit: true } })
