Log the runs that are lost with a worker, and count them by cause

One line and two counters for each lost worker: cause (crashed, planned, lease expired), runs, and how long each had certainly been in progress. Nothing is decided by it.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -77,7 +77,7 @@
       const isProof = proof === 'replaced' ? this.provesReplaced(vm, worker) : provesIncarnationEnded(vm, worker)
       suspect.confirmations = isProof ? suspect.confirmations + 1 : 0
       if (suspect.confirmations < REQUIRED_VM_LISTS) continue
-      if (proof === 'ended') this.scheduler.endIncarnation(worker)
+      if (proof === 'ended') this.scheduler.endIncarnation(worker, { planned: isPlanned(vm, worker) })
       lost.push({ worker, proof, unansweredStarts: worker.runs.size, vmState: vm?.state })
       if (proof === 'replaced') this.scheduler.releaseRuns(worker)
       this.suspects.delete(worker)
@@ -113,3 +113,9 @@
   if (vm.state !== 'up' || vm.pool !== worker.registration.service) return true
   return vm.worker !== '' && vm.worker !== worker.registration.id
 }
+
+/** Returns whether the VM, as listed, has been moved or is being maintained: its worker did not end by itself. */
+function isPlanned (vm: Vm | undefined, worker: TrackedWorker): boolean {
+  if (vm === undefined) return false
+  return vm.state === 'moving' || vm.state === 'maintenance' || vm.pool !== worker.registration.service
+}
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -10,6 +10,7 @@
 import { TaskPlacer } from './task-placer.ts'
 import { attachRun, detachRun, isStartable, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
 import { runKey, TrackedWorker } from './tracked-worker.ts'
+import { lossCauses, toLostRun, type LossCause, type WorkerLoss } from './worker-loss.ts'
 
 /** Consecutive failed runs after which a worker gets no starts for `FAILURE_COOLDOWN_MS`. */
 const FAILURES_BEFORE_COOLDOWN = 2
@@ -62,6 +63,7 @@
   readonly workers = new Map<string, TrackedWorker>()
   private readonly opts: SchedulerOpts
   private readonly runsToStop = new Set<Run>()
+  private losses: WorkerLoss[] = []
   private readonly durationEstimator = new DurationEstimator()
   private readonly demandEstimator: DemandEstimator
   private readonly placer: TaskPlacer
@@ -106,9 +108,12 @@
    * unknown outcome are kept, because the command may still reach the next incarnation under the same id; see
    * {@link Scheduler.releaseRuns}.
    * @param worker - the incarnation that has ended
+   * @param opts - `planned`: its VM was moved or maintained
    */
-  endIncarnation (worker: TrackedWorker): void {
+  endIncarnation (worker: TrackedWorker, opts: { planned: boolean } = { planned: false }): void {
     if (worker.ended) return
+    const planned = opts.planned || worker.withdrawn || worker.registration.draining
+    this.recordLoss(worker, planned ? lossCauses.planned : lossCauses.crashed)
     worker.ended = true
     worker.unknownRunsUntil = this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
     for (const run of [...worker.runs.values()]) {
@@ -204,7 +209,10 @@
   tick (): void {
     const now = this.opts.clock.now()
     for (const worker of [...this.workers.values()]) {
-      if (worker.runs.size > 0 && worker.haveLeasesExpired(now)) this.releaseRuns(worker)
+      if (worker.runs.size > 0 && worker.haveLeasesExpired(now)) {
+        if (!worker.ended) this.recordLoss(worker, lossCauses.leaseExpired)
+        this.releaseRuns(worker)
+      }
       if (worker.deregistered && worker.runs.size === 0 && worker.pendingCompletions.size === 0 && (worker.fenced || now >= worker.unknownRunsUntil)) {
         this.workers.delete(worker.registration.id)
       }
@@ -310,6 +318,18 @@
     }
   }
 
+  /** @returns the runs that were lost with their workers since the previous call */
+  takeLosses (): WorkerLoss[] {
+    const losses = this.losses
+    this.losses = []
+    return losses
+  }
+
+  private recordLoss (worker: TrackedWorker, cause: LossCause): void {
+    if (worker.runs.size === 0) return
+    this.losses.push({ worker: worker.registration, cause, runs: [...worker.runs.values()].map(toLostRun) })
+  }
+
   private registerWorker (registration: WorkerRegistration, unknownRunsUntil: number): void {
     const existing = this.workers.get(registration.id)
     if (existing !== undefined && existing.registration.born === registration.born && !existing.ended) {
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -146,6 +146,11 @@
     this.clockReadAt = readAt
   }
 
+  /** @returns the latest reading of the worker's clock, in milliseconds */
+  lastClockMs (): number {
+    return this.clockMs
+  }
+
   /** @returns whether the worker's clock has been read */
   hasClock (): boolean {
     return this.clockReadAt !== Number.NEGATIVE_INFINITY
--- /dev/null
+++ b/jobs/scheduler/src/worker-loss.ts
@@ -0,0 +1,49 @@
+import type { WorkerRegistration } from '@wisteriaslip/jobs.model'
+import type { Run } from './run.ts'
+
+/** Why the runs of a worker were lost. */
+export const lossCauses = {
+  /** Its incarnation has ended, and nobody had planned that. */
+  crashed: 'crashed',
+  /** It was being drained, or its VM was moved or maintained. */
+  planned: 'planned',
+  /** It does not respond and its lease has expired: it may have crashed, or be disconnected. */
+  leaseExpired: 'lease-expired'
+} as const
+
+/** Why the runs of a worker were lost. */
+export type LossCause = typeof lossCauses[keyof typeof lossCauses]
+
+/** A run that was lost with its worker. */
+export interface LostRun {
+  readonly task: string
+  readonly attempt: number
+  readonly phase: Run['phase']
+  /** How long the run had certainly been in progress, on the worker's clock, in milliseconds. */
+  readonly survivedMs: number
+}
+
+/** Runs that were lost with a worker. */
+export interface WorkerLoss {
+  readonly worker: WorkerRegistration
+  readonly cause: LossCause
+  readonly runs: readonly LostRun[]
+}
+
+/**
+ * @param run - a run
+ * @returns how long it had been in progress at its worker's last response, on the worker's clock, in milliseconds; 0 while its
+ * start is not confirmed
+ */
+export function survivedMs (run: Run): number {
+  if (run.startedWorkerClockMs === undefined) return 0
+  return Math.max(0, run.worker.lastClockMs() - run.startedWorkerClockMs)
+}
+
+/**
+ * @param run - a run that was lost
+ * @returns what the log says about it
+ */
+export function toLostRun (run: Run): LostRun {
+  return { task: run.task.name, attempt: run.attempt, phase: run.phase, survivedMs: Math.round(survivedMs(run)) }
+}
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -5,6 +5,7 @@
 import type { ServiceRecords, TermRecord } from '@wisteriaslip/jobs.store'
 import { removeExpiredJobs } from './expired-jobs.ts'
 import { computeServiceLoad, withdrawWorkers } from './load.ts'
+import { logLosses } from './loss-log.ts'
 import type { ServiceTermOpts } from './ports.ts'
 import { ProgressWriter } from './progress-writer.ts'
 import { RequestWatcher } from './request-watcher.ts'
@@ -201,6 +202,7 @@
       this.openSessions(components.scheduler, signal)
       components.scheduler.tick()
       takeoverMonitor.observe(components.scheduler)
+      logLosses(components.scheduler, this.opts)
       for (const run of components.scheduler.placeReadyTasks(this.startWindow.free())) this.sendStart(run, signal)
       for (const run of components.scheduler.collectDueStops()) this.send(run, signal, async session => await session.stop(run, signal))
       for (const request of components.scheduler.collectPermitRequests()) this.requestPermits(components.scheduler, request, signal).catch(() => {})
