A task that crashes its workers is isolated, and its job given up after the second crash

Cause: a start was repeated without limit when its worker crashed, as only ends that workers report count as attempts. Design: a crash is recorded with each task that was on the worker. A task that had just been started, or was on several such workers, is started again only alone: on an empty worker where there is one, one task of its job at a time, and the worker gets no other starts until the run has settled. A second crash under it is proof: the job fails, and all other tasks of these crashes are cleared. Crashes are in the progress record, and are stored before the task is started again, so that a new leader knows them. The ends of drained, moved and maintained workers are not crashes, nor are leases that expire; of a rack that fails at once only what was just being started is suspected. Ruled out: counting crashes for each task alone, as one innocent task was on 22 of 25 crashed workers.

--- a/jobs/model/src/worker.ts
+++ b/jobs/model/src/worker.ts
@@ -17,6 +17,14 @@
   readonly rack: string
 }
 
+/**
+ * @param worker - a worker's registration
+ * @returns a text that identifies the incarnation of the worker
+ */
+export function incarnationKey (worker: WorkerRegistration): string {
+  return `${worker.id}/${worker.born}`
+}
+
 /** Outcomes of a run. */
 export const runOutcomes = { done: 'done', failed: 'failed', stopped: 'stopped', lapsed: 'lapsed', broken: 'broken', alone: 'alone' } as const
 
--- a/jobs/scheduler/src/explain.ts
+++ b/jobs/scheduler/src/explain.ts
@@ -1,11 +1,12 @@
 import { orderSteps, type QueueLookup } from './step-priority.ts'
+import { needsIsolation } from './crash.ts'
 import { canPlace } from './placement.ts'
 import type { Scheduler } from './scheduler.ts'
 import type { Task, TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
 
 /** Reason why tasks of a ready step are not started. */
-export type WaitReason = 'EARLIER_LEADERS_WORKERS_SILENT' | 'NO_USABLE_WORKER' | 'NO_WORKER_WITH_LABEL' | 'NO_ROOM' | 'NO_PERMIT' | 'UNSETTLED_OR_RESTING'
+export type WaitReason = 'EARLIER_LEADERS_WORKERS_SILENT' | 'NO_USABLE_WORKER' | 'NO_WORKER_WITH_LABEL' | 'NO_ROOM' | 'NO_PERMIT' | 'SUSPECTED_OF_CRASHES' | 'UNSETTLED_OR_RESTING'
 
 const MAX_LISTED_TASKS = 50
 
@@ -28,6 +29,7 @@
     id,
     queue: tracked.job.queue,
     state: scheduler.table.stateOf(id),
+    failure: tracked.failure,
     outcomeWaitsForStore: tracked.outcome !== tracked.durableOutcome,
     heardMsAgo: Math.round(opts.now - tracked.firstSeenAt),
     waitedMs: tracked.waitedMs,
@@ -69,7 +71,7 @@
     after: step.spec.after,
     ...(position < 0 ? {} : { placeInOrder: position }),
     ...(position >= 0 && step.waiting > 0 ? { waitsFor: waitReasonOf(scheduler, step, opts) } : {}),
-    underWay: step.tasks.filter(task => !task.done && (task.runs.length > 0 || task.failedAttempts.length > 0)).slice(0, MAX_LISTED_TASKS).map(explainTask)
+    underWay: step.tasks.filter(task => !task.done && (task.runs.length > 0 || task.failedAttempts.length > 0 || task.crashes.length > 0)).slice(0, MAX_LISTED_TASKS).map(explainTask)
   }
 }
 
@@ -77,6 +79,7 @@
   return {
     task: task.name,
     failedAttempts: task.failedAttempts,
+    crashes: task.crashes,
     runs: task.runs.map(({ worker, attempt, phase, percent, stopReason }) => ({ worker: worker.registration.id, attempt, phase, percent, stopReason }))
   }
 }
@@ -91,7 +94,8 @@
   if (withCapacity.length === 0) return 'NO_ROOM'
   const needsPermit = opts.queue(step.job.job.queue)?.needsPermit === true
   if (needsPermit && !withCapacity.some(worker => step.permits.permitFor(worker, opts.now) !== undefined)) return 'NO_PERMIT'
-  return 'UNSETTLED_OR_RESTING'
+  const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0)
+  return waiting.length > 0 && waiting.every(needsIsolation) ? 'SUSPECTED_OF_CRASHES' : 'UNSETTLED_OR_RESTING'
 }
 
 function unavailableReasonOf (worker: TrackedWorker, now: number): string | undefined {
--- /dev/null
+++ b/jobs/scheduler/src/isolation.ts
@@ -0,0 +1,153 @@
+import { hasRepeatedCrashes, hasSettled, needsIsolation } from './crash.ts'
+import { canPlace, couldFitEventually } from './placement.ts'
+import type { Run } from './run.ts'
+import type { TaskPlacer } from './task-placer.ts'
+import { isStartable, type Task, type TrackedJob, type TrackedStep } from './tracked-job.ts'
+import type { TrackedWorker } from './tracked-worker.ts'
+import { survivedMs } from './worker-loss.ts'
+
+/** How long a suspected task waits for a worker without other work. */
+const MAX_EMPTY_WAIT_MS = 1_000
+/** How long it waits for a worker on which all other runs have settled. */
+const MAX_SETTLED_WAIT_MS = 2_000
+/** A worker gets no other starts until the isolated run of a task with several crashes has been in progress for this long. */
+const MAX_CLOSED_MS = 2_000
+/** Weights of runs that would be lost with the worker: a long-running task is costly, and no task should be hit again. */
+const LASTING_RUN_WEIGHT = 20
+const CRASH_WEIGHT = 3
+
+/** Result of a pass. */
+export interface IsolationResult {
+  /** Runs to start. */
+  readonly runs: readonly Run[]
+  /** Workers for other tasks. */
+  readonly openWorkers: readonly TrackedWorker[]
+}
+
+/**
+ * Starts tasks that may have crashed their worker, so that the next crash shows which of them did and takes little else with
+ * it: one such task of a job at a time, none beside one of another job, on a worker with as little other work as possible.
+ * The worker gets no other starts until the run has settled.
+ */
+export class Isolation {
+  private readonly placer: TaskPlacer
+  private readonly isolated = new Set<Run>()
+  private readonly waitingSince = new WeakMap<TrackedJob, number>()
+
+  /** @param placer - starts a task on a worker */
+  constructor (placer: TaskPlacer) {
+    this.placer = placer
+  }
+
+  /**
+   * Places suspected tasks.
+   * @param steps - steps with tasks to start
+   * @param workers - workers that accept starts
+   * @param opts - `now`: time of the injected clock; `maxRuns`: number of runs after which none is added
+   * @returns runs to start, and the workers that other tasks may use
+   */
+  place (steps: readonly TrackedStep[], workers: readonly TrackedWorker[], opts: { now: number, maxRuns: number }): IsolationResult {
+    for (const run of this.isolated) if (!run.task.runs.includes(run)) this.isolated.delete(run)
+    const suspectedSteps = steps.filter(step => step.suspects > 0)
+    if (this.isolated.size === 0 && suspectedSteps.length === 0) return { runs: [], openWorkers: workers }
+    const closed = new Set([...this.isolated].filter(closesWorker).map(run => run.worker))
+    const runs: Run[] = []
+    let waiting: Task | undefined
+    for (const task of suspectedSteps.flatMap(step => startableSuspects(step, opts.now)).sort(compareSuspicion)) {
+      if (runs.length >= opts.maxRuns) break
+      if (this.isBeingTried(task.step.job)) continue
+      const started = this.start(task, this.usableWorkers(task, workers, closed, opts.now), opts.now)
+      for (const run of started) {
+        this.isolated.add(run)
+        closed.add(run.worker)
+      }
+      runs.push(...started)
+      if (started.length === 0) waiting ??= task
+    }
+    if (waiting !== undefined) this.reserve(waiting, this.usableWorkers(waiting, workers, closed, opts.now), closed)
+    return { runs, openWorkers: workers.filter(worker => !closed.has(worker)) }
+  }
+
+  private usableWorkers (task: Task, workers: readonly TrackedWorker[], closed: ReadonlySet<TrackedWorker>, now: number): readonly TrackedWorker[] {
+    return this.placer.permittedWorkers(task.step, workers, now).filter(worker => !closed.has(worker))
+  }
+
+  /** Closes the worker that a task waits for, so that it becomes empty. */
+  private reserve (task: Task, workers: readonly TrackedWorker[], closed: Set<TrackedWorker>): void {
+    const reserved = leastDisruptive(workers.filter(worker => couldFitEventually(task.step, worker)), task.step.job)
+    if (reserved !== undefined) closed.add(reserved)
+  }
+
+  private start (task: Task, open: readonly TrackedWorker[], now: number): readonly Run[] {
+    const { step } = task
+    const { job } = step
+    const waitedMs = now - (this.waitingSince.get(job) ?? now)
+    this.waitingSince.set(job, now - waitedMs)
+    const usable = open.filter(worker => !this.hasOtherSuspect(worker, job) && (waitedMs >= MAX_SETTLED_WAIT_MS || [...worker.runs.values()].every(hasSettled)))
+    const isolation = hasRepeatedCrashes(task) ? 'whole' : 'start'
+    const empty = usable.filter(worker => disruptionOf(worker, job) === 0)
+    const choices = waitedMs >= MAX_EMPTY_WAIT_MS ? [empty, usable] : [empty]
+    for (const choice of choices) {
+      const runs = step.spec.gang ? this.placer.placeGang(step, choice, now) : this.startSingle(task, choice)
+      for (const run of runs) run.isolation = isolation
+      if (runs.length > 0) return runs
+    }
+    return []
+  }
+
+  private startSingle (task: Task, workers: readonly TrackedWorker[]): readonly Run[] {
+    const worker = leastDisruptive(workers.filter(each => canPlace(task.step, each)), task.step.job)
+    return worker === undefined ? [] : [this.placer.placeOn(task, worker)]
+  }
+
+  /** Returns whether an isolated run of the job has yet to show whether it crashes its worker. */
+  private isBeingTried (job: TrackedJob): boolean {
+    return [...this.isolated].some(run => run.task.step.job === job && closesWorker(run))
+  }
+
+  private hasOtherSuspect (worker: TrackedWorker, job: TrackedJob): boolean {
+    return [...this.isolated].some(run => run.worker === worker && run.task.step.job !== job && (run.isolation === 'whole' || !hasSettled(run)))
+  }
+}
+
+/** Tasks of a step that need isolation and may be started; of a gang, one that stands for all. */
+function startableSuspects (step: TrackedStep, now: number): Task[] {
+  if (!step.job.areCrashesDurable()) return []
+  const suspects = step.tasks.filter(task => needsIsolation(task) && isStartable(task, now))
+  return step.spec.gang ? suspects.sort(compareSuspicion).slice(0, 1) : suspects
+}
+
+/** Puts the task first that had survived for the shortest time when its worker crashed. */
+function compareSuspicion (a: Task, b: Task): number {
+  return shortestSurvivalMs(a) - shortestSurvivalMs(b)
+}
+
+function shortestSurvivalMs (task: Task): number {
+  return Math.min(...task.crashes.map(crash => crash.survivedMs))
+}
+
+function closesWorker (run: Run): boolean {
+  return !hasSettled(run) || (run.isolation === 'whole' && survivedMs(run) < MAX_CLOSED_MS)
+}
+
+function leastDisruptive (workers: readonly TrackedWorker[], job: TrackedJob): TrackedWorker | undefined {
+  let best: TrackedWorker | undefined
+  let least = Number.POSITIVE_INFINITY
+  for (const worker of workers) {
+    const disruption = disruptionOf(worker, job)
+    if (disruption >= least) continue
+    best = worker
+    least = disruption
+  }
+  return best
+}
+
+/** What a crash of the worker would cost other jobs. */
+function disruptionOf (worker: TrackedWorker, job: TrackedJob): number {
+  let disruption = 0
+  for (const { task } of worker.runs.values()) {
+    if (task.step.job === job) continue
+    disruption += (task.step.spec.lasting ? LASTING_RUN_WEIGHT : 1) + CRASH_WEIGHT * task.crashes.length
+  }
+  return disruption
+}
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@wisteriaslip/core.result'
 import type { EndedRun, Job, JobState, Resources } from '@wisteriaslip/jobs.model'
 import type { QueueLookup } from './step-priority.ts'
-import type { JobProgress } from './progress.ts'
+import type { JobFailure, JobProgress } from './progress.ts'
 import type { Run } from './run.ts'
 import { markDone, TrackedJob, type Task, type TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
@@ -76,6 +76,24 @@
     tracked.durableOutcome = 'cancelled'
   }
 
+  /**
+   * Gives up a job.
+   * @param tracked - a job that has not finished
+   * @param failure - why it is given up
+   */
+  fail (tracked: TrackedJob, failure: JobFailure): void {
+    tracked.failure = failure
+    this.finishJob(tracked, 'failed')
+  }
+
+  /**
+   * Notes that the record of a job must be written.
+   * @param tracked - a job whose progress has changed
+   */
+  markChanged (tracked: TrackedJob): void {
+    this.markDirty(tracked, [])
+  }
+
   /**
    * @param id - id of a job
    * @returns its state as visible to callers, undefined when the job is not tracked
@@ -195,9 +213,11 @@
    * @param tracked - the job
    * @param outcome - the final state that was written, if any
    * @param completions - completions that the record covers
+   * @param crashVersion - `crashVersion` of the job when the record was made
    */
-  markDurable (tracked: TrackedJob, outcome: JobState | undefined, completions: readonly PendingCompletion[]): void {
+  markDurable (tracked: TrackedJob, outcome: JobState | undefined, completions: readonly PendingCompletion[], crashVersion = tracked.crashVersion): void {
     tracked.durableOutcome ??= outcome
+    tracked.durableCrashVersion = Math.max(tracked.durableCrashVersion, crashVersion)
     for (const completion of completions) completion.worker.pendingCompletions.delete(completion.seq)
   }
 
--- a/jobs/scheduler/src/placement.ts
+++ b/jobs/scheduler/src/placement.ts
@@ -110,8 +110,12 @@
   return best
 }
 
-/** Returns whether a task of the step fits on the worker once all runs that are not long-running have ended. */
-function couldFitEventually (step: TrackedStep, worker: TrackedWorker): boolean {
+/**
+ * @param step - a step
+ * @param worker - a worker
+ * @returns whether a task of the step fits on the worker once all runs that are not long-running have ended
+ */
+export function couldFitEventually (step: TrackedStep, worker: TrackedWorker): boolean {
   const { spec } = step
   const { capacity, labels } = worker.registration
   if (spec.label !== '' && !labels.includes(spec.label)) return false
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -1,6 +1,8 @@
 import type { Clock } from '@wisteriaslip/core.result'
 import { parseTaskName, type ActiveRun, type EndedRun, type Job, type JobLimits, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
+import { CrashTracker } from './crash-tracker.ts'
 import { DemandEstimator } from './demand-estimator.ts'
+import { Isolation } from './isolation.ts'
 import { JobTable } from './job-table.ts'
 import type { QueueLookup } from './step-priority.ts'
 import { canPlace } from './placement.ts'
@@ -25,6 +27,8 @@
 const MAX_WORKERS_PER_PERMIT_REQUEST = 100
 const STOP_RETRY_INTERVAL_MS = 600
 const REFUSED_RETRY_DELAY_MS = 30
+/** How long a worker whose lease has expired is tracked to find out whether it has crashed. */
+const EXPIRED_RUNS_KEPT_MS = 10_000
 
 /** Options of {@link Scheduler}. */
 export interface SchedulerOpts {
@@ -67,12 +71,16 @@
   private readonly durationEstimator = new DurationEstimator()
   private readonly demandEstimator: DemandEstimator
   private readonly placer: TaskPlacer
+  private readonly isolation: Isolation
+  private readonly crashTracker: CrashTracker
 
   constructor (opts: SchedulerOpts) {
     this.opts = opts
     this.demandEstimator = new DemandEstimator(opts.clock)
     this.placer = new TaskPlacer({ queue: opts.queue, term: opts.term, addRun: (task, worker, attempt) => this.addRun(task, worker, attempt), releaseRun: run => this.releaseRun(run) })
     this.table = new JobTable({ ...opts, onRunNotNeeded: (run, reason) => this.requestStop(run, reason) })
+    this.isolation = new Isolation(this.placer)
+    this.crashTracker = new CrashTracker(this.table, this.workers)
   }
 
   /**
@@ -113,8 +121,10 @@
   endIncarnation (worker: TrackedWorker, opts: { planned: boolean } = { planned: false }): void {
     if (worker.ended) return
     const planned = opts.planned || worker.withdrawn || worker.registration.draining
+    if (!planned) this.crashTracker.recordCrash(worker, [...worker.runs.values(), ...worker.expiredRuns])
     this.recordLoss(worker, planned ? lossCauses.planned : lossCauses.crashed)
     worker.ended = true
+    worker.expiredRuns = []
     worker.unknownRunsUntil = this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
     for (const run of [...worker.runs.values()]) {
       if (run.phase === 'running') this.releaseRun(run)
@@ -142,8 +152,7 @@
     const unknownJobs = new Set<string>()
     const orphans: OrphanedRun[] = []
     worker.recordClock(report.clockMs, opts.receivedAt)
-    worker.reachable = true
-    worker.lastResponseAt = opts.receivedAt
+    worker.markReachable(opts.receivedAt)
     this.applyEndedRuns(worker, report.ended, unknownJobs)
     const listedRuns = new Set<string>()
     for (const running of report.running) {
@@ -211,9 +220,11 @@
     for (const worker of [...this.workers.values()]) {
       if (worker.runs.size > 0 && worker.haveLeasesExpired(now)) {
         if (!worker.ended) this.recordLoss(worker, lossCauses.leaseExpired)
+        if (!worker.ended) this.keepExpiredRuns(worker)
         this.releaseRuns(worker)
       }
-      if (worker.deregistered && worker.runs.size === 0 && worker.pendingCompletions.size === 0 && (worker.fenced || now >= worker.unknownRunsUntil)) {
+      if (worker.expiredRuns.length > 0 && now >= worker.expiredRunsUntil) worker.expiredRuns = []
+      if (worker.deregistered && worker.runs.size === 0 && worker.expiredRuns.length === 0 && worker.pendingCompletions.size === 0 && (worker.fenced || now >= worker.unknownRunsUntil)) {
         this.workers.delete(worker.registration.id)
       }
     }
@@ -231,7 +242,9 @@
     const steps = [...this.table.ready].filter(mayStart)
     if (steps.length === 0) return []
     const workers = [...this.workers.values()].filter(worker => worker.takesStarts(now) && worker.hasClock())
-    return this.placer.place(steps, workers, { now, maxRuns, onlyAcceptedThisTerm: this.mayHaveUnknownRuns(now) })
+    const placeable = this.mayHaveUnknownRuns(now) ? steps.filter(step => step.job.acceptedThisTerm) : steps
+    const { runs: isolatedRuns, openWorkers } = this.isolation.place(placeable, workers, { now, maxRuns })
+    return [...isolatedRuns, ...this.placer.place(placeable, openWorkers, { now, maxRuns: maxRuns - isolatedRuns.length })]
   }
 
   /** @returns permit requests of ready steps that need one, marked as sent */
@@ -325,6 +338,11 @@
     return losses
   }
 
+  private keepExpiredRuns (worker: TrackedWorker): void {
+    worker.expiredRuns = [...worker.runs.values()]
+    worker.expiredRunsUntil = this.opts.clock.now() + EXPIRED_RUNS_KEPT_MS
+  }
+
   private recordLoss (worker: TrackedWorker, cause: LossCause): void {
     if (worker.runs.size === 0) return
     this.losses.push({ worker: worker.registration, cause, runs: [...worker.runs.values()].map(toLostRun) })
@@ -439,6 +457,7 @@
     run.percent = running.percent
     run.load = running.load
     if (running.checkpoint !== '') run.task.checkpoint = running.checkpoint
+    this.crashTracker.observeRun(run)
   }
 
   private handleMissingRuns (worker: TrackedWorker, listedRuns: ReadonlySet<string>, pollSentAt: number): void {
@@ -481,6 +500,7 @@
       progressedWorkerClockMs: worker.clockAt(now),
       load: 0,
       foundSlow: false,
+      isolation: undefined,
       speedPercent: 100
     }
     task.lastAttempt = Math.max(task.lastAttempt, attempt)
--- a/jobs/scheduler/src/task-placer.ts
+++ b/jobs/scheduler/src/task-placer.ts
@@ -1,5 +1,6 @@
 import type { Run } from './run.ts'
 import { canPlace, chooseReservedWorker, chooseWorker, FreeCapacity, rankWorkers } from './placement.ts'
+import { needsIsolation } from './crash.ts'
 import { needsPermit } from './permits.ts'
 import { StepOrder } from './step-order.ts'
 import type { QueueLookup } from './step-priority.ts'
@@ -26,8 +27,6 @@
   readonly now: number
   /** Number of runs after which no further step is begun. */
   readonly maxRuns: number
-  /** Some worker may execute runs of earlier leaders: only jobs that were accepted in this term are placed. */
-  readonly onlyAcceptedThisTerm: boolean
 }
 
 /** Chooses workers for ready tasks, in the order of their priority. */
@@ -48,18 +47,17 @@
    * @returns runs to start
    */
   place (steps: readonly TrackedStep[], workers: readonly TrackedWorker[], opts: PlacementOpts): Run[] {
-    if (workers.length === 0) return []
+    if (workers.length === 0 || opts.maxRuns <= 0) return []
     const { now, maxRuns } = opts
     let usable = workers
     let freeCapacity = new FreeCapacity(usable)
     const runs: Run[] = []
     for (const step of this.stepOrder.order(steps, now)) {
-      if (opts.onlyAcceptedThisTerm && !step.job.acceptedThisTerm) continue
       if (!freeCapacity.mayFit(step) && !step.spec.lasting) continue
-      runs.push(...step.spec.gang ? this.placeGang(step, usable, now) : this.placeTasks(step, usable, now, maxRuns - runs.length))
+      runs.push(...step.spec.gang ? this.placeUnsuspectedGang(step, usable, now) : this.placeTasks(step, usable, now, maxRuns - runs.length))
       if (runs.length >= maxRuns) break
       if (mayStart(step)) freeCapacity.update()
-      if (step.spec.lasting && step.tasks.some(task => isStartable(task, now))) {
+      if (step.spec.lasting && step.tasks.some(task => isStartable(task, now) && !needsIsolation(task))) {
         const reservedWorker = chooseReservedWorker(step, usable)
         usable = usable.filter(worker => worker !== reservedWorker)
         freeCapacity = new FreeCapacity(usable)
@@ -68,7 +66,13 @@
     return runs
   }
 
-  private permittedWorkers (step: TrackedStep, workers: readonly TrackedWorker[], now: number): readonly TrackedWorker[] {
+  /**
+   * @param step - a step
+   * @param workers - workers that accept starts
+   * @param now - time of the injected clock
+   * @returns those that the policy of the step's queue allows
+   */
+  permittedWorkers (step: TrackedStep, workers: readonly TrackedWorker[], now: number): readonly TrackedWorker[] {
     return needsPermit(step, this.opts.queue) ? workers.filter(worker => step.permits.permitFor(worker, now) !== undefined) : workers
   }
 
@@ -79,17 +83,37 @@
     let next = 0
     for (const task of step.tasks) {
       if (runs.length >= maxRuns) break
-      if (!isStartable(task, now)) continue
+      if (!isStartable(task, now) || needsIsolation(task)) continue
       while (ranked[next] !== undefined && !canPlace(step, ranked[next] as TrackedWorker)) next += 1
       const worker = task.failedOn.size === 0 ? ranked[next] : chooseWorker(step, permitted, { avoid: task.failedOn })
       if (worker === undefined) break
-      runs.push(this.opts.addRun(task, worker, this.nextAttempt([task])))
+      runs.push(this.placeOn(task, worker))
     }
     return runs
   }
 
-  /** Places all tasks of a gang or none. */
-  private placeGang (step: TrackedStep, workers: readonly TrackedWorker[], now: number): Run[] {
+  /**
+   * Starts a task on a worker.
+   * @param task - a task that may be started
+   * @param worker - a worker on which it can be placed
+   * @returns the run to start
+   */
+  placeOn (task: Task, worker: TrackedWorker): Run {
+    return this.opts.addRun(task, worker, this.nextAttempt([task]))
+  }
+
+  private placeUnsuspectedGang (step: TrackedStep, workers: readonly TrackedWorker[], now: number): Run[] {
+    return step.suspects > 0 ? [] : this.placeGang(step, workers, now)
+  }
+
+  /**
+   * Places all tasks of a gang or none.
+   * @param step - a gang
+   * @param workers - workers that accept starts
+   * @param now - time of the injected clock
+   * @returns runs to start
+   */
+  placeGang (step: TrackedStep, workers: readonly TrackedWorker[], now: number): Run[] {
     if (!step.tasks.every(task => isStartable(task, now))) return []
     const attempt = this.nextAttempt(step.tasks)
     const permitted = this.permittedWorkers(step, workers, now)
--- a/jobs/scheduler/src/tracked-job.ts
+++ b/jobs/scheduler/src/tracked-job.ts
@@ -1,5 +1,6 @@
 import type { Job, JobState, Step } from '@wisteriaslip/jobs.model'
-import { emptyProgress, type JobProgress } from './progress.ts'
+import { needsIsolation, type Crash } from './crash.ts'
+import { emptyProgress, type JobFailure, type JobProgress } from './progress.ts'
 import { StepPermits } from './permits.ts'
 import type { Run } from './run.ts'
 
@@ -21,6 +22,8 @@
   readonly failedOn: Set<string>
   /** Number of restarts on another worker because a run was slow. */
   slowRestarts: number
+  /** Crashes of workers that it was on, as long as no other task is known to have caused them. */
+  crashes: readonly Crash[]
 }
 
 /** State of a step in one occurrence. */
@@ -34,6 +37,8 @@
   left: number
   /** Number of tasks that are not done and have no run. Kept by {@link attachRun}, {@link detachRun} and {@link markDone}. */
   waiting: number
+  /** Number of tasks that need isolation. Kept by {@link addCrash} and {@link removeCrashes}. */
+  suspects: number
   /** Permits to start tasks of the step, for queues that need them. */
   readonly permits: StepPermits
 }
@@ -68,6 +73,12 @@
   /** Final state as stored. */
   durableOutcome: JobState | undefined
   endedAt: number | undefined
+  /** Why the job was given up; undefined unless its outcome is `failed` for another reason than failed attempts. */
+  failure: JobFailure | undefined
+  /** Increases with each change of the crashes of its tasks. */
+  crashVersion = 0
+  /** The `crashVersion` that is stored. */
+  durableCrashVersion = 0
   private readonly restoredProgress: JobProgress
 
   constructor (job: Job, opts: { acceptedThisTerm: boolean, firstSeenAt: number, progress?: JobProgress | undefined }) {
@@ -80,6 +91,7 @@
     this.outcome = this.restoredProgress.outcome
     this.durableOutcome = this.restoredProgress.outcome
     this.endedAt = this.restoredProgress.endedAt
+    this.failure = this.restoredProgress.failure
   }
 
   /** @returns number of occurrences of the job */
@@ -127,9 +139,14 @@
     return this.outcome !== undefined
   }
 
+  /** @returns whether all crashes of its tasks are stored */
+  areCrashesDurable (): boolean {
+    return this.durableCrashVersion === this.crashVersion
+  }
+
   private createStep (occurrence: Occurrence, number: number, spec: Step): TrackedStep {
     const tasks: Task[] = []
-    const step: TrackedStep = { job: this, occurrence, number, spec, tasks, left: spec.tasks, waiting: 0, permits: new StepPermits() }
+    const step: TrackedStep = { job: this, occurrence, number, spec, tasks, left: spec.tasks, waiting: 0, suspects: 0, permits: new StepPermits() }
     for (let index = 0; index < spec.tasks; index++) {
       const progressKey = `${occurrence.number}.${number}.${index}`
       const savedProgress = this.restoredProgress.tasks[progressKey]
@@ -147,9 +164,11 @@
         runs: [],
         retryAt: 0,
         failedOn: new Set(),
-        slowRestarts: 0
+        slowRestarts: 0,
+        crashes: savedProgress?.crashes ?? []
       })
     }
+    step.suspects = tasks.filter(needsIsolation).length
     return step
   }
 }
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -1,4 +1,4 @@
-import type { Resources, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import { incarnationKey, type Resources, type WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { Run } from './run.ts'
 import type { TrackedStep } from './tracked-job.ts'
 
@@ -34,6 +34,12 @@
   highestCompletionSeq = 0
   /** The last poll succeeded. */
   reachable = false
+  /** When polls began to fail, by the injected clock; undefined while the worker responds, or has never responded. */
+  unreachableSince: number | undefined
+  /** Runs that were released when the lease expired: it is not known yet whether the worker has crashed. */
+  expiredRuns: readonly Run[] = []
+  /** Until when `expiredRuns` are kept, by the injected clock. */
+  expiredRunsUntil = 0
   /** Time of the last response to a poll, by the injected clock. */
   lastResponseAt: number | undefined
   /**
@@ -60,6 +66,31 @@
     this.lateStartsUntil = opts.lateStartsUntil ?? 0
   }
 
+  /** @returns a text that identifies the incarnation */
+  incarnation (): string {
+    return incarnationKey(this.registration)
+  }
+
+  /**
+   * Notes that a poll has succeeded.
+   * @param at - when its response arrived, by the injected clock
+   */
+  markReachable (at: number): void {
+    this.reachable = true
+    this.unreachableSince = undefined
+    this.expiredRuns = []
+    this.lastResponseAt = at
+  }
+
+  /**
+   * Notes that a poll has failed.
+   * @param now - time of the injected clock
+   */
+  markUnreachable (now: number): void {
+    if (this.reachable) this.unreachableSince = now
+    this.reachable = false
+  }
+
   /**
    * @param now - time of the injected clock
    * @returns whether runs of earlier leaders may be in progress that are not tracked here
--- a/jobs/scheduler/src/worker-loss.ts
+++ b/jobs/scheduler/src/worker-loss.ts
@@ -21,6 +21,8 @@
   readonly phase: Run['phase']
   /** How long the run had certainly been in progress, on the worker's clock, in milliseconds. */
   readonly survivedMs: number
+  /** Crashes of workers that the task has been part of and that no other task has caused. */
+  readonly crashes: number
 }
 
 /** Runs that were lost with a worker. */
@@ -45,5 +47,5 @@
  * @returns what the log says about it
  */
 export function toLostRun (run: Run): LostRun {
-  return { task: run.task.name, attempt: run.attempt, phase: run.phase, survivedMs: Math.round(survivedMs(run)) }
+  return { task: run.task.name, attempt: run.attempt, phase: run.phase, survivedMs: Math.round(survivedMs(run)), crashes: run.task.crashes.length }
 }
--- a/jobs/scheduler/test/crashes.test.ts
+++ b/jobs/scheduler/test/crashes.test.ts
@@ -29,3 +29,11 @@
   assert.equal(model.crashes.length, 2)
   assert.equal(model.outcome(DEADLY_JOB), 'failed')
 })
+
+test('what merely ran beside a deadly task is done, and most of it is not hit again', () => {
+  const model = submitDeadlyJob()
+  model.run(20_000)
+  for (let number = 0; number < 6; number++) assert.equal(model.outcome(String(number).padStart(16, '0')), 'completed', `job ${number}`)
+  const innocents = [...model.starts].filter(([task]) => !task.startsWith(DEADLY_JOB))
+  assert.ok(innocents.every(([, starts]) => starts <= 2), `starts of innocent tasks: ${innocents.map(([, starts]) => starts).join()}`)
+})
--- a/jobs/scheduler/test/harness.ts
+++ b/jobs/scheduler/test/harness.ts
@@ -74,6 +74,11 @@
     return run
   }
 
+  /** Stores the progress of all jobs. */
+  persist (): void {
+    for (const { tracked, completions } of this.scheduler.table.takeDirty()) this.scheduler.table.markDurable(tracked, tracked.outcome, completions)
+  }
+
   addJob (overrides: Partial<Job> = {}, opts: { acceptedThisTerm?: boolean } = {}): Job {
     const added = job(overrides)
     this.scheduler.table.addJob(added, { acceptedThisTerm: opts.acceptedThisTerm ?? true })
--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -66,6 +66,7 @@
   harness.worker('w1').reachable = false
   const down = [vm({ state: 'down' })]
   assert.equal(applyVmListAfterDelay(harness, detector, down) + applyVmListAfterDelay(harness, detector, down), 1)
+  harness.persist()
   harness.scheduler.setWorkers([worker('w1'), worker('w2')], { unknownRunsUntil: 0 })
   harness.report('w2')
   assert.deepEqual(harness.startReadyTasks().map(run => run.worker.registration.id), ['w2'])
@@ -84,6 +85,7 @@
   harness.report('w2')
   const down = [vm({ state: 'down', worker: '' })]
   assert.equal(applyVmListAfterDelay(harness, detector, down) + applyVmListAfterDelay(harness, detector, down), 1)
+  harness.persist()
   return { harness, detector }
 }
 
--- a/jobs/service/src/progress-writer.ts
+++ b/jobs/service/src/progress-writer.ts
@@ -70,7 +70,7 @@
   }
 
   private async write (batch: readonly DirtyJob[]): Promise<boolean> {
-    const records = batch.map(({ tracked, completions }) => ({ tracked, completions, progress: toProgress(tracked), key: this.opts.records.keys.progress(this.opts.service, tracked.job.id) }))
+    const records = batch.map(({ tracked, completions }) => ({ tracked, completions, progress: toProgress(tracked), crashVersion: tracked.crashVersion, key: this.opts.records.keys.progress(this.opts.service, tracked.job.id) }))
     const changes = records.map(({ tracked, progress, key }) => ({ key, prior: this.priors.get(tracked.job.id), value: progress }))
     const written = await this.opts.store.update(changes, { guards: [this.opts.guard] })
     if (!written.ok) {
@@ -80,9 +80,9 @@
       this.wakeup.wake()
       return false
     }
-    for (const { tracked, completions, progress, key } of records) {
+    for (const { tracked, completions, progress, crashVersion, key } of records) {
       this.priors.set(tracked.job.id, toVersioned({ key, prior: this.priors.get(tracked.job.id), value: progress }, written.value))
-      this.scheduler.table.markDurable(tracked, progress.outcome, completions)
+      this.scheduler.table.markDurable(tracked, progress.outcome, completions, crashVersion)
       if (progress.outcome !== undefined) this.recordJobEnd(tracked)
     }
     this.events.onRecorded()
@@ -90,11 +90,11 @@
   }
 
   private recordJobEnd (tracked: TrackedJob): void {
-    const { job, outcome } = tracked
+    const { job, outcome, failure } = tracked
     const tookMs = Math.max(0, this.opts.wallClock() - job.acceptedAt)
     this.opts.metrics.count('jobs_ended_total', { queue: job.queue, outcome: outcome ?? '' })
     if (job.schedule === undefined) this.opts.metrics.observe('job_time_us', { queue: job.queue }, tookMs)
-    this.opts.logger.info({ job: job.id, queue: job.queue, outcome, tookMs, waitedMs: tracked.waitedMs, token: this.opts.token }, 'job ended')
+    this.opts.logger.info({ job: job.id, queue: job.queue, outcome, failure, tookMs, waitedMs: tracked.waitedMs, token: this.opts.token }, 'job ended')
   }
 
   /**
--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -1,5 +1,5 @@
 import { delay, Wakeup, type Result } from '@wisteriaslip/core.result'
-import type { WorkerRegistration } from '@wisteriaslip/jobs.model'
+import { incarnationKey, type WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { Scheduler } from '@wisteriaslip/jobs.scheduler'
 import type { TermRecord } from '@wisteriaslip/jobs.store'
 import type { StoreError, Versioned } from '@wisteriaslip/store.client'
@@ -135,7 +135,3 @@
 function liveWorkers (scheduler: Scheduler): WorkerRegistration[] {
   return [...scheduler.workers.values()].filter(worker => !worker.ended).map(worker => worker.registration)
 }
-
-function incarnationKey (worker: WorkerRegistration): string {
-  return `${worker.id}/${worker.born}`
-}
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -231,6 +231,7 @@
     const permit = run.task.step.permits.permitFor(run.worker, this.opts.clock.now()) ?? ''
     const isFull = (): boolean => this.startWindow.free() === 0
     this.startWindow.recordSent()
+    if (run.isolation !== undefined) this.logIsolation(run)
     this.send(run, signal, async session => {
       await session.start(run, permit, signal).finally(() => {
         if (isFull()) this.wakeup.wake()
@@ -239,6 +240,11 @@
     })
   }
 
+  private logIsolation ({ task, attempt, worker, isolation }: Run): void {
+    const otherRuns = worker.runs.size - 1
+    this.opts.logger.info({ task: task.name, attempt, worker: worker.registration.id, isolation, otherRuns, crashes: task.crashes }, 'task isolated: workers have crashed under it')
+  }
+
   private async requestPermits (scheduler: Scheduler, request: PermitRequest, signal: AbortSignal): Promise<void> {
     const { permitClient } = this.opts
     if (permitClient === undefined) return
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -1,6 +1,6 @@
-import { delay, Wakeup, withTimeout } from '@wisteriaslip/core.result'
+import { delay, linkAbort, Wakeup, withTimeout, type LinkedAbort } from '@wisteriaslip/core.result'
 import type { WorkerEndpoint, WorkerError } from '@wisteriaslip/jobs.model'
-import { chooseBackfillSpeeds, type OrphanedRun, type Run, type Scheduler, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
+import { chooseBackfillSpeeds, SETTLE_MS, type OrphanedRun, type Run, type Scheduler, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import type { ServiceTermOpts } from './ports.ts'
 
 /** Duration of a worker's lease. It outlasts a change of leader; the tasks of a lost worker are freed when it expires. */
@@ -20,6 +20,8 @@
 const POLL_TIMEOUT_MARGIN_MS = 700
 const COMMAND_TIMEOUT_MS = 800
 const POLL_RETRY_MS = 150
+/** The clock of a worker may be slow, by less than this factor. */
+const CLOCK_DRIFT_FACTOR = 1.05
 /** The lease of a worker that has not responded for this long is not extended until it responds. */
 const MAX_RESPONSE_AGE_FOR_LEASE_MS = 3_000
 /** After a poll that returned completions, the next poll is delayed by at most this long until they are durable. */
@@ -44,6 +46,9 @@
   private readonly scheduler: Scheduler
   private readonly events: SessionEvents
   private readonly recorded = new Wakeup()
+  private currentPoll: LinkedAbort | undefined
+  /** The next poll does not wait for a completion. */
+  private pollAtOnce = false
 
   constructor (worker: TrackedWorker, scheduler: Scheduler, opts: ServiceTermOpts, events: SessionEvents) {
     this.worker = worker
@@ -83,6 +88,14 @@
     else this.handleError(response.error, 'start', task.name)
     this.scheduler.handleStartResponse(run, response.ok ? undefined : response.error)
     if (!response.ok) this.events.onChange()
+    else if (run.isolation !== undefined) this.pollOnceSettled(signal).catch(() => {})
+  }
+
+  /** Replaces the poll in progress by one that shows at once whether the worker has survived the start of a run. */
+  private async pollOnceSettled (signal: AbortSignal): Promise<void> {
+    if (!await delay(SETTLE_MS * CLOCK_DRIFT_FACTOR, signal)) return
+    this.pollAtOnce = true
+    this.currentPoll?.abort()
   }
 
   /**
@@ -105,10 +118,15 @@
   private async poll (signal: AbortSignal): Promise<void> {
     const { worker } = this
     const sentAt = this.opts.clock.now()
-    const waitMs = worker.fenced && worker.reachable ? this.pollWaitMs() : 0
+    const waitMs = worker.fenced && worker.reachable && !this.pollAtOnce ? this.pollWaitMs() : 0
+    this.pollAtOnce = false
     const leaseUntilMs = this.canExtendLease(sentAt) ? worker.extendLease(sentAt, WORKER_LEASE_MS) : undefined
-    const response = await withTimeout(waitMs + POLL_TIMEOUT_MARGIN_MS, signal, async inner => await this.opts.workerClient.poll(this.endpoint(), { leaseUntilMs, seenSeq: worker.seenSeq(), waitMs }, inner))
-    if (signal.aborted) return
+    const currentPoll = linkAbort(signal)
+    this.currentPoll = currentPoll
+    const response = await withTimeout(waitMs + POLL_TIMEOUT_MARGIN_MS, currentPoll.signal, async inner => await this.opts.workerClient.poll(this.endpoint(), { leaseUntilMs, seenSeq: worker.seenSeq(), waitMs }, inner))
+    currentPoll.release()
+    const wasEndedEarly = currentPoll.signal.aborted && !response.ok
+    if (signal.aborted || wasEndedEarly) return
     if (!response.ok) {
       this.markPollFailed(response.error)
       await delay(POLL_RETRY_MS, signal)
@@ -128,7 +146,7 @@
     if (reportResult.unknownJobs.length > 0) await this.events.loadJobs(reportResult.unknownJobs)
     this.stopOrphans(reportResult.orphans, signal)
     this.adjustSpeeds(signal)
-    if (report.ended.length > 0 || !wasFenced) this.events.onChange()
+    if (report.ended.length > 0 || !wasFenced || waitMs === 0) this.events.onChange()
     if (report.ended.length === 0) return
     if (worker.pendingCompletions.size > 0) await this.recorded.sleep(MAX_RECORD_WAIT_MS, signal)
     await delay(this.pollGapMs() - (this.opts.clock.now() - receivedAt), signal)
@@ -175,7 +193,7 @@
 
   private markPollFailed (error: WorkerError): void {
     if (this.worker.reachable) this.opts.logger.info({ worker: this.worker.registration.id, error }, 'failed to poll worker')
-    this.worker.reachable = false
+    this.worker.markUnreachable(this.opts.clock.now())
     this.handleError(error, 'look', '')
   }
 
