--- a/jobs/scheduler/test/crash-model.ts
+++ b/jobs/scheduler/test/crash-model.ts
@@ -27,6 +27,8 @@
   readonly attempt: number
   readonly startedAt: number
   readonly lasting: boolean
+  /** Job, occurrence and step of a gang; undefined for other tasks. */
+  readonly gang: string | undefined
 }
 
 interface ModelWorker {
@@ -80,6 +82,11 @@
     for (const each of this.workers.values()) if (each.registration.rack === rack && each.crashedAt === undefined) this.crash(each)
   }
 
+  /** Crashes the workers on which a task runs. */
+  crashWorkersWith (task: string): void {
+    for (const each of this.workers.values()) if (each.running.has(task)) this.crash(each)
+  }
+
   /** Lets time pass, in milliseconds. */
   run (ms: number): void {
     for (const until = this.now + ms; this.now < until; this.now += STEP_MS) this.step()
@@ -136,8 +143,17 @@
 
   private crash (each: ModelWorker): void {
     each.crashedAt = this.now
-    this.crashes.push([...each.running.keys()])
+    const lost = [...each.running.values()]
+    this.crashes.push(lost.map(run => run.task))
     each.running.clear()
+    for (const { gang } of lost) if (gang !== undefined) this.breakGang(gang)
+  }
+
+  /** Ends the members of a gang on other workers, because one was lost. */
+  private breakGang (gang: string): void {
+    for (const each of this.workers.values()) {
+      for (const run of [...each.running.values()]) if (run.gang === gang) this.end(each, run, 'broken')
+    }
   }
 
   private end (each: ModelWorker, run: ModelRun, how: EndedRun['how']): void {
@@ -174,7 +190,7 @@
     }
     const { name, step } = run.task
     this.starts.set(name, (this.starts.get(name) ?? 0) + 1)
-    each.running.set(name, { task: name, attempt: run.attempt, startedAt: this.now, lasting: step.spec.lasting })
+    each.running.set(name, { task: name, attempt: run.attempt, startedAt: this.now, lasting: step.spec.lasting, gang: step.spec.gang ? name.slice(0, name.lastIndexOf('.')) : undefined })
     const isUnanswered = this.opts.unanswered === true && this.opts.fuseMs(name) !== undefined
     this.scheduler.handleStartResponse(run, isUnanswered ? { kind: 'unknown', message: 'connection closed' } : undefined)
   }
--- a/jobs/scheduler/test/crashes.test.ts
+++ b/jobs/scheduler/test/crashes.test.ts
@@ -1,39 +1,176 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { CrashModel } from './crash-model.ts'
+import type { Step } from '@wisteriaslip/jobs.model'
+import { explainJob } from '@wisteriaslip/jobs.scheduler'
+import { CrashModel, type CrashModelOpts } from './crash-model.ts'
 import { job, step } from './harness.ts'
 
 const DEADLY_JOB = 'dddddddddddddddd'
 const DEADLY = `${DEADLY_JOB}.0.0.2`
+const FUSE_MS = 10
+/** Time for the last crash, for its detection, and for all other jobs. */
+const DAY_MS = 20_000
+/** Crashes that a task may cause in all, whatever else fails. */
+const MAX_CRASHES = 3
 const demand = { cpu: 1_000, memMb: 100, accelerators: 0 }
 
 function innocentJob (number: number) {
   return job({ id: String(number).padStart(16, '0'), steps: [step({ tasks: 6, demand, estimateMs: 500 })] })
 }
 
-/** A busy service to which a job with one deadly task is submitted. */
-function submitDeadlyJob (fuseMs = 10): CrashModel {
-  const model = new CrashModel({ workers: 6, fuseMs: task => task === DEADLY ? fuseMs : undefined })
+/** A busy service to which a job with a deadly task is submitted. */
+function submitDeadlyJob (opts: Partial<CrashModelOpts> & { step?: Partial<Step> } = {}): CrashModel {
+  const model = new CrashModel({ workers: 6, fuseMs: task => task === DEADLY ? FUSE_MS : undefined, ...opts })
   for (let number = 0; number < 3; number++) model.addJob(innocentJob(number))
   model.run(100)
-  model.addJob(job({ id: DEADLY_JOB, steps: [step({ tasks: 6, demand, estimateMs: 500 })] }))
+  model.addJob(job({ id: DEADLY_JOB, steps: [step({ tasks: 6, demand, estimateMs: 500, ...opts.step })] }))
   model.run(20)
   for (let number = 3; number < 6; number++) model.addJob(innocentJob(number))
   return model
 }
 
+function assertInnocentJobsDone (model: CrashModel): void {
+  for (const { id } of model.jobs) if (id !== DEADLY_JOB) assert.equal(model.outcome(id), 'completed', `job ${id}`)
+}
+
 // A task that crashed each worker on which it was started was started again without end, each time on another worker.
 test('a task that crashes each worker on which it is started costs two workers, and its job fails', () => {
   const model = submitDeadlyJob()
-  model.run(20_000)
+  model.run(DAY_MS)
   assert.equal(model.crashes.length, 2)
   assert.equal(model.outcome(DEADLY_JOB), 'failed')
 })
 
-test('what merely ran beside a deadly task is done, and most of it is not hit again', () => {
+test('what merely ran beside a deadly task is done, and not hit again', () => {
   const model = submitDeadlyJob()
-  model.run(20_000)
-  for (let number = 0; number < 6; number++) assert.equal(model.outcome(String(number).padStart(16, '0')), 'completed', `job ${number}`)
-  const innocents = [...model.starts].filter(([task]) => !task.startsWith(DEADLY_JOB))
-  assert.ok(innocents.every(([, starts]) => starts <= 2), `starts of innocent tasks: ${innocents.map(([, starts]) => starts).join()}`)
+  model.run(DAY_MS)
+  assertInnocentJobsDone(model)
+  assert.ok((model.crashes[0]?.length ?? 0) > 6, 'the first crash hits other jobs')
+  assert.ok(model.crashes[1]?.every(task => task.startsWith(DEADLY_JOB)), 'the second hits none')
+})
+
+const kinds: ReadonlyArray<[string, Partial<CrashModelOpts> & { step?: Partial<Step> }]> = [
+  ['whose start gets no response', { unanswered: true }],
+  ['of which all tasks are deadly', { fuseMs: task => task.startsWith(DEADLY_JOB) ? FUSE_MS : undefined }],
+  ['that is a gang', { step: { gang: true, tasks: 12 } }],
+  ['that is a gang of deadly tasks on few workers', { step: { gang: true }, fuseMs: task => task.startsWith(DEADLY_JOB) ? FUSE_MS : undefined }],
+  ['that runs until it is cancelled', { step: { lasting: true, mayMiss: 1 } }],
+  ['that crashes its workers in the middle of its run', { fuseMs: task => task === DEADLY ? 300 : undefined }],
+  ['that crashes its workers after some seconds', { step: { lasting: true }, fuseMs: task => task === DEADLY ? 3_000 : undefined }],
+  ['on a service of two workers', { workers: 2 }]
+]
+
+for (const [name, opts] of kinds) {
+  test(`a job ${name} costs three workers at most and fails, and all other jobs are done`, () => {
+    const model = submitDeadlyJob(opts)
+    model.run(DAY_MS)
+    assert.equal(model.outcome(DEADLY_JOB), 'failed')
+    assert.ok(model.crashes.length <= MAX_CRASHES, `${model.crashes.length} crashes`)
+    assertInnocentJobsDone(model)
+  })
+}
+
+test('a recurring job with a deadly task fails after two crashes', () => {
+  const model = new CrashModel({ workers: 6, fuseMs: task => task.endsWith('.0.2') ? FUSE_MS : undefined })
+  model.addJob(job({ id: DEADLY_JOB, steps: [step({ tasks: 4, demand })], schedule: { times: 5, firstMs: model.now + 500, everyMs: 4_500 } }))
+  model.run(DAY_MS)
+  assert.equal(model.crashes.length, 2)
+  assert.equal(model.outcome(DEADLY_JOB), 'failed')
+})
+
+test('deadly tasks of several jobs cost two workers each', () => {
+  const deadlyJobs = ['a', 'b', 'c'].map(digit => digit.repeat(16))
+  const model = new CrashModel({ workers: 8, fuseMs: task => deadlyJobs.some(id => task === `${id}.0.0.1`) ? FUSE_MS : undefined })
+  for (let number = 0; number < 6; number++) model.addJob(innocentJob(number))
+  for (const id of deadlyJobs) {
+    model.addJob(job({ id, steps: [step({ tasks: 3, demand })] }))
+    model.run(30)
+  }
+  model.run(DAY_MS)
+  for (const id of deadlyJobs) assert.equal(model.outcome(id), 'failed')
+  assert.ok(model.crashes.length <= 2 * deadlyJobs.length, `${model.crashes.length} crashes`)
+  for (let number = 0; number < 6; number++) assert.equal(model.outcome(String(number).padStart(16, '0')), 'completed')
+})
+
+// What one leader had counted was not known to the next.
+test('a task that crashes its workers costs three at most when the leader is lost with its memory at any moment', () => {
+  for (let lostAfterMs = 0; lostAfterMs < 3_000; lostAfterMs += 20) {
+    const model = submitDeadlyJob()
+    model.run(lostAfterMs)
+    model.replaceLeader()
+    model.run(DAY_MS)
+    assert.ok(model.crashes.length <= MAX_CRASHES, `${model.crashes.length} crashes when lost after ${lostAfterMs} ms`)
+    assert.equal(model.outcome(DEADLY_JOB), 'failed')
+    assertInnocentJobsDone(model)
+  }
+})
+
+test('a task that crashes its workers costs three at most when the store is silent and the leader is lost meanwhile', () => {
+  for (let silentAfterMs = 0; silentAfterMs < 2_000; silentAfterMs += 100) {
+    for (const lostAfterMs of [500, 2_000, 3_900]) {
+      const model = submitDeadlyJob()
+      model.run(silentAfterMs)
+      model.storeUp = false
+      model.run(lostAfterMs)
+      model.replaceLeader()
+      model.run(4_000 - lostAfterMs)
+      model.storeUp = true
+      model.run(DAY_MS)
+      assert.ok(model.crashes.length <= MAX_CRASHES, `${model.crashes.length} crashes when silent after ${silentAfterMs} ms and lost ${lostAfterMs} ms later`)
+      assert.equal(model.outcome(DEADLY_JOB), 'failed')
+    }
+  }
+})
+
+test('a suspected task is not started again before the crash is stored', () => {
+  const model = submitDeadlyJob()
+  model.run(200)
+  model.storeUp = false
+  model.run(4_000)
+  assert.equal(model.starts.get(DEADLY), 1)
+  model.storeUp = true
+  model.run(DAY_MS)
+  assert.equal(model.starts.get(DEADLY), 2)
+})
+
+test('tasks of a rack that fails at once, and then again, are started again and done', () => {
+  const model = new CrashModel({ workers: 8, fuseMs: () => undefined, rack: number => `r${Math.floor(number / 4)}` })
+  for (let number = 0; number < 8; number++) model.addJob(innocentJob(number))
+  for (const rack of ['r0', 'r1', 'r0']) {
+    model.run(110)
+    model.crashRack(rack)
+    model.run(3_200)
+    for (let number = 0; number < 8; number++) model.addJob(job({ ...innocentJob(number), id: `${rack}${model.jobs.length}`.padStart(16, '0') }))
+  }
+  model.run(DAY_MS)
+  for (const { id } of model.jobs) assert.equal(model.outcome(id), 'completed', `job ${id}`)
+})
+
+test('a job that was given up says why, also after a change of leader', () => {
+  const model = submitDeadlyJob()
+  model.run(DAY_MS)
+  model.replaceLeader()
+  model.run(1_000)
+  const explained = explainJob(model.scheduler, DEADLY_JOB, { queue: () => undefined, now: model.now })
+  const failure = explained?.failure as { reason: string, task: string, workers: string[] } | undefined
+  assert.equal(explained?.state, 'failed')
+  assert.equal(failure?.reason, 'CRASHES_WORKERS')
+  assert.equal(failure?.task, DEADLY)
+  assert.equal(failure?.workers.length, 2)
+})
+
+test('a long-running task that was on two workers that crashed by themselves is cleared once it has run for a minute', () => {
+  const model = new CrashModel({ workers: 3, fuseMs: () => undefined, rack: () => '' })
+  model.addJob(job({ id: '00000000000000aa', steps: [step({ lasting: true, tasks: 1, demand })] }))
+  for (let times = 0; times < 2; times++) {
+    model.run(2_000)
+    model.crashWorkersWith('00000000000000aa.0.0.0')
+  }
+  model.run(10_000)
+  const task = model.scheduler.table.jobs.get('00000000000000aa')?.task({ occurrence: 0, step: 0, index: 0 })
+  assert.equal(task?.crashes.length, 2)
+  assert.equal(task.runs.length, 1)
+  model.run(61_000)
+  assert.equal(task.crashes.length, 0)
+  assert.equal(model.outcome('00000000000000aa'), undefined)
 })
