--- a/jobs/scheduler/test/crashes.test.ts
+++ b/jobs/scheduler/test/crashes.test.ts
@@ -1,12 +1,13 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { Step } from '@wisteriaslip/jobs.model'
+import type { Job, Step } from '@wisteriaslip/jobs.model'
 import { explainJob } from '@wisteriaslip/jobs.scheduler'
 import { CrashModel, type CrashModelOpts } from './crash-model.ts'
 import { job, step } from './harness.ts'
 
 const DEADLY_JOB = 'dddddddddddddddd'
 const DEADLY = `${DEADLY_JOB}.0.0.2`
+const LASTING_JOB = '1111111111111111'
 const FUSE_MS = 10
 /** Time for the last crash, for its detection, and for all other jobs. */
 const DAY_MS = 20_000
@@ -19,8 +20,9 @@
 }
 
 /** A busy service to which a job with a deadly task is submitted. */
-function submitDeadlyJob (opts: Partial<CrashModelOpts> & { step?: Partial<Step> } = {}): CrashModel {
+function submitDeadlyJob (opts: Partial<CrashModelOpts> & { step?: Partial<Step>, before?: readonly Job[] } = {}): CrashModel {
   const model = new CrashModel({ workers: 6, fuseMs: task => task === DEADLY ? FUSE_MS : undefined, ...opts })
+  for (const each of opts.before ?? []) model.addJob(each)
   for (let number = 0; number < 3; number++) model.addJob(innocentJob(number))
   model.run(100)
   model.addJob(job({ id: DEADLY_JOB, steps: [step({ tasks: 6, demand, estimateMs: 500, ...opts.step })] }))
@@ -29,6 +31,12 @@
   return model
 }
 
+/** Number of crashes that count against each task of the long-running job. */
+function lastingCrashes (model: CrashModel): number[] {
+  const tasks = model.scheduler.table.jobs.get(LASTING_JOB)?.occurrences.get(0)?.steps[0]?.tasks ?? []
+  return tasks.map(task => task.crashes.length)
+}
+
 function assertInnocentJobsDone (model: CrashModel): void {
   for (const { id } of model.jobs) if (id !== DEADLY_JOB) assert.equal(model.outcome(id), 'completed', `job ${id}`)
 }
@@ -49,6 +57,22 @@
   assert.ok(model.crashes[1]?.every(task => task.startsWith(DEADLY_JOB)), 'the second hits none')
 })
 
+test('tasks that ran beside a deadly one are cleared once it has been found', () => {
+  const model = submitDeadlyJob({ before: [job({ id: LASTING_JOB, steps: [step({ lasting: true, tasks: 6, perWorker: 1, demand })] })] })
+  model.run(1_000)
+  assert.ok(lastingCrashes(model).some(crashes => crashes > 0))
+  model.run(DAY_MS)
+  assert.equal(model.outcome(DEADLY_JOB), 'failed')
+  assert.deepEqual(lastingCrashes(model), [0, 0, 0, 0, 0, 0])
+})
+
+test('a suspected task waits for a worker to become empty, and then takes nothing else with it', () => {
+  const model = submitDeadlyJob({ workers: 2 })
+  for (let number = 6; number < 9; number++) model.addJob(innocentJob(number))
+  model.run(DAY_MS)
+  assert.ok(model.crashes[1]?.every(task => task.startsWith(DEADLY_JOB)), String(model.crashes[1]))
+})
+
 const kinds: ReadonlyArray<[string, Partial<CrashModelOpts> & { step?: Partial<Step> }]> = [
   ['whose start gets no response', { unanswered: true }],
   ['of which all tasks are deadly', { fuseMs: task => task.startsWith(DEADLY_JOB) ? FUSE_MS : undefined }],
@@ -146,6 +170,15 @@
   for (const { id } of model.jobs) assert.equal(model.outcome(id), 'completed', `job ${id}`)
 })
 
+test('tasks of a rack that fails at once are not suspected, unless they were just being started', () => {
+  const model = new CrashModel({ workers: 8, fuseMs: () => undefined, rack: number => `r${Math.floor(number / 4)}` })
+  model.addJob(job({ id: LASTING_JOB, steps: [step({ lasting: true, tasks: 8, perWorker: 1, demand })] }))
+  model.run(1_000)
+  model.crashRack('r0')
+  model.run(5_000)
+  assert.deepEqual(lastingCrashes(model), [0, 0, 0, 0, 0, 0, 0, 0])
+})
+
 test('a job that was given up says why, also after a change of leader', () => {
   const model = submitDeadlyJob()
   model.run(DAY_MS)
--- a/jobs/service/src/progress-writer.ts
+++ b/jobs/service/src/progress-writer.ts
@@ -82,8 +82,9 @@
     }
     for (const { tracked, completions, progress, crashVersion, key } of records) {
       this.priors.set(tracked.job.id, toVersioned({ key, prior: this.priors.get(tracked.job.id), value: progress }, written.value))
+      const endsJob = progress.outcome !== undefined && tracked.durableOutcome === undefined
       this.scheduler.table.markDurable(tracked, progress.outcome, completions, crashVersion)
-      if (progress.outcome !== undefined) this.recordJobEnd(tracked)
+      if (endsJob) this.recordJobEnd(tracked)
     }
     this.events.onRecorded()
     return true
