A worker gets no starts while it lists runs that are not tracked

LIMIT: a run whose job is not stored (or not loaded yet) was told to stop, and new tasks were started beside it at once, although its demand is not known; a worker that does not guard its capacity would have been brought over it. Cause: the capacity in use is that of the tracked runs. Now such a worker takes no starts until a report lists none. Tests: capacity.test.ts; 'a worker gets no starts while it lists runs of jobs that are not stored' failed before (the task was started). The other tests of the file passed before: a capacity that shrinks and grows, stops in progress, unanswered starts.

--- a/jobs/scheduler/src/explain.ts
+++ b/jobs/scheduler/src/explain.ts
@@ -102,6 +102,7 @@
   if (worker.ended) return 'LIFE_ENDED'
   if (!worker.fenced) return 'NOT_MET'
   if (!worker.reachable) return 'NO_ANSWER'
+  if (worker.hasUntrackedRuns) return 'HAS_UNTRACKED_RUNS'
   if (worker.deregistered) return 'NOT_REGISTERED'
   if (worker.registration.draining) return 'DRAINING'
   if (worker.withdrawn) return 'BEING_EMPTIED'
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -159,6 +159,7 @@
       listedRuns.add(runKey(running.task, running.attempt))
       this.applyActiveRun(worker, running, { unknownJobs, orphans, clockMs: report.clockMs })
     }
+    worker.hasUntrackedRuns = orphans.length > 0 || unknownJobs.size > 0
     if (unknownJobs.size === 0) {
       worker.fenced = true
       this.handleMissingRuns(worker, listedRuns, opts.sentAt)
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -15,6 +15,8 @@
    * commands of earlier leaders.
    */
   fenced = false
+  /** The last report listed runs that are not tracked here, so that their demand is not known. */
+  hasUntrackedRuns = false
   /** The worker is no longer registered. */
   deregistered = false
   /** The incarnation has ended: nothing runs there. */
@@ -104,7 +106,7 @@
    * @returns whether starts may be sent to the worker
    */
   takesStarts (now: number): boolean {
-    return this.fenced && this.reachable && !this.ended && !this.deregistered && !this.withdrawn && !this.registration.draining && now >= this.cooldownUntil
+    return this.fenced && this.reachable && !this.hasUntrackedRuns && !this.ended && !this.deregistered && !this.withdrawn && !this.registration.draining && now >= this.cooldownUntil
   }
 
   /**
