Pools reckon with workers that are smaller than their VMs

A worker's capacity may shrink and grow while it runs. The leader of its service placed by it already, but the size of the pool was calculated from the VMs' capacity, so that a pool with shrunk workers stayed too small for its demand. The load of a service now has the capacity that each worker reports; what they lack counts as VMs that the pool requires. The intake takes no account of capacity at all, so that nothing changes there.

--- a/jobs/fleet/src/pool-autoscaler.ts
+++ b/jobs/fleet/src/pool-autoscaler.ts
@@ -217,7 +217,19 @@
   const memMb = mean(referenceVms.map(vm => vm.capacity.memMb))
   if (cpu === 0 || memMb === 0) return 1
   const share = Math.max(load.wantedCpu / cpu, load.wantedMemMb / memMb)
-  return Math.max(1, load.leastWorkers, Math.ceil(share * HEADROOM_FACTOR + HEADROOM_VMS))
+  return Math.max(1, load.leastWorkers, Math.ceil(share * HEADROOM_FACTOR + HEADROOM_VMS + countMissingVms(load, referenceVms)))
+}
+
+/** Capacity that workers lack because they are smaller than their VMs, in VMs. */
+function countMissingVms (load: ServiceLoad, vms: readonly Vm[]): number {
+  const capacities = new Map(vms.map(vm => [vm.id, vm.capacity]))
+  let missing = 0
+  for (const { vm, usable, capacity } of load.workers) {
+    const full = capacities.get(vm)
+    if (!usable || capacity === undefined || full === undefined || full.cpu === 0 || full.memMb === 0) continue
+    missing += Math.max(0, 1 - capacity.cpu / full.cpu, 1 - capacity.memMb / full.memMb)
+  }
+  return missing
 }
 
 function mean (values: readonly number[]): number {
--- a/jobs/fleet/test/pool-autoscaler.test.ts
+++ b/jobs/fleet/test/pool-autoscaler.test.ts
@@ -123,3 +123,19 @@
   const moves = autoscaler.plan(services, vms, new Map([['a', load(CPU, tail)]]), new Set())
   assert.deepEqual(moves.map(move => [move.vm, move.to]), [['a3', 'off'], ['a2', 'off']])
 })
+
+test('a pool whose workers are smaller than their VMs gets more VMs, and gives them back when the workers have grown again', () => {
+  let now = 0
+  const autoscaler = new PoolAutoscaler({ now: () => now })
+  const vms = [vm('a1', 'a'), vm('a2', 'a'), vm('o1', 'off'), vm('o2', 'off')]
+  const sized = (cpu: number) => load(1.2 * CPU, [{ vm: 'a1', runs: 5, cpuShare: 0.9, capacity: { cpu, memMb: 1 } }, { vm: 'a2', runs: 5, cpuShare: 0.9, capacity: { cpu: CPU, memMb: 1 } }])
+  assert.deepEqual(autoscaler.plan(services, vms, new Map([['a', sized(CPU)]]), new Set()), [])
+  const moves = autoscaler.plan(services, vms, new Map([['a', sized(CPU / 4)]]), new Set())
+  assert.deepEqual(moves.map(move => [move.vm, move.to]), [['o1', 'a']])
+  now = 10_000
+  const larger = [vm('a1', 'a'), vm('a2', 'a'), vm('o1', 'a')]
+  const grown = load(1.2 * CPU, [...sized(CPU).workers, { worker: 'w-o1', vm: 'o1', cpuShare: 0, runs: 0, lastingRuns: 0, emptyMs: 900, withdrawn: false, usable: true, capacity: { cpu: CPU, memMb: 1 } }])
+  autoscaler.plan(services, larger, new Map([['a', grown]]), new Set())
+  now = 14_000
+  assert.deepEqual(autoscaler.plan(services, larger, new Map([['a', grown]]), new Set()).map(move => [move.vm, move.to]), [['o1', 'off']])
+})
--- a/jobs/protocol/src/service.ts
+++ b/jobs/protocol/src/service.ts
@@ -25,6 +25,8 @@
   readonly withdrawn: boolean
   /** Whether it responds and, unless it is withdrawn, accepts runs. */
   readonly usable: boolean
+  /** What the worker says of its size, which may be less than its VM's for a while; undefined from entries of earlier versions. */
+  readonly capacity?: { readonly cpu: number, readonly memMb: number } | undefined
 }
 
 /** Load and demand of a service. */
--- a/jobs/service/src/load.ts
+++ b/jobs/service/src/load.ts
@@ -28,7 +28,8 @@
       lastingRuns: worker.lastingRuns(),
       emptyMs: worker.emptySince === undefined ? 0 : Math.round(now - worker.emptySince),
       withdrawn: worker.withdrawn,
-      usable: worker.fenced && worker.reachable && !worker.registration.draining
+      usable: worker.fenced && worker.reachable && !worker.registration.draining,
+      capacity: { cpu: worker.registration.capacity.cpu, memMb: worker.registration.capacity.memMb }
     }))
   }
 }
