--- a/jobs/scheduler/test/runs-model.ts
+++ b/jobs/scheduler/test/runs-model.ts
@@ -5,6 +5,9 @@
 
 const LEASE_MS = 4_000
 const WORK_MS = 900
+/** Action that changes the capacity of a worker, and the capacities in thousandths of a core. */
+export const RESIZE = 12
+const CAPACITIES = [4_000, 1_000, 2_500]
 const queue = { name: 'q', host: 'h', pathPrefix: '/', service: 's', priority: 0, attempts: 100, stretch: 1, objectiveMs: 0, timeoutMs: 0, needsPermit: false }
 
 /** Checks the invariants from the workers' point of view. */
@@ -27,17 +30,23 @@
   ended (task: string, on: ModelWorker): void {
     this.activeWorkers.get(task)?.delete(on)
   }
+
+  /** @param opts - capacity of the worker when the start was sent and now, and what is in use with it, in thousandths of a core */
+  used (task: string, opts: { capacityWhenSent: number, capacity: number, used: number }): void {
+    const { capacityWhenSent, capacity, used } = opts
+    if (capacity >= capacityWhenSent && used > capacity) this.violations.push(`${task} brought its worker over its capacity: ${used} of ${capacity}`)
+  }
 }
 
-/** Model of one incarnation of a worker. Its clock runs 2% slow. */
+/** Model of one incarnation of a worker, which starts whatever it is told to. Its clock runs 2% slow. */
 class ModelWorker {
-  readonly registration: WorkerRegistration
+  registration: WorkerRegistration
   private readonly checker: InvariantChecker
   private readonly bornAt: number
   private token = 0
   private leaseUntil = 0
   private seq = 0
-  private readonly running = new Map<string, { attempt: number, endsAt: number }>()
+  private readonly running = new Map<string, { attempt: number, endsAt: number, cpu: number }>()
   private readonly blockedAttempts = new Map<string, number>()
   private endedRuns: EndedRun[] = []
 
@@ -51,7 +60,7 @@
     return Math.floor((now - this.bornAt) * 0.98) + 1
   }
 
-  start (now: number, command: { task: string, attempt: number, until: number, token: number, lasting: boolean }): WorkerError | undefined {
+  start (now: number, command: { task: string, attempt: number, until: number, token: number, lasting: boolean, cpu: number, capacityWhenSent: number }): WorkerError | undefined {
     this.advance(now)
     if (command.token < this.token) return { kind: 'refused', reason: 'fence' }
     this.token = command.token
@@ -60,7 +69,9 @@
     if (existing !== undefined || (this.blockedAttempts.get(command.task) ?? 0) >= command.attempt) return { kind: 'refused', reason: 'old' }
     if (command.until <= this.clock(now)) return { kind: 'refused', reason: 'late' }
     this.extend(now, command.until)
-    this.running.set(command.task, { attempt: command.attempt, endsAt: command.lasting ? Number.POSITIVE_INFINITY : now + WORK_MS })
+    this.running.set(command.task, { attempt: command.attempt, endsAt: command.lasting ? Number.POSITIVE_INFINITY : now + WORK_MS, cpu: command.cpu })
+    const used = [...this.running.values()].reduce((sum, run) => sum + run.cpu, 0)
+    this.checker.used(command.task, { capacityWhenSent: command.capacityWhenSent, capacity: this.registration.capacity.cpu, used })
     this.checker.started(command.task, this)
     return undefined
   }
@@ -93,6 +104,11 @@
     return (this.blockedAttempts.get(command.task) ?? 0) >= command.attempt
   }
 
+  /** @param cpu - new capacity, in thousandths of a core */
+  resize (cpu: number): void {
+    this.registration = { ...this.registration, capacity: { ...this.registration.capacity, cpu } }
+  }
+
   /** Lets all runs fail. */
   fail (): void {
     for (const task of [...this.running.keys()]) this.end(task, 'failed')
@@ -193,7 +209,7 @@
   private sendStart (run: Run, fault: number): void {
     const { now } = this.site
     const modelWorker = this.modelWorkerOf(run.worker)
-    const command = { task: run.task.name, attempt: run.attempt, until: run.worker.extendLease(now, LEASE_MS), token: this.token, lasting: run.task.step.spec.lasting }
+    const command = { task: run.task.name, attempt: run.attempt, until: run.worker.extendLease(now, LEASE_MS), token: this.token, lasting: run.task.step.spec.lasting, cpu: run.task.step.spec.demand.cpu, capacityWhenSent: modelWorker?.registration.capacity.cpu ?? 0 }
     const noResponse: WorkerError = { kind: 'unknown', message: 'no response' }
     if (fault === 3 && modelWorker !== undefined) this.site.delayedCommands.push({ at: now + 2_500, run: () => { if (!modelWorker.blocks(command)) this.site.workers.get(run.worker.registration.id)?.start(this.site.now, command) } })
     const error = fault === 1 || fault === 3 || modelWorker === undefined ? noResponse : modelWorker.start(now, command)
@@ -257,6 +273,7 @@
     if (action === 0 && this.jobs.length < 8) this.acceptJob()
     else if (action === 1 && detail === 0) this.leaders.push(new ModelLeader(this, this.leaders.length))
     else if (action === 2 && detail === 1) this.startWorker(id, (this.workers.get(id)?.registration.born ?? 0) + 1)
+    else if (action === RESIZE) this.workers.get(id)?.resize(CAPACITIES[detail % CAPACITIES.length] ?? 0)
     else if (action === 3) this.disconnected.has(id) ? this.disconnected.delete(id) : this.disconnected.add(id)
     else if (action === 4) this.advanceTime(100 + detail * 400)
     else if (action === 5) leader.persistProgress()
@@ -286,3 +303,6 @@
 
 /** Random actions, for {@link Site.perform}. */
 export const actions = fc.array(fc.tuple(fc.integer({ min: 0, max: 10 }), fc.integer({ min: 0, max: 5 }), fc.integer({ min: 0, max: 9 })), { minLength: 20, maxLength: 160 })
+
+/** Random actions of which some change the capacity of a worker. */
+export const actionsWithResizes = fc.array(fc.tuple(fc.oneof({ weight: 11, arbitrary: fc.integer({ min: 0, max: 10 }) }, { weight: 2, arbitrary: fc.constant(RESIZE) }), fc.integer({ min: 0, max: 5 }), fc.integer({ min: 0, max: 9 })), { minLength: 20, maxLength: 160 })
--- a/jobs/scheduler/test/runs.model.test.ts
+++ b/jobs/scheduler/test/runs.model.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import fc from 'fast-check'
 import { Scheduler } from '@wisteriaslip/jobs.scheduler'
-import { actions, Site } from './runs-model.ts'
+import { actions, actionsWithResizes, Site } from './runs-model.ts'
 
 const NUM_RUNS = Number(process.env.WISTERIASLIP_RUNS ?? 400)
 const SEED = 20_261_204
@@ -17,6 +17,10 @@
   fc.assert(fc.property(actions, steps => { assert.deepEqual(runScenario(steps).checker.violations, []) }), { numRuns: NUM_RUNS, seed: SEED })
 })
 
+test('with the same faults, no start brings a worker over its capacity, although capacities shrink and grow and workers do not guard them', () => {
+  fc.assert(fc.property(actionsWithResizes, steps => { assert.deepEqual(runScenario(steps).checker.violations, []) }), { numRuns: NUM_RUNS, seed: SEED })
+})
+
 test('all jobs complete once all faults are over', () => {
   fc.assert(fc.property(actions, steps => {
     const site = runScenario(steps)
