A lost worker is proven by lists of VMs that follow each other quickly at first

The lists are now asked for after 100 ms, the first three 100 ms apart, later ones as before, so that a long outage costs the VM platform no more calls than today. Both lists are still requested after the worker has stopped responding, and both must prove the loss. Test: lost-worker-detector.test.ts, the pace of the lists.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -4,7 +4,11 @@
 import type { TrackedWorker } from './tracked-worker.ts'
 
 /** How long a worker must have been unresponsive before it is checked against the list of VMs. */
-const VM_LIST_CHECK_AFTER_MS = 250
+const VM_LIST_CHECK_AFTER_MS = 100
+/** The first lists follow each other quickly, as what was lost waits for the proof; later ones spare the VM platform. */
+const QUICK_LISTS = 3
+const QUICK_LIST_INTERVAL_MS = 100
+const LIST_INTERVAL_MS = 300
 /** Consecutive VM lists that must prove the end of an incarnation: a single one may be older than the incarnation. */
 const REQUIRED_VM_LISTS = 2
 
@@ -16,6 +20,9 @@
   /** When the worker was first seen unresponsive, or its incarnation was first seen to have ended, by the injected clock. */
   readonly since: number
   confirmations: number
+  /** Number of lists that were requested. */
+  lists: number
+  nextListAt: number
 }
 
 /** What a list of VMs has proven about a worker. */
@@ -46,7 +53,7 @@
     this.clock = clock
   }
 
-  /** @returns whether some worker has been unresponsive for long enough to check it against the list of VMs */
+  /** @returns whether a list of VMs is due, because some worker has been unresponsive; the caller requests it at once */
   needsVmList (): boolean {
     const now = this.clock.now()
     for (const [worker, suspect] of this.suspects) {
@@ -54,9 +61,14 @@
     }
     for (const worker of this.scheduler.workers.values()) {
       const proof = this.proofNeeded(worker)
-      if (proof !== undefined && !this.suspects.has(worker)) this.suspects.set(worker, { proof, since: now, confirmations: 0 })
+      if (proof !== undefined && !this.suspects.has(worker)) this.suspects.set(worker, { proof, since: now, confirmations: 0, lists: 0, nextListAt: now + VM_LIST_CHECK_AFTER_MS })
     }
-    return [...this.suspects.values()].some(suspect => now - suspect.since >= VM_LIST_CHECK_AFTER_MS)
+    const due = [...this.suspects.values()].filter(suspect => now >= suspect.nextListAt)
+    for (const suspect of due) {
+      suspect.lists += 1
+      suspect.nextListAt = now + (suspect.lists < QUICK_LISTS ? QUICK_LIST_INTERVAL_MS : LIST_INTERVAL_MS)
+    }
+    return due.length > 0
   }
 
   /**
--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -176,3 +176,10 @@
   harness.now += 300
   assert.equal(detector.needsVmList(), false)
 })
+
+test('lists of VMs are requested quickly at first, and then at a pace that spares the VM platform', () => {
+  const { harness, detector } = takeOver()
+  let lists = 0
+  for (const startedAt = harness.now; harness.now <= startedAt + 3_000; harness.now += 20) if (detector.needsVmList()) lists += 1
+  assert.ok(lists >= 11 && lists <= 13, `${lists} lists in 3 s`)
+})
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -26,7 +26,7 @@
 const CLOCK_DRIFT_FACTOR = 1.05
 /** An earlier leader that has not noticed its loss of leadership may extend leases for this long. */
 const LEADERSHIP_OVERLAP_MS = 1_500
-const LOST_WORKER_CHECK_INTERVAL_MS = 300
+const LOST_WORKER_CHECK_INTERVAL_MS = 60
 const MAX_FLUSH_ATTEMPTS = 3
 /** The permit service takes a while to decide, and accepts one call at a time from each entry. */
 const PERMIT_TIMEOUT_MS = 3_000
