A stored job that cannot be read no longer ends the term of each leader

A job or progress record of another shape threw in the constructor of the term's scheduler; the term ended, the entry began another at once, and so did each entry after it, so that the whole service stood still. Records are now checked when they are read (at takeover and by the watch). A job that cannot be read, or whose progress cannot, is left out and logged as an error; it is not run, as it may have run before. Tests: unreadable-records.test.ts; all three failed before with a TypeError that ended the term.

--- a/jobs/service/src/request-watcher.ts
+++ b/jobs/service/src/request-watcher.ts
@@ -1,6 +1,6 @@
 import { delay } from '@wisteriaslip/core.result'
 import type { Job } from '@wisteriaslip/jobs.model'
-import { jobIdFromKey, type JobRecords } from '@wisteriaslip/jobs.store'
+import { isJob, jobIdFromKey, type JobRecords } from '@wisteriaslip/jobs.store'
 import { decodeEnvelope, type Store, type WatchBatch } from '@wisteriaslip/store.client'
 
 const WATCH_RETRY_MS = 400
@@ -12,6 +12,8 @@
   readonly records: JobRecords
   readonly onJob: (job: Job) => void
   readonly onCancelled: (id: string) => void
+  /** Called for a stored job that cannot be read. */
+  readonly onUnreadable: (id: string) => void
 }
 
 /**
@@ -48,23 +50,26 @@
   }
 
   private async readAll (): Promise<void> {
-    const { service, records, onJob, onCancelled } = this.opts
+    const { service, records, onJob, onCancelled, onUnreadable } = this.opts
     const all = await records.readAll(service)
     if (!all.ok) return
     for (const doc of all.value.jobs) onJob(doc.value)
     for (const id of all.value.cancelled) onCancelled(id)
+    for (const id of all.value.unreadable) onUnreadable(id)
     this.appliedRevision = Math.max(this.appliedRevision, all.value.revision)
   }
 
   private applyBatch (batch: WatchBatch): void {
-    const { service, records, onJob, onCancelled } = this.opts
+    const { service, records, onJob, onCancelled, onUnreadable } = this.opts
     const jobsPrefix = `${records.keys.requestsPrefix(service)}jobs/`
     this.appliedRevision = Math.max(this.appliedRevision, batch.revision)
     for (const kv of batch.changed) {
       const doc = decodeEnvelope(kv)
       if (doc === undefined) continue
-      if (kv.key.startsWith(jobsPrefix)) onJob(doc.value as Job)
-      else onCancelled(jobIdFromKey(kv.key))
+      const id = jobIdFromKey(kv.key)
+      if (!kv.key.startsWith(jobsPrefix)) onCancelled(id)
+      else if (isJob(doc.value)) onJob(doc.value)
+      else onUnreadable(id)
     }
   }
 }
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -179,6 +179,7 @@
     const scheduler = new Scheduler({ clock, wallClock, limits, queue, term: term.number, maxEarlierLeaseMs })
     const writer = new ProgressWriter(scheduler, this.opts, { onRecorded: () => this.onRecorded(), onNewerLeader: () => this.leadershipLost.abort() })
     for (const [id, prior] of all.progress) writer.setPrior(id, prior)
+    for (const id of all.unreadable) this.skipUnreadable(scheduler, id)
     for (const doc of all.jobs) {
       const { id } = doc.value
       scheduler.table.addJob(doc.value, { acceptedThisTerm: doc.value.acceptedUnder === this.token, progress: all.progress.get(id)?.value })
@@ -188,11 +189,16 @@
     scheduler.setWorkers(term.workers, { unknownRunsUntil: this.unknownRunsUntil })
     this.updateWorkers(scheduler)
     const { store, records } = this.opts
-    const requestWatcher = new RequestWatcher({ service, store, records, onJob: job => this.push(job), onCancelled: id => this.cancel(id) }, all.revision)
+    const requestWatcher = new RequestWatcher({ service, store, records, onJob: job => this.push(job), onCancelled: id => this.cancel(id), onUnreadable: id => this.skipUnreadable(scheduler, id) }, all.revision)
     this.components = { scheduler, writer, requestWatcher }
     logger.info({ service, token: this.token, term: term.number, jobs: all.jobs.length, tookMs: Math.round(clock.now() - startedAt) }, 'term started')
   }
 
+  private skipUnreadable (scheduler: Scheduler, job: string): void {
+    this.opts.logger.error({ service: this.service, job }, 'stored job cannot be read: it is not run')
+    scheduler.table.markNotStored(job)
+  }
+
   private async runSchedulingLoop (signal: AbortSignal): Promise<void> {
     const components = this.components
     if (components === undefined) return
--- a/jobs/store/src/index.ts
+++ b/jobs/store/src/index.ts
@@ -4,4 +4,5 @@
  */
 export { jobIdFromKey, JobKeys } from './keys.ts'
 export { BatchWriter, type BatchWriterOpts } from './batch-writer.ts'
+export { isJob } from './record-schema.ts'
 export { JobRecords, type AcceptResult, type ServiceRecords, type TermRecord } from './records.ts'
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -5,6 +5,7 @@
 import { toVersioned, type Guard, type Store, type StoreError, type Versioned } from '@wisteriaslip/store.client'
 import { BatchWriter } from './batch-writer.ts'
 import { jobIdFromKey, type JobKeys } from './keys.ts'
+import { isJob, isProgress } from './record-schema.ts'
 
 const BATCH_WINDOW_MS = 6
 const MAX_BATCH_CHANGES = 12
@@ -23,6 +24,8 @@
   readonly jobs: ReadonlyArray<Versioned<Job>>
   readonly cancelled: ReadonlySet<string>
   readonly progress: ReadonlyMap<string, Versioned<JobProgress>>
+  /** Ids of jobs that are left out because their record, or that of their progress, cannot be read. */
+  readonly unreadable: ReadonlySet<string>
 }
 
 /** Result of storing a job. */
@@ -75,11 +78,12 @@
   /**
    * @param service - service of the job
    * @param id - id of the job
-   * @returns the job, undefined if it is not stored
+   * @returns the job, undefined if it is not stored or cannot be read
    */
   async job (service: string, id: string): Promise<Result<Versioned<Job> | undefined, StoreError>> {
     const doc = await this.store.get(this.keys.job(service, id))
-    return doc as Result<Versioned<Job> | undefined, StoreError>
+    if (!doc.ok) return doc
+    return ok(doc.value !== undefined && isJob(doc.value.value) ? doc.value as Versioned<Job> : undefined)
   }
 
   /**
@@ -115,12 +119,15 @@
     const jobsPrefix = `${this.keys.requestsPrefix(service)}jobs/`
     const jobs: Array<Versioned<Job>> = []
     const cancelled = new Set<string>()
+    const unreadable = new Set(progress.value.docs.filter(doc => !isProgress(doc.value)).map(doc => jobIdFromKey(doc.key)))
     for (const doc of requests.value.docs) {
-      if (doc.key.startsWith(jobsPrefix)) jobs.push(doc as Versioned<Job>)
-      else cancelled.add(jobIdFromKey(doc.key))
+      const id = jobIdFromKey(doc.key)
+      if (!doc.key.startsWith(jobsPrefix)) cancelled.add(id)
+      else if (isJob(doc.value) && !unreadable.has(id)) jobs.push(doc as Versioned<Job>)
+      else unreadable.add(id)
     }
     const progressById = new Map(progress.value.docs.map(doc => [jobIdFromKey(doc.key), doc as Versioned<JobProgress>]))
-    return ok({ revision: requests.value.revision, jobs, cancelled, progress: progressById })
+    return ok({ revision: requests.value.revision, jobs, cancelled, progress: progressById, unreadable })
   }
 
   /**
--- /dev/null
+++ b/testing/jobs/test/unreadable-records.test.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { JobKeys } from '@wisteriaslip/jobs.store'
+import { encodeEnvelope } from '@wisteriaslip/store.client'
+import { plainStep, untilState, waitUntil, withSite, type JobSite } from '@wisteriaslip/testing.jobs'
+
+const ID = '00000000000000aa'
+const BAD_ID = '00000000000000bb'
+const keys = new JobKeys('w')
+
+async function store (site: JobSite, key: string, value: unknown): Promise<void> {
+  await site.driver.txn({ guards: [], puts: [{ key, value: encodeEnvelope(value, 'test', undefined) }], deletes: [] })
+}
+
+const badJob = { id: BAD_ID, queue: 'q', service: 's', payload: 'p', acceptedAt: 0, acceptedUnder: 0, steps: 'none' }
+
+// A record that a leader could not read ended its term, and that of each leader after it: the service stood still.
+test('a stored job that cannot be read does not end the term of a leader, and other jobs run', async () => {
+  await withSite(async site => {
+    await store(site, keys.job('s', BAD_ID), badJob)
+    await site.intake.submit(site.request(ID, [plainStep({ estimateMs: 30 })]))
+    await site.elect()
+    await untilState(site, ID, 'completed')
+    assert.ok(site.logged.some(message => message.startsWith('stored job cannot be read')))
+  })
+})
+
+test('a job that cannot be read and is stored while a leader watches does not end its term', async () => {
+  await withSite(async site => {
+    await site.elect()
+    await store(site, keys.job('s', BAD_ID), badJob)
+    await waitUntil('the record is noticed', () => site.logged.some(message => message.startsWith('stored job cannot be read')))
+    await site.intake.submit(site.request(ID, [plainStep({ estimateMs: 30 })]))
+    await untilState(site, ID, 'completed')
+  })
+})
+
+test('a job whose progress cannot be read is not run, as it may have run before, and other jobs run', async () => {
+  await withSite(async site => {
+    await site.intake.submit(site.request(BAD_ID, [plainStep({ estimateMs: 30 })]))
+    await store(site, keys.progress('s', BAD_ID), { tasks: 7, stepsDone: null })
+    await site.intake.submit(site.request(ID, [plainStep({ estimateMs: 30 })]))
+    await site.elect()
+    await untilState(site, ID, 'completed')
+    assert.ok(!site.workers.recordedRuns.some(run => run.task.startsWith(BAD_ID)))
+  })
+})
