Of a job with very many occurrences due at once only some are open

A job whose occurrences are all due (an interval of 0 and many repetitions) opened them in one pass, each with a search from the first one; the leader stood still until its lease expired, or ran out of memory, and so did the next. At most 100 occurrences of a job are open; the next opens when one ends. The search begins where the last one ended.

--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -7,6 +7,8 @@
 import type { TrackedWorker } from './tracked-worker.ts'
 
 const FAILED_TASK_RETRY_DELAY_MS = 100
+/** Occurrences of a job that are open at once: a leader must bear a job of which very many are due. */
+const MAX_OPEN_OCCURRENCES = 100
 
 /** A completion that waits until its job's record is durable. */
 export interface PendingCompletion {
@@ -194,7 +196,9 @@
   nextDueInMs (maxMs: number): number {
     const now = this.opts.wallClock()
     let due = maxMs
-    for (const tracked of this.scheduledJobs) due = Math.min(due, tracked.dueAt(nextOccurrenceNumber(tracked)) - now)
+    for (const tracked of this.scheduledJobs) {
+      if (mayOpenNext(tracked)) due = Math.min(due, tracked.dueAt(nextOccurrenceNumber(tracked)) - now)
+    }
     return Math.max(1, due)
   }
 
@@ -289,7 +293,7 @@
 
   private openDueOccurrencesOf (tracked: TrackedJob): void {
     const now = this.opts.wallClock()
-    for (let number = nextOccurrenceNumber(tracked); number < tracked.times() && tracked.dueAt(number) <= now; number = nextOccurrenceNumber(tracked)) {
+    for (let number = nextOccurrenceNumber(tracked); mayOpenNext(tracked) && tracked.dueAt(number) <= now; number = nextOccurrenceNumber(tracked)) {
       this.openOccurrence(tracked, number)
     }
     if (nextOccurrenceNumber(tracked) >= tracked.times()) this.scheduledJobs.delete(tracked)
@@ -325,7 +329,10 @@
 
 /** Returns the number of the first occurrence that has not become due. */
 function nextOccurrenceNumber (tracked: TrackedJob): number {
-  let number = 0
-  while (tracked.endedOccurrences.has(number) || tracked.occurrences.get(number)?.due === true) number += 1
-  return number
+  while (tracked.endedOccurrences.has(tracked.openedBelow) || tracked.occurrences.get(tracked.openedBelow)?.due === true) tracked.openedBelow += 1
+  return tracked.openedBelow
+}
+
+function mayOpenNext (tracked: TrackedJob): boolean {
+  return nextOccurrenceNumber(tracked) < tracked.times() && tracked.occurrences.size < MAX_OPEN_OCCURRENCES
 }
--- a/jobs/scheduler/src/tracked-job.ts
+++ b/jobs/scheduler/src/tracked-job.ts
@@ -59,6 +59,8 @@
   readonly occurrences = new Map<number, Occurrence>()
   /** Numbers of the completed occurrences. */
   readonly endedOccurrences: Set<number>
+  /** All occurrences with lower numbers have become due. */
+  openedBelow = 0
   /** No earlier leader can have started any of its tasks. */
   readonly acceptedThisTerm: boolean
   /** When this leader first learned of the job, by the injected clock. */
--- a/jobs/scheduler/test/due-soon.test.ts
+++ b/jobs/scheduler/test/due-soon.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { SchedulerHarness, step } from './harness.ts'
+import { SchedulerHarness, ended, step, worker } from './harness.ts'
 
 test('a recurring job in a small pool: the first steps of an occurrence count as demand before it is due', () => {
   const harness = new SchedulerHarness()
@@ -15,3 +15,24 @@
   assert.equal(table.waiting().cpu, 4_000)
   assert.equal(table.dueSoon(2_500).cpu, 0)
 })
+
+// A job with very many occurrences that are due at once took all memory and time of each leader that took it over.
+test('of a job with a million occurrences that are due at once only some are open, and all of a few hundred are done in the end', () => {
+  const flood = new SchedulerHarness()
+  flood.addJob({ schedule: { times: 1_000_000, firstMs: 0, everyMs: 0 } })
+  flood.scheduler.tick()
+  assert.ok((flood.scheduler.table.jobs.get('00000000000000aa')?.occurrences.size ?? 0) <= 100)
+  assert.equal(flood.scheduler.table.nextDueInMs(100), 100, 'the leader does not wait for what is due already')
+
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  harness.addJob({ schedule: { times: 300, firstMs: 0, everyMs: 0 } })
+  let seq = 0
+  for (let pass = 0; pass < 200; pass++) {
+    harness.scheduler.tick()
+    const completions = harness.startReadyTasks().map(run => ended(++seq, run.task.name, run.attempt))
+    harness.report('w1', { ended: completions })
+    harness.persist()
+  }
+  assert.equal(harness.scheduler.table.stateOf('00000000000000aa'), 'completed')
+})
