--- a/routing/gateway/test/gateway.test.ts
+++ b/routing/gateway/test/gateway.test.ts
@@ -254,3 +254,23 @@
   assert.equal((await requestInProgress).status, 200)
   assert.equal(harness.gateway.requestsInFlight(), 0)
 })
+
+// A request that crashes its target must not be passed on to target after target.
+for (const [path, maxTargets] of [['/write', 1], ['/read', 3]] as const) {
+  test(`a request to ${path} that crashes each target which reads it reaches ${maxTargets} at most`, async t => {
+    let crashed = 0
+    const ports: Record<string, number> = {}
+    for (let number = 0; number < 6; number++) {
+      const target = createServer(req => {
+        crashed += 1
+        req.socket.destroy()
+        target.close()
+      })
+      ports[`t${number}`] = await listen(t, target)
+    }
+    const harness = await startGateway(t, ports)
+    const reply = await harness.call(path)
+    assert.equal(reply.outcome, 'unknown')
+    assert.ok(crashed >= 1 && crashed <= maxTargets, `${crashed} targets`)
+  })
+}
