One task cannot make the reports of its workers unreadable

Fields that can be done without have defaults now; an unknown outcome counts as a failed attempt, which is bounded. A report that does not say which task runs stays invalid, as the run would count as over.

--- a/jobs/http/src/wire-format.ts
+++ b/jobs/http/src/wire-format.ts
@@ -89,12 +89,12 @@
 /** A worker's response to a command that it executed. */
 export const clockSchema = z.object({ clockMs: z.number() })
 
-/** A worker's response to a poll. */
+/** A worker's response to a poll. One task must not make the reports of all its workers unreadable: what can be done without has a default. */
 export const reportSchema = z.object({
   clockMs: z.number(),
   born: z.number().optional(),
-  running: z.array(z.object({ ...runFields, checkpoint: z.string(), percent: z.number(), load: z.number() })),
-  ended: z.array(z.object({ ...runFields, seq: z.number(), how: z.enum(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone']), checkpoint: z.string() }))
+  running: z.array(z.object({ ...runFields, checkpoint: z.string().catch(''), percent: z.number().catch(0), load: z.number().catch(0) })),
+  ended: z.array(z.object({ ...runFields, seq: z.number(), how: z.enum(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone']).catch('failed'), checkpoint: z.string().catch('') }))
 })
 
 /** A worker's response when it refuses a command or poll. */
