--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -12,6 +12,8 @@
 const SERVICE = 's'
 const LEADER_KEY = 'w/leaders/service/s'
 
+const WORKER_RESTART_MS = 300
+
 /** Leases outlast every test, so that no test passes by waiting for one to expire. */
 const limits: JobLimits = { longestLeaseMs: 600_000, stopMs: 50, shutdownGraceMs: 6_000, keepMs: 120_000, maintenanceMs: 2_000 }
 
@@ -42,12 +44,15 @@
   plan: (task: string, attempt: number) => Partial<RunPlan> = () => ({})
   /** The platform's list of VMs. */
   vms: Vm[] = []
+  /** Ids of the workers that have crashed, in order. */
+  readonly crashed: string[] = []
   private readonly shutdown = new AbortController()
   private leader: { readonly term: ServiceTerm, readonly token: number, reachable: boolean } | undefined
   private readonly running: Array<Promise<void>> = []
 
   constructor () {
     this.workers = new InMemoryWorkers(() => systemClock.now(), (task, attempt) => ({ runMs: 30, how: 'done', demand: { cpu: 1_000, memMb: 100, accelerators: 0 }, members: 1, ...this.plan(task, attempt) }))
+    this.workers.onCrash = id => this.crash(id)
     const metrics = new Metrics()
     this.intake = new Intake({ records: this.createRecords(withWriteFaults(this.driver, this.submitFaults, () => true)), leaderClient: this.createLeaderClient(), clock: systemClock, logger: silentLogger, metrics, signal: this.shutdown.signal })
   }
@@ -70,6 +75,18 @@
     this.vms = this.vms.map(vm => vm.worker === id ? { ...vm, pool: 'spare', worker: '' } : vm)
   }
 
+  /**
+   * Crashes a worker: its runs are lost, and its VM is down for a moment and then has a new worker.
+   * @param id - id of the worker
+   */
+  crash (id: string): void {
+    this.crashed.push(id)
+    this.workers.crash(id)
+    this.vms = this.vms.map(vm => vm.worker === id ? { ...vm, state: 'down', worker: '' } : vm)
+    const replacement = `${id}-${this.crashed.length}`
+    setTimeout(() => this.restart(id, replacement), WORKER_RESTART_MS)
+  }
+
   /**
    * Powers on the VM of a worker that was powered off, with a new worker.
    * @param id - id of the worker that was powered off
@@ -148,6 +165,12 @@
     this.workers.close()
   }
 
+  private restart (id: string, replacement: string): void {
+    const vm = this.workers.vmOf(id)
+    this.workers.add({ ...this.registration(replacement), vm })
+    this.vms = this.vms.map(each => each.id === vm ? { ...each, state: 'up', worker: replacement } : each)
+  }
+
   private registration (id: string): WorkerRegistration {
     return { id, born: 1, service: SERVICE, host: 'h', port: 1, zone: 'z', vm: `vm-${id}`, draining: false, capacity: { cpu: 4_000, memMb: 8_000, accelerators: 0 }, labels: ['a', 'r1'], rack: 'r1' }
   }
--- a/testing/jobs/src/memory-workers.ts
+++ b/testing/jobs/src/memory-workers.ts
@@ -33,6 +33,8 @@
   readonly demand: Resources
   /** Size of the gang that the task belongs to; 1 for none. */
   readonly members: number
+  /** When the run crashes its worker, in milliseconds from its start; undefined if it does not. */
+  readonly crashAfterMs?: number | undefined
 }
 
 class MemoryWorker {
@@ -57,6 +59,8 @@
   readonly startFaults: StartFault[] = []
   /** All runs that have started, in order. */
   readonly recordedRuns: RecordedRun[] = []
+  /** Called with the id of a worker that a run crashes. */
+  onCrash: (id: string) => void = id => this.crash(id)
   private readonly workers = new Map<string, MemoryWorker>()
   private readonly now: () => number
   private readonly plan: (task: string, attempt: number) => RunPlan
@@ -82,6 +86,14 @@
     for (const run of [...worker.runs.values()]) this.end(worker, run, 'lapsed')
   }
 
+  /**
+   * @param id - id of a worker
+   * @returns id of its VM
+   */
+  vmOf (id: string): string {
+    return this.worker(id).registration.vm
+  }
+
   /** @returns registrations of the workers that have not crashed */
   registrations (): WorkerRegistration[] {
     return [...this.workers.values()].filter(worker => worker.up).map(worker => worker.registration)
@@ -147,7 +159,9 @@
     const run: Run = { record: { worker: worker.registration.id, task: command.task, attempt: command.attempt, startedAt: this.now() }, demand: plan.demand }
     worker.runs.set(runKey(command), run)
     this.recordedRuns.push(run.record)
-    if (plan.members === 1) run.timer = setTimeout(() => this.end(worker, run, plan.how), plan.runMs)
+    const { crashAfterMs } = plan
+    if (crashAfterMs !== undefined) run.timer = setTimeout(() => this.onCrash(worker.registration.id), crashAfterMs)
+    else if (plan.members === 1) run.timer = setTimeout(() => this.end(worker, run, plan.how), plan.runMs)
     else this.startCompleteGang(command, plan)
     return ok(this.now())
   }
