A job with more tasks than a leader can bear is not accepted, and a stored one is left out

Test: unreadable-records.test.ts (the heap would have to hold ten million tasks before). Also tests of crashes that are proven only after the lease of the worker has expired.

--- a/jobs/http/src/wire-format.ts
+++ b/jobs/http/src/wire-format.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { parseJson } from '@wisteriaslip/core.result'
+import { whyTooLarge } from '@wisteriaslip/jobs.model'
 import { z } from 'zod'
 
 /** Paths of the worker interface. */
@@ -40,6 +41,8 @@
   steps: z.array(stepSchema).min(1),
   schedule: z.strictObject({ times: z.number().int().min(1), firstMs: z.number(), everyMs: z.number().min(0) }).optional()
 }).superRefine((job, context) => {
+  const tooLarge = whyTooLarge(job.steps)
+  if (tooLarge !== undefined) context.addIssue({ code: 'custom', path: ['steps'], message: tooLarge })
   for (const [number, step] of job.steps.entries()) {
     if (step.after.some(before => before >= number)) context.addIssue({ code: 'custom', path: ['steps', number, 'after'], message: 'must refer to earlier steps only' })
   }
--- a/jobs/model/src/index.ts
+++ b/jobs/model/src/index.ts
@@ -2,7 +2,7 @@
  * Types for jobs, steps, tasks, workers and VMs, and interfaces of the clients for workers and the VM platform.
  * @module
  */
-export { isFinal, jobStates, parseTaskName, type Job, type JobConfig, type JobRequest, type JobState, type Queue, type Resources, type Schedule, type Service, type Step, type TaskName } from './job.ts'
+export { isFinal, jobStates, parseTaskName, whyTooLarge, type Job, type JobConfig, type JobRequest, type JobState, type Queue, type Resources, type Schedule, type Service, type Step, type TaskName } from './job.ts'
 export { incarnationKey, runOutcomes, type ActiveRun, type EndedRun, type PermitClient, type RunOutcome, type StartCommand, type WorkerClient, type WorkerEndpoint, type WorkerError, type WorkerRegistration, type WorkerReport } from './worker.ts'
 export { vmStates, type FleetClient, type FleetError, type Vm, type Wave } from './fleet.ts'
 export type { JobLimits } from './limits.ts'
--- a/jobs/model/src/job.ts
+++ b/jobs/model/src/job.ts
@@ -38,6 +38,18 @@
   readonly mayMiss: number
 }
 
+/** Tasks that a job may have: a leader must bear it with all others. */
+const MAX_TASKS_PER_JOB = 50_000
+
+/**
+ * @param steps - steps of a job
+ * @returns why a job with these steps is not accepted, undefined if it is
+ */
+export function whyTooLarge (steps: ReadonlyArray<{ readonly tasks: number }>): string | undefined {
+  const tasks = steps.reduce((sum, step) => sum + step.tasks, 0)
+  return tasks > MAX_TASKS_PER_JOB ? `more than ${MAX_TASKS_PER_JOB} tasks` : undefined
+}
+
 /** Due times of the occurrences of a scheduled job. */
 export interface Schedule {
   readonly times: number
--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -183,3 +183,43 @@
   for (const startedAt = harness.now; harness.now <= startedAt + 3_000; harness.now += 20) if (detector.needsVmList()) lists += 1
   assert.ok(lists >= 11 && lists <= 13, `${lists} lists in 3 s`)
 })
+
+// While the list of VMs is not to be had, the lease of a crashed worker expires, and nothing was known of the crash afterwards.
+test('a crash that is proven only after the lease of the worker has expired counts for the tasks that ran there', () => {
+  const { harness, detector, task } = loseLease()
+  const down = [vm({ state: 'down', worker: '' })]
+  assert.equal(applyVmListAfterDelay(harness, detector, down) + applyVmListAfterDelay(harness, detector, down), 1)
+  assert.equal(task()?.crashes.length, 1)
+})
+
+test('a worker whose lease has expired and that responds again has not crashed', () => {
+  const { harness, detector, task } = loseLease()
+  harness.report('w1')
+  assert.equal(applyVmListAfterDelay(harness, detector, [vm()]), 0)
+  assert.equal(task()?.crashes.length, 0)
+  harness.scheduler.endIncarnation(harness.worker('w1'))
+  assert.equal(task()?.crashes.length, 0, 'nothing ran there any more')
+})
+
+test('a worker that is no longer registered and whose crash nothing proves is tracked no longer after a while', () => {
+  const { harness } = loseLease()
+  harness.scheduler.setWorkers([], { unknownRunsUntil: 0 })
+  harness.now += 20_000
+  harness.scheduler.tick()
+  assert.equal(harness.scheduler.workers.size, 0)
+})
+
+/** A task on a worker that stopped responding, so that its lease has expired. */
+function loseLease () {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
+  harness.addJob()
+  harness.startReadyTasks()
+  harness.worker('w1').markUnreachable(harness.now)
+  harness.now += 4_200
+  harness.scheduler.tick()
+  assert.equal(harness.worker('w1').runs.size, 0)
+  const task = () => harness.scheduler.table.jobs.get('00000000000000aa')?.task({ occurrence: 0, step: 0, index: 0 })
+  return { harness, detector, task }
+}
--- a/jobs/store/src/record-schema.ts
+++ b/jobs/store/src/record-schema.ts
@@ -1,4 +1,4 @@
-import type { Job } from '@wisteriaslip/jobs.model'
+import { whyTooLarge, type Job } from '@wisteriaslip/jobs.model'
 import type { JobProgress } from '@wisteriaslip/jobs.scheduler'
 import { z } from 'zod'
 
@@ -16,7 +16,7 @@
   queue: z.string(),
   service: z.string(),
   payload: z.string(),
-  steps: z.array(stepSchema).min(1).refine(steps => steps.every((step, number) => step.after.every(before => before < number))),
+  steps: z.array(stepSchema).min(1).refine(steps => steps.every((step, number) => step.after.every(before => before < number)) && whyTooLarge(steps) === undefined),
   schedule: z.object({ times: count, firstMs: z.number(), everyMs: z.number() }).optional(),
   acceptedAt: z.number(),
   acceptedUnder: z.number()
--- a/testing/jobs/test/unreadable-records.test.ts
+++ b/testing/jobs/test/unreadable-records.test.ts
@@ -25,6 +25,18 @@
   })
 })
 
+// Each leader that took over a job of 10,000 tasks in each of some thousand steps ran out of memory.
+test('a stored job with more tasks than a leader can bear is left out, and other jobs run', async () => {
+  await withSite(async site => {
+    const steps = Array.from({ length: 1_000 }, () => plainStep({ tasks: 10_000 }))
+    await store(site, keys.job('s', BAD_ID), { ...badJob, steps })
+    await site.intake.submit(site.request(ID, [plainStep({ estimateMs: 30 })]))
+    await site.elect()
+    await untilState(site, ID, 'completed')
+    assert.ok(site.logged.some(message => message.startsWith('stored job cannot be read')))
+  })
+})
+
 test('a job that cannot be read and is stored while a leader watches does not end its term', async () => {
   await withSite(async site => {
     await site.elect()
