Isolated tasks that crash workers of one rack at the same moment are not taken for a failure of the rack

Cause: workers of a rack that stop responding together count as one failure of the rack, in which a crash is no proof. Now only workers on which no isolated run explains the crash count. Test: crashes.test.ts, deadly tasks isolated on one rack at the same moment: 3 crashes for a task before, 2 now.

--- a/jobs/scheduler/src/crash-tracker.ts
+++ b/jobs/scheduler/src/crash-tracker.ts
@@ -9,10 +9,13 @@
 const MAX_CRASHES = 2
 /** Workers of one rack that stop responding within this time of each other have a common cause. */
 const RACK_FAILURE_WINDOW_MS = 300
+/** Losses that a rack failure may explain are kept for this long: the detection of others may take so long. */
+const LOSSES_KEPT_MS = 10_000
 /** A task that has been in progress for this long has not caused the earlier crashes. */
 const CLEARED_AFTER_MS = 60_000
 
-interface LostWorker {
+/** A worker that has crashed although no isolated run explains it. */
+interface UnexplainedLoss {
   readonly worker: string
   readonly rack: string
   readonly unreachableSince: number
@@ -26,7 +29,7 @@
 export class CrashTracker {
   private readonly table: JobTable
   private readonly workers: ReadonlyMap<string, TrackedWorker>
-  private lastLost: LostWorker[] = []
+  private lastUnexplained: UnexplainedLoss[] = []
 
   /**
    * @param table - jobs of the service
@@ -46,7 +49,7 @@
     const lost = runs.filter(({ task }) => !task.done && !task.step.job.isFinished())
     const starting = lost.filter(run => !hasSettled(run))
     const onTrial = lost.filter(isOnTrial)
-    const isRackFailure = this.isRackFailure(worker)
+    const isRackFailure = this.isRackFailure(worker, onTrial.length > 0)
     for (const run of isRackFailure ? new Set([...starting, ...onTrial]) : lost) this.addCrash(run, worker)
     const others = starting.filter(run => run.task.step.job !== onTrial[0]?.task.step.job)
     const required = MAX_CRASHES + (isRackFailure ? 1 : 0) + (others.length > 0 ? 1 : 0)
@@ -85,15 +88,18 @@
     return cleared
   }
 
-  /** Returns whether other workers of the rack stopped responding together with the worker. */
-  private isRackFailure (worker: TrackedWorker): boolean {
+  /** Returns whether others of the rack, which no isolated run has crashed, stopped responding together with the worker. */
+  private isRackFailure (worker: TrackedWorker, isExplained: boolean): boolean {
     const { registration: { rack }, unreachableSince } = worker
     if (rack === '' || unreachableSince === undefined) return false
     const isNear = (since: number | undefined): boolean => since !== undefined && Math.abs(since - unreachableSince) <= RACK_FAILURE_WINDOW_MS
-    const others = [...this.workers.values()].filter(other => other !== worker && other.registration.rack === rack)
-    const before = this.lastLost.filter(lost => lost.rack === rack && lost.worker !== worker.incarnation())
-    this.lastLost = [...this.lastLost.filter(lost => lost.unreachableSince > unreachableSince - RACK_FAILURE_WINDOW_MS), { worker: worker.incarnation(), rack, unreachableSince }]
-    return others.some(other => isNear(other.unreachableSince)) || before.some(lost => isNear(lost.unreachableSince))
+    const silent = [...this.workers.values()].filter(other => other !== worker && other.registration.rack === rack && !other.ended && ![...other.runs.values()].some(isOnTrial))
+    const lost = this.lastUnexplained.filter(each => each.rack === rack && each.worker !== worker.incarnation())
+    if (!isExplained) {
+      const recent = this.lastUnexplained.filter(each => each.unreachableSince > unreachableSince - LOSSES_KEPT_MS)
+      this.lastUnexplained = [...recent, { worker: worker.incarnation(), rack, unreachableSince }]
+    }
+    return silent.some(other => isNear(other.unreachableSince)) || lost.some(each => isNear(each.unreachableSince))
   }
 }
 
--- a/jobs/scheduler/test/crashes.test.ts
+++ b/jobs/scheduler/test/crashes.test.ts
@@ -116,6 +116,21 @@
   for (let number = 0; number < 6; number++) assert.equal(model.outcome(String(number).padStart(16, '0')), 'completed')
 })
 
+// Isolated tasks that crashed their workers at the same moment were taken for a failure of the rack.
+test('deadly tasks that are isolated on workers of one rack at the same moment cost two workers each', () => {
+  const deadlyJobs = ['a', 'b', 'c'].map(digit => digit.repeat(16))
+  const model = new CrashModel({ workers: 8, rack: () => 'r0', fuseMs: task => deadlyJobs.some(id => task === `${id}.0.0.0`) ? FUSE_MS : undefined })
+  model.storeUp = false
+  for (const id of deadlyJobs) {
+    model.addJob(job({ id, steps: [step({ tasks: 1, demand })] }))
+    model.run(400)
+  }
+  model.run(2_000)
+  model.storeUp = true
+  model.run(DAY_MS)
+  for (const id of deadlyJobs) assert.equal(model.crashesOf(`${id}.0.0.0`), 2)
+})
+
 // What one leader had counted was not known to the next.
 test('a task that crashes its workers costs three at most when the leader is lost with its memory at any moment', () => {
   for (let lostAfterMs = 0; lostAfterMs < 3_000; lostAfterMs += 20) {
