A task that has outlived its earlier runs is not blamed for the next crash of its worker

By reading: the run of a task with several crashes stayed on trial until it ended, and two crashes were enough for a verdict; a long-running task whose workers had crashed by themselves three times within a minute was given up, which callers see as a job that failed without cause. Now a crash later than by the start is proof from the third on, and only if the run has not outlived the earlier ones by a factor of two. Test: crashes.test.ts, a long-running task whose workers crash by themselves: failed before (given up).

--- a/jobs/scheduler/src/crash-tracker.ts
+++ b/jobs/scheduler/src/crash-tracker.ts
@@ -5,8 +5,15 @@
 import type { TrackedWorker } from './tracked-worker.ts'
 import { survivedMs } from './worker-loss.ts'
 
-/** Crashes of workers under a task after which its job is given up, if nothing else can have caused the last one. */
-const MAX_CRASHES = 2
+/**
+ * Crashes of workers under a task after which its job is given up, if nothing else can have caused the last one: when its
+ * start crashed the worker, and when it did so later.
+ */
+const MAX_CRASHES_BY_START = 2
+const MAX_CRASHES_LATER = 3
+/** A run that has survived its earlier ones by this factor, and at least for this long, is no longer suspected. */
+const TRIAL_FACTOR = 2
+const MIN_TRIAL_MS = 2_000
 /** Workers of one rack that stop responding within this time of each other have a common cause. */
 const RACK_FAILURE_WINDOW_MS = 300
 /** Losses that a rack failure may explain are kept for this long: the detection of others may take so long. */
@@ -52,7 +59,8 @@
     const isRackFailure = this.isRackFailure(worker, onTrial.length > 0)
     for (const run of isRackFailure ? new Set([...starting, ...onTrial]) : lost) this.addCrash(run, worker)
     const others = starting.filter(run => run.task.step.job !== onTrial[0]?.task.step.job)
-    const required = MAX_CRASHES + (isRackFailure ? 1 : 0) + (others.length > 0 ? 1 : 0)
+    const byStart = onTrial.every(run => run.isolation === 'start')
+    const required = (byStart ? MAX_CRASHES_BY_START : MAX_CRASHES_LATER) + (isRackFailure ? 1 : 0) + (others.length > 0 ? 1 : 0)
     const culprit = mostCrashed(onTrial.map(run => run.task))
     if (culprit !== undefined && culprit.crashes.length >= required) this.giveUp(culprit)
   }
@@ -104,11 +112,14 @@
 }
 
 /**
- * Returns whether a crash during the run says something about its task: the run is isolated, and has not settled or is that of
- * a task with several crashes.
+ * Returns whether a crash during the run says something about its task: the run is isolated, and has not settled, or is that of
+ * a task with several crashes and has not survived the earlier runs by much.
  */
 function isOnTrial (run: Run): boolean {
-  return run.isolation !== undefined && (run.isolation === 'whole' || !hasSettled(run))
+  if (run.isolation === undefined) return false
+  if (run.isolation === 'start') return !hasSettled(run)
+  const longestSurvivalMs = Math.max(...run.task.crashes.map(crash => crash.survivedMs))
+  return survivedMs(run) < Math.max(MIN_TRIAL_MS, TRIAL_FACTOR * longestSurvivalMs)
 }
 
 function mostCrashed (tasks: readonly Task[]): Task | undefined {
--- a/jobs/scheduler/test/crashes.test.ts
+++ b/jobs/scheduler/test/crashes.test.ts
@@ -236,3 +236,16 @@
   model.run(3_000)
   for (let number = 0; number < 2; number++) assert.equal(model.outcome(String(number).padStart(16, '0')), 'completed')
 })
+
+test('a long-running task whose workers crash by themselves, each after a longer time, is not given up', () => {
+  const model = new CrashModel({ workers: 3, fuseMs: () => undefined, rack: () => '' })
+  model.addJob(job({ id: LASTING_JOB, steps: [step({ lasting: true, tasks: 1, demand })] }))
+  for (const ms of [1_000, 2_000, 8_000, 20_000]) {
+    model.run(4_000)
+    model.run(ms)
+    model.crashWorkersWith(`${LASTING_JOB}.0.0.0`)
+  }
+  model.run(5_000)
+  assert.equal(model.outcome(LASTING_JOB), undefined)
+  assert.equal(model.scheduler.table.stateOf(LASTING_JOB), 'running')
+})
