--- a/testing/jobs/src/memory-workers.ts
+++ b/testing/jobs/src/memory-workers.ts
@@ -59,6 +59,8 @@
   readonly startFaults: StartFault[] = []
   /** All runs that have started, in order. */
   readonly recordedRuns: RecordedRun[] = []
+  /** Number of polls that the caller ended early. */
+  endedPolls = 0
   /** Called with the id of a worker that a run crashes. */
   onCrash: (id: string) => void = id => this.crash(id)
   private readonly workers = new Map<string, MemoryWorker>()
@@ -136,7 +138,9 @@
     while (worker.ended[0] !== undefined && worker.ended[0].seq <= opts.seenSeq) worker.ended.shift()
     const pollUntil = this.now() + opts.waitMs
     while (worker.ended.length === 0 && this.now() < pollUntil) {
-      if (!await delay(POLL_INTERVAL_MS, signal)) return noReply('aborted')
+      if (await delay(POLL_INTERVAL_MS, signal)) continue
+      this.endedPolls += 1
+      return noReply('aborted')
     }
     if (!worker.up) return noReply('worker crashed')
     const running: ActiveRun[] = [...worker.runs.values()].map(({ record }) => ({ task: record.task, attempt: record.attempt, checkpoint: '', percent: 100, load: 0 }))
--- a/testing/jobs/test/crashes.test.ts
+++ b/testing/jobs/test/crashes.test.ts
@@ -41,3 +41,16 @@
     assert.ok(site.crashed.length <= 3, `${site.crashed.length} crashes`)
   })
 })
+
+// Suspected tasks of a job are started one after the other: each would wait for the end of a poll.
+test('a leader asks at once whether a worker has survived the start of an isolated task', async () => {
+  await withSite(async site => {
+    const crashOnce = new Set([`${ID}.0.0.0`])
+    site.plan = task => crashOnce.delete(task) ? { crashAfterMs: 5 } : { runMs: 600_000 }
+    await site.elect()
+    await site.intake.submit(site.request(ID, [plainStep({ tasks: 3, estimateMs: 0 })]))
+    await waitUntil('all tasks run again', () => site.workers.recordedRuns.length === 6)
+    assert.equal(site.crashed.length, 1)
+    assert.ok(site.workers.endedPolls > 0)
+  })
+})
