--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -223,3 +223,23 @@
   const task = () => harness.scheduler.table.jobs.get('00000000000000aa')?.task({ occurrence: 0, step: 0, index: 0 })
   return { harness, detector, task }
 }
+
+// Only a worker that ends by itself has crashed.
+for (const [name, listedVm, crashes] of [
+  ['being maintained', vm({ state: 'maintenance' }), 0],
+  ['moving', vm({ state: 'moving' }), 0],
+  ['in another pool', vm({ pool: 'spare', worker: '' }), 0],
+  ['down', vm({ state: 'down' }), 1],
+  ['up with another worker', vm({ worker: 'w9' }), 1]
+] as const) {
+  test(`a worker whose VM is ${name} has ${crashes === 0 ? 'not ' : ''}crashed`, () => {
+    const harness = new SchedulerHarness()
+    harness.addWorkers(worker('w1'))
+    const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
+    harness.addJob()
+    harness.startReadyTasks()
+    harness.worker('w1').markUnreachable(harness.now)
+    assert.equal(applyVmListAfterDelay(harness, detector, [listedVm]) + applyVmListAfterDelay(harness, detector, [listedVm]), 1)
+    assert.equal(harness.scheduler.table.jobs.get('00000000000000aa')?.task({ occurrence: 0, step: 0, index: 0 })?.crashes.length, crashes)
+  })
+}
