A suspected task waits for the verdict on another of its job for two seconds at most

When the isolated start got no response from a worker that was dead, it was kept until nothing of it could arrive any more, and all others of the job waited for it. Also, a suspected task that found no worker without another suspected task waited for ever, and a long-running one had no worker reserved after two seconds. Test: isolation.test.ts; the first of its tests failed before.

--- a/jobs/scheduler/src/isolation.ts
+++ b/jobs/scheduler/src/isolation.ts
@@ -8,8 +8,10 @@
 
 /** How long a suspected task waits for a worker without other work. */
 const MAX_EMPTY_WAIT_MS = 1_000
-/** How long it waits for a worker on which all other runs have settled. */
+/** How long it waits for a worker on which all other runs have settled, and no other suspected task runs. */
 const MAX_SETTLED_WAIT_MS = 2_000
+/** How long other suspected tasks of a job wait until an isolated run shows whether it crashes its worker. */
+const MAX_VERDICT_WAIT_MS = 2_000
 /** A worker gets no other starts until the isolated run of a task with several crashes has been in progress for this long. */
 const MAX_CLOSED_MS = 2_000
 /** Weights of runs that would be lost with the worker: a long-running task is costly, and no task should be hit again. */
@@ -61,7 +63,7 @@
     let waiting: Task | undefined
     for (const task of suspectedSteps.flatMap(step => startableSuspects(step, opts.now)).sort(compareSuspicion)) {
       if (runs.length >= opts.maxRuns) break
-      if (this.isBeingTried(task.step.job)) continue
+      if (this.isBeingTried(task.step.job, opts.now)) continue
       const started = this.start(task, this.usableWorkers(task, workers, closed, opts.now), opts.now)
       for (const run of started) {
         this.isolated.add(run)
@@ -70,7 +72,7 @@
       runs.push(...started)
       if (started.length === 0) waiting ??= task
     }
-    if (waiting !== undefined && this.waitedMs(waiting.step.job, opts.now) < MAX_SETTLED_WAIT_MS) this.reserve(waiting, this.usableWorkers(waiting, workers, closed, opts.now), closed)
+    if (waiting !== undefined && this.mayReserve(waiting.step, opts.now)) this.reserve(waiting, this.usableWorkers(waiting, workers, closed, opts.now), closed)
     return { runs, openWorkers: workers.filter(worker => !closed.has(worker)) }
   }
 
@@ -78,6 +80,11 @@
     return this.placer.permittedWorkers(task.step, workers, now).filter(worker => !closed.has(worker))
   }
 
+  /** A long-running task keeps its worker reserved: small tasks would take all capacity that becomes free. */
+  private mayReserve ({ spec, job }: TrackedStep, now: number): boolean {
+    return this.waitedMs(job, now) < MAX_SETTLED_WAIT_MS || (spec.lasting && !spec.gang)
+  }
+
   /** Closes the worker that a task waits for, so that it becomes empty. */
   private reserve (task: Task, workers: readonly TrackedWorker[], closed: Set<TrackedWorker>): void {
     const reserved = leastDisruptive(workers.filter(worker => couldFitEventually(task.step, worker)), task.step.job)
@@ -88,7 +95,7 @@
     const { step } = task
     const { job } = step
     const waitedMs = this.waitedMs(job, now)
-    const usable = open.filter(worker => !this.hasOtherSuspect(worker, job) && (waitedMs >= MAX_SETTLED_WAIT_MS || [...worker.runs.values()].every(hasSettled)))
+    const usable = waitedMs >= MAX_SETTLED_WAIT_MS ? open : open.filter(worker => !this.hasOtherSuspect(worker, job) && [...worker.runs.values()].every(hasSettled))
     const isolation = hasRepeatedCrashes(task) ? 'whole' : 'start'
     const empty = usable.filter(worker => disruptionOf(worker, job) === 0)
     const choices = waitedMs >= MAX_EMPTY_WAIT_MS ? [empty, usable] : [empty]
@@ -113,8 +120,8 @@
   }
 
   /** Returns whether an isolated run of the job has yet to show whether it crashes its worker. */
-  private isBeingTried (job: TrackedJob): boolean {
-    return [...this.isolated].some(run => run.task.step.job === job && closesWorker(run))
+  private isBeingTried (job: TrackedJob, now: number): boolean {
+    return [...this.isolated].some(run => run.task.step.job === job && closesWorker(run) && !run.worker.ended && now - run.startedAt < MAX_VERDICT_WAIT_MS)
   }
 
   private hasOtherSuspect (worker: TrackedWorker, job: TrackedJob): boolean {
