Of empty workers an isolated task gets the one that responded last

An isolated task is started on an empty worker, and an idle worker that has died is noticed only after up to two seconds. Test: isolation.test.ts; the second of the two failed before.

--- a/jobs/scheduler/src/isolation.ts
+++ b/jobs/scheduler/src/isolation.ts
@@ -149,16 +149,11 @@
   return !hasSettled(run) || (run.isolation === 'whole' && survivedMs(run) < MAX_CLOSED_MS)
 }
 
+/** Chooses the worker with the least to lose; of several, the one that responded last, as an idle worker that has died is noticed late. */
 function leastDisruptive (workers: readonly TrackedWorker[], job: TrackedJob): TrackedWorker | undefined {
-  let best: TrackedWorker | undefined
-  let least = Number.POSITIVE_INFINITY
-  for (const worker of workers) {
-    const disruption = disruptionOf(worker, job)
-    if (disruption >= least) continue
-    best = worker
-    least = disruption
-  }
-  return best
+  const ranked = workers.map(worker => ({ worker, disruption: disruptionOf(worker, job), heardAt: worker.lastResponseAt ?? 0 }))
+  ranked.sort((a, b) => a.disruption - b.disruption || b.heardAt - a.heardAt)
+  return ranked[0]?.worker
 }
 
 /** What a crash of the worker would cost other jobs. */
--- a/jobs/scheduler/test/isolation.test.ts
+++ b/jobs/scheduler/test/isolation.test.ts
@@ -48,3 +48,13 @@
   }
   assert.equal(started.size, 2)
 })
+
+// An idle worker that has died is noticed late: a start that is sent there gets no response, and its task waits.
+for (const heard of ['w2', 'w3']) {
+  test(`of two empty workers the one that responded last gets an isolated task (${heard})`, () => {
+    const harness = suspectTasks(1, 'w2', 'w3')
+    harness.now += 1_500
+    harness.report(heard)
+    assert.deepEqual(harness.startReadyTasks().map(run => run.worker.registration.id), [heard])
+  })
+}
