--- a/review/stand-ins/site.mjs
+++ b/review/stand-ins/site.mjs
@@ -49,7 +49,9 @@
   async start ({ entries, services, routes }) {
     this.cloud = await startJsonServer(async request => await this.#cloudCall(request))
     this.configure(1, { services, routes })
-    const ip = index => `127.0.0.${index + 11}`
+    // The metrics port is the same on all machines: each has an address of its own, and so have sites that run beside each other.
+    const subnet = `127.${20 + Math.floor(200 * Math.random())}.${Math.floor(250 * Math.random())}`
+    const ip = index => `${subnet}.${index + 11}`
     for (let index = 0; index < entries; index++) {
       const host = ip(index)
       const listen = { front: `${host}:${await freePort(host)}`, ready: `${host}:${await freePort(host)}` }
--- a/review/stand-ins/store.mjs
+++ b/review/stand-ins/store.mjs
@@ -26,9 +26,8 @@
 
   /** Opens one more address; returns it. */
   async open () {
-    let address
-    const server = await startJsonServer(async call => await this.#handle(address, call))
-    address = server.address
+    const server = await startJsonServer(async call => await this.#handle(server.address, call))
+    const { address } = server
     this.modes.set(address, 'ok')
     this.#servers.push({ address, server })
     return address
--- a/review/stand-ins/worker.mjs
+++ b/review/stand-ins/worker.mjs
@@ -125,6 +125,7 @@
 
   async #handle ({ path, body, headers }) {
     if (this.mode === 'silent') return undefined
+    if (this.#opts.latencyMs !== undefined) await new Promise(resolve => setTimeout(resolve, this.#opts.latencyMs))
     if (headers['wisteriaslip-target-instance'] !== undefined && headers['wisteriaslip-target-instance'] !== this.id) return { status: 421, body: {} }
     const fence = body?.fence ?? 0
     if (fence < this.fence) return this.#refuse('fence')
@@ -137,11 +138,11 @@
   }
 
   #answer (body) {
-    return { status: 200, body: { clockMs: this.#clock(), born: this.born, ...body } }
+    return { status: 200, body: { clockMs: this.#clock(), ...body } }
   }
 
   #refuse (reason) {
-    return { status: 409, body: { clockMs: this.#clock(), born: this.born, reason } }
+    return { status: 409, body: { clockMs: this.#clock(), reason } }
   }
 
   #extend (deadlineMs) {
@@ -193,7 +194,7 @@
     }
     if (this.mode === 'silent') return undefined
     const running = [...this.runs.values()].map(run => [run.task, run.attempt, run.saved, this.#percent(run), 0])
-    return this.#answer({ running, finished: this.finished.slice(0, MAX_LISTED_ENDS) })
+    return this.#answer({ born: this.born, running, finished: this.finished.slice(0, MAX_LISTED_ENDS) })
   }
 
   #percent (run) {
