--- a/review/stand-ins/site.mjs
+++ b/review/stand-ins/site.mjs
@@ -203,8 +203,8 @@
   }
 
   /** Waits until an entry names a leader with a load for each service. */
-  async waitForLeaders (services, timeoutMs = 15_000) {
-    return await this.until(async () => {
+  async waitForLeaders (services, timeoutMs = 30_000) {
+    const isLed = await this.until(async () => {
       for (const entry of this.entries) {
         const status = await this.status(entry)
         const led = status?.services?.filter(({ leader, load }) => leader !== undefined && load !== undefined).map(({ name }) => name) ?? []
@@ -212,6 +212,10 @@
       }
       return true
     }, timeoutMs, 200)
+    if (isLed) return true
+    for (const entry of this.entries) this.record('not-led', { entry: entry.name, status: await this.status(entry) ?? 'none', log: readFileSync(entry.log, 'utf8').slice(-2_000) })
+    console.log('not all services had a leader in time: see record.txt')
+    return false
   }
 
   /** The entry that leads a service, undefined when none is known. */
@@ -252,6 +256,7 @@
   try {
     const held = await play(site, trouble)
     code = held === undefined ? 2 : held ? 0 : 1
+    if (code === 2) console.log('could not run: see the end of record.txt')
   } catch (error) {
     console.log(`could not run: ${error.stack}`)
   }
