--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -88,6 +88,7 @@
     const leaseUntilMs = this.worker.extendLease(this.opts.clock.now(), WORKER_LEASE_MS)
     const command = { task: task.name, attempt, payload: task.step.job.job.payload, leaseUntilMs, checkpoint: task.checkpoint, permit }
     const sentAt = this.opts.clock.now()
+    if (run.isolation !== undefined) this.pollOnceSettled(signal, { unless: () => run.phase === 'running' }).catch(() => {})
     const response = await this.sendStart(command, signal)
     this.opts.metrics.observe('worker_start_us', { service: this.opts.service }, this.opts.clock.now() - sentAt)
     if (!response.ok) this.handleError(response.error, 'start', task.name)
@@ -117,8 +118,8 @@
   }
 
   /** Replaces the poll in progress by one that shows at once whether the worker has survived the start of a run. */
-  private async pollOnceSettled (signal: AbortSignal): Promise<void> {
-    if (!await delay(SETTLE_MS * CLOCK_DRIFT_FACTOR, signal)) return
+  private async pollOnceSettled (signal: AbortSignal, opts: { unless?: () => boolean } = {}): Promise<void> {
+    if (!await delay(SETTLE_MS * CLOCK_DRIFT_FACTOR, signal) || opts.unless?.() === true) return
     this.pollAtOnce = true
     this.currentPoll?.abort()
   }
--- a/testing/jobs/test/crashes.test.ts
+++ b/testing/jobs/test/crashes.test.ts
@@ -5,6 +5,8 @@
 const ID = '00000000000000aa'
 const DEADLY_ID = 'dddddddddddddddd'
 const DEADLY = `${DEADLY_ID}.0.0.1`
+/** How long a poll of a worker without runs waits. */
+const IDLE_POLL_MS = 2_000
 
 function crashUnder (site: JobSite, task: string): void {
   site.plan = started => started === task ? { crashAfterMs: 5 } : { runMs: 200 }
@@ -54,3 +56,18 @@
     assert.ok(site.workers.endedPolls > 0)
   })
 })
+
+// Nothing was asked after such a start: whenever the worker crashed later, that counted as a crash by the start.
+test('a leader asks at once whether a worker has survived the start of an isolated task that gets no response', async () => {
+  await withSite(async site => {
+    const crashOnce = new Set([`${ID}.0.0.0`])
+    site.plan = task => crashOnce.delete(task) ? { crashAfterMs: 5 } : { runMs: 600_000 }
+    site.workers.startFaults.push('fine', 'lose-command')
+    await site.elect()
+    await site.intake.submit(site.request(ID, [plainStep({ estimateMs: 0 })]))
+    await waitUntil('the second start has got no response', () => site.workers.startFaults.length === 0)
+    const startedAt = performance.now()
+    await waitUntil('a poll was ended for another one', () => site.workers.endedPolls > 0)
+    assert.ok(performance.now() - startedAt < IDLE_POLL_MS, 'not only by its timeout')
+  })
+})
