A job is given up only for crashes that trials prove, and not for those of other causes

Cause: CrashTracker took any crash of a worker while an isolated run had not settled, or had survived for less than twice as long as the runs before, for one that its task had caused; two or three of these gave the job up. Workers crash for other causes, too: the start may not even have been carried out, and the worker have responded since; others may have crashed at the same moment, in other racks.

Now a crash proves something only if the isolated run was the only suspect on the worker and no other worker of the service stopped responding at the time. One by a start needs a worker that has responded to nothing sent after it (Run.outlivedStart). Two of these give the job up, or one after an earlier crash right after a start if no other worker has crashed by itself for 30 s. A task that crashes its workers later is given up after five crashes, three of them in trials, at about the same age. Starts without a response that the worker has outlived no longer count against their task. The record of a crash keeps atStart and onTrial; older records lack them and prove nothing.

Ruled out: a reservation, a run believed to be in progress, an isolation that never comes (the logs name the end of the job).

--- a/jobs/scheduler/src/crash-tracker.ts
+++ b/jobs/scheduler/src/crash-tracker.ts
@@ -1,31 +1,41 @@
 import type { JobTable } from './job-table.ts'
-import { addCrash, hasSettled, removeCrashes } from './crash.ts'
+import { addCrash, hasSettled, needsIsolation, removeCrashes, type Crash } from './crash.ts'
 import type { Run } from './run.ts'
 import type { Task, TrackedJob } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
 import { survivedMs } from './worker-loss.ts'
 
+/** Crashes right after its start that prove a task the cause: that many in all, and that many during trials. */
+const MIN_CRASHES_AT_START = 2
+const MIN_TRIALS_AT_START = 2
+/** One trial is enough where no other worker of the service has crashed by itself for this long. */
+const QUIET_MS = 30_000
+/** A task that crashes its workers later is proven the cause by that many crashes, that many of them during trials. */
+const MIN_CRASHES_LATER = 5
+const MIN_TRIALS_LATER = 3
+/** Such a task does so at about the same age: the times differ by less than this factor, beyond what polls can tell. */
+const AGE_FACTOR = 2
+const AGE_RESOLUTION_MS = 1_000
 /**
- * Crashes of workers under a task after which its job is given up, if nothing else can have caused the last one: when its
- * start crashed the worker, and when it did so later.
+ * A worker that stops responding within this time of a start may have been crashed by it. After the start of an isolated run it
+ * is polled at once, and the silence of one that does not even refuse connections shows when that poll times out.
  */
-const MAX_CRASHES_BY_START = 2
-const MAX_CRASHES_LATER = 3
+const START_CRASH_WINDOW_MS = 200
+const ISOLATED_START_CRASH_WINDOW_MS = 1_000
 /** A run that has survived its earlier ones by this factor, and at least for this long, is no longer suspected. */
 const TRIAL_FACTOR = 2
 const MIN_TRIAL_MS = 2_000
-/** Workers of one rack that stop responding within this time of each other have a common cause. */
-const RACK_FAILURE_WINDOW_MS = 300
-/** Losses that a rack failure may explain are kept for this long: the detection of others may take so long. */
-const LOSSES_KEPT_MS = 10_000
+/** Workers that stop responding within this time of each other have a common cause. */
+const COMMON_CAUSE_WINDOW_MS = 300
 /** A task that has been in progress for this long has not caused the earlier crashes. */
 const CLEARED_AFTER_MS = 60_000
 
-/** A worker that has crashed although no isolated run explains it. */
+/** A worker that has crashed although no trial explains it. */
 interface UnexplainedLoss {
   readonly worker: string
-  readonly rack: string
-  readonly unreachableSince: number
+  readonly silentSince: number
+  /** Tasks that had just been started there. */
+  readonly starting: readonly Task[]
 }
 
 /**
@@ -36,7 +46,7 @@
 export class CrashTracker {
   private readonly table: JobTable
   private readonly workers: ReadonlyMap<string, TrackedWorker>
-  private lastUnexplained: UnexplainedLoss[] = []
+  private unexplained: UnexplainedLoss[] = []
 
   /**
    * @param table - jobs of the service
@@ -51,18 +61,22 @@
    * Records a crash with the tasks of the runs that were lost, and gives up the job of a task that has certainly caused it.
    * @param worker - worker that has crashed
    * @param runs - runs that were lost with it
+   * @param now - time of the injected clock
    */
-  recordCrash (worker: TrackedWorker, runs: readonly Run[]): void {
-    const lost = runs.filter(({ task }) => !task.done && !task.step.job.isFinished())
-    const starting = lost.filter(run => !hasSettled(run))
+  recordCrash (worker: TrackedWorker, runs: readonly Run[], now: number): void {
+    const silentSince = worker.unreachableSince ?? now
+    const lost = runs.filter(run => !run.task.done && !run.task.step.job.isFinished() && !isNotExecuted(run))
     const onTrial = lost.filter(isOnTrial)
-    const isRackFailure = this.isRackFailure(worker, onTrial.length > 0)
-    for (const run of isRackFailure ? new Set([...starting, ...onTrial]) : lost) this.addCrash(run, worker)
-    const others = starting.filter(run => run.task.step.job !== onTrial[0]?.task.step.job)
-    const byStart = onTrial.every(run => run.isolation === 'start')
-    const required = (byStart ? MAX_CRASHES_BY_START : MAX_CRASHES_LATER) + (isRackFailure ? 1 : 0) + (others.length > 0 ? 1 : 0)
-    const culprit = mostCrashed(onTrial.map(run => run.task))
-    if (culprit !== undefined && culprit.crashes.length >= required) this.giveUp(culprit)
+    const hasCommonCause = this.haveOthersFailed(worker, silentSince)
+    const isProof = onTrial.length > 0 && !hasCommonCause && lost.every(run => hasSameSuspect(run, onTrial) || !isSuspicious(run))
+    if (!isProof && worker.lastResponseAt !== undefined) {
+      const starting = lost.filter(run => isAtStart(run, silentSince)).map(run => run.task)
+      this.unexplained = [...this.unexplained.filter(loss => loss.silentSince > now - QUIET_MS), { worker: worker.incarnation(), silentSince, starting }]
+    }
+    const suspicious = hasCommonCause ? lost.filter(run => !hasSettled(run) || isOnTrial(run)) : lost
+    for (const run of suspicious) this.addCrash(run, { worker, isAtStart: isAtStart(run, silentSince), isOnTrial: isProof && onTrial.includes(run) })
+    const culprit = isProof ? mostCrashed(onTrial.map(run => run.task)) : undefined
+    if (culprit !== undefined && this.isProven(culprit, now)) this.giveUp(culprit)
   }
 
   /**
@@ -73,13 +87,31 @@
     if (run.task.crashes.length > 0 && survivedMs(run) >= CLEARED_AFTER_MS && removeCrashes(run.task, () => true)) this.table.markChanged(run.task.step.job)
   }
 
-  private addCrash (run: Run, worker: TrackedWorker): void {
-    addCrash(run.task, { worker: worker.incarnation(), survivedMs: Math.round(survivedMs(run)) })
+  private addCrash (run: Run, crash: { worker: TrackedWorker, isAtStart: boolean, isOnTrial: boolean }): void {
+    const { worker, isAtStart, isOnTrial } = crash
+    addCrash(run.task, {
+      worker: worker.incarnation(),
+      survivedMs: Math.round(survivedMs(run)),
+      ...(isAtStart ? { atStart: true } : {}),
+      ...(isOnTrial ? { onTrial: true } : {})
+    })
     this.table.markChanged(run.task.step.job)
   }
 
+  /** Returns whether the crashes of a task show that it causes them: workers that crash by themselves do so at any time. */
+  private isProven ({ crashes }: Task, now: number): boolean {
+    const atStart = crashes.filter(crash => crash.atStart)
+    const trialsAtStart = atStart.filter(crash => crash.onTrial).length
+    const others = this.unexplained.filter(loss => loss.silentSince > now - QUIET_MS && !crashes.some(crash => crash.worker === loss.worker))
+    const isQuiet = others.every(loss => loss.starting.some(isUntried))
+    if (atStart.length >= MIN_CRASHES_AT_START && trialsAtStart >= (isQuiet ? 1 : MIN_TRIALS_AT_START)) return true
+    const trials = crashes.filter(crash => crash.onTrial)
+    return crashes.length >= MIN_CRASHES_LATER && trials.length >= MIN_TRIALS_LATER && areOfSimilarAge(trials)
+  }
+
   private giveUp (culprit: Task): void {
     const workers = new Set(culprit.crashes.map(crash => crash.worker))
+    this.unexplained = this.unexplained.filter(loss => !workers.has(loss.worker))
     this.table.fail(culprit.step.job, { reason: 'CRASHES_WORKERS', task: culprit.name, workers: [...workers] })
     for (const job of this.table.jobs.values()) {
       if (!job.isFinished() && this.clearTasks(job, workers)) this.table.markChanged(job)
@@ -96,18 +128,11 @@
     return cleared
   }
 
-  /** Returns whether others of the rack, which no isolated run has crashed, stopped responding together with the worker. */
-  private isRackFailure (worker: TrackedWorker, isExplained: boolean): boolean {
-    const { registration: { rack }, unreachableSince } = worker
-    if (rack === '' || unreachableSince === undefined) return false
-    const isNear = (since: number | undefined): boolean => since !== undefined && Math.abs(since - unreachableSince) <= RACK_FAILURE_WINDOW_MS
-    const silent = [...this.workers.values()].filter(other => other !== worker && other.registration.rack === rack && !other.ended && ![...other.runs.values()].some(isOnTrial))
-    const lost = this.lastUnexplained.filter(each => each.rack === rack && each.worker !== worker.incarnation())
-    if (!isExplained) {
-      const recent = this.lastUnexplained.filter(each => each.unreachableSince > unreachableSince - LOSSES_KEPT_MS)
-      this.lastUnexplained = [...recent, { worker: worker.incarnation(), rack, unreachableSince }]
-    }
-    return silent.some(other => isNear(other.unreachableSince)) || lost.some(each => isNear(each.unreachableSince))
+  /** Returns whether other workers, which no trial has crashed, stopped responding at the same time. */
+  private haveOthersFailed (worker: TrackedWorker, silentSince: number): boolean {
+    const isNear = (since: number | undefined): boolean => since !== undefined && Math.abs(since - silentSince) <= COMMON_CAUSE_WINDOW_MS
+    const silent = [...this.workers.values()].filter(other => other !== worker && !other.ended && ![...other.runs.values()].some(isOnTrial))
+    return silent.some(other => isNear(other.unreachableSince)) || this.unexplained.some(loss => loss.worker !== worker.incarnation() && isNear(loss.silentSince))
   }
 }
 
@@ -116,12 +141,44 @@
  * a task with several crashes and has not survived the earlier runs by much.
  */
 function isOnTrial (run: Run): boolean {
-  if (run.isolation === undefined) return false
+  if (run.isolation === undefined || isNotExecuted(run)) return false
   if (run.isolation === 'start') return !hasSettled(run)
   const longestSurvivalMs = Math.max(...run.task.crashes.map(crash => crash.survivedMs))
   return survivedMs(run) < Math.max(MIN_TRIAL_MS, TRIAL_FACTOR * longestSurvivalMs)
 }
 
+/** Returns whether the worker had responded without listing the run, whose start has had no response: it is not executed, or late. */
+function isNotExecuted (run: Run): boolean {
+  return run.phase === 'unsettled' && run.outlivedStart
+}
+
+/** Returns whether the worker stopped responding right after the start of the run. */
+function isAtStart (run: Run, silentSince: number): boolean {
+  const windowMs = run.isolation === undefined ? START_CRASH_WINDOW_MS : ISOLATED_START_CRASH_WINDOW_MS
+  return !hasSettled(run) && !run.outlivedStart && silentSince - run.startedAt <= windowMs
+}
+
+/** Returns whether a run may have crashed its worker instead of one on trial. */
+function isSuspicious (run: Run): boolean {
+  return !hasSettled(run) || needsIsolation(run.task)
+}
+
+/** Returns whether a run belongs to the job of those on trial, so that either of them speaks against that job. */
+function hasSameSuspect (run: Run, onTrial: readonly Run[]): boolean {
+  return onTrial.some(other => other.task.step.job === run.task.step.job)
+}
+
+/** Returns whether a task that had just been started when its worker crashed has not been started successfully since. */
+function isUntried (task: Task): boolean {
+  return !task.done && !task.step.job.isFinished() && !task.runs.some(hasSettled)
+}
+
+/** Returns whether runs had lasted about as long as each other when their workers crashed. */
+function areOfSimilarAge (crashes: readonly Crash[]): boolean {
+  const ages = crashes.map(crash => crash.survivedMs)
+  return Math.max(...ages) <= AGE_FACTOR * Math.min(...ages) + AGE_RESOLUTION_MS
+}
+
 function mostCrashed (tasks: readonly Task[]): Task | undefined {
   return tasks.reduce<Task | undefined>((most, task) => most === undefined || task.crashes.length > most.crashes.length ? task : most, undefined)
 }
--- a/jobs/scheduler/src/crash.ts
+++ b/jobs/scheduler/src/crash.ts
@@ -13,6 +13,10 @@
   readonly worker: string
   /** How long the run had certainly been in progress, on the worker's clock, in milliseconds. */
   readonly survivedMs: number
+  /** The worker stopped responding right after the start of the run. */
+  readonly atStart?: boolean | undefined
+  /** The run was isolated, and nothing else can have crashed the worker but a cause from outside the service. */
+  readonly onTrial?: boolean | undefined
 }
 
 /**
--- a/jobs/scheduler/src/run.ts
+++ b/jobs/scheduler/src/run.ts
@@ -28,6 +28,11 @@
    * this incarnation's clock. Another incarnation under the same id may have executed a start that was confirmed otherwise.
    */
   begunHere: boolean
+  /**
+   * The worker has responded to a poll that was sent once the run would have settled: the start has not crashed it, unless the
+   * command is executed later.
+   */
+  outlivedStart: boolean
   /** Polls that are sent after this time list the run if it is in progress. */
   confirmedAt: number | undefined
   /** Reason for stopping the run; undefined while it is not to be stopped. */
@@ -51,3 +56,54 @@
   /** Speed last set for the run, in percent of full speed; NaN when it is not known. */
   speedPercent: number
 }
+
+/**
+ * @param task - a task
+ * @param worker - the worker on which it is started, or that has reported it
+ * @param opts - attempt number, and time of the injected clock
+ * @returns a run whose start is about to be sent
+ */
+export function createRun (task: Task, worker: TrackedWorker, opts: { attempt: number, now: number }): Run {
+  return {
+    task,
+    worker,
+    attempt: opts.attempt,
+    phase: 'sending',
+    startedAt: opts.now,
+    startCallEndedAt: undefined,
+    begunHere: false,
+    outlivedStart: false,
+    confirmedAt: undefined,
+    stopReason: undefined,
+    stopSentAt: undefined,
+    stopAcknowledgedAt: undefined,
+    percent: 0,
+    startedWorkerClockMs: undefined,
+    progressedWorkerClockMs: 0,
+    load: 0,
+    foundSlow: false,
+    isolation: undefined,
+    speedPercent: 100
+  }
+}
+
+/**
+ * @param run - a run on an incarnation that has ended
+ * @param worker - the next incarnation under the same id
+ * @returns the run as it may be in progress there, or begin there late
+ */
+export function carriedOver (run: Run, worker: TrackedWorker): Run {
+  return {
+    ...run,
+    worker,
+    begunHere: false,
+    outlivedStart: true,
+    stopSentAt: undefined,
+    stopAcknowledgedAt: undefined,
+    percent: 0,
+    startedWorkerClockMs: undefined,
+    progressedWorkerClockMs: 0,
+    isolation: undefined,
+    speedPercent: Number.NaN
+  }
+}
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@wisteriaslip/core.result'
 import { parseTaskName, type ActiveRun, type EndedRun, type Job, type JobLimits, type Resources, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
 import { countUnavailableTasks } from './availability.ts'
+import { SETTLE_MS } from './crash.ts'
 import { CrashTracker } from './crash-tracker.ts'
 import { DemandEstimator } from './demand-estimator.ts'
 import { Isolation } from './isolation.ts'
@@ -9,7 +10,7 @@
 import { canPlace } from './placement.ts'
 import { isUnplaceable } from './unplaceable.ts'
 import { PermitRequester } from './permit-requester.ts'
-import type { Run } from './run.ts'
+import { carriedOver, createRun, type Run } from './run.ts'
 import { DurationEstimator, findStragglers } from './stragglers.ts'
 import { TaskPlacer } from './task-placer.ts'
 import { attachRun, detachRun, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
@@ -121,7 +122,7 @@
   endIncarnation (worker: TrackedWorker, opts: { planned: boolean } = { planned: false }): void {
     if (worker.ended) return
     const planned = opts.planned || worker.withdrawn || worker.registration.draining
-    if (!planned) this.crashTracker.recordCrash(worker, [...worker.runs.values(), ...worker.expiredRuns])
+    if (!planned) this.crashTracker.recordCrash(worker, [...worker.runs.values(), ...worker.expiredRuns], this.opts.clock.now())
     this.recordLoss(worker, planned ? lossCauses.planned : lossCauses.crashed)
     worker.ended = true
     worker.expiredRuns = []
@@ -168,6 +169,7 @@
     // Commands for the previous incarnation named a time of its clock, and grant the longest lease here.
     if (worker.restarted && !worker.fenced) worker.assumeEarlierLease(this.opts.limits.longestLeaseMs)
     worker.markReachable(opts.receivedAt)
+    for (const run of worker.runs.values()) run.outlivedStart ||= opts.sentAt - run.startedAt >= SETTLE_MS
     this.applyEndedRuns(worker, report.ended, unknownJobs)
     const listedRuns = new Set<string>()
     for (const running of report.running) {
@@ -368,17 +370,7 @@
    */
   private carryOverRun (run: Run, worker: TrackedWorker): void {
     this.releaseRun(run)
-    const carried: Run = {
-      ...run,
-      worker,
-      begunHere: false,
-      stopSentAt: undefined,
-      stopAcknowledgedAt: undefined,
-      percent: 0,
-      startedWorkerClockMs: undefined,
-      progressedWorkerClockMs: 0,
-      speedPercent: Number.NaN
-    }
+    const carried = carriedOver(run, worker)
     worker.add(carried)
     attachRun(carried)
     if (run.phase === 'running') {
@@ -503,26 +495,7 @@
 
   private addRun (task: Task, worker: TrackedWorker, attempt: number): Run {
     const now = this.opts.clock.now()
-    const run: Run = {
-      task,
-      worker,
-      attempt,
-      phase: 'sending',
-      startedAt: now,
-      startCallEndedAt: undefined,
-      begunHere: false,
-      confirmedAt: undefined,
-      stopReason: undefined,
-      stopSentAt: undefined,
-      stopAcknowledgedAt: undefined,
-      percent: 0,
-      startedWorkerClockMs: undefined,
-      progressedWorkerClockMs: worker.clockAt(now),
-      load: 0,
-      foundSlow: false,
-      isolation: undefined,
-      speedPercent: 100
-    }
+    const run = createRun(task, worker, { attempt, now })
     task.lastAttempt = Math.max(task.lastAttempt, attempt)
     attachRun(run)
     worker.add(run)
--- a/jobs/scheduler/src/worker-loss.ts
+++ b/jobs/scheduler/src/worker-loss.ts
@@ -21,6 +21,9 @@
   readonly phase: Run['phase']
   /** How long the run had certainly been in progress, on the worker's clock, in milliseconds. */
   readonly survivedMs: number
+  /** Whether the worker has responded since its start would have crashed it. */
+  readonly outlivedStart: boolean
+  readonly isolation: Run['isolation']
   /** Crashes of workers that the task has been part of and that no other task has caused. */
   readonly crashes: number
 }
@@ -47,5 +50,5 @@
  * @returns what the log says about it
  */
 export function toLostRun (run: Run): LostRun {
-  return { task: run.task.name, attempt: run.attempt, phase: run.phase, survivedMs: Math.round(survivedMs(run)), crashes: run.task.crashes.length }
+  return { task: run.task.name, attempt: run.attempt, phase: run.phase, survivedMs: Math.round(survivedMs(run)), outlivedStart: run.outlivedStart, isolation: run.isolation, crashes: run.task.crashes.length }
 }
--- /dev/null
+++ b/jobs/scheduler/test/unrelated-crashes.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { CrashModel } from './crash-model.ts'
+import { job, SchedulerHarness, step, worker } from './harness.ts'
+
+const JOB = '00000000000000aa'
+const TASK = `${JOB}.0.0.0`
+const demand = { cpu: 1_000, memMb: 100, accelerators: 0 }
+
+/**
+ * A leader whose worker crashed just after the only task of a job had been started there.
+ * @param others - workers that are there afterwards, in racks of their own
+ */
+function suspectTask (...others: string[]): SchedulerHarness {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  harness.addJob({ id: JOB, steps: [step({ lasting: true, demand })] })
+  assert.equal(harness.startReadyTasks().length, 1)
+  harness.worker('w1').markUnreachable(harness.now)
+  harness.scheduler.endIncarnation(harness.worker('w1'))
+  harness.persist()
+  harness.scheduler.setWorkers(others.map(id => worker(id, { rack: id })), { unknownRunsUntil: 0 })
+  for (const id of others) harness.report(id)
+  return harness
+}
+
+/** Lets a worker crash, as its leader sees it. */
+function crash (harness: SchedulerHarness, id: string): void {
+  harness.worker(id).markUnreachable(harness.now)
+  harness.now += 300
+  harness.scheduler.endIncarnation(harness.worker(id))
+}
+
+function outcome (harness: SchedulerHarness): string | undefined {
+  return harness.scheduler.table.jobs.get(JOB)?.outcome
+}
+
+// A start without a response counted as what crashed its worker, whenever that crashed: the job was given up.
+test('a job is not given up when its worker crashes long after an isolated start that got no response', () => {
+  const harness = suspectTask('w2')
+  assert.equal(harness.startWithoutResponse().isolation, 'start')
+  harness.now += 100
+  harness.report('w2')
+  harness.now += 1_000
+  crash(harness, 'w2')
+  assert.equal(outcome(harness), undefined)
+})
+
+// Only workers of one rack were taken to have a common cause: the job was given up.
+test('a job is not given up when workers of other racks crash together with that of its isolated task', () => {
+  const harness = suspectTask('w2', 'w3', 'w4')
+  const run = harness.startWithoutResponse()
+  harness.now += 10
+  for (const id of ['w2', 'w3', 'w4']) harness.worker(id).markUnreachable(harness.now)
+  crash(harness, run.worker.registration.id)
+  assert.equal(outcome(harness), undefined)
+})
+
+// Of workers that crash now and then, some have just been sent a suspected task: one such crash was proof enough.
+test('where other workers crash as well, one crash at the start of an isolated task proves nothing', () => {
+  const harness = suspectTask('w2', 'w3')
+  crash(harness, 'w3')
+  harness.now += 2_000
+  harness.report('w2')
+  const run = harness.startWithoutResponse()
+  harness.now += 10
+  crash(harness, run.worker.registration.id)
+  assert.equal(outcome(harness), undefined)
+})
+
+// A long-running task whose workers lost power three times was taken for the cause: its job was given up, and its other tasks stopped.
+test('a job is not given up when a worker of a long-running task loses power three times, each time some seconds after its start', () => {
+  const model = new CrashModel({ workers: 8, fuseMs: () => undefined })
+  model.addJob(job({ id: JOB, steps: [step({ lasting: true, tasks: 3, perWorker: 1, mayMiss: 1, demand })] }))
+  for (let times = 0; times < 3; times++) {
+    model.run(6_500)
+    model.crashWorkersWith(TASK)
+  }
+  model.run(10_000)
+  assert.equal(model.outcome(JOB), undefined)
+  assert.equal(model.scheduler.table.jobs.get(JOB)?.task({ occurrence: 0, step: 0, index: 0 })?.runs.length, 1)
+})
