Isolated tasks of a job no longer wait for each other's trials for long

Callers saw: tasks of a long-running job ran nowhere for many seconds after the last crash, although there was room.

Cause: one task of a job was tried at a time, and each held up the next for two seconds if it had been on two workers that crashed, or if its start had had no response. Nothing ended that as a whole; a new term began anew with the same first tasks.

Now a run that has survived its start holds up others only during the first two seconds, one whose worker has responded without listing it not at all, and after four seconds without another crash all suspected tasks of the job are started like others.

Tests: all long-running tasks of a job run soon after crashes of all its workers, two of each; a suspected task whose worker responds without running it does not hold up the others of its job. Both failed before.

--- a/jobs/scheduler/src/isolation.ts
+++ b/jobs/scheduler/src/isolation.ts
@@ -12,6 +12,8 @@
 const MAX_SETTLED_WAIT_MS = 2_000
 /** How long other suspected tasks of a job wait until an isolated run shows whether it crashes its worker. */
 const MAX_VERDICT_WAIT_MS = 2_000
+/** Tasks of a job that are still suspected then are started like others: each is started within that time of a crash. */
+const MAX_SUSPICION_WAIT_MS = 4_000
 /** A worker gets no other starts until the isolated run of a task with several crashes has been in progress for this long. */
 const MAX_CLOSED_MS = 2_000
 /** Weights of runs that would be lost with the worker: a long-running task is costly, and no task should be hit again. */
@@ -63,6 +65,12 @@
     let waiting: Task | undefined
     for (const task of suspectedSteps.flatMap(step => startableSuspects(step, opts.now)).sort(compareSuspicion)) {
       if (runs.length >= opts.maxRuns) break
+      if (this.waitedMs(task.step.job, opts.now) >= MAX_SUSPICION_WAIT_MS) {
+        const unsuspected = this.startAnywhere(task, this.placer.permittedWorkers(task.step, workers, opts.now), opts.now)
+        runs.push(...unsuspected)
+        if (unsuspected.length === 0) waiting ??= task
+        continue
+      }
       if (this.isBeingTried(task.step.job, opts.now)) continue
       const started = this.start(task, this.usableWorkers(task, workers, closed, opts.now), opts.now)
       for (const run of started) {
@@ -100,13 +108,17 @@
     const empty = usable.filter(worker => disruptionOf(worker, job) === 0)
     const choices = waitedMs >= MAX_EMPTY_WAIT_MS ? [empty, usable] : [empty]
     for (const choice of choices) {
-      const runs = step.spec.gang ? this.placer.placeGang(step, choice, now) : this.startSingle(task, choice)
+      const runs = this.startAnywhere(task, choice, now)
       for (const run of runs) run.isolation = isolation
       if (runs.length > 0) return runs
     }
     return []
   }
 
+  private startAnywhere (task: Task, workers: readonly TrackedWorker[], now: number): readonly Run[] {
+    return task.step.spec.gang ? this.placer.placeGang(task.step, workers, now) : this.startSingle(task, workers)
+  }
+
   private waitedMs (job: TrackedJob, now: number): number {
     const known = this.waits.get(job)
     if (known?.crashVersion === job.crashVersion) return now - known.since
@@ -119,9 +131,14 @@
     return worker === undefined ? [] : [this.placer.placeOn(task, worker)]
   }
 
-  /** Returns whether an isolated run of the job has yet to show whether it crashes its worker. */
+  /**
+   * Returns whether an isolated run of the job has yet to show whether it crashes its worker. One that has survived its start
+   * holds up others only until they have waited for long.
+   */
   private isBeingTried (job: TrackedJob, now: number): boolean {
-    return [...this.isolated].some(run => run.task.step.job === job && closesWorker(run) && !run.worker.ended && now - run.startedAt < MAX_VERDICT_WAIT_MS)
+    const maySettle = this.waitedMs(job, now) < MAX_SETTLED_WAIT_MS
+    const pending = [...this.isolated].filter(run => run.task.step.job === job && !run.worker.ended && now - run.startedAt < MAX_VERDICT_WAIT_MS)
+    return pending.some(run => isUndecided(run) || (maySettle && hasSettled(run) && closesWorker(run)))
   }
 
   private hasOtherSuspect (worker: TrackedWorker, job: TrackedJob): boolean {
@@ -145,6 +162,11 @@
   return Math.min(...task.crashes.map(crash => crash.survivedMs))
 }
 
+/** Returns whether the worker may have been crashed by the start of the run, or may yet be by one that is on its way. */
+function isUndecided (run: Run): boolean {
+  return !hasSettled(run) && !run.outlivedStart
+}
+
 function closesWorker (run: Run): boolean {
   return !hasSettled(run) || (run.isolation === 'whole' && survivedMs(run) < MAX_CLOSED_MS)
 }
--- a/jobs/scheduler/test/unrelated-crashes.test.ts
+++ b/jobs/scheduler/test/unrelated-crashes.test.ts
@@ -6,6 +6,10 @@
 const JOB = '00000000000000aa'
 const TASK = `${JOB}.0.0.0`
 const demand = { cpu: 1_000, memMb: 100, accelerators: 0 }
+/** The users' limit for a long-running task that runs nowhere although it could: 3 s after 4 s without disruptions. */
+const MAX_WAIT_MS = 7_000
+/** Workers of the crash model are back this long after a crash. */
+const RESTART_MS = 3_000
 
 /**
  * A leader whose worker crashed just after the only task of a job had been started there.
@@ -80,3 +84,35 @@
   assert.equal(model.outcome(JOB), undefined)
   assert.equal(model.scheduler.table.jobs.get(JOB)?.task({ occurrence: 0, step: 0, index: 0 })?.runs.length, 1)
 })
+
+// Suspected tasks of a job were started one after the other, two seconds apart: the last of twenty ran after 40 s.
+test('all long-running tasks of a job run soon after crashes of all its workers, two of each', () => {
+  const model = new CrashModel({ workers: 4, fuseMs: () => undefined })
+  model.addJob(job({ id: JOB, steps: [step({ lasting: true, tasks: 20, perWorker: 5, demand })] }))
+  for (let times = 0; times < 2; times++) {
+    model.run(10_000)
+    for (const number of [0, 1, 2, 3]) {
+      model.crashRack(`r${number}`)
+      model.run(400)
+    }
+  }
+  model.run(RESTART_MS + MAX_WAIT_MS)
+  const tasks = model.scheduler.table.jobs.get(JOB)?.occurrences.get(0)?.steps[0]?.tasks ?? []
+  assert.deepEqual(tasks.filter(task => task.runs.length === 0).map(task => task.name), [])
+})
+
+// Two starts of suspected tasks that got no response held up the others of their job for two seconds each.
+test('a suspected task whose worker responds without running it does not hold up the others of its job', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  harness.addJob({ id: JOB, steps: [step({ lasting: true, tasks: 2, demand })] })
+  assert.equal(harness.startReadyTasks().length, 2)
+  crash(harness, 'w1')
+  harness.persist()
+  harness.scheduler.setWorkers(['w2', 'w3'].map(id => worker(id)), { unknownRunsUntil: 0 })
+  for (const id of ['w2', 'w3']) harness.report(id)
+  const first = harness.startWithoutResponse()
+  harness.now += 100
+  for (const id of ['w2', 'w3']) harness.report(id)
+  assert.deepEqual(harness.startReadyTasks().map(run => run.worker === first.worker), [false])
+})
