Crashes some time after a start count as the task's only if its workers fall silent at the same age

Cause: ages of 0.1 to 1.1 s counted as similar, and were measured by the last response, up to a poll too early. Now the record keeps how long after the start the worker fell silent (trialMs in place of onTrial), and the ages must agree within a tenth and 0.2 s.

Test: a job is not given up when the workers of its isolated task crash at different times after its start; failed before.

--- a/jobs/scheduler/src/crash-tracker.ts
+++ b/jobs/scheduler/src/crash-tracker.ts
@@ -1,5 +1,5 @@
 import type { JobTable } from './job-table.ts'
-import { addCrash, hasSettled, needsIsolation, removeCrashes, type Crash } from './crash.ts'
+import { addCrash, hasSettled, needsIsolation, removeCrashes } from './crash.ts'
 import type { Run } from './run.ts'
 import type { Task, TrackedJob } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
@@ -13,9 +13,9 @@
 /** A task that crashes its workers later is proven the cause by that many crashes, that many of them during trials. */
 const MIN_CRASHES_LATER = 5
 const MIN_TRIALS_LATER = 3
-/** Such a task does so at about the same age: the times differ by less than this factor, beyond what polls can tell. */
-const AGE_FACTOR = 2
-const AGE_RESOLUTION_MS = 1_000
+/** Such a task does so at the same age, but for the speed of its workers and the time it takes to notice. */
+const MAX_AGE_SPREAD = 0.1
+const MAX_AGE_ERROR_MS = 200
 /**
  * A worker that stops responding within this time of a start may have been crashed by it. After the start of an isolated run it
  * is polled at once, and the silence of one that does not even refuse connections shows when that poll times out.
@@ -74,7 +74,7 @@
       this.unexplained = [...this.unexplained.filter(loss => loss.silentSince > now - QUIET_MS), { worker: worker.incarnation(), silentSince, starting }]
     }
     const suspicious = hasCommonCause ? lost.filter(run => !hasSettled(run) || isOnTrial(run)) : lost
-    for (const run of suspicious) this.addCrash(run, { worker, isAtStart: isAtStart(run, silentSince), isOnTrial: isProof && onTrial.includes(run) })
+    for (const run of suspicious) this.addCrash(run, { worker, isAtStart: isAtStart(run, silentSince), isOnTrial: isProof && onTrial.includes(run), silentSince })
     const culprit = isProof ? mostCrashed(onTrial.map(run => run.task)) : undefined
     if (culprit !== undefined && this.isProven(culprit, now)) this.giveUp(culprit)
   }
@@ -87,13 +87,13 @@
     if (run.task.crashes.length > 0 && survivedMs(run) >= CLEARED_AFTER_MS && removeCrashes(run.task, () => true)) this.table.markChanged(run.task.step.job)
   }
 
-  private addCrash (run: Run, crash: { worker: TrackedWorker, isAtStart: boolean, isOnTrial: boolean }): void {
-    const { worker, isAtStart, isOnTrial } = crash
+  private addCrash (run: Run, crash: { worker: TrackedWorker, isAtStart: boolean, isOnTrial: boolean, silentSince: number }): void {
+    const { worker, isAtStart, isOnTrial, silentSince } = crash
     addCrash(run.task, {
       worker: worker.incarnation(),
       survivedMs: Math.round(survivedMs(run)),
       ...(isAtStart ? { atStart: true } : {}),
-      ...(isOnTrial ? { onTrial: true } : {})
+      ...(isOnTrial ? { trialMs: Math.round(silentSince - run.startedAt) } : {})
     })
     this.table.markChanged(run.task.step.job)
   }
@@ -101,12 +101,12 @@
   /** Returns whether the crashes of a task show that it causes them: workers that crash by themselves do so at any time. */
   private isProven ({ crashes }: Task, now: number): boolean {
     const atStart = crashes.filter(crash => crash.atStart)
-    const trialsAtStart = atStart.filter(crash => crash.onTrial).length
+    const trialsAtStart = atStart.filter(crash => crash.trialMs !== undefined).length
     const others = this.unexplained.filter(loss => loss.silentSince > now - QUIET_MS && !crashes.some(crash => crash.worker === loss.worker))
     const isQuiet = others.every(loss => loss.starting.some(isUntried))
     if (atStart.length >= MIN_CRASHES_AT_START && trialsAtStart >= (isQuiet ? 1 : MIN_TRIALS_AT_START)) return true
-    const trials = crashes.filter(crash => crash.onTrial)
-    return crashes.length >= MIN_CRASHES_LATER && trials.length >= MIN_TRIALS_LATER && areOfSimilarAge(trials)
+    const agesMs = crashes.flatMap(crash => crash.trialMs ?? [])
+    return crashes.length >= MIN_CRASHES_LATER && agesMs.length >= MIN_TRIALS_LATER && areEqualAges(agesMs)
   }
 
   private giveUp (culprit: Task): void {
@@ -173,10 +173,8 @@
   return !task.done && !task.step.job.isFinished() && !task.runs.some(hasSettled)
 }
 
-/** Returns whether runs had lasted about as long as each other when their workers crashed. */
-function areOfSimilarAge (crashes: readonly Crash[]): boolean {
-  const ages = crashes.map(crash => crash.survivedMs)
-  return Math.max(...ages) <= AGE_FACTOR * Math.min(...ages) + AGE_RESOLUTION_MS
+function areEqualAges (agesMs: readonly number[]): boolean {
+  return Math.max(...agesMs) * (1 - MAX_AGE_SPREAD) - MAX_AGE_ERROR_MS <= Math.min(...agesMs)
 }
 
 function mostCrashed (tasks: readonly Task[]): Task | undefined {
--- a/jobs/scheduler/src/crash.ts
+++ b/jobs/scheduler/src/crash.ts
@@ -15,8 +15,11 @@
   readonly survivedMs: number
   /** The worker stopped responding right after the start of the run. */
   readonly atStart?: boolean | undefined
-  /** The run was isolated, and nothing else can have crashed the worker but a cause from outside the service. */
-  readonly onTrial?: boolean | undefined
+  /**
+   * How long after the start of the run the worker stopped responding, in milliseconds, if the run was isolated and nothing else
+   * can have crashed the worker but a cause from outside the service; undefined for other crashes.
+   */
+  readonly trialMs?: number | undefined
 }
 
 /**
--- a/jobs/scheduler/test/crash-model.ts
+++ b/jobs/scheduler/test/crash-model.ts
@@ -87,6 +87,11 @@
     for (const each of this.workers.values()) if (each.running.has(task)) this.crash(each)
   }
 
+  /** @returns whether a task runs on some worker */
+  isRunning (task: string): boolean {
+    return [...this.workers.values()].some(each => each.running.has(task))
+  }
+
   /** Lets time pass, in milliseconds. */
   run (ms: number): void {
     for (const until = this.now + ms; this.now < until; this.now += STEP_MS) this.step()
--- a/jobs/scheduler/test/unrelated-crashes.test.ts
+++ b/jobs/scheduler/test/unrelated-crashes.test.ts
@@ -85,6 +85,20 @@
   assert.equal(model.scheduler.table.jobs.get(JOB)?.task({ occurrence: 0, step: 0, index: 0 })?.runs.length, 1)
 })
 
+// Crashes at ages between 0.1 and 1.5 s counted as about equal, so that a few coincidences gave a job up.
+test('a job is not given up when the workers of its isolated task crash at different times after its start', () => {
+  const model = new CrashModel({ workers: 6, fuseMs: () => undefined })
+  model.addJob(job({ id: JOB, steps: [step({ lasting: true, demand })] }))
+  for (const ms of [2_000, 2_000, 300, 1_100, 700, 1_500, 400]) {
+    for (let waitedMs = 0; waitedMs < MAX_WAIT_MS && !model.isRunning(TASK); waitedMs += 10) model.run(10)
+    model.run(ms)
+    model.crashWorkersWith(TASK)
+    model.run(10)
+  }
+  model.run(MAX_WAIT_MS)
+  assert.equal(model.outcome(JOB), undefined)
+})
+
 // Suspected tasks of a job were started one after the other, two seconds apart: the last of twenty ran after 40 s.
 test('all long-running tasks of a job run soon after crashes of all its workers, two of each', () => {
   const model = new CrashModel({ workers: 4, fuseMs: () => undefined })
