Isolated tasks are started only on workers that have just responded

An idle worker is polled for two seconds at a time, so that its death is noticed up to 2.7 s later, and isolated tasks go to idle workers first.

Cause: nothing showed that the worker was alive when the start was sent. Now it is polled at once if it has not responded for 150 ms, and the task is started when it responds; a crash by a start also counts only if the worker responded until then, or confirmed the start. A start on a dead worker would also have kept its task until that worker's end was proven.

In capacity.test.ts the worker whose capacity has grown again now responds once more before it is given the isolated task; the check is the same.

--- a/jobs/scheduler/src/crash-tracker.ts
+++ b/jobs/scheduler/src/crash-tracker.ts
@@ -1,5 +1,5 @@
 import type { JobTable } from './job-table.ts'
-import { addCrash, hasSettled, needsIsolation, removeCrashes } from './crash.ts'
+import { addCrash, FRESH_RESPONSE_MS, hasSettled, needsIsolation, removeCrashes } from './crash.ts'
 import type { Run } from './run.ts'
 import type { Task, TrackedJob } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
@@ -152,10 +152,12 @@
   return run.phase === 'unsettled' && run.outlivedStart
 }
 
-/** Returns whether the worker stopped responding right after the start of the run. */
+/** Returns whether the worker responded until the start of the run, and stopped right after it. */
 function isAtStart (run: Run, silentSince: number): boolean {
+  const { worker, startedAt } = run
   const windowMs = run.isolation === undefined ? START_CRASH_WINDOW_MS : ISOLATED_START_CRASH_WINDOW_MS
-  return !hasSettled(run) && !run.outlivedStart && silentSince - run.startedAt <= windowMs
+  const wasAlive = run.confirmedAt !== undefined || startedAt - (worker.lastResponseAt ?? Number.NEGATIVE_INFINITY) <= FRESH_RESPONSE_MS
+  return wasAlive && !hasSettled(run) && !run.outlivedStart && silentSince - startedAt <= windowMs
 }
 
 /** Returns whether a run may have crashed its worker instead of one on trial. */
--- a/jobs/scheduler/src/crash.ts
+++ b/jobs/scheduler/src/crash.ts
@@ -4,6 +4,8 @@
 
 /** A run that has been in progress for this long on its worker's clock has not crashed the worker by its start. */
 export const SETTLE_MS = 50
+/** A worker that has responded within this time is taken to be alive. */
+export const FRESH_RESPONSE_MS = 150
 /** Number of crashes from which a task is isolated although its runs had settled. */
 const REPEATED_CRASHES = 2
 
@@ -13,7 +15,7 @@
   readonly worker: string
   /** How long the run had certainly been in progress, on the worker's clock, in milliseconds. */
   readonly survivedMs: number
-  /** The worker stopped responding right after the start of the run. */
+  /** The worker responded until the start of the run, and to nothing that was sent after it. */
   readonly atStart?: boolean | undefined
   /**
    * How long after the start of the run the worker stopped responding, in milliseconds, if the run was isolated and nothing else
--- a/jobs/scheduler/src/isolation.ts
+++ b/jobs/scheduler/src/isolation.ts
@@ -1,4 +1,4 @@
-import { hasRepeatedCrashes, hasSettled, needsIsolation } from './crash.ts'
+import { FRESH_RESPONSE_MS, hasRepeatedCrashes, hasSettled, needsIsolation } from './crash.ts'
 import { canPlace, couldFitEventually } from './placement.ts'
 import type { Run } from './run.ts'
 import type { TaskPlacer } from './task-placer.ts'
@@ -43,6 +43,7 @@
   private readonly placer: TaskPlacer
   private readonly isolated = new Set<Run>()
   private readonly waits = new WeakMap<TrackedJob, Wait>()
+  private readonly workersToPoll = new Set<TrackedWorker>()
 
   /** @param placer - starts a task on a worker */
   constructor (placer: TaskPlacer) {
@@ -84,6 +85,16 @@
     return { runs, openWorkers: workers.filter(worker => !closed.has(worker)) }
   }
 
+  /**
+   * @returns workers that are about to get an isolated run and have not responded for a while, since the previous call: one that has
+   * died unnoticed would look as if the run had crashed it
+   */
+  takeWorkersToPoll (): readonly TrackedWorker[] {
+    const workers = [...this.workersToPoll]
+    this.workersToPoll.clear()
+    return workers
+  }
+
   private usableWorkers (task: Task, workers: readonly TrackedWorker[], closed: ReadonlySet<TrackedWorker>, now: number): readonly TrackedWorker[] {
     return this.placer.permittedWorkers(task.step, workers, now).filter(worker => !closed.has(worker))
   }
@@ -108,7 +119,7 @@
     const empty = usable.filter(worker => disruptionOf(worker, job) === 0)
     const choices = waitedMs >= MAX_EMPTY_WAIT_MS ? [empty, usable] : [empty]
     for (const choice of choices) {
-      const runs = this.startAnywhere(task, choice, now)
+      const runs = step.spec.gang ? this.placer.placeGang(step, choice, now) : this.startOnResponsive(task, choice, now)
       for (const run of runs) run.isolation = isolation
       if (runs.length > 0) return runs
     }
@@ -131,6 +142,14 @@
     return worker === undefined ? [] : [this.placer.placeOn(task, worker)]
   }
 
+  private startOnResponsive (task: Task, workers: readonly TrackedWorker[], now: number): readonly Run[] {
+    const worker = leastDisruptive(workers.filter(each => canPlace(task.step, each)), task.step.job)
+    if (worker === undefined) return []
+    if (now - (worker.lastResponseAt ?? Number.NEGATIVE_INFINITY) <= FRESH_RESPONSE_MS) return [this.placer.placeOn(task, worker)]
+    this.workersToPoll.add(worker)
+    return []
+  }
+
   /**
    * Returns whether an isolated run of the job has yet to show whether it crashes its worker. One that has survived its start
    * holds up others only until they have waited for long.
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -269,6 +269,11 @@
     return [...isolatedRuns, ...this.placer.place(placeable, openWorkers, { now, maxRuns: maxRuns - isolatedRuns.length })]
   }
 
+  /** @returns workers that must be polled at once, before a suspected task is started there */
+  takeWorkersToPoll (): readonly TrackedWorker[] {
+    return this.isolation.takeWorkersToPoll()
+  }
+
   /** @returns demand of the ready tasks that have no run, see {@link JobTable.waiting} */
   waitingDemand (): Resources {
     const workers = [...this.workers.values()].filter(worker => !worker.ended && !worker.deregistered)
--- a/jobs/scheduler/test/capacity.test.ts
+++ b/jobs/scheduler/test/capacity.test.ts
@@ -72,6 +72,7 @@
   harness.now += 5_000
   assert.deepEqual(harness.startReadyTasks(), [])
   harness.scheduler.setWorkers([worker('w2', { capacity: FULL })], { unknownRunsUntil: 0 })
+  harness.report('w2')
   assert.equal(harness.startReadyTasks().length, 1)
 })
 
--- a/jobs/scheduler/test/unrelated-crashes.test.ts
+++ b/jobs/scheduler/test/unrelated-crashes.test.ts
@@ -50,6 +50,16 @@
   assert.equal(outcome(harness), undefined)
 })
 
+// An idle worker is noticed late to have died: an isolated task that was started there meanwhile was taken for the cause.
+test('an isolated task is started only on a worker that has just responded', () => {
+  const harness = suspectTask('w2')
+  harness.now += 1_500
+  assert.deepEqual(harness.startReadyTasks(), [])
+  assert.deepEqual(harness.scheduler.takeWorkersToPoll().map(each => each.registration.id), ['w2'])
+  harness.report('w2')
+  assert.equal(harness.startReadyTasks().length, 1)
+})
+
 // Only workers of one rack were taken to have a common cause: the job was given up.
 test('a job is not given up when workers of other racks crash together with that of its isolated task', () => {
   const harness = suspectTask('w2', 'w3', 'w4')
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -211,6 +211,7 @@
       takeoverMonitor.observe(components.scheduler)
       logLosses(components.scheduler, this.opts)
       for (const run of components.scheduler.placeReadyTasks(this.startWindow.free())) this.sendStart(run, signal)
+      for (const worker of components.scheduler.takeWorkersToPoll()) this.sessions.get(worker)?.pollNow()
       for (const run of components.scheduler.collectDueStops()) this.send(run, signal, async session => await session.stop(run, signal))
       for (const request of components.scheduler.permitRequester.collect()) this.requestPermits(components.scheduler, request, signal).catch(() => {})
       components.writer.wake()
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -48,7 +48,9 @@
   private readonly recorded = new Wakeup()
   private currentPoll: LinkedAbort | undefined
   private readonly starts = new Set<LinkedAbort>()
-  /** The next poll does not wait for a completion. */
+  /** The poll in progress waits for a completion. */
+  private currentPollWaits = false
+  /** The next poll does not. */
   private pollAtOnce = false
 
   constructor (worker: TrackedWorker, scheduler: Scheduler, opts: ServiceTermOpts, events: SessionEvents) {
@@ -72,6 +74,12 @@
     for (const start of this.starts) start.abort()
   }
 
+  /** Replaces the poll in progress by one that does not wait for a completion. */
+  pollNow (): void {
+    this.pollAtOnce = true
+    if (this.currentPollWaits) this.currentPoll?.abort()
+  }
+
   /** Signals that progress records were written. The next poll need not wait if all the worker's completions are durable. */
   notifyRecorded (): void {
     if (this.worker.pendingCompletions.size === 0) this.recorded.wake()
@@ -120,8 +128,7 @@
   /** Replaces the poll in progress by one that shows at once whether the worker has survived the start of a run. */
   private async pollOnceSettled (signal: AbortSignal, opts: { unless?: () => boolean } = {}): Promise<void> {
     if (!await delay(SETTLE_MS * CLOCK_DRIFT_FACTOR, signal) || opts.unless?.() === true) return
-    this.pollAtOnce = true
-    this.currentPoll?.abort()
+    this.pollNow()
   }
 
   /**
@@ -146,6 +153,7 @@
     const sentAt = this.opts.clock.now()
     const waitMs = worker.fenced && worker.reachable && !this.pollAtOnce ? this.pollWaitMs() : 0
     this.pollAtOnce = false
+    this.currentPollWaits = waitMs > 0
     const leaseUntilMs = this.canExtendLease(sentAt) ? worker.extendLease(sentAt, WORKER_LEASE_MS) : undefined
     const currentPoll = linkAbort(signal)
     this.currentPoll = currentPoll
