A leader no longer grants the lease that it only allows for

Seen: scenario 462 of the model of a service as a whole: a task ran twice at once. The leader of the first term had allowed a restarted worker for commands meant for the incarnation before, and for the longest lease; extendLease returned that, so that each later start and poll granted it. The next leader allows for leases of 4.2 s, as the term's record says, held the silent worker for lost and started its task again.

The other effect: a restarted worker that is then lost keeps its tasks for the longest lease, 6 to 10 s on the users' sites, instead of 4 s.

Now the lease that a leader has granted and the one that it allows for are kept apart; both must have expired before runs are released.

Test: a leader does not grant a restarted worker the longest lease; failed before.

--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -68,7 +68,10 @@
   emptySince: number | undefined
   private clockMs = 0
   private clockReadAt = Number.NEGATIVE_INFINITY
+  /** Expiry of the lease that this leader has granted, on the worker's clock. */
   private leaseUntilMs = Number.NEGATIVE_INFINITY
+  /** Expiry of leases that may have been granted without its knowledge. */
+  private unknownLeaseUntilMs = Number.NEGATIVE_INFINITY
   private cpu = 0
   private memMb = 0
   private accelerators = 0
@@ -239,7 +242,7 @@
    * @param maxLeaseMs - longest such lease in milliseconds
    */
   assumeEarlierLease (maxLeaseMs: number): void {
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, this.clockMs + maxLeaseMs)
+    this.unknownLeaseUntilMs = Math.max(this.unknownLeaseUntilMs, this.clockMs + maxLeaseMs)
   }
 
   /**
@@ -250,9 +253,9 @@
     if (this.ended) return now >= this.unknownRunsUntil
     const unknownUntil = Math.max(this.unknownRunsUntil, this.lateStartsUntil)
     if (now < unknownUntil && !this.fenced) return false
-    const hasLease = this.hasClock() && this.leaseUntilMs !== Number.NEGATIVE_INFINITY
-    if (!hasLease) return now >= unknownUntil
-    return this.clockMs + (now - this.clockReadAt) * MIN_CLOCK_RATE > this.leaseUntilMs
+    const leaseUntilMs = Math.max(this.leaseUntilMs, this.unknownLeaseUntilMs)
+    if (!this.hasClock() || leaseUntilMs === Number.NEGATIVE_INFINITY) return now >= unknownUntil
+    return this.clockMs + (now - this.clockReadAt) * MIN_CLOCK_RATE > leaseUntilMs
   }
 
   /** @returns highest sequence number up to which all completions are durable */
--- a/jobs/scheduler/test/restarted-worker.test.ts
+++ b/jobs/scheduler/test/restarted-worker.test.ts
@@ -126,3 +126,14 @@
   harness.report('w1', { running: [running(TASK, 1)] })
   assert.deepEqual(harness.startReadyTasks(), [])
 })
+
+// A leader granted the lease that it only allowed for. The next leader, which allows for the usual one, started the tasks of a worker again that
+// was silent and still ran them.
+test('a leader does not grant a restarted worker the longest lease because commands for the one before may have', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  registerNextIncarnation(harness)
+  reportOfNextIncarnation(harness, {})
+  const tracked = harness.worker('w1')
+  assert.ok(tracked.extendLease(harness.now, 4_000) - tracked.clockAt(harness.now) <= 4_000)
+})
