A restarted worker is allowed the longest lease only if a command for the one before may have reached it

Cause: the leader allowed for commands that had been meant for the previous incarnation without looking whether any could arrive. A call ends with its connection, so that an incarnation that begins later never gets its command. Now calls that grant a lease are counted: it is allowed for only if one of them had not ended when the new incarnation began, by its clock, or while leaders of earlier terms may still have calls in progress.

Test: runs of a restarted worker are released with its lease if all calls that granted one before had ended; fails if the lease is always allowed for, as it was.

--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -69,6 +69,8 @@
   private readonly opts: SchedulerOpts
   private readonly runsToStop = new Set<Run>()
   private losses: WorkerLoss[] = []
+  /** Until this time of the injected clock, newly tracked workers may execute commands of earlier leaders. */
+  private unknownRunsUntil = Number.NEGATIVE_INFINITY
   private readonly durationEstimator = new DurationEstimator()
   private readonly demandEstimator: DemandEstimator
   private readonly placer: TaskPlacer
@@ -107,7 +109,8 @@
    */
   setWorkers (registrations: readonly WorkerRegistration[], opts: { unknownRunsUntil: number }): void {
     const registeredIds = new Set(registrations.map(registration => registration.id))
-    for (const registration of registrations) this.registerWorker(registration, opts.unknownRunsUntil)
+    this.unknownRunsUntil = opts.unknownRunsUntil
+    for (const registration of registrations) this.registerWorker(registration)
     for (const worker of this.workers.values()) {
       if (!registeredIds.has(worker.registration.id)) worker.deregistered = true
     }
@@ -166,8 +169,7 @@
     const unknownJobs = new Set<string>()
     const orphans: OrphanedRun[] = []
     worker.recordClock(report.clockMs, opts.receivedAt)
-    // Commands for the previous incarnation named a time of its clock, and grant the longest lease here.
-    if (worker.restarted && !worker.fenced) worker.assumeEarlierLease(this.opts.limits.longestLeaseMs)
+    if (!worker.fenced) worker.assumePreviousLeases({ clockMs: report.clockMs, receivedAt: opts.receivedAt }, { longestLeaseMs: this.opts.limits.longestLeaseMs, earlierLeadersUntil: this.unknownRunsUntil })
     worker.markReachable(opts.receivedAt)
     for (const run of worker.runs.values()) run.outlivedStart ||= opts.sentAt - run.startedAt >= SETTLE_MS
     this.applyEndedRuns(worker, report.ended, unknownJobs)
@@ -179,7 +181,7 @@
     worker.hasUntrackedRuns = orphans.length > 0 || unknownJobs.size > 0
     worker.hasUnlistedCompletions = report.moreEnded
     if (unknownJobs.size === 0 && !report.moreEnded) {
-      worker.fenced = true
+      worker.markFenced()
       this.handleMissingRuns(worker, listedRuns, opts.sentAt)
     }
     if (!report.moreEnded) this.handleStragglers(worker, report.clockMs)
@@ -353,7 +355,7 @@
     this.losses.push({ worker: worker.registration, cause, runs: [...worker.runs.values()].map(toLostRun) })
   }
 
-  private registerWorker (registration: WorkerRegistration, unknownRunsUntil: number): void {
+  private registerWorker (registration: WorkerRegistration): void {
     const existing = this.workers.get(registration.id)
     if (existing !== undefined && existing.registration.born === registration.born && !existing.ended) {
       existing.registration = registration
@@ -364,7 +366,7 @@
     if (existing !== undefined) this.endIncarnation(existing)
     const unresolvedRuns = [...existing?.runs.values() ?? []]
     const lateStartsUntil = unresolvedRuns.length === 0 ? 0 : this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
-    const worker = new TrackedWorker(registration, { unknownRunsUntil, lateStartsUntil, restarted: existing !== undefined })
+    const worker = new TrackedWorker(registration, { unknownRunsUntil: this.unknownRunsUntil, lateStartsUntil, previous: existing })
     this.workers.set(registration.id, worker)
     for (const run of unresolvedRuns) this.carryOverRun(run, worker)
   }
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -64,6 +64,8 @@
   private readonly lateStartsUntil: number
   /** Another incarnation under this id was tracked before: commands that were meant for it may have been executed here. */
   readonly restarted: boolean
+  /** That incarnation, until a report of this one has been applied completely. */
+  private previous: TrackedWorker | undefined
   /** When a report first showed the worker without runs, by the injected clock; undefined while there is no such report. */
   emptySince: number | undefined
   private clockMs = 0
@@ -72,17 +74,21 @@
   private leaseUntilMs = Number.NEGATIVE_INFINITY
   /** Expiry of leases that may have been granted without its knowledge. */
   private unknownLeaseUntilMs = Number.NEGATIVE_INFINITY
+  /** Calls that grant a lease and have not ended. */
+  private leaseCalls = 0
+  private lastLeaseCallEndedAt = Number.NEGATIVE_INFINITY
   private cpu = 0
   private memMb = 0
   private accelerators = 0
   private lasting = 0
   private readonly runsByStep = new Map<TrackedStep, number>()
 
-  constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number, lateStartsUntil?: number, restarted?: boolean }) {
+  constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number, lateStartsUntil?: number, previous?: TrackedWorker | undefined }) {
     this.registration = registration
     this.unknownRunsUntil = opts.unknownRunsUntil
     this.lateStartsUntil = opts.lateStartsUntil ?? 0
-    this.restarted = opts.restarted ?? false
+    this.previous = opts.previous
+    this.restarted = opts.previous !== undefined
   }
 
   /** @returns a text that identifies the incarnation */
@@ -226,7 +232,7 @@
   }
 
   /**
-   * Extends the lease that is about to be granted. Never shortens it.
+   * Extends the lease that a call is about to grant. Never shortens it. The caller reports the end of the call.
    * @param now - time of the injected clock
    * @param leaseMs - length of the lease in milliseconds
    * @returns expiry of the lease on the worker's clock, in milliseconds
@@ -234,9 +240,41 @@
   extendLease (now: number, leaseMs: number): number {
     const until = Math.round(this.clockAt(now) + leaseMs)
     this.leaseUntilMs = Math.max(this.leaseUntilMs, until)
+    this.leaseCalls += 1
     return this.leaseUntilMs
   }
 
+  /**
+   * Notes that a call that grants a lease has ended, with a response or without one. Its connection is closed with it.
+   * @param now - time of the injected clock
+   */
+  endLeaseCall (now: number): void {
+    this.leaseCalls -= 1
+    this.lastLeaseCallEndedAt = now
+  }
+
+  /**
+   * Allows for leases that commands for earlier incarnations may have granted here: those that had not ended when this one
+   * began. They name a time of another clock, so that the worker cuts them to the longest lease.
+   * @param firstReport - clock of the first report, and when it was received, by the injected clock
+   * @param opts - longest lease in milliseconds; until when earlier leaders may send commands, by the injected clock
+   */
+  assumePreviousLeases (firstReport: { clockMs: number, receivedAt: number }, opts: { longestLeaseMs: number, earlierLeadersUntil: number }): void {
+    const bornAt = firstReport.receivedAt - (firstReport.clockMs + CLOCK_ROUNDING_MS) / MIN_CLOCK_RATE
+    if (this.previous === undefined) return
+    if (bornAt < opts.earlierLeadersUntil || this.previous.mayGrantLeaseAfter(bornAt)) this.assumeEarlierLease(opts.longestLeaseMs)
+  }
+
+  /** Notes that a report was applied completely. */
+  markFenced (): void {
+    this.fenced = true
+    this.previous = undefined
+  }
+
+  private mayGrantLeaseAfter (time: number): boolean {
+    return this.leaseCalls > 0 || this.lastLeaseCallEndedAt >= time || this.previous?.mayGrantLeaseAfter(time) === true
+  }
+
   /**
    * Allows for a lease that may have been granted without this leader's knowledge just before the worker's clock was read.
    * @param maxLeaseMs - longest such lease in milliseconds
--- a/jobs/scheduler/test/restarted-worker.test.ts
+++ b/jobs/scheduler/test/restarted-worker.test.ts
@@ -137,3 +137,21 @@
   const tracked = harness.worker('w1')
   assert.ok(tracked.extendLease(harness.now, 4_000) - tracked.clockAt(harness.now) <= 4_000)
 })
+
+// A restarted worker that was then lost for good kept its tasks for the longest lease, 10 s for some users, whatever it had been sent before.
+test('runs of a restarted worker are released with its lease if all calls that granted one before had ended', () => {
+  const harness = new SchedulerHarness()
+  const [previous] = harness.addWorkers(worker('w1'))
+  previous?.endLeaseCall(harness.now)
+  harness.addJob()
+  harness.now += 1_000
+  harness.scheduler.setWorkers([worker('w1', { born: 2 })], { unknownRunsUntil: 0 })
+  reportOfNextIncarnation(harness, {})
+  harness.worker('w1').extendLease(harness.now, 4_000)
+  const [run] = harness.startReadyTasks()
+  assert.equal(run?.worker.registration.born, 2)
+  run.worker.markUnreachable(harness.now)
+  harness.now += 4_200
+  harness.scheduler.tick()
+  assert.equal(run.task.runs.length, 0)
+})
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -97,7 +97,7 @@
     const command = { task: task.name, attempt, payload: task.step.job.job.payload, leaseUntilMs, checkpoint: task.checkpoint, permit }
     const sentAt = this.opts.clock.now()
     if (run.isolation !== undefined) this.pollOnceSettled(signal, { unless: () => run.phase === 'running' }).catch(() => {})
-    const response = await this.sendStart(command, signal)
+    const response = await this.sendStart(command, signal).finally(() => this.worker.endLeaseCall(this.opts.clock.now()))
     this.opts.metrics.observe('worker_start_us', { service: this.opts.service }, this.opts.clock.now() - sentAt)
     if (!response.ok) this.handleError(response.error, 'start', task.name)
     else if (this.worker.isOwnClock({ clockMs: response.value, sentAt })) this.worker.recordClock(response.value, this.opts.clock.now())
@@ -160,6 +160,7 @@
     // Another incarnation numbers its completions anew: while the worker may have restarted, none is acknowledged.
     const seenSeq = worker.reachable ? worker.seenSeq() : 0
     const response = await withTimeout(waitMs + POLL_TIMEOUT_MARGIN_MS, currentPoll.signal, async inner => await this.opts.workerClient.poll(this.endpoint(), { leaseUntilMs, seenSeq, waitMs }, inner))
+      .finally(() => { if (leaseUntilMs !== undefined) worker.endLeaseCall(this.opts.clock.now()) })
     currentPoll.release()
     const wasEndedEarly = currentPoll.signal.aborted && !response.ok
     if (signal.aborted || wasEndedEarly) return
