A worker that responds as another incarnation is tracked as that one at once

A worker had restarted under its id, and its next incarnation had begun starts of the leader before. The new leader's first poll showed another incarnation; it took the one in its term's record for ended, so that the runs of all workers counted as known, and started the tasks elsewhere. Some 0.3 s later the next incarnation was registered, and listed the runs.

Cause: between a poll that shows another incarnation and its registration nobody tracked that one. Now the session's poll makes the scheduler track it, with what the registration of the one before says, until the new registration arrives; tasks of earlier terms wait for its report, as they do for other workers.

Test: after a takeover, a worker that responds as another incarnation is asked before tasks are started elsewhere; there was no such operation before. Without the tracking (endIncarnation alone) it starts the task elsewhere.

--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -137,6 +137,18 @@
     if (removable && this.workers.get(worker.registration.id) === worker) this.workers.delete(worker.registration.id)
   }
 
+  /**
+   * Ends an incarnation whose id has responded as another one, and tracks that one, registered or not: it may have executed
+   * commands that were meant for the other, also those of earlier leaders.
+   * @param worker - the incarnation that has ended
+   * @param born - what identifies the other one under the same id
+   */
+  replaceIncarnation (worker: TrackedWorker, born: number): void {
+    const { registration } = worker
+    if (this.workers.get(registration.id) === worker) this.registerWorker({ ...registration, born })
+    this.endIncarnation(worker)
+  }
+
   /**
    * Releases the runs of an ended incarnation that are over, whichever incarnation under its id has got their start: one that
    * begins after the call has ended, with a response or without, never gets it.
--- a/jobs/scheduler/test/restarted-worker.test.ts
+++ b/jobs/scheduler/test/restarted-worker.test.ts
@@ -155,3 +155,16 @@
   harness.scheduler.tick()
   assert.equal(run.task.runs.length, 0)
 })
+
+// A leader that took over knew that nothing ran on a worker any more, started its tasks elsewhere, and then met the next incarnation
+// with them: the earlier leader's starts had reached it.
+test('after a takeover, a worker that responds as another incarnation is asked before tasks are started elsewhere', () => {
+  const harness = new SchedulerHarness({ term: 1 })
+  harness.addJob({}, { acceptedThisTerm: false })
+  harness.scheduler.setWorkers([worker('w1'), worker('w2')], { unknownRunsUntil: harness.now + 6_000 })
+  harness.report('w2')
+  harness.scheduler.replaceIncarnation(harness.worker('w1'), 2)
+  assert.deepEqual(harness.startReadyTasks(), [])
+  harness.report('w1', { running: [running(TASK, 1)] })
+  assert.deepEqual(harness.startReadyTasks(), [])
+})
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -172,7 +172,7 @@
     const report = response.value
     if (report.born !== undefined && worker.registration.born !== 0 && report.born !== worker.registration.born) {
       this.opts.logger.info({ worker: worker.registration.id, born: report.born }, 'worker restarted')
-      this.scheduler.endIncarnation(worker)
+      this.scheduler.replaceIncarnation(worker, report.born)
       this.events.onChange()
       return
     }
