Trials of one job do not keep a worker closed one after the other

Now a run that has survived its start closes its worker for two seconds only if it was started within the first two seconds of its job's wait. Of several tasks on trial on a worker each is looked at, not only the one with the most crashes: where tasks of one job share the worker, the ages of the runs tell which is the cause.

Test: trials of one job do not keep a worker from others for long; failed before.

--- a/jobs/scheduler/src/crash-tracker.ts
+++ b/jobs/scheduler/src/crash-tracker.ts
@@ -75,8 +75,8 @@
     }
     const suspicious = hasCommonCause ? lost.filter(run => !hasSettled(run) || isOnTrial(run)) : lost
     for (const run of suspicious) this.addCrash(run, { worker, isAtStart: isAtStart(run, silentSince), isOnTrial: isProof && onTrial.includes(run), silentSince })
-    const culprit = isProof ? mostCrashed(onTrial.map(run => run.task)) : undefined
-    if (culprit !== undefined && this.isProven(culprit, now)) this.giveUp(culprit)
+    const culprit = isProof ? onTrial.find(run => this.isProven(run.task, now)) : undefined
+    if (culprit !== undefined) this.giveUp(culprit.task)
   }
 
   /**
@@ -178,7 +178,3 @@
 function areEqualAges (agesMs: readonly number[]): boolean {
   return Math.max(...agesMs) * (1 - MAX_AGE_SPREAD) - MAX_AGE_ERROR_MS <= Math.min(...agesMs)
 }
-
-function mostCrashed (tasks: readonly Task[]): Task | undefined {
-  return tasks.reduce<Task | undefined>((most, task) => most === undefined || task.crashes.length > most.crashes.length ? task : most, undefined)
-}
--- a/jobs/scheduler/src/isolation.ts
+++ b/jobs/scheduler/src/isolation.ts
@@ -61,7 +61,7 @@
     for (const run of this.isolated) if (!run.task.runs.includes(run)) this.isolated.delete(run)
     const suspectedSteps = steps.filter(step => step.suspects > 0)
     if (this.isolated.size === 0 && suspectedSteps.length === 0) return { runs: [], openWorkers: workers }
-    const closed = new Set([...this.isolated].filter(closesWorker).map(run => run.worker))
+    const closed = new Set([...this.isolated].filter(run => this.closesWorker(run, opts.now)).map(run => run.worker))
     const runs: Run[] = []
     let waiting: Task | undefined
     for (const task of suspectedSteps.flatMap(step => startableSuspects(step, opts.now)).sort(compareSuspicion)) {
@@ -157,7 +157,14 @@
   private isBeingTried (job: TrackedJob, now: number): boolean {
     const maySettle = this.waitedMs(job, now) < MAX_SETTLED_WAIT_MS
     const pending = [...this.isolated].filter(run => run.task.step.job === job && !run.worker.ended && now - run.startedAt < MAX_VERDICT_WAIT_MS)
-    return pending.some(run => isUndecided(run) || (maySettle && hasSettled(run) && closesWorker(run)))
+    return pending.some(run => isUndecided(run) || (maySettle && hasSettled(run) && this.closesWorker(run, now)))
+  }
+
+  /** Returns whether the worker gets no other starts: until the run has settled, and longer only for the first trials of a job. */
+  private closesWorker (run: Run, now: number): boolean {
+    if (!hasSettled(run)) return true
+    if (run.isolation !== 'whole' || survivedMs(run) >= MAX_CLOSED_MS) return false
+    return this.waitedMs(run.task.step.job, now) - (now - run.startedAt) < MAX_SETTLED_WAIT_MS
   }
 
   private hasOtherSuspect (worker: TrackedWorker, job: TrackedJob): boolean {
@@ -186,10 +193,6 @@
   return !hasSettled(run) && !run.outlivedStart
 }
 
-function closesWorker (run: Run): boolean {
-  return !hasSettled(run) || (run.isolation === 'whole' && survivedMs(run) < MAX_CLOSED_MS)
-}
-
 /** Chooses the worker with the least to lose; of several, the one that responded last, as an idle worker that has died is noticed late. */
 function leastDisruptive (workers: readonly TrackedWorker[], job: TrackedJob): TrackedWorker | undefined {
   const ranked = workers.map(worker => ({ worker, disruption: disruptionOf(worker, job), heardAt: worker.lastResponseAt ?? 0 }))
--- a/jobs/scheduler/test/isolation.test.ts
+++ b/jobs/scheduler/test/isolation.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import { SchedulerHarness, running, step, worker } from './harness.ts'
 
+const JOB = '00000000000000aa'
 const demand = { cpu: 1_000, memMb: 100, accelerators: 0 }
 /** A task for which there is capacity must not wait for longer. */
 const MAX_WAIT_MS = 3_000
@@ -58,3 +59,18 @@
     assert.deepEqual(harness.startReadyTasks().map(run => run.worker.registration.id), [heard])
   })
 }
+
+// Each of a job's trials kept its worker closed for two seconds, one after the other: a task of another job waited for all of them.
+test('trials of one job do not keep a worker from others for long', () => {
+  const harness = suspectTasks(3, 'w2')
+  for (const task of harness.scheduler.table.jobs.get(JOB)?.occurrences.get(0)?.steps[0]?.tasks ?? []) task.crashes = [{ worker: 'a', survivedMs: 500 }, { worker: 'b', survivedMs: 500 }]
+  const started = new Map<string, number>()
+  const startedAt = harness.now
+  while (harness.now < startedAt + MAX_WAIT_MS) {
+    harness.report('w2', { running: [...started].map(([task, attempt]) => running(task, attempt)) })
+    for (const run of harness.startReadyTasks()) started.set(run.task.name, run.attempt)
+    if (harness.now === startedAt + PASS_MS) harness.addJob({ id: '00000000000000bb', steps: [step({ demand })] })
+    harness.now += PASS_MS
+  }
+  assert.ok(started.has('00000000000000bb.0.0.0'))
+})
