A worker has ended once its VM is missing from the lists, and a vacant VM settles unanswered starts

Cause: only a VM that was listed in another state proved an end. A missing one proved something only about incarnations that had ended.

Now a VM that was listed in the term, and that no complete list has shown for 1.5 s, proves the end of a worker that does not respond; one that is merely disconnected stays listed. If lists show the VM without any worker for 1.5 s, starts whose calls had ended before are over. A silent worker whose VM is listed as up, with it or without a worker named, is kept as before.

Tests: lost-worker-detector.test.ts, two of four new cases failed before; the others show what still proves nothing.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -13,6 +13,10 @@
 const REQUIRED_VM_LISTS = 2
 /** How long consecutive lists must not show a VM that is gone: one may be left out of some lists while it changes. */
 const MIN_ABSENCE_MS = 500
+/** The same where that would prove that a worker which does not respond has ended: one that is merely disconnected stays listed. */
+const MIN_ABSENCE_OF_ENDED_MS = 1_500
+/** How long consecutive lists must show no worker on a VM, so that no incarnation that they do not show yet runs there. */
+const MIN_VACANCY_MS = 1_500
 
 /** What a list of VMs tells about VMs that it has no readable entry of. */
 export interface VmListCoverage {
@@ -36,6 +40,8 @@
   lastOffAt: number | undefined
   /** When the first of the consecutive lists that do not show its VM was requested; undefined when the last one shows it. */
   absentSince: number | undefined
+  /** When the first of the consecutive lists that show no worker on its VM was requested; undefined when the last one shows one. */
+  vacantSince: number | undefined
   /** Number of lists that were requested. */
   lists: number
   nextListAt: number
@@ -57,7 +63,7 @@
 
 /**
  * Detects from the list of VMs that incarnations of unresponsive workers have ended, long before their leases expire: a
- * VM that was moved, maintained or powered off no longer runs what it ran before. A start with an unknown outcome may have
+ * VM that was moved, maintained, powered off or removed no longer runs what it ran before. A start with an unknown outcome may have
  * reached a later incarnation under the same id; it is released once lists that were requested after its call had ended show
  * that nothing runs on the VM, or once its VM has another worker or is gone.
  */
@@ -81,7 +87,7 @@
     }
     for (const worker of this.scheduler.workers.values()) {
       const proof = this.proofNeeded(worker)
-      if (proof !== undefined && !this.suspects.has(worker)) this.suspects.set(worker, { proof, since: now, confirmations: 0, lastOffAt: undefined, absentSince: undefined, lists: 0, nextListAt: now + VM_LIST_CHECK_AFTER_MS })
+      if (proof !== undefined && !this.suspects.has(worker)) this.suspects.set(worker, { proof, since: now, confirmations: 0, lastOffAt: undefined, absentSince: undefined, vacantSince: undefined, lists: 0, nextListAt: now + VM_LIST_CHECK_AFTER_MS })
     }
     const due = [...this.suspects.values()].filter(suspect => now >= suspect.nextListAt)
     for (const suspect of due) {
@@ -110,14 +116,16 @@
       const vmId = worker.registration.vm
       const vm = byId.get(vmId)
       suspect.confirmations = provesLoss(proof, vm, worker) ? suspect.confirmations + 1 : 0
-      const offSince = observeOff(suspect, { isOff: vm !== undefined && cannotRun(vm, worker), requestedAt })
+      const isAbsent = coverage.complete && !shown.has(vmId) && this.listedVms.has(vmId)
+      const isVacant = isAbsent || (coverage.complete && vm !== undefined && vm.worker === '')
+      suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt : undefined
+      suspect.vacantSince = isVacant ? suspect.vacantSince ?? requestedAt : undefined
+      const offSince = observeOff(suspect, { isOff: vm !== undefined && cannotRun(vm, worker), requestedAt }) ?? provenVacantSince(suspect, requestedAt)
       if (proof === 'replaced' && offSince !== undefined) {
         const unansweredStarts = this.scheduler.releaseOverRuns(worker, offSince)
         if (unansweredStarts > 0) lost.push({ worker, proof: 'off', unansweredStarts, vmState: vm?.state })
         if (worker.runs.size === 0) continue
       }
-      const isAbsent = coverage.complete && !shown.has(vmId) && this.listedVms.has(vmId)
-      suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt : undefined
       if (suspect.confirmations < REQUIRED_VM_LISTS && !isGone(suspect, requestedAt)) continue
       if (proof === 'ended') this.endIncarnation(worker, { planned: isPlanned(vm, worker), offSince })
       lost.push({ worker, proof, unansweredStarts: worker.runs.size, vmState: vm?.state })
@@ -154,9 +162,14 @@
   return list.isOff ? previousOffAt : undefined
 }
 
-/** Returns whether no list has shown the VM for so long that its worker, whose incarnation has ended, cannot restart under its id. */
+/** Returns since when no list has shown a worker on the VM, if that is long enough to prove that there is none. */
+function provenVacantSince ({ vacantSince }: SuspectedLoss, requestedAt: number): number | undefined {
+  return vacantSince !== undefined && requestedAt - vacantSince >= MIN_VACANCY_MS ? vacantSince : undefined
+}
+
+/** Returns whether no list has shown the VM for so long that its worker has ended, or, if it has, cannot restart under its id. */
 function isGone ({ proof, absentSince }: SuspectedLoss, requestedAt: number): boolean {
-  return proof === 'replaced' && absentSince !== undefined && requestedAt - absentSince >= MIN_ABSENCE_MS
+  return absentSince !== undefined && requestedAt - absentSince >= (proof === 'ended' ? MIN_ABSENCE_OF_ENDED_MS : MIN_ABSENCE_MS)
 }
 
 /** Returns whether the VM, as listed, shows what is to be proven. */
--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -337,3 +337,55 @@
   const { harness, detector } = loseWorkerWithUnansweredStart()
   assert.equal(applyQuickLists(harness, detector, [{ vms: [OTHER_VM] }, { vms: [vm({ worker: 'w9' })] }, { vms: [OTHER_VM] }]), 0)
 })
+
+/** A leader with a confirmed run on a worker that does not respond any more. */
+function loseWorker () {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
+  applyVmListAfterDelay(harness, detector, [vm()])
+  detector.applyVmList([vm()], harness.now)
+  harness.addJob()
+  const run = harness.startReadyTasks()[0]
+  assert.ok(run !== undefined)
+  harness.worker('w1').markUnreachable(harness.now)
+  return { harness, detector, run }
+}
+
+// A worker that was removed with its VM kept its tasks until its lease had expired, which took 10 s if it had restarted before.
+test('runs of an unresponsive worker are over once its VM has been missing from all lists for a while', () => {
+  const { harness, detector, run } = loseWorker()
+  for (let times = 0; times < 4; times++) assert.equal(applyVmListAfterDelay(harness, detector, [vm({ id: 'vm-other' })]), 0)
+  for (let times = 0; times < 3; times++) applyVmListAfterDelay(harness, detector, [vm({ id: 'vm-other' })])
+  assert.equal(run.task.runs.length, 0)
+})
+
+test('lists that show the VM of an unresponsive worker without a worker do not prove that it has ended', () => {
+  const { harness, detector, run } = loseWorker()
+  for (let times = 0; times < 10; times++) assert.equal(applyVmListAfterDelay(harness, detector, [vm({ worker: '' })]), 0)
+  assert.equal(run.task.runs.length, 1)
+})
+
+test('lists that may leave VMs out do not prove that one is missing', () => {
+  const { harness, detector, run } = loseWorker()
+  for (let times = 0; times < 10; times++) {
+    detector.needsVmList()
+    harness.now += 300
+    assert.deepEqual(detector.applyVmList([vm({ id: 'vm-other' })], harness.now, { unreadable: [], complete: false }), [])
+  }
+  assert.equal(run.task.runs.length, 1)
+})
+
+// A start without a response on a worker that had ended was kept for twice the longest lease while its VM was up without a worker.
+test('an unanswered start on an ended worker is released once its VM has been up without a worker for a while', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
+  harness.addJob()
+  const run = harness.startWithoutResponse()
+  harness.worker('w1').markUnreachable(harness.now)
+  harness.scheduler.endIncarnation(run.worker)
+  for (let times = 0; times < 4; times++) assert.equal(applyVmListAfterDelay(harness, detector, [vm({ worker: '' })]), 0)
+  for (let times = 0; times < 3; times++) applyVmListAfterDelay(harness, detector, [vm({ worker: '' })])
+  assert.equal(run.task.runs.length, 0)
+})
