--- a/testing/jobs/test/faulty-service.ts
+++ b/testing/jobs/test/faulty-service.ts
@@ -29,7 +29,7 @@
 }
 
 /** Kinds of faults. Those that last do so for `forMs`, except crashes and failed runs. */
-export const faultKinds = ['reborn', 'replaced', 'gone', 'dark', 'orders', 'store-responses', 'store-down', 'vm-list-silent', 'vm-list-slow', 'late-registrations', 'failed-run', 'job'] as const
+export const faultKinds = ['reborn', 'replaced', 'gone', 'dark', 'orders', 'store-responses', 'store-down', 'vm-list-silent', 'vm-list-slow', 'late-registrations', 'lost-registrations', 'failed-run', 'job'] as const
 
 /** A fault of a scenario: on machines from `first` on, if it concerns machines. */
 export interface Fault {
@@ -148,6 +148,7 @@
   private setActive (kind: Fault['kind'], change: number, vms: readonly string[]): void {
     this.active.set(kind, (this.active.get(kind) ?? 0) + change)
     if (kind === 'dark') for (const vm of vms) this.workers.setDark(vm, change > 0)
+    if (kind === 'lost-registrations') for (const vm of vms) this.workers.setRegistered(vm, change < 0)
     if (kind === 'orders') this.workers.faultyOrdersPercent = this.isActive(kind) ? 60 : 0
     if (kind === 'orders' && change < 0) this.at(Math.max(this.process.now(), this.workers.lastLateOrderAt), () => {})
     if (kind !== 'store-down') return
--- a/testing/jobs/test/faulty-workers.ts
+++ b/testing/jobs/test/faulty-workers.ts
@@ -122,6 +122,14 @@
     else this.register(machine.incarnation)
   }
 
+  /** Lets the registration of a machine's worker expire, or come back, although the worker is well. */
+  setRegistered (vm: string, registered: boolean): void {
+    const { incarnation, dark } = this.machine(vm)
+    if (incarnation === undefined || dark) return
+    if (registered) this.register(incarnation)
+    else this.deregister(incarnation)
+  }
+
   /** Lets the first run on a machine fail. */
   failRun (vm: string): void {
     const { incarnation } = this.machine(vm)
@@ -164,14 +172,17 @@
 
   private deregisterLater (incarnation: Incarnation): void {
     this.process.outsideAfter(REGISTRATION_LOST_AFTER_MS, () => {
-      const { registration } = incarnation
-      const isBack = incarnation.alive && !this.machine(registration.vm).dark
-      if (isBack || this.registered.get(registration.id) !== registration) return
-      this.registered.delete(registration.id)
-      this.onRegistrations()
+      const isBack = incarnation.alive && !this.machine(incarnation.registration.vm).dark
+      if (!isBack) this.deregister(incarnation)
     })
   }
 
+  private deregister ({ registration }: Incarnation): void {
+    if (this.registered.get(registration.id) !== registration) return
+    this.registered.delete(registration.id)
+    this.onRegistrations()
+  }
+
   private async call<T> (link: { up: boolean }, endpoint: WorkerEndpoint, signal: AbortSignal, carryOut: (worker: Incarnation, respond: (response: Result<T, WorkerError>) => void) => void): Promise<Result<T, WorkerError>> {
     if (signal.aborted) return err({ kind: 'refused', reason: 'not-sent' })
     const machine = this.machine(endpoint.host)
