A request on its way counts although its VM has left the wave's document

Cause: WaveTracker forgot the requests of VMs that a changed document no longer names. Why it works: such requests are kept, recorded for later leaders, and counted against the limit for as long as they may take effect (12 s). A VM that comes back within that time goes on as requested. Cost: the wave has one place less for that time, also if the request never takes effect.

--- a/jobs/fleet/src/wave-places.ts
+++ b/jobs/fleet/src/wave-places.ts
@@ -17,7 +17,7 @@
    */
   constructor (waves: readonly WaveTracker[], fleet: FleetSnapshot) {
     this.fleet = fleet
-    this.counts = new DownCounts(waves, fleet.down)
+    this.counts = new DownCounts(waves, fleet)
   }
 
   /**
--- a/jobs/fleet/src/wave-runner.ts
+++ b/jobs/fleet/src/wave-runner.ts
@@ -290,15 +290,16 @@
 
   private toRecord ({ tracker, reporter }: ActiveWave): WaveRecord {
     const { createRevision, revision } = tracker.wave
+    const now = this.opts.clock.now()
     return {
       createRevision,
       revision,
       begun: tracker.inPhase('begun'),
-      requested: tracker.inPhase('requested'),
+      requested: [...tracker.inPhase('requested'), ...tracker.formerRequests(now)],
       gone: tracker.inPhase('gone'),
       completed: tracker.isDone(),
       reported: tracker.isDone() && reporter.reported() === 'completed',
-      elapsedMs: tracker.elapsedMs(this.opts.clock.now()),
+      elapsedMs: tracker.elapsedMs(now),
       at: this.opts.wallClock()
     }
   }
--- a/jobs/fleet/src/wave-schedule.ts
+++ b/jobs/fleet/src/wave-schedule.ts
@@ -45,22 +45,28 @@
   private readonly waves: readonly WaveTracker[]
   private readonly counted = new Set<string>()
   private readonly counts = new Map<WaveTracker, number>()
+  /** VMs that a wave no longer names, with requests that may take effect if it names them again. */
+  private readonly former: ReadonlyMap<WaveTracker, ReadonlySet<string>>
 
   /**
-   * Counts the VMs that are down.
+   * Counts the VMs that are down, and those that waves no longer name and that may go down if they name them again.
    * @param waves - the waves that are not done
-   * @param down - the VMs that are or may be down for maintenance
+   * @param fleet - the fleet
    */
-  constructor (waves: readonly WaveTracker[], down: DownVms) {
+  constructor (waves: readonly WaveTracker[], { down, now }: Pick<FleetSnapshot, 'down' | 'now'>) {
     this.waves = waves
+    this.former = new Map(waves.map(wave => [wave, new Set(wave.formerRequests(now))]))
     for (const vm of down.ids()) this.add(vm)
+    for (const vms of this.former.values()) for (const vm of vms) this.add(vm)
   }
 
   /** @param vm - id of a VM that may go down */
   add (vm: string): void {
     if (this.counted.has(vm)) return
     this.counted.add(vm)
-    for (const wave of this.waves) if (wave.names(vm)) this.counts.set(wave, this.of(wave) + 1)
+    for (const wave of this.waves) {
+      if (wave.names(vm) || this.former.get(wave)?.has(vm) === true) this.counts.set(wave, this.of(wave) + 1)
+    }
   }
 
   /**
@@ -84,10 +90,10 @@
 /**
  * @param waves - the waves that are not done
  * @param fleet - the fleet
- * @returns the VMs that are down, and those with requests that may yet take effect
+ * @returns the VMs that are down, and those with requests that may yet take effect, also if a wave no longer names them
  */
 export function countDown (waves: readonly WaveTracker[], fleet: FleetSnapshot): DownCounts {
-  const counts = new DownCounts(waves, fleet.down)
+  const counts = new DownCounts(waves, fleet)
   for (const wave of waves) {
     for (const vm of wave.inPhase('requested')) if (mayGoDown(wave, vm, fleet)) counts.add(vm)
   }
--- a/jobs/fleet/src/wave-tracker.ts
+++ b/jobs/fleet/src/wave-tracker.ts
@@ -59,6 +59,8 @@
   private declared: Wave
   private readonly startedAt: number
   private readonly progressOf = new Map<string, VmProgress>()
+  /** Progress of VMs that the wave named before, whose requests may take effect if it names them again. */
+  private readonly formerProgressOf = new Map<string, VmProgress>()
 
   /**
    * @param wave - the wave as declared
@@ -84,17 +86,29 @@
   }
 
   /**
-   * Applies a changed document: VMs that it adds wait, VMs that it no longer names are dropped.
+   * Applies a changed document: VMs that it adds wait, VMs that it no longer names are dropped. A request on its way is kept
+   * track of meanwhile.
    * @param wave - the wave as declared now
    * @param now - time of the injected clock, in milliseconds
    */
   update (wave: Wave, now: number): void {
     this.declared = wave
     const named = new Set(wave.vms)
-    for (const vm of this.progressOf.keys()) if (!named.has(vm)) this.progressOf.delete(vm)
-    for (const vm of named) {
-      if (!this.progressOf.has(vm)) this.progressOf.set(vm, { phase: 'waiting', since: now, refusals: 0, retryAt: now })
-    }
+    for (const vm of this.progressOf.keys()) if (!named.has(vm)) this.drop(vm, now)
+    for (const vm of named) if (!this.progressOf.has(vm)) this.add(vm, now)
+  }
+
+  private drop (vm: string, now: number): void {
+    const progress = this.progressOf.get(vm)
+    this.progressOf.delete(vm)
+    if (progress?.phase === 'requested') this.formerProgressOf.set(vm, { ...progress, unansweredAt: progress.unansweredAt ?? now })
+  }
+
+  private add (vm: string, now: number): void {
+    const former = this.formerProgressOf.get(vm)
+    this.formerProgressOf.delete(vm)
+    const isOnItsWay = isLately(former?.unansweredAt, now)
+    this.progressOf.set(vm, former !== undefined && isOnItsWay ? former : { phase: 'waiting', since: now, refusals: 0, retryAt: now })
   }
 
   /** @returns number of the wave's VMs */
@@ -140,6 +154,14 @@
     return progress.unansweredAt === undefined || isLately(progress.unansweredAt, now)
   }
 
+  /**
+   * @param now - time of the injected clock, in milliseconds
+   * @returns ids of the VMs that the wave no longer names, and whose requests may take effect if it names them again
+   */
+  formerRequests (now: number): string[] {
+    return [...this.formerProgressOf].filter(([, progress]) => isLately(progress.unansweredAt, now)).map(([vm]) => vm)
+  }
+
   /**
    * @param vms - ids of the VMs that are planned in this pass
    * @param now - time of the injected clock, in milliseconds
@@ -182,10 +204,9 @@
 
   /** A request of an earlier leader is repeated at once. */
   private markResumed (vm: string, now: number): void {
-    const progress = this.progressOf.get(vm)
-    if (progress === undefined) return
-    this.setPhase(vm, 'requested', now)
-    progress.unansweredAt = now
+    const resumed: VmProgress = { phase: 'requested', since: now, refusals: 0, retryAt: now, unansweredAt: now }
+    const progressOf = this.progressOf.has(vm) ? this.progressOf : this.formerProgressOf
+    progressOf.set(vm, resumed)
   }
 
   /**
