A request on its way counts for the next wave that has its number

Seen: with a limit of 1, a wave is deleted and created again, or the number of a completed wave is used for other VMs, while a request has no response; another VM goes down, and the late request takes its VM down as well. Cause: the platform knows a wave by its number; the leader began such a wave without the requests recorded under that number. Why it works: the new wave takes them over as requested, so that they count until answered or no longer able to take effect. Cost: a number used again after long, with a request that was recorded last, has one place less for its first 12 s.

--- a/jobs/fleet/src/wave-records.ts
+++ b/jobs/fleet/src/wave-records.ts
@@ -42,6 +42,14 @@
     return record !== undefined && record.completed && record.revision === wave.revision
   }
 
+  /**
+   * @param number - number of a wave
+   * @returns ids of the VMs for which a request may take effect for the wave that has this number now, whichever had it before
+   */
+  requestedUnder (number: number): readonly string[] {
+    return this.stored?.get(number)?.requested ?? []
+  }
+
   /**
    * Writes records, if they differ from those stored.
    * @param changes - records by number of the wave
--- a/jobs/fleet/src/wave-runner.ts
+++ b/jobs/fleet/src/wave-runner.ts
@@ -201,7 +201,7 @@
   /** Continues a wave from the record of earlier leaders, if there is one about this wave. */
   private resume (wave: Wave, now: number): ActiveWave {
     const record = this.records.about(wave)
-    if (record === undefined) return { tracker: new WaveTracker(wave, { now }), reporter: new WaveReporter(this.opts) }
+    if (record === undefined) return { tracker: new WaveTracker(wave, { now, requested: this.records.requestedUnder(wave.number) }), reporter: new WaveReporter(this.opts) }
     const sinceMs = Math.min(Math.max(0, this.opts.wallClock() - record.at), wave.durationMs)
     const tracker = new WaveTracker(wave, { now, begun: begunVms(record, wave), requested: record.requested, gone: record.gone, elapsedMs: record.elapsedMs + sinceMs })
     // Whether the maintenance of these is over is not known until the list describes them.
