WorkerSession: a start has one abort controller again

Since starts are ended with the incarnation of their worker, each linked two abort signals, one to be ended and one for its time-out.

Cause: sendStart linked a signal to the term's, and withTimeout another one to that. The listener that this takes on the first signal costs as much as the rest. Now the signal that can be ended has the time-out itself.

Shown by worker-session.test.ts: 'a start creates a single abort controller' was red before (2 instead of 1). 'a start that gets no response ends after its timeout' passes on both.

--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -99,10 +99,10 @@
   }
 
   private async sendStart (command: StartCommand, signal: AbortSignal): Promise<Result<number, WorkerError>> {
-    const start = linkAbort(signal)
+    const start = linkAbort(signal, COMMAND_TIMEOUT_MS)
     this.starts.add(start)
     try {
-      return await withTimeout(COMMAND_TIMEOUT_MS, start.signal, async inner => await this.opts.workerClient.start(this.endpoint(), command, inner))
+      return await this.opts.workerClient.start(this.endpoint(), command, start.signal)
     } finally {
       this.starts.delete(start)
       start.release()
--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -3,27 +3,57 @@
 import { silentLogger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { err } from '@wisteriaslip/core.result'
+import type { Run } from '@wisteriaslip/jobs.scheduler'
 import { SchedulerHarness, worker } from '../../scheduler/test/harness.ts'
 import { WorkerSession } from '../src/worker-session.ts'
 import type { ServiceTermOpts } from '../src/ports.ts'
 
 // A start in progress when its worker proved to have ended might have reached the next incarnation, and kept its task.
 test('a start in progress is ended with the incarnation of its worker', async t => {
+  const { harness, run, session } = startUntilAborted()
+  const started = session.start(run, '', t.signal)
+  assert.equal(run.startCallEndedAt, undefined)
+  session.abortStarts()
+  await started
+  assert.equal(run.startCallEndedAt, harness.now)
+  assert.equal(run.phase, 'unsettled')
+})
+
+test('a start that gets no response ends after its timeout', async t => {
+  const { harness, run, session } = startUntilAborted()
+  t.mock.timers.enable({ apis: ['setTimeout'] })
+  const started = session.start(run, '', t.signal)
+  t.mock.timers.tick(799)
+  await new Promise(resolve => setImmediate(resolve))
+  assert.equal(run.startCallEndedAt, undefined)
+  t.mock.timers.tick(1)
+  await started
+  assert.equal(run.startCallEndedAt, harness.now)
+  assert.equal(run.phase, 'unsettled')
+})
+
+// Ending starts took a second one, linked to the first, which doubled what the leader spends on a start's timeout.
+test('a start creates a single abort controller', async t => {
+  const { run, session } = startUntilAborted()
+  const construct = t.mock.method(globalThis, 'AbortController')
+  const started = session.start(run, '', t.signal)
+  assert.equal(construct.mock.callCount(), 1)
+  session.abortStarts()
+  await started
+})
+
+/** Returns a session, and a run whose start gets no response until its call is aborted. */
+function startUntilAborted (): { harness: SchedulerHarness, run: Run, session: WorkerSession } {
   const harness = new SchedulerHarness()
   const [tracked] = harness.addWorkers(worker('w1'))
   harness.addJob()
   const [run] = harness.scheduler.placeReadyTasks()
   assert.ok(tracked !== undefined && run !== undefined)
-  const start = async (_endpoint: unknown, _command: unknown, signal: AbortSignal) => {
+  const start = async (_endpoint: unknown, _command: unknown, signal: AbortSignal): Promise<unknown> => {
     await new Promise(resolve => signal.addEventListener('abort', resolve, { once: true }))
     return err({ kind: 'unknown', message: 'aborted' })
   }
   const opts = { service: 's', token: 1, clock: { now: () => harness.now }, workerClient: { start }, logger: silentLogger, metrics: new Metrics() } as unknown as ServiceTermOpts
   const session = new WorkerSession(tracked, harness.scheduler, opts, { onChange: () => {}, onNewerLeader: () => {}, lagMs: () => 0, loadJobs: async () => {} })
-  const started = session.start(run, '', t.signal)
-  assert.equal(run.startCallEndedAt, undefined)
-  session.abortStarts()
-  await started
-  assert.equal(run.startCallEndedAt, harness.now)
-  assert.equal(run.phase, 'unsettled')
-})
+  return { harness, run, session }
+}
