A session whose worker is no longer tracked ends its poll and applies no report

Seen: found-0 of the model of a service as a whole: a long-running task ran nowhere for as long as the term lasted, with room for it. The registration of an idle worker had expired and come back within one long poll; the worker was tracked anew and got a start. The old poll's response, with that run, was applied to the incarnation that nobody looked at any more: a second run of the task, which no pass ends and no session can stop. When the real run ended, the task waited for a run that didn't exist.

Cause: a dropped session only ended its starts. Now it ends its poll, too, and a response that is already there is not applied.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -120,8 +120,9 @@
       const isVacant = isAbsent || (coverage.complete && vm !== undefined && vm.worker === '')
       suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt : undefined
       suspect.vacantSince = isVacant ? suspect.vacantSince ?? requestedAt : undefined
-      const offSince = observeOff(suspect, { isOff: vm !== undefined && cannotRun(vm, worker), requestedAt }) ?? provenVacantSince(suspect, requestedAt)
-      if (proof === 'replaced' && offSince !== undefined) {
+      const vacantSince = provenVacantSince(suspect, requestedAt)
+      const offSince = observeOff(suspect, { isOff: vm !== undefined && cannotRun(vm, worker), requestedAt }) ?? vacantSince
+      if (offSince !== undefined && (proof === 'replaced' || vacantSince !== undefined)) {
         const unansweredStarts = this.scheduler.releaseOverRuns(worker, offSince)
         if (unansweredStarts > 0) lost.push({ worker, proof: 'off', unansweredStarts, vmState: vm?.state })
         if (worker.runs.size === 0) continue
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -150,14 +150,14 @@
   }
 
   /**
-   * Releases the runs of an ended incarnation that are over, whichever incarnation under its id has got their start: one that
+   * Releases the runs of an incarnation that are over, whichever incarnation under its id has got their start: one that
    * begins after the call has ended, with a response or without, never gets it.
-   * @param worker - the incarnation that has ended
+   * @param worker - an incarnation that has ended, or one that may not be running
    * @param offSince - time of the injected clock at which no incarnation under its id was running
    * @returns number of released starts that had no response
    */
   releaseOverRuns (worker: TrackedWorker, offSince: number): number {
-    const over = [...worker.runs.values()].filter(({ startCallEndedAt }) => startCallEndedAt !== undefined && startCallEndedAt < offSince)
+    const over = [...worker.runs.values()].filter(({ startCallEndedAt, begunHere }) => startCallEndedAt !== undefined && startCallEndedAt < offSince && (worker.ended || !begunHere))
     for (const run of over) this.releaseRun(run)
     return over.filter(run => run.phase === 'unsettled').length
   }
--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -389,3 +389,17 @@
   for (let times = 0; times < 3; times++) applyVmListAfterDelay(harness, detector, [vm({ worker: '' })])
   assert.equal(run.task.runs.length, 0)
 })
+
+// A start that had been carried over to an incarnation which never responded was kept for twice the longest lease.
+test('an unanswered start that was carried over is released once its VM has been up without a worker for a while', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
+  harness.addJob()
+  const { task } = harness.startWithoutResponse()
+  harness.scheduler.setWorkers([worker('w1', { born: 2 })], { unknownRunsUntil: 0 })
+  assert.equal(task.runs[0]?.worker.registration.born, 2)
+  for (let times = 0; times < 4; times++) assert.equal(applyVmListAfterDelay(harness, detector, [vm({ worker: '' })]), 0)
+  for (let times = 0; times < 3; times++) applyVmListAfterDelay(harness, detector, [vm({ worker: '' })])
+  assert.equal(task.runs.length, 0)
+})
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -279,7 +279,7 @@
   private openSessions (scheduler: Scheduler, signal: AbortSignal): void {
     for (const worker of this.sessions.keys()) {
       if (!worker.ended && scheduler.workers.get(worker.registration.id) === worker) continue
-      this.sessions.get(worker)?.abortStarts()
+      this.sessions.get(worker)?.end()
       this.sessions.delete(worker)
     }
     let sessionsToOpen = Math.max(MIN_SESSIONS_PER_PASS, this.startWindow.free())
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -69,9 +69,10 @@
     if (!signal.aborted) this.opts.workerClient.closeConnections(this.worker.registration)
   }
 
-  /** Ends the calls of starts in progress, so that no later incarnation gets them: this one has ended. */
-  abortStarts (): void {
+  /** Ends the calls in progress, so that no later incarnation gets a start: this one has ended, or is no longer tracked. */
+  end (): void {
     for (const start of this.starts) start.abort()
+    this.currentPoll?.abort()
   }
 
   /** Replaces the poll in progress by one that does not wait for a completion. */
@@ -163,7 +164,7 @@
       .finally(() => { if (leaseUntilMs !== undefined) worker.endLeaseCall(this.opts.clock.now()) })
     currentPoll.release()
     const wasEndedEarly = currentPoll.signal.aborted && !response.ok
-    if (signal.aborted || wasEndedEarly) return
+    if (signal.aborted || wasEndedEarly || this.hasEnded()) return
     if (!response.ok) {
       this.markPollFailed(response.error)
       await delay(POLL_RETRY_MS, signal)
--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -13,7 +13,7 @@
   const { harness, run, session } = startUntilAborted()
   const started = session.start(run, '', t.signal)
   assert.equal(run.startCallEndedAt, undefined)
-  session.abortStarts()
+  session.end()
   await started
   assert.equal(run.startCallEndedAt, harness.now)
   assert.equal(run.phase, 'unsettled')
@@ -38,7 +38,7 @@
   const construct = t.mock.method(globalThis, 'AbortController')
   const started = session.start(run, '', t.signal)
   assert.equal(construct.mock.callCount(), 1)
-  session.abortStarts()
+  session.end()
   await started
 })
 
