A start that is carried over to a silent incarnation is released when nothing can have got it

Cause: the end of such a call was noted at the run of the ended incarnation only, which nobody has any more. The carried-over start had no end of its call, so that no list of VMs could prove it over, and it waited for twice the longest lease. Now its end is noted there, too.

--- a/jobs/scheduler/src/run.ts
+++ b/jobs/scheduler/src/run.ts
@@ -23,6 +23,8 @@
    * pending. An incarnation that begins later never gets the command.
    */
   startCallEndedAt: number | undefined
+  /** The same start at the next incarnation under the worker's id, if it was carried over. */
+  carriedTo: Run | undefined
   /**
    * The run has certainly begun in this incarnation of the worker: a report has listed it, or the start was confirmed with
    * this incarnation's clock. Another incarnation under the same id may have executed a start that was confirmed otherwise.
@@ -71,6 +73,7 @@
     phase: 'sending',
     startedAt: opts.now,
     startCallEndedAt: undefined,
+    carriedTo: undefined,
     begunHere: false,
     outlivedStart: false,
     confirmedAt: undefined,
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -210,6 +210,7 @@
    */
   handleStartResponse (run: Run, error: WorkerError | undefined, reading?: ClockReading): void {
     const now = this.opts.clock.now()
+    for (let carried = run.carriedTo; carried !== undefined; carried = carried.carriedTo) carried.startCallEndedAt ??= now
     if (run.worker.runs.get(runKey(run.task.name, run.attempt)) !== run) return
     run.startCallEndedAt = now
     if (error === undefined) {
@@ -390,6 +391,7 @@
   private carryOverRun (run: Run, worker: TrackedWorker): void {
     this.releaseRun(run)
     const carried = carriedOver(run, worker)
+    run.carriedTo = carried
     worker.add(carried)
     attachRun(carried)
     if (run.phase === 'running') {
--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -403,3 +403,18 @@
   for (let times = 0; times < 3; times++) applyVmListAfterDelay(harness, detector, [vm({ worker: '' })])
   assert.equal(task.runs.length, 0)
 })
+
+// The end of a call that was in progress when its start was carried over was not noted: the start was kept for twice the longest lease.
+test('a start that was carried over while its call was in progress is over once its VM is down after the call', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  const detector = new LostWorkerDetector(harness.scheduler, { now: () => harness.now })
+  harness.addJob()
+  const [run] = harness.scheduler.placeReadyTasks()
+  assert.ok(run !== undefined)
+  harness.scheduler.setWorkers([worker('w1', { born: 2 })], { unknownRunsUntil: 0 })
+  harness.scheduler.handleStartResponse(run, { kind: 'unknown', message: 'aborted' })
+  assert.equal(run.task.runs.length, 1)
+  for (let times = 0; times < 5; times++) applyVmListAfterDelay(harness, detector, [vm({ state: 'down', worker: '' })])
+  assert.equal(run.task.runs.length, 0)
+})
