A task that has survived its start since explains no crash

One trial had been enough, as the crash of another worker counted as explained by tasks that had just been started there; they had been started again since and survived, but had no run at the time.

Cause: whether such a task was still to be tried was read from its present runs. Now a task that is reported beyond its start is struck out of the crashes that it might explain.

Test: a crash is not explained by a task that has survived its start since; fails without the change.

--- a/jobs/scheduler/src/crash-tracker.ts
+++ b/jobs/scheduler/src/crash-tracker.ts
@@ -34,8 +34,8 @@
 interface UnexplainedLoss {
   readonly worker: string
   readonly silentSince: number
-  /** Tasks that had just been started there. */
-  readonly starting: readonly Task[]
+  /** Tasks that had just been started there, and have not been started successfully since. */
+  readonly starting: Set<Task>
 }
 
 /**
@@ -65,12 +65,12 @@
    */
   recordCrash (worker: TrackedWorker, runs: readonly Run[], now: number): void {
     const silentSince = worker.unreachableSince ?? now
-    const lost = runs.filter(run => !run.task.done && !run.task.step.job.isFinished() && !isNotExecuted(run))
+    const lost = runs.filter(run => isUnfinished(run.task) && !isNotExecuted(run))
     const onTrial = lost.filter(isOnTrial)
     const hasCommonCause = this.haveOthersFailed(worker, silentSince)
     const isProof = onTrial.length > 0 && !hasCommonCause && lost.every(run => hasSameSuspect(run, onTrial) || !isSuspicious(run))
     if (!isProof && worker.lastResponseAt !== undefined) {
-      const starting = lost.filter(run => isAtStart(run, silentSince)).map(run => run.task)
+      const starting = new Set(lost.filter(run => isAtStart(run, silentSince)).map(run => run.task))
       this.unexplained = [...this.unexplained.filter(loss => loss.silentSince > now - QUIET_MS), { worker: worker.incarnation(), silentSince, starting }]
     }
     const suspicious = hasCommonCause ? lost.filter(run => !hasSettled(run) || isOnTrial(run)) : lost
@@ -80,10 +80,12 @@
   }
 
   /**
-   * Clears a task whose run has been in progress for so long that it has not caused the crashes before.
+   * Clears a task whose run has been in progress for so long that it has not caused the crashes before. One that has survived its
+   * start no longer explains crashes at its start.
    * @param run - a run that its worker has just reported
    */
   observeRun (run: Run): void {
+    if (this.unexplained.length > 0 && hasSettled(run)) for (const loss of this.unexplained) loss.starting.delete(run.task)
     if (run.task.crashes.length > 0 && survivedMs(run) >= CLEARED_AFTER_MS && removeCrashes(run.task, () => true)) this.table.markChanged(run.task.step.job)
   }
 
@@ -103,7 +105,7 @@
     const atStart = crashes.filter(crash => crash.atStart)
     const trialsAtStart = atStart.filter(crash => crash.trialMs !== undefined).length
     const others = this.unexplained.filter(loss => loss.silentSince > now - QUIET_MS && !crashes.some(crash => crash.worker === loss.worker))
-    const isQuiet = others.every(loss => loss.starting.some(isUntried))
+    const isQuiet = others.every(loss => [...loss.starting].some(isUnfinished))
     if (atStart.length >= MIN_CRASHES_AT_START && trialsAtStart >= (isQuiet ? 1 : MIN_TRIALS_AT_START)) return true
     const agesMs = crashes.flatMap(crash => crash.trialMs ?? [])
     return crashes.length >= MIN_CRASHES_LATER && agesMs.length >= MIN_TRIALS_LATER && areEqualAges(agesMs)
@@ -170,9 +172,8 @@
   return onTrial.some(other => other.task.step.job === run.task.step.job)
 }
 
-/** Returns whether a task that had just been started when its worker crashed has not been started successfully since. */
-function isUntried (task: Task): boolean {
-  return !task.done && !task.step.job.isFinished() && !task.runs.some(hasSettled)
+function isUnfinished (task: Task): boolean {
+  return !task.done && !task.step.job.isFinished()
 }
 
 function areEqualAges (agesMs: readonly number[]): boolean {
--- a/jobs/scheduler/test/unrelated-crashes.test.ts
+++ b/jobs/scheduler/test/unrelated-crashes.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import type { Run } from '@wisteriaslip/jobs.scheduler'
 import { CrashModel } from './crash-model.ts'
-import { job, SchedulerHarness, step, worker } from './harness.ts'
+import { ended, job, running, SchedulerHarness, step, worker } from './harness.ts'
 
 const JOB = '00000000000000aa'
 const TASK = `${JOB}.0.0.0`
@@ -82,6 +83,43 @@
   assert.equal(outcome(harness), undefined)
 })
 
+/** Replaces the workers by new ones, which have responded. */
+function replaceWorkers (harness: SchedulerHarness, ...ids: string[]): void {
+  harness.persist()
+  harness.scheduler.setWorkers(ids.map(id => worker(id, { rack: id })), { unknownRunsUntil: 0 })
+  for (const id of ids) harness.report(id)
+}
+
+function startAlone (harness: SchedulerHarness): Run {
+  const [run] = harness.startReadyTasks()
+  assert.ok(run !== undefined)
+  return run
+}
+
+// A crash was explained by any task that had just been started there, even if that had survived its next start, and failed later.
+test('a crash is not explained by a task that has survived its start since', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  harness.addJob({ id: '00000000000000bb', steps: [step({ lasting: true, demand })] })
+  const { task } = startAlone(harness)
+  crash(harness, 'w1')
+  replaceWorkers(harness, 'w2')
+  const { attempt } = startAlone(harness)
+  for (const lists of [{ running: [running(task.name, attempt)] }, { running: [running(task.name, attempt)] }, { ended: [ended(1, task.name, attempt, 'failed')] }]) {
+    harness.now += 100
+    harness.report('w2', lists)
+  }
+  task.retryAt = Infinity
+  harness.addJob({ id: JOB, steps: [step({ lasting: true, demand })] })
+  startAlone(harness)
+  crash(harness, 'w2')
+  harness.now += 1_000
+  replaceWorkers(harness, 'w3')
+  assert.equal(startAlone(harness).isolation, 'start')
+  crash(harness, 'w3')
+  assert.equal(outcome(harness), undefined)
+})
+
 // A long-running task whose workers lost power three times was taken for the cause: its job was given up, and its other tasks stopped.
 test('a job is not given up when a worker of a long-running task loses power three times, each time some seconds after its start', () => {
   const model = new CrashModel({ workers: 8, fuseMs: () => undefined })
