Suspected tasks begin to wait with the term, and not when the workers of earlier leaders are known

Cause: the two waits followed each other. Now the wait that bounds isolation begins when a leader has the tasks, so that it is over by then.

Test: suspected tasks that have waited for a takeover do not wait for each other as well; failed before.

--- a/jobs/scheduler/src/isolation.ts
+++ b/jobs/scheduler/src/isolation.ts
@@ -85,6 +85,15 @@
     return { runs, openWorkers: workers.filter(worker => !closed.has(worker)) }
   }
 
+  /**
+   * Begins the wait of jobs with suspected tasks, also while these may not be started for another reason.
+   * @param steps - steps with tasks to start
+   * @param now - time of the injected clock
+   */
+  noteWaits (steps: readonly TrackedStep[], now: number): void {
+    for (const step of steps) if (step.suspects > 0 && step.job.areCrashesDurable()) this.waitedMs(step.job, now)
+  }
+
   /**
    * @returns workers that are about to get an isolated run and have not responded for a while, since the previous call: one that has
    * died unnoticed would look as if the run had crashed it
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -279,6 +279,7 @@
     const steps = [...this.table.ready].filter(mayStart)
     if (steps.length === 0) return []
     const workers = [...this.workers.values()].filter(worker => worker.takesStarts(now) && worker.hasClock())
+    this.isolation.noteWaits(steps, now)
     const placeable = this.mayHaveUnknownRuns(now) ? steps.filter(step => step.job.acceptedThisTerm) : steps
     const { runs: isolatedRuns, openWorkers } = this.isolation.place(placeable, workers, { now, maxRuns })
     return [...isolatedRuns, ...this.placer.place(placeable, openWorkers, { now, maxRuns: maxRuns - isolatedRuns.length })]
--- a/jobs/scheduler/test/isolation.test.ts
+++ b/jobs/scheduler/test/isolation.test.ts
@@ -74,3 +74,20 @@
   }
   assert.ok(started.has('00000000000000bb.0.0.0'))
 })
+
+// After a takeover, suspected tasks waited for the workers of earlier leaders, and only then began to wait for each other.
+test('suspected tasks that have waited for a takeover do not wait for each other as well', () => {
+  const harness = new SchedulerHarness({ term: 1 })
+  harness.addJob({ id: JOB, steps: [step({ lasting: true, tasks: 3, demand })] }, { acceptedThisTerm: false })
+  const tasks = harness.scheduler.table.jobs.get(JOB)?.occurrences.get(0)?.steps[0]
+  assert.ok(tasks !== undefined)
+  for (const task of tasks.tasks) task.crashes = [{ worker: 'a', survivedMs: 500 }, { worker: 'b', survivedMs: 500 }]
+  tasks.suspects = 3
+  harness.scheduler.setWorkers(['w1', 'w2'].map(id => worker(id)), { unknownRunsUntil: harness.now + 5_000 })
+  for (const until = harness.now + 5_000; harness.now < until; harness.now += PASS_MS) {
+    harness.report('w1')
+    assert.deepEqual(harness.startReadyTasks(), [])
+  }
+  harness.report('w1')
+  assert.equal(harness.startReadyTasks().length, 3)
+})
