Maintenance and moves begin when a service's own leader has responded

Cause: a pass waited for the withdrawals of all services, and took the age of the answers from the last one. Why it works: each service's VMs are started as soon as its leader responds, and not when it was asked more than a second ago. Requests for VMs without workers come first when they are repeated, and last when VMs are looked up. The limit between these starts: requests that are recorded or sent, and those that may yet take effect, are counted before any VM is given a place. Cost: VMs of a leader that takes 1 to 1.2 s for each response are not maintained; they were before. VMs of other services pass them.

--- a/jobs/fleet/src/term.ts
+++ b/jobs/fleet/src/term.ts
@@ -1,6 +1,7 @@
 import { delay, withTimeout } from '@wisteriaslip/core.result'
 import type { JobConfig, Service, Vm } from '@wisteriaslip/jobs.model'
 import type { ServiceLoad } from '@wisteriaslip/jobs.protocol'
+import { areStillDrained, type DrainedVms } from './drained-vms.ts'
 import { PoolAutoscaler, type PlannedMove } from './pool-autoscaler.ts'
 import type { FleetTermOpts } from './ports.ts'
 import { WaveRunner } from './wave-runner.ts'
@@ -13,6 +14,14 @@
 /** A leader that has confirmed that none of its workers is withdrawn is told so again after this time: it may be a new one. */
 const REPEAT_EMPTY_WITHDRAWAL_MS = 1_000
 
+/** What a pass has planned. */
+interface PlannedStarts {
+  /** Ids of the VMs to drain for waves. */
+  readonly reservedVms: Iterable<string>
+  readonly moves: readonly PlannedMove[]
+  readonly signal: AbortSignal
+}
+
 /** One entry's period of leadership of the fleet: runs maintenance waves and scales pools. */
 export class FleetTerm {
   readonly token: number
@@ -98,14 +107,25 @@
     this.logListChanges(vms)
     const reservedVms = this.waves.plan({ list: listResult.value, loads, isLoadKnown: vm => this.isLoadKnown(vm, config, loads) })
     const moves = this.autoscaler.plan(services, vms, loads, reservedVms)
-    const empty = await this.withdraw(services, [...reservedVms, ...moves.map(move => move.vm)])
     await Promise.all([
-      ...moves.filter(move => empty.has(move.vm)).map(async move => await this.moveVm(move, signal)),
-      this.waves.start(empty, signal)
+      this.waves.repeat(signal),
+      ...services.map(async service => await this.drainAndStart(service, { reservedVms, moves, signal }))
     ])
+    await this.waves.lookUp(signal)
     this.waves.settle()
   }
 
+  /** Starts what is planned on the VMs of a service when its leader has responded, without waiting for those of others. */
+  private async drainAndStart (service: Service, { reservedVms, moves, signal }: PlannedStarts): Promise<void> {
+    const chosen = new Set([...reservedVms, ...moves.map(move => move.vm)])
+    const drained = await this.withdraw(service, [...chosen].filter(vm => this.lastPools.get(vm) === service.name))
+    const due = areStillDrained(drained, this.opts.clock.now()) ? moves.filter(move => drained.vms.has(move.vm)) : []
+    await Promise.all([
+      ...due.map(async move => await this.moveVm(move, signal)),
+      this.waves.start(drained, signal)
+    ])
+  }
+
   private async collectLoads (services: readonly Service[]): Promise<Map<string, ServiceLoad>> {
     const loads = new Map<string, ServiceLoad>()
     await Promise.all(services.filter(service => !service.standby).map(async service => {
@@ -115,26 +135,18 @@
     return loads
   }
 
-  /** @returns ids of the VMs that are drained or have no workers */
-  private async withdraw (services: readonly Service[], chosen: readonly string[]): Promise<Set<string>> {
-    const withdrawnVms = new Set(chosen)
-    const empty = new Set<string>()
-    await Promise.all(services.map(async service => {
-      const poolVms = [...withdrawnVms].filter(vm => this.lastPools.get(vm) === service.name)
-      if (service.standby) {
-        for (const vm of poolVms) empty.add(vm)
-        return
-      }
-      const now = this.opts.clock.now()
-      const isRepetition = poolVms.length === 0 && now - (this.noneWithdrawnAt.get(service.name) ?? Number.NEGATIVE_INFINITY) < REPEAT_EMPTY_WITHDRAWAL_MS
-      if (isRepetition) return
-      this.noneWithdrawnAt.delete(service.name)
-      const reply = await this.opts.services.withdraw(service.name, poolVms)
-      if (reply?.kind !== 'withdrawn') return
-      for (const vm of reply.empty) empty.add(vm)
-      if (poolVms.length === 0) this.noneWithdrawnAt.set(service.name, now)
-    }))
-    return empty
+  /** @returns those of the VMs that are drained or have no workers */
+  private async withdraw (service: Service, vms: readonly string[]): Promise<DrainedVms> {
+    const askedAt = this.opts.clock.now()
+    if (service.standby) return { vms: new Set(vms), askedAt }
+    const none = { vms: new Set<string>(), askedAt }
+    const isRepetition = vms.length === 0 && askedAt - (this.noneWithdrawnAt.get(service.name) ?? Number.NEGATIVE_INFINITY) < REPEAT_EMPTY_WITHDRAWAL_MS
+    if (isRepetition) return none
+    this.noneWithdrawnAt.delete(service.name)
+    const reply = await this.opts.services.withdraw(service.name, vms)
+    if (reply?.kind !== 'withdrawn') return none
+    if (vms.length === 0) this.noneWithdrawnAt.set(service.name, askedAt)
+    return { vms: new Set(reply.empty), askedAt }
   }
 
   private async moveVm (move: PlannedMove, signal: AbortSignal): Promise<void> {
--- a/jobs/fleet/src/wave-runner.ts
+++ b/jobs/fleet/src/wave-runner.ts
@@ -2,6 +2,7 @@
 import type { Vm, VmList, Wave } from '@wisteriaslip/jobs.model'
 import type { ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import { DownVms } from './down-vms.ts'
+import { areStillDrained, type DrainedVms } from './drained-vms.ts'
 import { countBy, explainWave, vmWaits, type VmWait, type WaveExplanation } from './explain-wave.ts'
 import type { FleetTermOpts, WaveRecord } from './ports.ts'
 import { VmPresence } from './vm-presence.ts'
@@ -10,15 +11,13 @@
 import { WaveReporter } from './wave-reporter.ts'
 import { WavePlaces } from './wave-places.ts'
 import { countDown, planWaves, type FleetSnapshot, type PlannedMaintenance, type VmLoad } from './wave-schedule.ts'
-import { WaveTracker } from './wave-tracker.ts'
+import { WaveTracker, type VmPhase } from './wave-tracker.ts'
 
 const CALL_TIMEOUT_MS = 1_500
 /** A VM that is missing for this long is looked up by a request. */
 const LOOKUP_AFTER_MS = 3_000
 /** A VM that is missing for this long, and that the platform does not know or refuses as not available, is gone. */
 const GONE_AFTER_MS = 8_000
-/** Requests are sent this soon after the withdrawals were answered: later, something may run on the VMs. */
-const MAX_DRAINED_AGE_MS = 1_000
 const IDLE: VmLoad = { runs: 0, lastingRuns: 0 }
 
 /** What an observation of the fleet shows. */
@@ -30,6 +29,12 @@
   readonly isLoadKnown: (vm: string) => boolean
 }
 
+interface SendOpts {
+  /** What shows that nothing runs on the VMs; undefined if they have no workers. */
+  readonly drained?: DrainedVms
+  readonly signal: AbortSignal
+}
+
 /** A wave whose document is declared. */
 interface ActiveWave {
   readonly tracker: WaveTracker
@@ -54,6 +59,7 @@
   /** VMs that are listed or have a known worker, as of the latest observation; undefined before the first. */
   private seen: ReadonlySet<string> | undefined
   private planned: readonly PlannedMaintenance[] = []
+  /** VMs that were found drained in the latest pass. */
   private drained: ReadonlySet<string> = new Set()
 
   /** @param opts - dependencies of the fleet leader's term */
@@ -87,37 +93,66 @@
     this.observe(observation, now)
     this.findReturned(now)
     this.planned = planWaves(this.unfinished(), this.fleet)
+    this.drained = new Set()
     return new Set(this.planned.map(({ vm }) => vm))
   }
 
   /**
-   * Requests maintenance of the planned VMs that are drained, as far as the limits of their waves allow.
-   * @param drained - ids of the VMs on which nothing runs
+   * Repeats requests that may have taken effect, of VMs that need no draining: those in maintenance, and missing ones.
+   * @param signal - aborts the requests
+   */
+  async repeat (signal: AbortSignal): Promise<void> {
+    await this.send(this.chooseDue(this.planned, (vm, isRepetition) => isRepetition && this.isDownOrMissing(vm)), { signal })
+  }
+
+  /**
+   * Requests maintenance of the planned VMs that are drained, as far as the limits of their waves allow. Called for each
+   * service as soon as its leader has responded.
+   * @param drained - VMs on which nothing runs
+   * @param signal - aborts the requests
+   */
+  async start (drained: DrainedVms, signal: AbortSignal): Promise<void> {
+    if (drained.vms.size === 0 || !areStillDrained(drained, this.opts.clock.now())) return
+    this.drained = new Set([...this.drained, ...drained.vms])
+    const due = this.chooseDue(this.planned, vm => this.fleet.vms.get(vm)?.state === 'up' && drained.vms.has(vm))
+    await this.send(due, { drained, signal })
+  }
+
+  /**
+   * Requests maintenance of VMs that nothing shows to exist: the platform knows. They come after all others.
    * @param signal - aborts the requests
    */
-  async start (drained: ReadonlySet<string>, signal: AbortSignal): Promise<void> {
-    const drainedAt = this.opts.clock.now()
-    this.drained = drained
-    const due = this.chooseDue()
+  async lookUp (signal: AbortSignal): Promise<void> {
+    const missing = this.lookups(this.unfinished())
+    if (missing.length === 0) return
+    const isLookup = new Set(missing.map(({ vm }) => vm))
+    await this.send(this.chooseDue([...this.planned, ...missing], vm => isLookup.has(vm)), { signal })
+  }
+
+  /** Sends recorded requests at once, and the others when they are recorded. */
+  private async send (due: readonly PlannedMaintenance[], opts: SendOpts): Promise<void> {
     const recorded = due.filter(({ wave, vm }) => this.records.isRequested(wave.wave, vm))
     const others = due.filter(each => !recorded.includes(each))
+    for (const { wave, vm } of due) wave.markSending(vm)
     await Promise.all([
-      ...recorded.map(async ({ wave, vm }) => await this.request(wave, vm, signal)),
-      this.recordAndRequest(others, drainedAt, signal)
-    ])
+      ...recorded.map(async ({ wave, vm }) => await this.request(wave, vm, opts.signal)),
+      this.recordAndRequest(others, opts)
+    ]).finally(() => { for (const { wave, vm } of due) wave.markSent(vm) })
   }
 
   /** Records requests and then sends them: a later leader must know of each one that may take effect. */
-  private async recordAndRequest (due: readonly PlannedMaintenance[], drainedAt: number, signal: AbortSignal): Promise<void> {
+  private async recordAndRequest (due: readonly PlannedMaintenance[], opts: SendOpts): Promise<void> {
     if (due.length === 0) return
-    for (const { wave, vm } of due) wave.markRequested(vm, drainedAt)
+    const { clock, isLeader } = this.opts
+    const drained = opts.drained ?? { vms: new Set(), askedAt: clock.now() }
+    for (const { wave, vm } of due) wave.markRequested(vm, clock.now())
     if (!await this.record()) {
-      for (const { wave, vm } of due) wave.markUnsent(vm, this.opts.clock.now())
+      for (const { wave, vm } of due) wave.markUnsent(vm, clock.now())
       return
     }
     // What is recorded and not sent in this pass is sent in the next one.
-    if (this.opts.clock.now() - drainedAt > MAX_DRAINED_AGE_MS || !this.opts.isLeader()) return
-    await Promise.all(due.map(async ({ wave, vm }) => await this.request(wave, vm, signal)))
+    if (!areStillDrained(drained, clock.now()) || !isLeader()) return
+    await Promise.all(due.map(async ({ wave, vm }) => await this.request(wave, vm, opts.signal)))
   }
 
   /** Records what has changed, reports what is recorded, and logs what the waves wait for. */
@@ -217,28 +252,29 @@
     }
   }
 
-  /** Chooses the requests to send now. Those that may have taken effect are repeated first, so that none waits for another. */
-  private chooseDue (): PlannedMaintenance[] {
-    const waves = this.unfinished()
-    const places = new WavePlaces(waves, this.fleet)
-    const due: PlannedMaintenance[] = []
-    for (const each of [...this.planned, ...this.lookups(waves)]) {
-      const { wave, vm } = each
-      const isRepetition = wave.stateOf(vm, this.fleet.now)?.phase === 'requested'
-      const isDue = wave.mayRequest(vm, this.fleet.now) && this.isUntouched(vm, isRepetition)
-      if (isDue && places.take(each)) due.push(each)
-      else if (isRepetition) places.noteRequested(each)
-      else places.reserve(each)
-    }
-    return due
+  /**
+   * Chooses the requests to send now. Those that may have taken effect are repeated first, so that none waits for another.
+   * @param planned - all VMs that may take places, in order
+   * @param isUntouched - whether nothing runs on the VM that maintenance would end
+   */
+  private chooseDue (planned: readonly PlannedMaintenance[], isUntouched: (vm: string, isRepetition: boolean) => boolean): PlannedMaintenance[] {
+    const places = new WavePlaces(this.unfinished(), this.fleet)
+    const phaseOf = ({ wave, vm }: PlannedMaintenance): VmPhase | undefined => wave.stateOf(vm, this.fleet.now)?.phase
+    const isDue = (each: PlannedMaintenance): boolean => each.wave.mayRequest(each.vm, this.fleet.now) && isUntouched(each.vm, phaseOf(each) === 'requested')
+    // Requests on their way keep their places, also those of this pass for other services.
+    for (const each of planned) if (phaseOf(each) === 'requested' && !isDue(each)) places.noteRequested(each)
+    return planned.filter(each => {
+      if (isDue(each) && places.take(each)) return true
+      if (phaseOf(each) === 'requested') places.noteRequested(each)
+      else if (phaseOf(each) === 'waiting') places.reserve(each)
+      return false
+    })
   }
 
-  /** Returns whether nothing runs on the VM that maintenance would end. */
-  private isUntouched (vm: string, isRepetition: boolean): boolean {
+  /** Returns whether the VM has no worker that could run anything. A request that has taken effect is confirmed also while it is down. */
+  private isDownOrMissing (vm: string): boolean {
     const state = this.fleet.vms.get(vm)?.state
-    if (state === undefined) return this.isMissing(vm) && (isRepetition || !this.down.has(vm))
-    // A request that has taken effect is confirmed also while the VM is down.
-    return (state === 'up' && this.drained.has(vm)) || (state === 'maintenance' && isRepetition)
+    return state === 'maintenance' || (state === undefined && this.isMissing(vm))
   }
 
   /** VMs that nothing shows to exist: the platform knows. Each is looked up for one wave at a time. */
--- a/jobs/fleet/src/wave-tracker.ts
+++ b/jobs/fleet/src/wave-tracker.ts
@@ -27,6 +27,8 @@
   since: number
   /** When the latest request without a response ended, by the injected clock; undefined if there was none. */
   unansweredAt?: number
+  /** A request is about to be sent, or being sent. */
+  isSending?: boolean
   /** Since when it has been planned in each pass, by the injected clock. */
   plannedAt?: number
   /** The platform's reason for the last refusal. */
@@ -151,7 +153,7 @@
   mayTakeEffect (vm: string, now: number): boolean {
     const progress = this.progressOf.get(vm)
     if (progress?.phase !== 'requested') return false
-    return progress.unansweredAt === undefined || isLately(progress.unansweredAt, now)
+    return progress.isSending === true || progress.unansweredAt === undefined || isLately(progress.unansweredAt, now)
   }
 
   /**
@@ -202,6 +204,18 @@
     this.setPhase(vm, 'requested', now)
   }
 
+  /** @param vm - id of a VM whose request, or the repetition of one, is being recorded or sent until {@link markSent} */
+  markSending (vm: string): void {
+    const progress = this.progressOf.get(vm)
+    if (progress !== undefined) progress.isSending = true
+  }
+
+  /** @param vm - id of a VM whose request was answered, is no longer waited for, or was not sent after all */
+  markSent (vm: string): void {
+    const progress = this.progressOf.get(vm)
+    if (progress !== undefined) progress.isSending = false
+  }
+
   /** A request of an earlier leader is repeated at once. */
   private markResumed (vm: string, now: number): void {
     const resumed: VmProgress = { phase: 'requested', since: now, refusals: 0, retryAt: now, unansweredAt: now }
