--- a/jobs/fleet/src/wave-runner.ts
+++ b/jobs/fleet/src/wave-runner.ts
@@ -11,7 +11,7 @@
 import { WaveReporter } from './wave-reporter.ts'
 import { WavePlaces } from './wave-places.ts'
 import { countDown, planWaves, type FleetSnapshot, type PlannedMaintenance, type VmLoad } from './wave-schedule.ts'
-import { WaveTracker } from './wave-tracker.ts'
+import { WaveTracker, type VmPhase } from './wave-tracker.ts'
 
 const CALL_TIMEOUT_MS = 1_500
 /** A VM that is missing for this long is looked up by a request. */
@@ -133,10 +133,11 @@
   private async send (due: readonly PlannedMaintenance[], opts: SendOpts): Promise<void> {
     const recorded = due.filter(({ wave, vm }) => this.records.isRequested(wave.wave, vm))
     const others = due.filter(each => !recorded.includes(each))
+    for (const { wave, vm } of due) wave.markSending(vm)
     await Promise.all([
       ...recorded.map(async ({ wave, vm }) => await this.request(wave, vm, opts.signal)),
       this.recordAndRequest(others, opts)
-    ])
+    ]).finally(() => { for (const { wave, vm } of due) wave.markSent(vm) })
   }
 
   /** Records requests and then sends them: a later leader must know of each one that may take effect. */
@@ -258,17 +259,16 @@
    */
   private chooseDue (planned: readonly PlannedMaintenance[], isUntouched: (vm: string, isRepetition: boolean) => boolean): PlannedMaintenance[] {
     const places = new WavePlaces(this.unfinished(), this.fleet)
-    const due: PlannedMaintenance[] = []
-    for (const each of planned) {
-      const { wave, vm } = each
-      const phase = wave.stateOf(vm, this.fleet.now)?.phase
-      const isRepetition = phase === 'requested'
-      const isDue = wave.mayRequest(vm, this.fleet.now) && isUntouched(vm, isRepetition)
-      if (isDue && places.take(each)) due.push(each)
-      else if (isRepetition) places.noteRequested(each)
-      else if (phase === 'waiting') places.reserve(each)
-    }
-    return due
+    const phaseOf = ({ wave, vm }: PlannedMaintenance): VmPhase | undefined => wave.stateOf(vm, this.fleet.now)?.phase
+    const isDue = (each: PlannedMaintenance): boolean => each.wave.mayRequest(each.vm, this.fleet.now) && isUntouched(each.vm, phaseOf(each) === 'requested')
+    // Requests on their way keep their places, also those of this pass for other services.
+    for (const each of planned) if (phaseOf(each) === 'requested' && !isDue(each)) places.noteRequested(each)
+    return planned.filter(each => {
+      if (isDue(each) && places.take(each)) return true
+      if (phaseOf(each) === 'requested') places.noteRequested(each)
+      else if (phaseOf(each) === 'waiting') places.reserve(each)
+      return false
+    })
   }
 
   /** Returns whether the VM has no worker that could run anything. A request that has taken effect is confirmed also while it is down. */
@@ -293,9 +293,7 @@
 
   private async request (wave: WaveTracker, vm: string, signal: AbortSignal): Promise<void> {
     const { clock, fleetClient, token } = this.opts
-    wave.markSending(vm)
     const response = await withTimeout(CALL_TIMEOUT_MS, signal, async inner => await fleetClient.startMaintenance({ vm, wave: wave.wave.number, token }, inner))
-      .finally(() => wave.markSent(vm))
     this.log.answered(wave.wave.number, vm, response)
     if (response.ok) {
       wave.markBegun(vm, clock.now())
--- a/jobs/fleet/src/wave-tracker.ts
+++ b/jobs/fleet/src/wave-tracker.ts
@@ -27,7 +27,7 @@
   since: number
   /** When the latest request without a response ended, by the injected clock; undefined if there was none. */
   unansweredAt?: number
-  /** A request is being sent. */
+  /** A request is about to be sent, or being sent. */
   isSending?: boolean
   /** Since when it has been planned in each pass, by the injected clock. */
   plannedAt?: number
@@ -204,13 +204,13 @@
     this.setPhase(vm, 'requested', now)
   }
 
-  /** @param vm - id of a VM whose request, or the repetition of one, is on its way until {@link markSent} */
+  /** @param vm - id of a VM whose request, or the repetition of one, is being recorded or sent until {@link markSent} */
   markSending (vm: string): void {
     const progress = this.progressOf.get(vm)
     if (progress !== undefined) progress.isSending = true
   }
 
-  /** @param vm - id of a VM whose request was answered, or is no longer waited for */
+  /** @param vm - id of a VM whose request was answered, is no longer waited for, or was not sent after all */
   markSent (vm: string): void {
     const progress = this.progressOf.get(vm)
     if (progress !== undefined) progress.isSending = false
