Workers that crash at the same moment count against their tasks, and ages are compared crash by crash

With a task that is tried beside others of its job, one crash at another age kept the job from being given up for good. Late starts without a response that crash their workers counted for nothing.

Cause: since runs that had settled were not recorded when any other worker of the service stopped responding within 0.3 s, and not only one of the rack; and all trials had to be of equal age. Now others that fail at the time only keep a crash from being a proof, as before in a rack only from being recorded; four crashes at the same age among five are enough, or eight trials at any age; and starts that the worker had outlived are recorded, without counting as a proof.

Tests: two and all tasks of a job that crash their workers at the same moment cost five workers each at most, 0.1, 0.3 and 3 s after their start; failed before.

--- a/jobs/scheduler/src/crash-tracker.ts
+++ b/jobs/scheduler/src/crash-tracker.ts
@@ -10,10 +10,15 @@
 const MIN_TRIALS_AT_START = 2
 /** One trial is enough where no other worker of the service has crashed by itself for this long. */
 const QUIET_MS = 30_000
-/** A task that crashes its workers later is proven the cause by that many crashes, that many of them during trials. */
+/**
+ * A task that crashes its workers later is proven the cause by that many crashes, that many of them in trials, if so many happened at
+ * the same age of its runs; or by very many trials.
+ */
 const MIN_CRASHES_LATER = 5
 const MIN_TRIALS_LATER = 3
-/** Such a task does so at the same age, but for the speed of its workers and the time it takes to notice. */
+const MIN_EQUAL_AGES = 4
+const MAX_TRIALS = 8
+/** Ages are equal but for the speed of the workers and the time that it takes to notice a crash. */
 const MAX_AGE_SPREAD = 0.1
 const MAX_AGE_ERROR_MS = 200
 /**
@@ -33,15 +38,17 @@
 /** A worker that has crashed although no trial explains it. */
 interface UnexplainedLoss {
   readonly worker: string
+  readonly rack: string
   readonly silentSince: number
   /** Tasks that had just been started there, and have not been started successfully since. */
   readonly starting: Set<Task>
 }
 
 /**
- * Finds the tasks that crash their workers. Each crash is recorded with the tasks that were on the worker. Tasks that may be
- * the cause are isolated when they are started again ({@link Isolation}); if that crashes another worker, the job is given
- * up, and the other tasks of those crashes are cleared.
+ * Finds the tasks that crash their workers. Each crash is recorded with the tasks that were on the worker. Those that may be
+ * the cause are isolated when they are started again ({@link Isolation}): a crash is then a trial of that task. Workers also crash for
+ * other causes, so that only several trials prove a task the cause; its job is given up, and the other tasks of those crashes are
+ * cleared.
  */
 export class CrashTracker {
   private readonly table: JobTable
@@ -65,16 +72,15 @@
    */
   recordCrash (worker: TrackedWorker, runs: readonly Run[], now: number): void {
     const silentSince = worker.unreachableSince ?? now
-    const lost = runs.filter(run => isUnfinished(run.task) && !isNotExecuted(run))
+    const lost = runs.filter(run => isUnfinished(run.task))
     const onTrial = lost.filter(isOnTrial)
-    const hasCommonCause = this.haveOthersFailed(worker, silentSince)
-    const isProof = onTrial.length > 0 && !hasCommonCause && lost.every(run => hasSameSuspect(run, onTrial) || !isSuspicious(run))
-    if (!isProof && worker.lastResponseAt !== undefined) {
-      const starting = new Set(lost.filter(run => isAtStart(run, silentSince)).map(run => run.task))
-      this.unexplained = [...this.unexplained.filter(loss => loss.silentSince > now - QUIET_MS), { worker: worker.incarnation(), silentSince, starting }]
-    }
-    const suspicious = hasCommonCause ? lost.filter(run => !hasSettled(run) || isOnTrial(run)) : lost
-    for (const run of suspicious) this.addCrash(run, { worker, isAtStart: isAtStart(run, silentSince), isOnTrial: isProof && onTrial.includes(run), silentSince })
+    const racksThatFailed = this.racksThatFailedWith(worker, silentSince)
+    const isProof = onTrial.length > 0 && racksThatFailed.size === 0 && lost.every(run => hasSameSuspect(run, onTrial) || !isSuspicious(run))
+    if (!isProof && worker.lastResponseAt !== undefined) this.noteUnexplained(worker, { silentSince, lost, now })
+    const { rack } = worker.registration
+    const isRackFailure = rack !== '' && racksThatFailed.has(rack)
+    const suspicious = isRackFailure ? lost.filter(run => !hasSettled(run) || isOnTrial(run)) : lost
+    for (const run of suspicious) this.addCrash(run, { worker, silentSince, isOnTrial: isProof && onTrial.includes(run) })
     const culprit = isProof ? onTrial.find(run => this.isProven(run.task, now)) : undefined
     if (culprit !== undefined) this.giveUp(culprit.task)
   }
@@ -89,13 +95,21 @@
     if (run.task.crashes.length > 0 && survivedMs(run) >= CLEARED_AFTER_MS && removeCrashes(run.task, () => true)) this.table.markChanged(run.task.step.job)
   }
 
-  private addCrash (run: Run, crash: { worker: TrackedWorker, isAtStart: boolean, isOnTrial: boolean, silentSince: number }): void {
-    const { worker, isAtStart, isOnTrial, silentSince } = crash
+  private noteUnexplained (worker: TrackedWorker, loss: { silentSince: number, lost: readonly Run[], now: number }): void {
+    const { silentSince, lost, now } = loss
+    const starting = new Set(lost.filter(run => isAtStart(run, silentSince)).map(run => run.task))
+    const recent = this.unexplained.filter(each => each.silentSince > now - QUIET_MS)
+    this.unexplained = [...recent, { worker: worker.incarnation(), rack: worker.registration.rack, silentSince, starting }]
+  }
+
+  private addCrash (run: Run, crash: { worker: TrackedWorker, silentSince: number, isOnTrial: boolean }): void {
+    const { worker, silentSince, isOnTrial } = crash
     addCrash(run.task, {
       worker: worker.incarnation(),
       survivedMs: Math.round(survivedMs(run)),
-      ...(isAtStart ? { atStart: true } : {}),
-      ...(isOnTrial ? { trialMs: Math.round(silentSince - run.startedAt) } : {})
+      silentAfterMs: Math.round(silentSince - run.startedAt),
+      ...(isAtStart(run, silentSince) ? { atStart: true } : {}),
+      ...(isOnTrial ? { onTrial: true } : {})
     })
     this.table.markChanged(run.task.step.job)
   }
@@ -103,12 +117,13 @@
   /** Returns whether the crashes of a task show that it causes them: workers that crash by themselves do so at any time. */
   private isProven ({ crashes }: Task, now: number): boolean {
     const atStart = crashes.filter(crash => crash.atStart)
-    const trialsAtStart = atStart.filter(crash => crash.trialMs !== undefined).length
+    const trialsAtStart = atStart.filter(crash => crash.onTrial).length
     const others = this.unexplained.filter(loss => loss.silentSince > now - QUIET_MS && !crashes.some(crash => crash.worker === loss.worker))
     const isQuiet = others.every(loss => [...loss.starting].some(isUnfinished))
     if (atStart.length >= MIN_CRASHES_AT_START && trialsAtStart >= (isQuiet ? 1 : MIN_TRIALS_AT_START)) return true
-    const agesMs = crashes.flatMap(crash => crash.trialMs ?? [])
-    return crashes.length >= MIN_CRASHES_LATER && agesMs.length >= MIN_TRIALS_LATER && areEqualAges(agesMs)
+    const trials = crashes.filter(crash => crash.onTrial).length
+    if (crashes.length < MIN_CRASHES_LATER || trials < MIN_TRIALS_LATER) return false
+    return trials >= MAX_TRIALS || haveEqualAges(crashes.flatMap(crash => crash.silentAfterMs ?? []))
   }
 
   private giveUp (culprit: Task): void {
@@ -130,11 +145,12 @@
     return cleared
   }
 
-  /** Returns whether other workers, which no trial has crashed, stopped responding at the same time. */
-  private haveOthersFailed (worker: TrackedWorker, silentSince: number): boolean {
+  /** Returns the racks of other workers, which no trial has crashed, that stopped responding at the same time. */
+  private racksThatFailedWith (worker: TrackedWorker, silentSince: number): ReadonlySet<string> {
     const isNear = (since: number | undefined): boolean => since !== undefined && Math.abs(since - silentSince) <= COMMON_CAUSE_WINDOW_MS
-    const silent = [...this.workers.values()].filter(other => other !== worker && !other.ended && ![...other.runs.values()].some(isOnTrial))
-    return silent.some(other => isNear(other.unreachableSince)) || this.unexplained.some(loss => loss.worker !== worker.incarnation() && isNear(loss.silentSince))
+    const silent = [...this.workers.values()].filter(other => other !== worker && !other.ended && isNear(other.unreachableSince) && ![...other.runs.values()].some(isOnTrial))
+    const lost = this.unexplained.filter(loss => loss.worker !== worker.incarnation() && isNear(loss.silentSince))
+    return new Set([...silent.map(other => other.registration.rack), ...lost.map(loss => loss.rack)])
   }
 }
 
@@ -176,6 +192,10 @@
   return !task.done && !task.step.job.isFinished()
 }
 
-function areEqualAges (agesMs: readonly number[]): boolean {
-  return Math.max(...agesMs) * (1 - MAX_AGE_SPREAD) - MAX_AGE_ERROR_MS <= Math.min(...agesMs)
+/** Returns whether enough of the crashes happened at the same age. */
+function haveEqualAges (agesMs: readonly number[]): boolean {
+  return agesMs.some(youngestMs => {
+    const oldestMs = youngestMs * (1 + MAX_AGE_SPREAD) + MAX_AGE_ERROR_MS
+    return agesMs.filter(ageMs => ageMs >= youngestMs && ageMs <= oldestMs).length >= MIN_EQUAL_AGES
+  })
 }
--- a/jobs/scheduler/src/crash.ts
+++ b/jobs/scheduler/src/crash.ts
@@ -17,11 +17,10 @@
   readonly survivedMs: number
   /** The worker responded until the start of the run, and to nothing that was sent after it. */
   readonly atStart?: boolean | undefined
-  /**
-   * How long after the start of the run the worker stopped responding, in milliseconds, if the run was isolated and nothing else
-   * can have crashed the worker but a cause from outside the service; undefined for other crashes.
-   */
-  readonly trialMs?: number | undefined
+  /** How long after the start of the run the worker stopped responding, in milliseconds. */
+  readonly silentAfterMs?: number | undefined
+  /** The run was isolated, and nothing else can have crashed the worker but a cause from outside the service. */
+  readonly onTrial?: boolean | undefined
 }
 
 /**
--- a/jobs/scheduler/test/crashes.test.ts
+++ b/jobs/scheduler/test/crashes.test.ts
@@ -109,6 +109,19 @@
   })
 }
 
+// Workers that crashed at the same moment were taken to have another cause, and their tasks were started again without end.
+for (const [name, ends] of [['two', ['.1', '.2']], ['all', ['']]] as const) {
+  test(`${name} tasks of a job that crash their workers at the same moment cost five workers each at most`, () => {
+    for (const fuseMs of [100, 300, 3_000]) {
+      const model = new CrashModel({ workers: 8, fuseMs: task => ends.some(end => task.endsWith(end)) ? fuseMs : undefined })
+      model.addJob(job({ id: DEADLY_JOB, steps: [step({ lasting: true, tasks: 4, perWorker: 1, demand })] }))
+      model.run(3 * DAY_MS)
+      assert.equal(model.outcome(DEADLY_JOB), 'failed', `after ${fuseMs} ms`)
+      for (const task of model.starts.keys()) assert.ok(model.crashesOf(task) <= MAX_CRASHES_LATER, `${model.crashesOf(task)} crashes after ${fuseMs} ms`)
+    }
+  })
+}
+
 test('a recurring job with a deadly task fails after two crashes', () => {
   const model = new CrashModel({ workers: 6, fuseMs: task => task.endsWith('.0.2') ? FUSE_MS : undefined })
   model.addJob(job({ id: DEADLY_JOB, steps: [step({ tasks: 4, demand })], schedule: { times: 5, firstMs: model.now + 500, everyMs: 4_500 } }))
--- a/jobs/store/src/record-schema.ts
+++ b/jobs/store/src/record-schema.ts
@@ -30,7 +30,7 @@
     done: z.boolean().optional(),
     failedAttempts: z.array(z.number()).optional(),
     checkpoint: z.string().optional(),
-    crashes: z.array(z.object({ worker: z.string(), survivedMs: z.number(), atStart: z.boolean().optional(), trialMs: z.number().optional() })).optional()
+    crashes: z.array(z.object({ worker: z.string(), survivedMs: z.number(), atStart: z.boolean().optional(), silentAfterMs: z.number().optional(), onTrial: z.boolean().optional() })).optional()
   })),
   stepsDone: z.array(z.string()),
   occurrencesEnded: z.array(z.number()),
