Review: when a restarted worker began, starts before it is registered, and lists that are far apart

Seen in review, each shown by a test that failed before: - The first report of a restarted worker dates its start by when it arrives. One that is held up made the start seem later than the end of a call that had reached the worker, so that its longest lease was not allowed for (TWICE). The clock was read after the poll was sent: that counts now. - An incarnation that only a poll had shown got starts by the capacity, labels and state of the one before (LIMIT, ROUTE, DRAIN). Now it gets none until its own registration is seen. - Two lists of VMs 1.5 s apart, with none in between, proved that a missing VM's worker had ended. Now four are needed, and likewise for a vacant VM.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -17,6 +17,8 @@
 const MIN_ABSENCE_OF_ENDED_MS = 1_500
 /** How long consecutive lists must show no worker on a VM, so that no incarnation that they do not show yet runs there. */
 const MIN_VACANCY_MS = 1_500
+/** Number of such lists: two that are far apart do not show what was between them. */
+const MIN_VACANT_LISTS = 4
 
 /** What a list of VMs tells about VMs that it has no readable entry of. */
 export interface VmListCoverage {
@@ -42,6 +44,8 @@
   absentSince: number | undefined
   /** When the first of the consecutive lists that show no worker on its VM was requested; undefined when the last one shows one. */
   vacantSince: number | undefined
+  /** Number of these lists. */
+  vacantLists: number
   /** Number of lists that were requested. */
   lists: number
   nextListAt: number
@@ -87,7 +91,7 @@
     }
     for (const worker of this.scheduler.workers.values()) {
       const proof = this.proofNeeded(worker)
-      if (proof !== undefined && !this.suspects.has(worker)) this.suspects.set(worker, { proof, since: now, confirmations: 0, lastOffAt: undefined, absentSince: undefined, vacantSince: undefined, lists: 0, nextListAt: now + VM_LIST_CHECK_AFTER_MS })
+      if (proof !== undefined && !this.suspects.has(worker)) this.suspects.set(worker, { proof, since: now, confirmations: 0, lastOffAt: undefined, absentSince: undefined, vacantSince: undefined, vacantLists: 0, lists: 0, nextListAt: now + VM_LIST_CHECK_AFTER_MS })
     }
     const due = [...this.suspects.values()].filter(suspect => now >= suspect.nextListAt)
     for (const suspect of due) {
@@ -120,6 +124,7 @@
       const isVacant = isAbsent || (coverage.complete && vm !== undefined && vm.worker === '')
       suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt : undefined
       suspect.vacantSince = isVacant ? suspect.vacantSince ?? requestedAt : undefined
+      suspect.vacantLists = isVacant ? suspect.vacantLists + 1 : 0
       const vacantSince = provenVacantSince(suspect, requestedAt)
       const offSince = observeOff(suspect, { isOff: vm !== undefined && cannotRun(vm, worker), requestedAt }) ?? vacantSince
       if (offSince !== undefined && (proof === 'replaced' || vacantSince !== undefined)) {
@@ -164,13 +169,14 @@
 }
 
 /** Returns since when no list has shown a worker on the VM, if that is long enough to prove that there is none. */
-function provenVacantSince ({ vacantSince }: SuspectedLoss, requestedAt: number): number | undefined {
-  return vacantSince !== undefined && requestedAt - vacantSince >= MIN_VACANCY_MS ? vacantSince : undefined
+function provenVacantSince ({ vacantSince, vacantLists }: SuspectedLoss, requestedAt: number): number | undefined {
+  return vacantSince !== undefined && vacantLists >= MIN_VACANT_LISTS && requestedAt - vacantSince >= MIN_VACANCY_MS ? vacantSince : undefined
 }
 
 /** Returns whether no list has shown the VM for so long that its worker has ended, or, if it has, cannot restart under its id. */
-function isGone ({ proof, absentSince }: SuspectedLoss, requestedAt: number): boolean {
-  return absentSince !== undefined && requestedAt - absentSince >= (proof === 'ended' ? MIN_ABSENCE_OF_ENDED_MS : MIN_ABSENCE_MS)
+function isGone ({ proof, absentSince, vacantLists }: SuspectedLoss, requestedAt: number): boolean {
+  if (absentSince === undefined || (proof === 'ended' && vacantLists < MIN_VACANT_LISTS)) return false
+  return requestedAt - absentSince >= (proof === 'ended' ? MIN_ABSENCE_OF_ENDED_MS : MIN_ABSENCE_MS)
 }
 
 /** Returns whether the VM, as listed, shows what is to be proven. */
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -139,7 +139,7 @@
 
   /**
    * Ends an incarnation whose id has responded as another one, and tracks that one, registered or not: it may have executed
-   * commands that were meant for the other, also those of earlier leaders.
+   * commands that were meant for the other, also those of earlier leaders. It gets no starts before its own registration is seen.
    * @param worker - the incarnation that has ended
    * @param born - what identifies the other one under the same id
    */
@@ -147,6 +147,8 @@
     const { registration } = worker
     if (this.workers.get(registration.id) === worker) this.registerWorker({ ...registration, born })
     this.endIncarnation(worker)
+    const next = this.workers.get(registration.id)
+    if (next !== undefined && next !== worker) next.deregistered = true
   }
 
   /**
@@ -181,7 +183,7 @@
     const unknownJobs = new Set<string>()
     const orphans: OrphanedRun[] = []
     worker.recordClock(report.clockMs, opts.receivedAt)
-    if (!worker.fenced) worker.assumePreviousLeases({ clockMs: report.clockMs, receivedAt: opts.receivedAt }, { longestLeaseMs: this.opts.limits.longestLeaseMs, earlierLeadersUntil: this.unknownRunsUntil })
+    if (!worker.fenced) worker.assumePreviousLeases({ clockMs: report.clockMs, sentAt: opts.sentAt }, { longestLeaseMs: this.opts.limits.longestLeaseMs, earlierLeadersUntil: this.unknownRunsUntil })
     worker.markReachable(opts.receivedAt)
     for (const run of worker.runs.values()) run.outlivedStart ||= opts.sentAt - run.startedAt >= SETTLE_MS
     this.applyEndedRuns(worker, report.ended, unknownJobs)
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -256,11 +256,11 @@
   /**
    * Allows for leases that commands for earlier incarnations may have granted here: those that had not ended when this one
    * began. They name a time of another clock, so that the worker cuts them to the longest lease.
-   * @param firstReport - clock of the first report, and when it was received, by the injected clock
+   * @param firstReport - clock of the first report, and when its poll was sent, by the injected clock: the clock was read later
    * @param opts - longest lease in milliseconds; until when earlier leaders may send commands, by the injected clock
    */
-  assumePreviousLeases (firstReport: { clockMs: number, receivedAt: number }, opts: { longestLeaseMs: number, earlierLeadersUntil: number }): void {
-    const bornAt = firstReport.receivedAt - (firstReport.clockMs + CLOCK_ROUNDING_MS) / MIN_CLOCK_RATE
+  assumePreviousLeases (firstReport: { clockMs: number, sentAt: number }, opts: { longestLeaseMs: number, earlierLeadersUntil: number }): void {
+    const bornAt = firstReport.sentAt - (firstReport.clockMs + CLOCK_ROUNDING_MS) / MIN_CLOCK_RATE
     if (this.previous === undefined) return
     if (bornAt < opts.earlierLeadersUntil || this.previous.mayGrantLeaseAfter(bornAt)) this.assumeEarlierLease(opts.longestLeaseMs)
   }
--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -360,6 +360,15 @@
   assert.equal(run.task.runs.length, 0)
 })
 
+test('two lists without the VM of an unresponsive worker, far apart, do not prove that it has ended', () => {
+  const { harness, detector, run } = loseWorker()
+  for (let times = 0; times < 2; times++) {
+    harness.now += 1_700
+    assert.equal(applyVmListAfterDelay(harness, detector, [vm({ id: 'vm-other' })]), 0)
+  }
+  assert.equal(run.task.runs.length, 1)
+})
+
 test('lists that show the VM of an unresponsive worker without a worker do not prove that it has ended', () => {
   const { harness, detector, run } = loseWorker()
   for (let times = 0; times < 10; times++) assert.equal(applyVmListAfterDelay(harness, detector, [vm({ worker: '' })]), 0)
--- a/jobs/scheduler/test/restarted-worker.test.ts
+++ b/jobs/scheduler/test/restarted-worker.test.ts
@@ -168,3 +168,40 @@
   harness.report('w1', { running: [running(TASK, 1)] })
   assert.deepEqual(harness.startReadyTasks(), [])
 })
+
+// The clock of the first report was taken for that of its arrival, so that the incarnation seemed to have begun later than it had.
+test('a command that reached a restarted worker just after its start counts, however late its first report arrives', () => {
+  const harness = new SchedulerHarness()
+  const [previous] = harness.addWorkers(worker('w1'))
+  previous?.endLeaseCall(harness.now)
+  harness.addJob()
+  const [run] = harness.scheduler.placeReadyTasks()
+  assert.ok(run !== undefined && previous !== undefined)
+  const bornAt = harness.now + 500
+  previous.extendLease(harness.now, 4_000)
+  harness.now = bornAt + 50
+  previous.endLeaseCall(harness.now)
+  harness.scheduler.handleStartResponse(run, { kind: 'unknown', message: 'timeout' })
+  harness.scheduler.setWorkers([worker('w1', { born: 2 })], { unknownRunsUntil: 0 })
+  harness.now = bornAt + 610
+  harness.scheduler.applyReport(harness.worker('w1'), { clockMs: 110, born: 2, running: [running(TASK, run.attempt)], ended: [], moreEnded: false }, { sentAt: bornAt + 100, receivedAt: harness.now })
+  harness.worker('w1').extendLease(harness.now, 4_000)
+  harness.worker('w1').markUnreachable(harness.now)
+  harness.now = bornAt + 5_000
+  harness.scheduler.tick()
+  assert.equal(run.task.runs.length, 1)
+})
+
+// An incarnation that only a poll had shown got starts by the capacity, labels and state of the one before.
+test('an incarnation that is not registered yet gets no starts', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  harness.scheduler.replaceIncarnation(harness.worker('w1'), 2)
+  harness.addJob()
+  harness.now += 100
+  harness.report('w1')
+  assert.deepEqual(harness.scheduler.placeReadyTasks(), [])
+  harness.scheduler.setWorkers([worker('w1', { born: 2 })], { unknownRunsUntil: 0 })
+  harness.report('w1')
+  assert.equal(harness.scheduler.placeReadyTasks().length, 1)
+})
