--- a/jobs/scheduler/src/crash-tracker.ts
+++ b/jobs/scheduler/src/crash-tracker.ts
@@ -11,8 +11,8 @@
 /** One trial is enough where no other worker of the service has crashed by itself for this long. */
 const QUIET_MS = 30_000
 /**
- * A task that crashes its workers later is proven the cause by that many crashes, that many of them in trials, if so many happened at
- * the same age of its runs; or by very many trials.
+ * A task that crashes its workers later is proven the cause by that many crashes, that many of them in trials, if so many
+ * happened at the same age of its runs; or by very many trials.
  */
 const MIN_CRASHES_LATER = 5
 const MIN_TRIALS_LATER = 3
@@ -46,9 +46,9 @@
 
 /**
  * Finds the tasks that crash their workers. Each crash is recorded with the tasks that were on the worker. Those that may be
- * the cause are isolated when they are started again ({@link Isolation}): a crash is then a trial of that task. Workers also crash for
- * other causes, so that only several trials prove a task the cause; its job is given up, and the other tasks of those crashes are
- * cleared.
+ * the cause are isolated when they are started again ({@link Isolation}): another crash is then a trial of the task, if nothing
+ * else of the service can have caused it. Workers also crash for causes from outside, so that only several trials prove a task
+ * the cause; its job is given up, and the other tasks of those crashes are cleared.
  */
 export class CrashTracker {
   private readonly table: JobTable
@@ -86,8 +86,8 @@
   }
 
   /**
-   * Clears a task whose run has been in progress for so long that it has not caused the crashes before. One that has survived its
-   * start no longer explains crashes at its start.
+   * Clears a task whose run has been in progress for so long that it has not caused the crashes before. One that has survived
+   * its start no longer explains crashes at its start.
    * @param run - a run that its worker has just reported
    */
   observeRun (run: Run): void {
--- a/jobs/scheduler/src/isolation.ts
+++ b/jobs/scheduler/src/isolation.ts
@@ -36,8 +36,9 @@
 
 /**
  * Starts tasks that may have crashed their worker, so that the next crash shows which of them did and takes little else with
- * it: one such task of a job at a time, none beside one of another job, on a worker with as little other work as possible.
- * The worker gets no other starts until the run has settled.
+ * it: at first one such task of a job at a time, none beside one of another job, on a worker that has just responded and has as
+ * little other work as possible. The worker gets no other starts until the run has settled. The longer a job waits, the less of
+ * this holds, and in the end its tasks are started like others.
  */
 export class Isolation {
   private readonly placer: TaskPlacer
@@ -139,6 +140,7 @@
     return task.step.spec.gang ? this.placer.placeGang(task.step, workers, now) : this.startSingle(task, workers)
   }
 
+  /** Returns for how long the job has waited as of its present crashes. The first call begins the wait. */
   private waitedMs (job: TrackedJob, now: number): number {
     const known = this.waits.get(job)
     if (known?.crashVersion === job.crashVersion) return now - known.since
@@ -151,6 +153,7 @@
     return worker === undefined ? [] : [this.placer.placeOn(task, worker)]
   }
 
+  /** Starts a task if the worker that suits it best has just responded; otherwise asks for a poll of it. */
   private startOnResponsive (task: Task, workers: readonly TrackedWorker[], now: number): readonly Run[] {
     const worker = leastDisruptive(workers.filter(each => canPlace(task.step, each)), task.step.job)
     if (worker === undefined) return []
@@ -173,7 +176,8 @@
   private closesWorker (run: Run, now: number): boolean {
     if (!hasSettled(run)) return true
     if (run.isolation !== 'whole' || survivedMs(run) >= MAX_CLOSED_MS) return false
-    return this.waitedMs(run.task.step.job, now) - (now - run.startedAt) < MAX_SETTLED_WAIT_MS
+    const waitedAtStartMs = this.waitedMs(run.task.step.job, now) - (now - run.startedAt)
+    return waitedAtStartMs < MAX_SETTLED_WAIT_MS
   }
 
   private hasOtherSuspect (worker: TrackedWorker, job: TrackedJob): boolean {
--- a/jobs/scheduler/src/run.ts
+++ b/jobs/scheduler/src/run.ts
@@ -51,8 +51,8 @@
   /** The run has been found slow, and has counted against its worker. */
   foundSlow: boolean
   /**
-   * The task may crash its worker, and no other such run is on the worker: until it has settled (`start`), or until it ends
-   * (`whole`). Undefined for other runs.
+   * The task may crash its worker: a crash counts as a trial of it until the run has settled (`start`), or until it has lasted
+   * for much longer than those before (`whole`). Undefined for other runs.
    */
   isolation: 'start' | 'whole' | undefined
   /** Speed last set for the run, in percent of full speed; NaN when it is not known. */
