Crashes near each other have a common cause only at the same moment, and four at the start are proof

Cause: since any other worker of the service that stopped responding within 0.3 s kept a crash from being a proof. Several deadly tasks in a peak crash a worker every 0.1 to 0.3 s. Now others count within 50 ms, but for those of the same rack, as before; a loss of power of several workers is noticed within some ms where connections close. And four crashes right after the start of a task give its job up, whatever else failed: the users allow two starts after the third crash.

--- a/jobs/scheduler/src/crash-tracker.ts
+++ b/jobs/scheduler/src/crash-tracker.ts
@@ -1,5 +1,5 @@
 import type { JobTable } from './job-table.ts'
-import { addCrash, FRESH_RESPONSE_MS, hasSettled, needsIsolation, removeCrashes } from './crash.ts'
+import { addCrash, FRESH_RESPONSE_MS, hasSettled, needsIsolation, removeCrashes, type Crash } from './crash.ts'
 import type { Run } from './run.ts'
 import type { Task, TrackedJob } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
@@ -8,6 +8,8 @@
 /** Crashes right after its start that prove a task the cause: that many in all, and that many during trials. */
 const MIN_CRASHES_AT_START = 2
 const MIN_TRIALS_AT_START = 2
+/** So many crashes right after its start are proof even if other workers failed at the same moments. */
+const MAX_CRASHES_AT_START = 4
 /** One trial is enough where no other worker of the service has crashed by itself for this long. */
 const QUIET_MS = 30_000
 /**
@@ -30,8 +32,9 @@
 /** A run that has survived its earlier ones by this factor, and at least for this long, is no longer suspected. */
 const TRIAL_FACTOR = 2
 const MIN_TRIAL_MS = 2_000
-/** Workers that stop responding within this time of each other have a common cause. */
-const COMMON_CAUSE_WINDOW_MS = 300
+/** Workers that stop responding within this time of each other have a common cause: those of one rack, and any. */
+const RACK_FAILURE_WINDOW_MS = 300
+const COMMON_CAUSE_WINDOW_MS = 50
 /** A task that has been in progress for this long has not caused the earlier crashes. */
 const CLEARED_AFTER_MS = 60_000
 
@@ -81,7 +84,7 @@
     const isRackFailure = rack !== '' && racksThatFailed.has(rack)
     const suspicious = isRackFailure ? lost.filter(run => !hasSettled(run) || isOnTrial(run)) : lost
     for (const run of suspicious) this.addCrash(run, { worker, silentSince, isOnTrial: isProof && onTrial.includes(run) })
-    const culprit = isProof ? onTrial.find(run => this.isProven(run.task, now)) : undefined
+    const culprit = onTrial.find(({ task }) => crashesAtStart(task).length >= MAX_CRASHES_AT_START || (isProof && this.isProven(task, now)))
     if (culprit !== undefined) this.giveUp(culprit.task)
   }
 
@@ -115,8 +118,9 @@
   }
 
   /** Returns whether the crashes of a task show that it causes them: workers that crash by themselves do so at any time. */
-  private isProven ({ crashes }: Task, now: number): boolean {
-    const atStart = crashes.filter(crash => crash.atStart)
+  private isProven (task: Task, now: number): boolean {
+    const { crashes } = task
+    const atStart = crashesAtStart(task)
     const trialsAtStart = atStart.filter(crash => crash.onTrial).length
     const others = this.unexplained.filter(loss => loss.silentSince > now - QUIET_MS && !crashes.some(crash => crash.worker === loss.worker))
     const isQuiet = others.every(loss => [...loss.starting].some(isUnfinished))
@@ -147,9 +151,12 @@
 
   /** Returns the racks of other workers, which no trial has crashed, that stopped responding at the same time. */
   private racksThatFailedWith (worker: TrackedWorker, silentSince: number): ReadonlySet<string> {
-    const isNear = (since: number | undefined): boolean => since !== undefined && Math.abs(since - silentSince) <= COMMON_CAUSE_WINDOW_MS
-    const silent = [...this.workers.values()].filter(other => other !== worker && !other.ended && isNear(other.unreachableSince) && ![...other.runs.values()].some(isOnTrial))
-    const lost = this.unexplained.filter(loss => loss.worker !== worker.incarnation() && isNear(loss.silentSince))
+    const isNear = (since: number | undefined, rack: string): boolean => {
+      const windowMs = rack !== '' && rack === worker.registration.rack ? RACK_FAILURE_WINDOW_MS : COMMON_CAUSE_WINDOW_MS
+      return since !== undefined && Math.abs(since - silentSince) <= windowMs
+    }
+    const silent = [...this.workers.values()].filter(other => other !== worker && !other.ended && isNear(other.unreachableSince, other.registration.rack) && ![...other.runs.values()].some(isOnTrial))
+    const lost = this.unexplained.filter(loss => loss.worker !== worker.incarnation() && isNear(loss.silentSince, loss.rack))
     return new Set([...silent.map(other => other.registration.rack), ...lost.map(loss => loss.rack)])
   }
 }
@@ -188,6 +195,10 @@
   return onTrial.some(other => other.task.step.job === run.task.step.job)
 }
 
+function crashesAtStart ({ crashes }: Task): readonly Crash[] {
+  return crashes.filter(crash => crash.atStart)
+}
+
 function isUnfinished (task: Task): boolean {
   return !task.done && !task.step.job.isFinished()
 }
--- a/jobs/scheduler/test/crashes.test.ts
+++ b/jobs/scheduler/test/crashes.test.ts
@@ -144,6 +144,24 @@
   for (let number = 0; number < 6; number++) assert.equal(model.outcome(String(number).padStart(16, '0')), 'completed')
 })
 
+// Workers that deadly tasks of other jobs crashed within 0.3 s were taken to have a common cause, so that no trial counted: the tasks were
+// started without end.
+for (const gapMs of [10, 40, 90, 150, 250]) {
+  test(`deadly tasks of many jobs, ${gapMs} ms apart, cost five workers each at most`, () => {
+    const ids = Array.from({ length: 8 }, (_, number) => String(number).repeat(16))
+    const model = new CrashModel({ workers: 24, fuseMs: task => ids.some(id => task === `${id}.0.0.0`) ? FUSE_MS : undefined, detectionMs: 350 })
+    for (const id of ids) {
+      model.addJob(job({ id, steps: [step({ tasks: 3, demand })] }))
+      model.run(gapMs)
+    }
+    model.run(DAY_MS)
+    for (const id of ids) {
+      assert.equal(model.outcome(id), 'failed')
+      assert.ok(model.crashesOf(`${id}.0.0.0`) <= MAX_CRASHES_LATER, `${model.crashesOf(`${id}.0.0.0`)} crashes`)
+    }
+  })
+}
+
 // Isolated tasks that crashed their workers at the same moment were taken for a failure of the rack.
 test('deadly tasks that are isolated on workers of one rack at the same moment cost two workers each', () => {
   const deadlyJobs = ['a', 'b', 'c'].map(digit => digit.repeat(16))
