Logs say on what a task's second start rests, and how sure the leader was of its leadership

- 'task started again': task, the earlier run that was released without a reported end, the cause, the age of that decision and of the worker's last response, and the time since this entry was last certain to lead.
- 'runs lost with their worker': the same ages, and for how long the leases had certainly expired.
- 'newer leader detected': what has shown it; a refused record says so, too, which logged nothing before.

An entry's leadership is confirmed by each renewal of the lease under which it was acquired: the store held it when the renewal was requested. A token that is older than the entry's registration under its present lease belongs to an earlier lease, and is not confirmed by this one's renewals. Nothing is decided by it yet.

--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -274,6 +274,7 @@
       service,
       token,
       guard: this.leadership.guard(resource, token),
+      leadershipConfirmedAt: () => this.leadership.confirmedAt(resource, token),
       store: this.store,
       records: this.records,
       workerClient: this.opts.workers,
--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@wisteriaslip/core.result'
 import type { Vm } from '@wisteriaslip/jobs.model'
+import { releaseCauses } from './released-run.ts'
 import type { Scheduler } from './scheduler.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
 
@@ -135,7 +136,7 @@
       if (suspect.confirmations < REQUIRED_VM_LISTS && !isGone(suspect, requestedAt)) continue
       if (proof === 'ended') this.endIncarnation(worker, { planned: isPlanned(vm, worker), offSince })
       lost.push({ worker, proof, unansweredStarts: worker.runs.size, vmState: vm?.state })
-      if (proof === 'replaced') this.scheduler.releaseRuns(worker)
+      if (proof === 'replaced') this.scheduler.releaseRuns(worker, releaseCauses.vmReplaced)
       this.suspects.delete(worker)
     }
     return lost
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -10,12 +10,13 @@
 import { canPlace } from './placement.ts'
 import { isUnplaceable } from './unplaceable.ts'
 import { PermitRequester } from './permit-requester.ts'
+import { releaseCauses, toReleasedRun, type ReleaseCause } from './released-run.ts'
 import { carriedOver, createRun, type Run } from './run.ts'
 import { DurationEstimator, findStragglers } from './stragglers.ts'
 import { TaskPlacer } from './task-placer.ts'
 import { attachRun, detachRun, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
 import { runKey, TrackedWorker, type ClockReading } from './tracked-worker.ts'
-import { lossCauses, toLostRun, type LossCause, type WorkerLoss } from './worker-loss.ts'
+import { describeSilence, lossCauses, toLostRun, type LossCause, type WorkerLoss } from './worker-loss.ts'
 
 /** Consecutive failed runs after which a worker gets no starts for `FAILURE_COOLDOWN_MS`. */
 const FAILURES_BEFORE_COOLDOWN = 2
@@ -131,7 +132,7 @@
     worker.expiredRuns = []
     worker.unknownRunsUntil = this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
     for (const run of [...worker.runs.values()]) {
-      if (run.begunHere) this.releaseRun(run)
+      if (run.begunHere) this.releaseRun(run, releaseCauses.incarnationEnded)
     }
     const removable = worker.deregistered && worker.runs.size === 0
     if (removable && this.workers.get(worker.registration.id) === worker) this.workers.delete(worker.registration.id)
@@ -160,16 +161,17 @@
    */
   releaseOverRuns (worker: TrackedWorker, offSince: number): number {
     const over = [...worker.runs.values()].filter(({ startCallEndedAt, begunHere }) => startCallEndedAt !== undefined && startCallEndedAt < offSince && (worker.ended || !begunHere))
-    for (const run of over) this.releaseRun(run)
+    for (const run of over) this.releaseRun(run, releaseCauses.vmOff)
     return over.filter(run => run.phase === 'unsettled').length
   }
 
   /**
    * Releases all runs of a worker.
    * @param worker - a worker on which they neither run now nor can start later
+   * @param cause - what proves that
    */
-  releaseRuns (worker: TrackedWorker): void {
-    for (const run of [...worker.runs.values()]) this.releaseRun(run)
+  releaseRuns (worker: TrackedWorker, cause: ReleaseCause): void {
+    for (const run of [...worker.runs.values()]) this.releaseRun(run, cause)
   }
 
   /**
@@ -225,7 +227,7 @@
       return
     }
     if (error.kind === 'other-life') {
-      this.releaseRun(run)
+      this.releaseRun(run, releaseCauses.otherIncarnation)
       return
     }
     if (error.kind !== 'refused') {
@@ -238,7 +240,7 @@
     if (error.reason === 'permit') run.task.step.permits.invalidate(run.worker)
     if (error.reason === 'unhealthy') run.worker.cooldownUntil = now + UNHEALTHY_COOLDOWN_MS
     run.task.retryAt = now + REFUSED_RETRY_DELAY_MS
-    this.releaseRun(run)
+    this.releaseRun(run, releaseCauses.refused)
   }
 
   /**
@@ -260,7 +262,7 @@
       if (worker.runs.size > 0 && worker.haveLeasesExpired(now)) {
         if (!worker.ended) this.recordLoss(worker, lossCauses.leaseExpired)
         if (!worker.ended) this.keepExpiredRuns(worker)
-        this.releaseRuns(worker)
+        this.releaseRuns(worker, releaseCauses.leaseExpired)
       }
       if (worker.expiredRuns.length > 0 && now >= worker.expiredRunsUntil) worker.expiredRuns = []
       if (worker.deregistered && worker.runs.size === 0 && worker.expiredRuns.length === 0 && worker.pendingCompletions.size === 0 && (worker.fenced || now >= worker.unknownRunsUntil)) {
@@ -368,7 +370,7 @@
 
   private recordLoss (worker: TrackedWorker, cause: LossCause): void {
     if (worker.runs.size === 0) return
-    this.losses.push({ worker: worker.registration, cause, runs: [...worker.runs.values()].map(toLostRun) })
+    this.losses.push({ ...describeSilence(worker, this.opts.clock.now()), worker: worker.registration, cause, runs: [...worker.runs.values()].map(toLostRun) })
   }
 
   private registerWorker (registration: WorkerRegistration): void {
@@ -507,7 +509,7 @@
   private handleMissingRun (run: Run, pollSentAt: number): void {
     const blocked = run.stopAcknowledgedAt !== undefined && run.stopAcknowledgedAt < pollSentAt
     const disappeared = run.phase === 'running' && run.confirmedAt !== undefined && run.confirmedAt < pollSentAt
-    if (blocked || disappeared) this.releaseRun(run)
+    if (blocked || disappeared) this.releaseRun(run, releaseCauses.notListed)
     else if (run.phase === 'unsettled') this.requestStop(run, 'start unanswered')
   }
 
@@ -527,7 +529,8 @@
     return run
   }
 
-  private releaseRun (run: Run): void {
+  private releaseRun (run: Run, cause?: ReleaseCause): void {
+    if (cause !== undefined) run.task.released = toReleasedRun(run, cause, this.opts.clock.now())
     run.worker.remove(run)
     this.runsToStop.delete(run)
     detachRun(run)
--- a/jobs/scheduler/src/tracked-job.ts
+++ b/jobs/scheduler/src/tracked-job.ts
@@ -3,6 +3,7 @@
 import { emptyProgress, type JobFailure, type JobProgress } from './progress.ts'
 import { numbersIn } from './ranges.ts'
 import { StepPermits } from './permits.ts'
+import type { ReleasedRun } from './released-run.ts'
 import type { Run } from './run.ts'
 
 /** State of a task: one index of a step in one occurrence. */
@@ -25,6 +26,8 @@
   slowRestarts: number
   /** Crashes of workers that it was on, as long as no other task is known to have caused them. */
   crashes: readonly Crash[]
+  /** The latest run that was released without a reported end; undefined if there was none in this term. */
+  released: ReleasedRun | undefined
 }
 
 /** State of a step in one occurrence. */
@@ -171,6 +174,7 @@
         retryAt: 0,
         failedOn: new Set(),
         slowRestarts: 0,
+        released: undefined,
         crashes: savedProgress?.crashes ?? []
       })
     }
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -296,6 +296,17 @@
     return this.clockMs + (now - this.clockReadAt) * MIN_CLOCK_RATE > leaseUntilMs
   }
 
+  /**
+   * @param now - time of the injected clock
+   * @returns for how long all leases granted to it have certainly expired, on its clock, in milliseconds; negative while some
+   * may hold, undefined if none is known
+   */
+  leaseExpiredForMs (now: number): number | undefined {
+    const leaseUntilMs = Math.max(this.leaseUntilMs, this.unknownLeaseUntilMs)
+    if (!this.hasClock() || leaseUntilMs === Number.NEGATIVE_INFINITY) return undefined
+    return Math.round(this.clockMs + (now - this.clockReadAt) * MIN_CLOCK_RATE - leaseUntilMs)
+  }
+
   /** @returns highest sequence number up to which all completions are durable */
   seenSeq (): number {
     let seen = this.highestCompletionSeq
--- a/jobs/scheduler/src/worker-loss.ts
+++ b/jobs/scheduler/src/worker-loss.ts
@@ -1,5 +1,6 @@
 import type { WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { Run } from './run.ts'
+import type { TrackedWorker } from './tracked-worker.ts'
 
 /** Why the runs of a worker were lost. */
 export const lossCauses = {
@@ -28,8 +29,16 @@
   readonly crashes: number
 }
 
+/** What a leader knows of a worker that no longer responds. */
+export interface WorkerSilence {
+  /** Age of its last response in milliseconds; undefined if it has never responded in this term. */
+  readonly lastResponseAgeMs: number | undefined
+  /** For how long its leases have certainly expired, on its clock, in milliseconds; negative while they may hold. */
+  readonly leaseExpiredForMs: number | undefined
+}
+
 /** Runs that were lost with a worker. */
-export interface WorkerLoss {
+export interface WorkerLoss extends WorkerSilence {
   readonly worker: WorkerRegistration
   readonly cause: LossCause
   readonly runs: readonly LostRun[]
@@ -45,6 +54,18 @@
   return Math.max(0, run.worker.lastClockMs() - run.startedWorkerClockMs)
 }
 
+/**
+ * @param worker - a worker
+ * @param now - time of the injected clock
+ * @returns the ages of what is known of it
+ */
+export function describeSilence (worker: TrackedWorker, now: number): WorkerSilence {
+  return {
+    lastResponseAgeMs: worker.lastResponseAt === undefined ? undefined : Math.round(now - worker.lastResponseAt),
+    leaseExpiredForMs: worker.leaseExpiredForMs(now)
+  }
+}
+
 /**
  * @param run - a run that was lost
  * @returns what the log says about it
--- a/jobs/scheduler/test/crash-model.ts
+++ b/jobs/scheduler/test/crash-model.ts
@@ -176,7 +176,7 @@
       const knownAfterMs = this.opts.detectionMs ?? DEFAULT_DETECTION_MS
       if (!isCurrent || this.now - (each.crashedAt ?? 0) >= knownAfterMs) {
         this.scheduler.endIncarnation(tracked)
-        if (!isCurrent) this.scheduler.releaseRuns(tracked)
+        if (!isCurrent) this.scheduler.releaseRuns(tracked, 'vm-replaced')
       }
       return
     }
--- a/jobs/service/src/ports.ts
+++ b/jobs/service/src/ports.ts
@@ -13,6 +13,8 @@
   readonly token: number
   /** Store condition that is true while this entry leads the service in this term. */
   readonly guard: Guard
+  /** @returns latest time of the injected clock at which this entry was certainly the leader, negative infinity if there is none */
+  readonly leadershipConfirmedAt: () => number
   readonly store: Store
   readonly records: JobRecords
   readonly workerClient: WorkerClient
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -5,7 +5,7 @@
 import type { ServiceRecords, TermRecord } from '@wisteriaslip/jobs.store'
 import { removeExpiredJobs } from './expired-jobs.ts'
 import { computeServiceLoad, withdrawWorkers } from './load.ts'
-import { logLosses } from './loss-log.ts'
+import { logLosses, logRestart } from './loss-log.ts'
 import type { ServiceTermOpts } from './ports.ts'
 import { ProgressWriter } from './progress-writer.ts'
 import { RequestWatcher } from './request-watcher.ts'
@@ -32,6 +32,9 @@
 /** The permit service takes a while to decide, and accepts one call at a time from each entry. */
 const PERMIT_TIMEOUT_MS = 3_000
 
+/** What has shown a newer leader: a worker that refused the token, a job accepted under a newer one, or the store. */
+type NewerLeaderSign = { worker: string } | { job: string, acceptedUnder: number } | { store: true }
+
 /** One entry's period of leadership of one service, from acquiring to losing it. */
 export class ServiceTerm {
   readonly service: string
@@ -89,7 +92,7 @@
    */
   push (job: Job): boolean {
     if (this.components === undefined) return false
-    if (job.acceptedUnder > this.token) this.onNewerLeader()
+    if (job.acceptedUnder > this.token) this.onNewerLeader({ job: job.id, acceptedUnder: job.acceptedUnder })
     else this.components.scheduler.addJob(job, { acceptedThisTerm: job.acceptedUnder === this.token })
     this.wakeup.wake()
     return true
@@ -168,7 +171,7 @@
         if (all.ok) return this.createComponents(term.value, all.value, startedAt)
       } else if (term.error.kind === 'conflict') {
         const leader = await this.opts.store.get(guard.key)
-        if (leader.ok && leader.value?.createRevision !== this.token) this.leadershipLost.abort()
+        if (leader.ok && leader.value?.createRevision !== this.token) this.onNewerLeader({ store: true })
       }
       await delay(RECORD_READ_RETRY_MS, signal)
     }
@@ -178,7 +181,7 @@
     const { service, clock, wallClock, limits, queue, logger } = this.opts
     const maxEarlierLeaseMs = Math.min(limits.longestLeaseMs, (term.leaseMs ?? limits.longestLeaseMs) * CLOCK_DRIFT_FACTOR)
     const scheduler = new Scheduler({ clock, wallClock, limits, queue, term: term.number, maxEarlierLeaseMs })
-    const writer = new ProgressWriter(scheduler, this.opts, { onRecorded: () => this.onRecorded(), onNewerLeader: () => this.leadershipLost.abort() })
+    const writer = new ProgressWriter(scheduler, this.opts, { onRecorded: () => this.onRecorded(), onNewerLeader: () => this.onNewerLeader({ store: true }) })
     for (const [id, prior] of all.progress) writer.setPrior(id, prior)
     for (const id of all.unreadable) this.skipUnreadable(scheduler, id)
     for (const doc of all.jobs) {
@@ -239,6 +242,7 @@
     const isFull = (): boolean => this.startWindow.free() === 0
     this.startWindow.recordSent()
     if (run.isolation !== undefined) this.logIsolation(run)
+    logRestart(run, this.opts)
     const session = this.sessions.get(run.worker)
     const started = session === undefined ? Promise.reject(new Error('no session with the worker')) : session.start(run, permit, signal)
     started.catch(error => {
@@ -298,7 +302,7 @@
   private openSession (worker: TrackedWorker, scheduler: Scheduler, signal: AbortSignal): void {
     const session = new WorkerSession(worker, scheduler, this.opts, {
       onChange: () => this.wakeup.wake(),
-      onNewerLeader: () => this.onNewerLeader(),
+      onNewerLeader: () => this.onNewerLeader({ worker: worker.registration.id }),
       lagMs: () => this.startWindow.lagMs(),
       loadJobs: async jobs => await this.loadJobs(jobs)
     })
@@ -355,9 +359,9 @@
     for (const session of this.sessions.values()) session.notifyRecorded()
   }
 
-  private onNewerLeader (): void {
+  private onNewerLeader (shownBy: NewerLeaderSign): void {
     if (this.leadershipLost.signal.aborted) return
-    this.opts.logger.warn({ service: this.service, token: this.token }, 'newer leader detected')
+    this.opts.logger.warn({ service: this.service, token: this.token, shownBy }, 'newer leader detected')
     this.leadershipLost.abort()
   }
 
--- a/peers/membership/src/leadership.ts
+++ b/peers/membership/src/leadership.ts
@@ -77,6 +77,20 @@
     return this.recordedToken(resource)
   }
 
+  /**
+   * @param resource - name of a resource
+   * @param token - fencing token under which this entry leads it
+   * @returns latest time of the injected clock at which the store certainly recorded that; negative infinity if that record
+   * has ended with an earlier lease of this entry
+   */
+  confirmedAt (resource: string, token: number): number {
+    const lease = this.opts.lease.confirmation()
+    const registration = this.opts.members.latestRegistration()
+    // Leadership is acquired after the registration under the same lease: an older token belongs to an earlier lease.
+    const isOfThisLease = lease !== undefined && registration?.leaseId === lease.leaseId && token > registration.revision
+    return isOfThisLease && this.recordedToken(resource) === token ? lease.at : Number.NEGATIVE_INFINITY
+  }
+
   /**
    * @param resource - name of a resource
    * @param token - fencing token of the writer
--- a/peers/membership/src/lease.ts
+++ b/peers/membership/src/lease.ts
@@ -19,12 +19,20 @@
   readonly signal: AbortSignal
 }
 
+/** The latest proof that the store holds a lease. */
+export interface LeaseConfirmation {
+  readonly leaseId: string
+  /** When the grant or renewal that succeeded was requested, by the injected clock: the store held the lease after that. */
+  readonly at: number
+}
+
 /** The lease of an entry. It is valid only while the entry's own monotonic clock proves that it has not expired. */
 export class EntryLease {
   private readonly store: Store
   private readonly opts: EntryLeaseOpts
   private leaseId: string | undefined
   private validUntil = Number.NEGATIVE_INFINITY
+  private confirmedAt = Number.NEGATIVE_INFINITY
 
   constructor (store: Store, opts: EntryLeaseOpts) {
     this.store = store
@@ -36,6 +44,11 @@
     return this.opts.clock.now() < this.validUntil ? this.leaseId : undefined
   }
 
+  /** @returns the latest proof of the present lease, also if it may have expired since; undefined once it has ended */
+  confirmation (): LeaseConfirmation | undefined {
+    return this.leaseId === undefined ? undefined : { leaseId: this.leaseId, at: this.confirmedAt }
+  }
+
   /**
    * Obtains and renews the lease until the signal aborts. Call {@link EntryLease.revoke} afterwards.
    * @param onGranted - called with the id of each new lease; the previous lease is gone with all its keys. The lease is
@@ -74,6 +87,7 @@
       return false
     }
     this.leaseId = granted.value
+    this.confirmedAt = requestedAt
     this.validUntil = requestedAt + this.opts.ttlMs - LEASE_SAFETY_MARGIN_MS
     this.opts.logger.info({ leaseId: granted.value }, 'lease granted')
     onGranted(granted.value).catch(error => this.opts.logger.error({ err: error }, 'registration failed'))
@@ -86,6 +100,7 @@
     const requestedAt = clock.now()
     const renewed = await withTimeout(ttlMs * RENEWAL_TIMEOUT_SHARE, signal, async inner => await this.store.keepAlive(leaseId, inner))
     if (renewed.ok) {
+      this.confirmedAt = requestedAt
       this.validUntil = requestedAt + ttlMs - LEASE_SAFETY_MARGIN_MS
       return true
     }
--- a/peers/membership/src/members.ts
+++ b/peers/membership/src/members.ts
@@ -16,13 +16,21 @@
   readonly weight?: number | undefined
 }
 
+/** This entry's latest registration. */
+export interface Registration {
+  /** Lease under which it was written. */
+  readonly leaseId: string
+  /** Revision of the store at which it was written. */
+  readonly revision: number
+}
+
 /** The members recorded in the mirror, and the registration of this entry. */
 export class Members {
   readonly self: Member
   private readonly mirror: Mirror
   private readonly keys: StoreKeys
   private cachedMembers: readonly Member[] | undefined
-  private registeredAt: number | undefined
+  private registration: Registration | undefined
   private replaced = false
 
   /**
@@ -68,8 +76,13 @@
   isReplaced (): boolean {
     if (this.replaced) return true
     const record = this.mirror.get(this.keys.members + this.self.id)
-    if (record === undefined || this.registeredAt === undefined || !isMember(record.value)) return false
-    return record.value.incarnation !== this.self.incarnation && record.modRevision > this.registeredAt
+    if (record === undefined || this.registration === undefined || !isMember(record.value)) return false
+    return record.value.incarnation !== this.self.incarnation && record.modRevision > this.registration.revision
+  }
+
+  /** @returns this entry's latest registration, undefined before the first */
+  latestRegistration (): Registration | undefined {
+    return this.registration
   }
 
   /**
@@ -85,13 +98,13 @@
     if (!prior.ok) return prior
     const registered = prior.value?.value
     const isOtherIncarnation = isMember(registered) && registered.incarnation !== this.self.incarnation
-    if (isOtherIncarnation && this.registeredAt !== undefined) {
+    if (isOtherIncarnation && this.registration !== undefined) {
       this.replaced = true
       return err({ kind: 'conflict', code: 'STORE_CONFLICT', message: 'another incarnation has registered under this id' })
     }
     const written = await store.update([{ key, prior: prior.value, value: this.self, leaseId }])
     if (!written.ok) return err(written.error)
-    this.registeredAt = written.value
+    this.registration = { leaseId, revision: written.value }
     return ok(undefined)
   }
 }
--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -118,6 +118,7 @@
       service: SERVICE,
       token,
       guard: { key: LEADER_KEY, createRevision: token },
+      leadershipConfirmedAt: () => systemClock.now(),
       store: this.createStoreClient(driver),
       records: this.createRecords(driver),
       workerClient: disconnectable<WorkerClient>(this.workers, link, async () => err({ kind: 'unknown', message: 'disconnected' })),
--- a/testing/jobs/test/faulty-service.ts
+++ b/testing/jobs/test/faulty-service.ts
@@ -200,6 +200,7 @@
       service: 's',
       token,
       guard: { key: LEADER_KEY, createRevision: token },
+      leadershipConfirmedAt: () => this.process.now(),
       store,
       records: new JobRecords(store, new JobKeys('w')),
       workerClient: this.workers.client(link),
--- a/testing/jobs/test/overload.test.ts
+++ b/testing/jobs/test/overload.test.ts
@@ -53,6 +53,7 @@
       service: 's',
       token: acquired.value,
       guard: { key: LEADER_KEY, createRevision: acquired.value },
+      leadershipConfirmedAt: () => this.process.now(),
       store: this.store,
       records: new JobRecords(this.store, new JobKeys('w')),
       workerClient: this.workers,
