Reproduction: a leader that is replaced without noticing starts a live worker's tasks again

The leader loses the store and worker w1; its successor reaches w1 but not w2. 4 s later the replaced leader releases the runs of w1 ('lease-expired') and starts them on w2, while the successor keeps them running on w1.

--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -26,6 +26,13 @@
   releaseLeadership (): Promise<void>
   /** Disconnects it from the store, the workers and the intake without ending its term. */
   disconnect (): void
+  /** Disconnects it from the store and the intake without ending its term: nothing confirms its leadership any more. */
+  disconnectFromStore (): void
+  /**
+   * Disconnects it from a worker without ending its term.
+   * @param worker - id of the worker
+   */
+  disconnectFrom (worker: string): void
 }
 
 /** One service on an in-memory store: tests submit jobs, and elect and disconnect leaders. */
@@ -109,19 +116,21 @@
     const acquired = await store.update([{ key: LEADER_KEY, prior: undefined, value: {} }])
     if (!acquired.ok) throw new Error(acquired.error.message)
     const token = acquired.value
-    const link = { up: true }
+    const link = { up: true, confirmedAt: 0 }
+    const lostWorkers = new Set<string>()
+    let reachesWorkers = true
     const termAbort = new AbortController()
     this.shutdown.signal.addEventListener('abort', () => termAbort.abort(), { once: true })
     const writesTermRecord = (txn: DriverTxn): boolean => txn.puts.some(put => put.key === new JobKeys('w').term(SERVICE))
-    const driver = disconnectable(withWriteFaults(this.driver, this.termRecordFaults, writesTermRecord), link, connectionLost)
+    const driver = disconnectable(withWriteFaults(this.driver, this.termRecordFaults, writesTermRecord), () => link.up, connectionLost)
     const term = new ServiceTerm({
       service: SERVICE,
       token,
       guard: { key: LEADER_KEY, createRevision: token },
-      leadershipConfirmedAt: () => systemClock.now(),
+      leadershipConfirmedAt: () => link.up ? systemClock.now() : link.confirmedAt,
       store: this.createStoreClient(driver),
       records: this.createRecords(driver),
-      workerClient: disconnectable<WorkerClient>(this.workers, link, async () => err({ kind: 'unknown', message: 'disconnected' })),
+      workerClient: disconnectable<WorkerClient>(this.workers, id => reachesWorkers && !lostWorkers.has(id), async () => err({ kind: 'unknown', message: 'disconnected' })),
       permitClient: undefined,
       registeredWorkers: () => this.workers.registrations(),
       vms: async () => link.up ? { vms: this.vms, unreadable: [], complete: true } : undefined,
@@ -136,6 +145,11 @@
     this.leader = leader
     const done = term.run(termAbort.signal)
     this.running.push(done)
+    const disconnectFromStore = (): void => {
+      link.up = false
+      link.confirmedAt = systemClock.now()
+      leader.reachable = false
+    }
     return {
       term,
       releaseLeadership: async () => {
@@ -143,9 +157,11 @@
         await done
       },
       disconnect: () => {
-        link.up = false
-        leader.reachable = false
-      }
+        disconnectFromStore()
+        reachesWorkers = false
+      },
+      disconnectFromStore,
+      disconnectFrom: worker => { lostWorkers.add(worker) }
     }
   }
 
@@ -215,14 +231,15 @@
   return err({ kind: 'lost', message: 'disconnected' })
 }
 
-/** Wraps a client: while the link is down, calls return the result of `onDisconnected` instead. */
-function disconnectable<T extends object> (client: T, link: { up: boolean }, onDisconnected: () => Promise<unknown>): T {
+/** Wraps a client: calls to what is not reached, a worker's id in their first argument, return the result of `onDisconnected`. */
+function disconnectable<T extends object> (client: T, reaches: (id: string) => boolean, onDisconnected: () => Promise<unknown>): T {
   return new Proxy(client, {
     get: (object, name) => {
       const member = Reflect.get(object, name) as unknown
       if (typeof member !== 'function') return member
       return (...args: unknown[]): unknown => {
-        if (!link.up && name !== 'closeConnections') return onDisconnected()
+        const id = (args[0] as { id?: string } | undefined)?.id ?? ''
+        if (!reaches(id) && name !== 'closeConnections') return onDisconnected()
         return (member as (...args: unknown[]) => unknown).apply(object, args)
       }
     }
