A leader acts only while its leadership is confirmed, and takes no lease for expired that a successor may have extended

Cause: a term follows what the entry's mirror says. An entry that is cut off from the store is replaced when its lease runs out there, and its mirror never shows that. It went on for as long as nobody told it: it granted leases to workers that its successor did not reach, which that one takes for expired 5.7 s after its election, and it took leases for expired that its successor had extended. The class: acting on a permission that has run out.

Now each leadership has a time of its latest confirmation: the request of the latest renewal of the lease under which it was acquired, or, while renewals are overdue, the time at which a majority of the members had synced with this entry. A term starts runs and grants leases only within 1.5 s of it, which its successor allows for; and it judges leases as of that time.

Ruled out: stopping with the lease alone, as leaders have to go on while nobody reaches the store. Not covered: a majority of the members cut off from the store and the others, but not from workers (docs/JOBS.md, Open).

--- a/bench/src/job-peaks.ts
+++ b/bench/src/job-peaks.ts
@@ -108,7 +108,7 @@
   }
 
   private makeScheduler (): Scheduler {
-    return new Scheduler({ clock: this.loop, wallClock: () => this.loop.now(), limits, queue: name => makeQueue(name, this.policy), term: 0, maxEarlierLeaseMs: limits.longestLeaseMs })
+    return new Scheduler({ clock: this.loop, wallClock: () => this.loop.now(), limits, queue: name => makeQueue(name, this.policy), term: 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: limits.longestLeaseMs })
   }
 
   private generateArrivals (): Arrival[] {
@@ -203,7 +203,7 @@
     const loads = new Map([...this.schedulers].map(([name, scheduler]) => [name, computeServiceLoad(scheduler, this.loop.now())]))
     const moves = this.autoscaler.plan(services, this.vms(), loads, new Set())
     for (const [name, scheduler] of this.schedulers) {
-      const empty = new Set(withdrawWorkers(scheduler, moves.filter(move => move.from === name).map(move => move.vm), this.loop.now()))
+      const empty = new Set(withdrawWorkers(scheduler, moves.filter(move => move.from === name).map(move => move.vm)))
       for (const move of moves) {
         if (move.from !== name || !empty.has(move.vm)) continue
         this.moveVm(move.vm, move.to)
--- a/bench/src/scheduling.ts
+++ b/bench/src/scheduling.ts
@@ -58,7 +58,7 @@
   private starts = 0
 
   constructor (workers: number, load: number) {
-    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits: { longestLeaseMs: 6_000, stopMs: 400, shutdownGraceMs: 6_000, keepMs: 120_000, maintenanceMs: 2_000 }, queue: () => queue, term: 0, maxEarlierLeaseMs: 0 })
+    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits: { longestLeaseMs: 6_000, stopMs: 400, shutdownGraceMs: 6_000, keepMs: 120_000, maintenanceMs: 2_000 }, queue: () => queue, term: 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: 0 })
     this.scheduler.setWorkers(Array.from({ length: workers }, (_, index) => ({ id: `w${index}`, born: 1, service: 's', host: 'h', port: 1, zone: 'z', vm: `v${index}`, draining: false, capacity: CAPACITY, labels: [], rack: `r${index >> 4}` })), { unknownRunsUntil: 0 })
     this.workers = [...this.scheduler.workers.values()]
     for (const worker of this.workers) this.report(worker)
--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -18,6 +18,7 @@
 import { Election } from './election.ts'
 import { explainObject } from './explain.ts'
 import { PeerLeaderClient } from './leader-client.ts'
+import { LeadershipConfirmation } from './leadership-confirmation.ts'
 import { EntryPeerService } from './peer-service.ts'
 import { PeerSync } from './peer-sync.ts'
 import { followRawKeys } from './raw-mirror.ts'
@@ -102,6 +103,7 @@
   private readonly clients: PeerClients<JobPeerService>
   private readonly records: JobRecords
   private readonly peerSync: PeerSync
+  private readonly confirmation: LeadershipConfirmation
   private readonly leaderClient: PeerLeaderClient
   private readonly serviceTerms: TermRunner<ServiceTerm>
   private readonly fleetTerms: TermRunner<FleetTerm>
@@ -127,6 +129,7 @@
     this.records = new JobRecords(this.store, new JobKeys(opts.keyPrefix))
     this.peerSync = new PeerSync({ members: this.members, mirror, site: this.site, clients: this.clients, clock, hasStoreAccess: () => this.hasStoreAccess() })
     this.serviceTerms = new TermRunner((resource, token) => this.createServiceTerm(resource, token), { logger, signal: this.leaving.signal })
+    this.confirmation = new LeadershipConfirmation({ lease: this.lease, leadership: this.leadership, members: this.members, peerSync: this.peerSync, isLeader: () => this.serviceTerms.all().length > 0, clock })
     this.fleetTerms = new TermRunner((_resource, token) => this.createFleetTerm(token), { logger, signal: this.leaving.signal })
     this.service = new EntryPeerService({
       members: this.members,
@@ -215,6 +218,7 @@
       this.workerRegistry.run(signal),
       this.lease.run(async () => await this.election.register()),
       this.peerSync.run(signal),
+      this.confirmation.run(this.leaving.signal),
       this.election.run(this.leaving.signal)
     ]
   }
@@ -274,7 +278,7 @@
       service,
       token,
       guard: this.leadership.guard(resource, token),
-      leadershipConfirmedAt: () => this.leadership.confirmedAt(resource, token),
+      leadershipConfirmedAt: () => this.confirmation.confirmedAt(resource, token),
       store: this.store,
       records: this.records,
       workerClient: this.opts.workers,
--- a/jobs/entry/src/peer-sync.ts
+++ b/jobs/entry/src/peer-sync.ts
@@ -34,6 +34,8 @@
   private readonly opts: PeerSyncOpts
   /** Time of the last report of store access, by the peer's incarnation. */
   private readonly storeAccessReportedAt = new Map<string, number>()
+  /** When the last sync that succeeded was requested, by the peer's incarnation. */
+  private readonly syncedAt = new Map<string, number>()
   /** Newest configuration version that a peer reported, and since when this entry has been behind. */
   private newestPeerConfig = { version: -1, since: 0 }
   private nextPeerIndex = 0
@@ -57,6 +59,18 @@
     return round.filter(peer => peer !== undefined)
   }
 
+  /**
+   * @returns latest time of the injected clock after which this entry and enough peers for a majority of the members have synced:
+   * what this entry knows is what they knew then, or newer
+   */
+  majoritySyncedAt (): number {
+    const { members, clock } = this.opts
+    const peersNeeded = members.majority() - 1
+    if (peersNeeded === 0) return clock.now()
+    const times = members.peers().map(peer => this.syncedAt.get(peer.incarnation) ?? Number.NEGATIVE_INFINITY).sort((a, b) => b - a)
+    return times[peersNeeded - 1] ?? Number.NEGATIVE_INFINITY
+  }
+
   /**
    * Applies newer state of the given peers.
    * @param peers - peers to sync with
@@ -82,6 +96,7 @@
 
   private async syncWithPeer (peer: Member, signal: AbortSignal): Promise<void> {
     const { members, mirror, site, clients, clock } = this.opts
+    const requestedAt = clock.now()
     const req = { from: members.self.incarnation, revision: mirror.revision(), ...(this.needsConfig() ? { configVersion: this.configVersion() } : {}) }
     const reply = await clients.call(peer.peerAddress, 'sync', req, { timeoutMs: SYNC_TIMEOUT_MS, signal })
     if (!reply.ok) {
@@ -89,6 +104,7 @@
       return
     }
     if (reply.value.delta !== undefined) mirror.merge(reply.value.delta)
+    this.syncedAt.set(peer.incarnation, requestedAt)
     if (reply.value.config !== undefined) site.applyConfigIfNewer(reply.value.config)
     this.recordPeerVersion(reply.value.configVersion)
     if (reply.value.storeAvailable) this.storeAccessReportedAt.set(peer.incarnation, clock.now())
--- a/jobs/scheduler/src/explain.ts
+++ b/jobs/scheduler/src/explain.ts
@@ -85,7 +85,7 @@
 }
 
 function waitReasonOf (scheduler: Scheduler, step: TrackedStep, opts: { queue: QueueLookup, now: number }): WaitReason {
-  if (scheduler.mayHaveUnknownRuns(opts.now) && !step.job.acceptedThisTerm) return 'EARLIER_LEADERS_WORKERS_SILENT'
+  if (scheduler.mayHaveUnknownRuns() && !step.job.acceptedThisTerm) return 'EARLIER_LEADERS_WORKERS_SILENT'
   const usable = [...scheduler.workers.values()].filter(worker => worker.takesStarts(opts.now))
   if (usable.length === 0) return 'NO_USABLE_WORKER'
   const labelled = usable.filter(worker => step.spec.label === '' || worker.registration.labels.includes(step.spec.label))
--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -155,7 +155,7 @@
     if (this.scheduler.workers.get(worker.registration.id) !== worker) return undefined
     if (worker.ended) return worker.runs.size > 0 ? 'replaced' : undefined
     if (worker.reachable) return undefined
-    return worker.runs.size > 0 || worker.expiredRuns.length > 0 || worker.mayHaveUnknownRuns(this.clock.now()) ? 'ended' : undefined
+    return worker.runs.size > 0 || worker.expiredRuns.length > 0 || worker.mayHaveUnknownRuns(this.scheduler.leasesKnownAt()) ? 'ended' : undefined
   }
 }
 
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -42,6 +42,8 @@
   readonly term: number
   /** Longest lease that leaders of earlier terms may have granted, in milliseconds. */
   readonly maxEarlierLeaseMs: number
+  /** @returns latest time of the injected clock at which this leader was certainly the only one */
+  readonly leadershipConfirmedAt: () => number
 }
 
 /** A reported run whose job is not stored. */
@@ -258,14 +260,15 @@
    */
   tick (): void {
     const now = this.opts.clock.now()
+    const leasesKnownAt = this.leasesKnownAt()
     for (const worker of [...this.workers.values()]) {
-      if (worker.runs.size > 0 && worker.haveLeasesExpired(now)) {
+      if (worker.runs.size > 0 && worker.haveLeasesExpired(leasesKnownAt)) {
         if (!worker.ended) this.recordLoss(worker, lossCauses.leaseExpired)
         if (!worker.ended) this.keepExpiredRuns(worker)
         this.releaseRuns(worker, releaseCauses.leaseExpired)
       }
       if (worker.expiredRuns.length > 0 && now >= worker.expiredRunsUntil) worker.expiredRuns = []
-      if (worker.deregistered && worker.runs.size === 0 && worker.expiredRuns.length === 0 && worker.pendingCompletions.size === 0 && (worker.fenced || now >= worker.unknownRunsUntil)) {
+      if (worker.deregistered && worker.runs.size === 0 && worker.expiredRuns.length === 0 && worker.pendingCompletions.size === 0 && (worker.fenced || leasesKnownAt >= worker.unknownRunsUntil)) {
         this.workers.delete(worker.registration.id)
       }
     }
@@ -284,7 +287,7 @@
     if (steps.length === 0) return []
     const workers = [...this.workers.values()].filter(worker => worker.takesStarts(now) && worker.hasClock())
     this.isolation.noteWaits(steps, now)
-    const placeable = this.mayHaveUnknownRuns(now) ? steps.filter(step => step.job.acceptedThisTerm) : steps
+    const placeable = this.mayHaveUnknownRuns() ? steps.filter(step => step.job.acceptedThisTerm) : steps
     const { runs: isolatedRuns, openWorkers } = this.isolation.place(placeable, workers, { now, maxRuns })
     return [...isolatedRuns, ...this.placer.place(placeable, openWorkers, { now, maxRuns: maxRuns - isolatedRuns.length })]
   }
@@ -314,22 +317,26 @@
   }
 
   /**
-   * @param now - time of the injected clock
-   * @returns whether some worker may execute runs of earlier leaders that are not tracked here
+   * @returns time of the injected clock for which it is known which leases workers hold: since then a later leader may have
+   * extended them, so that none may be taken for expired
    */
-  mayHaveUnknownRuns (now: number): boolean {
+  leasesKnownAt (): number {
+    return Math.min(this.opts.clock.now(), this.opts.leadershipConfirmedAt())
+  }
+
+  /** @returns whether some worker may execute runs of earlier leaders that are not tracked here */
+  mayHaveUnknownRuns (): boolean {
+    const leasesKnownAt = this.leasesKnownAt()
     for (const worker of this.workers.values()) {
-      if (worker.mayHaveUnknownRuns(now)) return true
+      if (worker.mayHaveUnknownRuns(leasesKnownAt)) return true
     }
     return false
   }
 
-  /**
-   * @param now - time of the injected clock
-   * @returns the workers that may execute runs of earlier leaders that are not tracked here
-   */
-  workersWithUnknownRuns (now: number): TrackedWorker[] {
-    return [...this.workers.values()].filter(worker => worker.mayHaveUnknownRuns(now))
+  /** @returns the workers that may execute runs of earlier leaders that are not tracked here */
+  workersWithUnknownRuns (): TrackedWorker[] {
+    const leasesKnownAt = this.leasesKnownAt()
+    return [...this.workers.values()].filter(worker => worker.mayHaveUnknownRuns(leasesKnownAt))
   }
 
   /**
--- a/jobs/scheduler/test/clock-jump.test.ts
+++ b/jobs/scheduler/test/clock-jump.test.ts
@@ -11,7 +11,7 @@
   readonly scheduler: Scheduler
 
   constructor (overrides: Partial<JobLimits> = {}) {
-    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.timeOfDay, limits: { ...limits, ...overrides }, queue: () => undefined, term: 0, maxEarlierLeaseMs: 0 })
+    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.timeOfDay, limits: { ...limits, ...overrides }, queue: () => undefined, term: 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: 0 })
     this.scheduler.setWorkers([worker('w1')], { unknownRunsUntil: 0 })
     this.report({})
   }
--- a/jobs/scheduler/test/crash-model.ts
+++ b/jobs/scheduler/test/crash-model.ts
@@ -109,7 +109,7 @@
 
   private createScheduler (): Scheduler {
     const queue = { name: 'q', host: 'h', pathPrefix: '/', service: 's', priority: 0, attempts: 4, stretch: 2, objectiveMs: 600, timeoutMs: 0, needsPermit: false }
-    return new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits, queue: () => queue, term: this.term, maxEarlierLeaseMs: limits.longestLeaseMs })
+    return new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits, queue: () => queue, term: this.term, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: limits.longestLeaseMs })
   }
 
   private startWorker (vm: string): void {
--- a/jobs/scheduler/test/harness.ts
+++ b/jobs/scheduler/test/harness.ts
@@ -35,7 +35,7 @@
 
   constructor (opts: { term?: number, queue?: Partial<Queue> } = {}) {
     const mergedQueue = { ...queue, ...opts.queue }
-    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits, queue: () => this.queueKnown ? mergedQueue : undefined, term: opts.term ?? 0, maxEarlierLeaseMs: limits.longestLeaseMs })
+    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits, queue: () => this.queueKnown ? mergedQueue : undefined, term: opts.term ?? 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: limits.longestLeaseMs })
   }
 
   /** Registers workers and applies a first report of each, without any runs. */
--- a/jobs/scheduler/test/runs-model.ts
+++ b/jobs/scheduler/test/runs-model.ts
@@ -190,7 +190,7 @@
     this.site = site
     this.startedAt = site.now
     this.token = term + 1
-    this.scheduler = new Scheduler({ clock: { now: () => site.now }, wallClock: () => site.now - site.opts.clockSkewMs * (term % 2), limits, queue: () => queue, term, maxEarlierLeaseMs: site.opts.maxEarlierLeaseMs })
+    this.scheduler = new Scheduler({ clock: { now: () => site.now }, wallClock: () => site.now - site.opts.clockSkewMs * (term % 2), limits, queue: () => queue, term, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: site.opts.maxEarlierLeaseMs })
     for (const accepted of site.jobs) this.scheduler.table.addJob(accepted, { acceptedThisTerm: accepted.acceptedUnder === this.token, progress: site.records.get(accepted.id) })
     this.refreshWorkers()
   }
--- /dev/null
+++ b/jobs/service/src/leadership-check.ts
@@ -0,0 +1,41 @@
+import type { ServiceTermOpts } from './ports.ts'
+
+/**
+ * How long a leader acts after its leadership was last confirmed. Its successor allows for as much: from its first moment on,
+ * leases and starts of earlier leaders may still be sent for this long.
+ */
+export const LEADERSHIP_OVERLAP_MS = 1_500
+
+/**
+ * Says whether a term may start runs and grant leases. A leader that is cut off is replaced without being told so; what it does
+ * after {@link LEADERSHIP_OVERLAP_MS} its successor does not reckon with.
+ */
+export class LeadershipCheck {
+  private readonly opts: ServiceTermOpts
+  private uncertainSince: number | undefined
+
+  /** @param opts - options of the term */
+  constructor (opts: ServiceTermOpts) {
+    this.opts = opts
+  }
+
+  /** @returns whether no other leader reckons yet with this one's having stopped */
+  mayAct (): boolean {
+    return this.opts.clock.now() - this.opts.leadershipConfirmedAt() < LEADERSHIP_OVERLAP_MS
+  }
+
+  /** Logs and counts when that changes. */
+  observe (): void {
+    const { service, token, clock, logger, metrics } = this.opts
+    const now = clock.now()
+    if (this.mayAct() === (this.uncertainSince === undefined)) return
+    if (this.uncertainSince === undefined) {
+      this.uncertainSince = now
+      metrics.count('leadership_uncertain_total', { service })
+      logger.warn({ service, token }, 'leadership is not confirmed: nothing is started, and no lease granted')
+    } else {
+      logger.info({ service, token, forMs: Math.round(now - this.uncertainSince) }, 'leadership is confirmed again')
+      this.uncertainSince = undefined
+    }
+  }
+}
--- a/jobs/service/src/load.ts
+++ b/jobs/service/src/load.ts
@@ -48,10 +48,10 @@
  * far as `mayMiss` allows and another worker can take them. Workers on all other VMs accept runs again.
  * @param scheduler - scheduler of the service's leader
  * @param vms - ids of the VMs to drain
- * @param now - time of the scheduler's clock, in milliseconds
  * @returns ids of the VMs whose workers are drained
  */
-export function withdrawWorkers (scheduler: Scheduler, vms: readonly string[], now: number): string[] {
+export function withdrawWorkers (scheduler: Scheduler, vms: readonly string[]): string[] {
+  const leasesKnownAt = scheduler.leasesKnownAt()
   const withdrawnVms = new Set(vms)
   const empty = new Set<string>()
   const busy = new Set<string>()
@@ -61,12 +61,12 @@
     if (!worker.withdrawn) continue
     if (worker.fenced && worker.reachable && worker.runs.size === 0) empty.add(vm)
     else scheduler.stopLongRunningTasks(worker)
-    if (mayExecuteRuns(worker, now)) busy.add(vm)
+    if (mayExecuteRuns(worker, leasesKnownAt)) busy.add(vm)
   }
   return [...empty].filter(vm => !busy.has(vm))
 }
 
 /** A VM may have another worker than the one that last registered: its runs count, too, until it is known to have ended. */
-function mayExecuteRuns (worker: TrackedWorker, now: number): boolean {
-  return !worker.ended && (worker.runs.size > 0 || worker.hasUntrackedRuns || worker.mayHaveUnknownRuns(now))
+function mayExecuteRuns (worker: TrackedWorker, leasesKnownAt: number): boolean {
+  return !worker.ended && (worker.runs.size > 0 || worker.hasUntrackedRuns || worker.mayHaveUnknownRuns(leasesKnownAt))
 }
--- a/jobs/service/src/takeover-monitor.ts
+++ b/jobs/service/src/takeover-monitor.ts
@@ -24,7 +24,7 @@
   observe (scheduler: Scheduler): void {
     const { service, token, clock, logger, metrics } = this.opts
     const now = clock.now()
-    if (!scheduler.mayHaveUnknownRuns(now)) {
+    if (!scheduler.mayHaveUnknownRuns()) {
       if (this.waitingSince === undefined) return
       const tookMs = now - this.waitingSince
       this.waitingSince = undefined
@@ -35,7 +35,7 @@
     if (this.waitingSince === undefined) this.waitingSince = this.lastReportAt = now
     if (now - this.lastReportAt < REPORT_INTERVAL_MS) return
     this.lastReportAt = now
-    const workers = scheduler.workersWithUnknownRuns(now).map(({ registration: { id, vm }, deregistered, reachable }) => ({ id, vm, deregistered, reachable }))
+    const workers = scheduler.workersWithUnknownRuns().map(({ registration: { id, vm }, deregistered, reachable }) => ({ id, vm, deregistered, reachable }))
     logger.info({ service, token, forMs: Math.round(now - this.waitingSince), workers }, 'tasks of earlier jobs wait: runs of some workers are unknown')
   }
 }
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -5,6 +5,7 @@
 import type { ServiceRecords, TermRecord } from '@wisteriaslip/jobs.store'
 import { removeExpiredJobs } from './expired-jobs.ts'
 import { computeServiceLoad, withdrawWorkers } from './load.ts'
+import { LeadershipCheck, LEADERSHIP_OVERLAP_MS } from './leadership-check.ts'
 import { logLosses, logRestart } from './loss-log.ts'
 import type { ServiceTermOpts } from './ports.ts'
 import { ProgressWriter } from './progress-writer.ts'
@@ -25,8 +26,6 @@
 const JOB_EXPIRY_INTERVAL_MS = 5_000
 /** Leases given by earlier leaders may last longer by this factor, because worker clocks may run slow. */
 const CLOCK_DRIFT_FACTOR = 1.05
-/** An earlier leader that has not noticed its loss of leadership may extend leases for this long. */
-const LEADERSHIP_OVERLAP_MS = 1_500
 const LOST_WORKER_CHECK_INTERVAL_MS = 60
 const MAX_FLUSH_ATTEMPTS = 3
 /** The permit service takes a while to decide, and accepts one call at a time from each entry. */
@@ -45,6 +44,7 @@
   private readonly sessions = new Map<TrackedWorker, WorkerSession>()
   private readonly startWindow = new StartWindow()
   private readonly recordWriter: TermRecordWriter
+  private readonly leadership: LeadershipCheck
   private components: { scheduler: Scheduler, writer: ProgressWriter, requestWatcher: RequestWatcher } | undefined
   private unknownRunsUntil = 0
   /** The registry's list of workers that was last passed to the scheduler. */
@@ -55,6 +55,7 @@
     this.service = opts.service
     this.token = opts.token
     this.recordWriter = new TermRecordWriter(opts)
+    this.leadership = new LeadershipCheck(opts)
   }
 
   /**
@@ -144,7 +145,7 @@
     if (request.kind === 'job') return explainJob(scheduler, request.name, { queue: this.opts.queue, now })
     if (request.kind === 'worker') return explainWorker(scheduler, request.name, now)
     if (request.kind !== 'pool' || request.name !== this.service) return undefined
-    return { token: this.token, readyToPlaceAll: !scheduler.mayHaveUnknownRuns(now), ...computeServiceLoad(scheduler, now) }
+    return { token: this.token, readyToPlaceAll: !scheduler.mayHaveUnknownRuns(), ...computeServiceLoad(scheduler, now) }
   }
 
   /**
@@ -154,7 +155,7 @@
    */
   withdraw (vms: readonly string[]): readonly string[] | undefined {
     if (this.components === undefined) return undefined
-    const empty = withdrawWorkers(this.components.scheduler, vms, this.opts.clock.now())
+    const empty = withdrawWorkers(this.components.scheduler, vms)
     this.wakeup.wake()
     return empty
   }
@@ -178,9 +179,9 @@
   }
 
   private createComponents (term: TermRecord, all: ServiceRecords, startedAt: number): void {
-    const { service, clock, wallClock, limits, queue, logger } = this.opts
+    const { service, clock, wallClock, limits, queue, logger, leadershipConfirmedAt } = this.opts
     const maxEarlierLeaseMs = Math.min(limits.longestLeaseMs, (term.leaseMs ?? limits.longestLeaseMs) * CLOCK_DRIFT_FACTOR)
-    const scheduler = new Scheduler({ clock, wallClock, limits, queue, term: term.number, maxEarlierLeaseMs })
+    const scheduler = new Scheduler({ clock, wallClock, limits, queue, term: term.number, maxEarlierLeaseMs, leadershipConfirmedAt })
     const writer = new ProgressWriter(scheduler, this.opts, { onRecorded: () => this.onRecorded(), onNewerLeader: () => this.onNewerLeader({ store: true }) })
     for (const [id, prior] of all.progress) writer.setPrior(id, prior)
     for (const id of all.unreadable) this.skipUnreadable(scheduler, id)
@@ -208,12 +209,13 @@
     if (components === undefined) return
     const takeoverMonitor = new TakeoverMonitor(this.opts)
     while (!signal.aborted) {
+      this.leadership.observe()
       this.updateWorkers(components.scheduler)
       this.openSessions(components.scheduler, signal)
       components.scheduler.tick()
       takeoverMonitor.observe(components.scheduler)
       logLosses(components.scheduler, this.opts)
-      for (const run of components.scheduler.placeReadyTasks(this.startWindow.free())) this.sendStart(run, signal)
+      for (const run of components.scheduler.placeReadyTasks(this.leadership.mayAct() ? this.startWindow.free() : 0)) this.sendStart(run, signal)
       for (const worker of components.scheduler.takeWorkersToPoll()) this.sessions.get(worker)?.pollNow()
       for (const run of components.scheduler.collectDueStops()) this.send(run, signal, async session => await session.stop(run, signal))
       for (const request of components.scheduler.permitRequester.collect()) this.requestPermits(components.scheduler, request, signal).catch(() => {})
@@ -304,6 +306,7 @@
       onChange: () => this.wakeup.wake(),
       onNewerLeader: () => this.onNewerLeader({ worker: worker.registration.id }),
       lagMs: () => this.startWindow.lagMs(),
+      mayAct: () => this.leadership.mayAct(),
       loadJobs: async jobs => await this.loadJobs(jobs)
     })
     this.sessions.set(worker, session)
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -33,6 +33,8 @@
   onChange (): void
   /** A worker refused the term's fencing token: there is a newer leader. */
   onNewerLeader (): void
+  /** @returns whether this term may grant leases */
+  mayAct (): boolean
   /** @returns lag of the leader's event loop in milliseconds */
   lagMs (): number
   /** Loads jobs unknown to the scheduler. Resolves when they are added, or marked as not stored. */
@@ -225,7 +227,7 @@
 
   private canExtendLease (now: number): boolean {
     const { worker } = this
-    if (!worker.hasClock() || !worker.reachable || worker.lastResponseAt === undefined) return false
+    if (!this.events.mayAct() || !worker.hasClock() || !worker.reachable || worker.lastResponseAt === undefined) return false
     return now - worker.lastResponseAt < MAX_RESPONSE_AGE_FOR_LEASE_MS
   }
 
--- a/jobs/service/test/expired-jobs.test.ts
+++ b/jobs/service/test/expired-jobs.test.ts
@@ -32,7 +32,7 @@
   assert.ok(elected.ok)
   const token = elected.value
   const records = new JobRecords(store, new JobKeys('w'))
-  const scheduler = new Scheduler({ clock: { now: () => time.now }, wallClock: () => time.now, limits, queue: () => queue, term: 1, maxEarlierLeaseMs: 0 })
+  const scheduler = new Scheduler({ clock: { now: () => time.now }, wallClock: () => time.now, limits, queue: () => queue, term: 1, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: 0 })
   const opts = { service: 's', token, guard: { key: LEADER_KEY, createRevision: token }, store, records, limits, logger: silentLogger, metrics: new Metrics(), wallClock: () => time.now } as unknown as ServiceTermOpts
   const writer = new ProgressWriter(scheduler, opts, { onRecorded: () => {}, onNewerLeader: () => {} })
   for (const id of ['00000000000000aa', '00000000000000bb']) {
--- a/jobs/service/test/progress-writer.test.ts
+++ b/jobs/service/test/progress-writer.test.ts
@@ -17,7 +17,7 @@
   const clock = { now: () => 0 }
   const store = new StoreClient(new MemoryDriver(), { readsPerSecond: 1e6, writesPerSecond: 1e6, metrics: new Metrics() })
   const records = new JobRecords(store, new JobKeys('w'))
-  const scheduler = new Scheduler({ clock, wallClock: () => 0, limits, queue: () => undefined, term: 0, maxEarlierLeaseMs: 0 })
+  const scheduler = new Scheduler({ clock, wallClock: () => 0, limits, queue: () => undefined, term: 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: 0 })
   const opts = { service: 's', token: 0, guard: { key: 'leader', modRevision: 0 }, store, records, clock, wallClock: () => 0, logger: silentLogger, metrics: new Metrics() } as unknown as ServiceTermOpts
   return { scheduler, records, writer: new ProgressWriter(scheduler, opts, { onRecorded: () => {}, onNewerLeader: () => {} }) }
 }
--- a/jobs/service/test/records.model.test.ts
+++ b/jobs/service/test/records.model.test.ts
@@ -95,7 +95,7 @@
   constructor (store: UnreliableStore) {
     this.store = store
     this.token = store.electLeader()
-    this.scheduler = new Scheduler({ clock: { now: () => 0 }, wallClock: () => 0, limits, queue: () => queue, term: this.token, maxEarlierLeaseMs: 6_000 })
+    this.scheduler = new Scheduler({ clock: { now: () => 0 }, wallClock: () => 0, limits, queue: () => queue, term: this.token, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: 6_000 })
     const records = new JobRecords(store as unknown as Store, new JobKeys('w'))
     const opts = { service: 's', token: this.token, guard: { key: LEADER_KEY, createRevision: this.token }, store, records, logger: silentLogger, metrics: new Metrics(), wallClock: () => 0 }
     this.writer = new ProgressWriter(this.scheduler, opts as unknown as ServiceTermOpts, { onRecorded: () => {}, onNewerLeader: () => {} })
--- a/jobs/service/test/term-record-writer.test.ts
+++ b/jobs/service/test/term-record-writer.test.ts
@@ -53,7 +53,7 @@
   const store = new OneDocumentStore()
   const opts = { service: 's', token: 1, guard: { key: 'leader', createRevision: 1 }, records: new JobRecords(store as unknown as Store, new JobKeys('w')), limits, clock, logger: silentLogger, metrics: new Metrics() } as unknown as ServiceTermOpts
   const writer = new TermRecordWriter(opts)
-  const scheduler = new Scheduler({ clock, wallClock: () => 10_000, limits, queue: () => queue, term: 0, maxEarlierLeaseMs: 6_000 })
+  const scheduler = new Scheduler({ clock, wallClock: () => 10_000, limits, queue: () => queue, term: 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: 6_000 })
   const register = (...ids: string[]): void => {
     scheduler.setWorkers(ids.map(worker), { unknownRunsUntil: 0 })
     scheduler.tick()
--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -54,6 +54,6 @@
     return err({ kind: 'unknown', message: 'aborted' })
   }
   const opts = { service: 's', token: 1, clock: { now: () => harness.now }, workerClient: { start }, logger: silentLogger, metrics: new Metrics() } as unknown as ServiceTermOpts
-  const session = new WorkerSession(tracked, harness.scheduler, opts, { onChange: () => {}, onNewerLeader: () => {}, lagMs: () => 0, loadJobs: async () => {} })
+  const session = new WorkerSession(tracked, harness.scheduler, opts, { onChange: () => {}, onNewerLeader: () => {}, mayAct: () => true, lagMs: () => 0, loadJobs: async () => {} })
   return { harness, run, session }
 }
--- a/peers/membership/src/members.ts
+++ b/peers/membership/src/members.ts
@@ -16,7 +16,7 @@
   readonly weight?: number | undefined
 }
 
-/** This entry's latest registration. */
+/** This entry's first registration under its latest lease. */
 export interface Registration {
   /** Lease under which it was written. */
   readonly leaseId: string
@@ -80,7 +80,7 @@
     return record.value.incarnation !== this.self.incarnation && record.modRevision > this.registration.revision
   }
 
-  /** @returns this entry's latest registration, undefined before the first */
+  /** @returns this entry's first registration under its latest lease, undefined before any */
   latestRegistration (): Registration | undefined {
     return this.registration
   }
@@ -104,7 +104,7 @@
     }
     const written = await store.update([{ key, prior: prior.value, value: this.self, leaseId }])
     if (!written.ok) return err(written.error)
-    this.registration = { leaseId, revision: written.value }
+    if (this.registration?.leaseId !== leaseId) this.registration = { leaseId, revision: written.value }
     return ok(undefined)
   }
 }
