A term in which a part fails ends whole before its failure is known

Callers saw tasks that must run once run on two live workers, both started by the same entry. One way to that: when one loop of a service's term threw, run() rejected at once while the scheduling loop, the sessions and the watch of requests went on, since finally only detached the abort signal. The entry then began another term of the service beside it.

Now the first failure aborts the term, and run() settles only when all loops, sessions, starts and stops in progress have ended (calls end with their signal). That the callers' entry had such an error isn't shown.

--- a/core/result/src/index.ts
+++ b/core/result/src/index.ts
@@ -4,6 +4,7 @@
  */
 export { err, ok, type Result } from './result.ts'
 export { systemClock, type Clock } from './clock.ts'
+export { allEnded } from './all-ended.ts'
 export { onAbort } from './abort-listeners.ts'
 export { linkAbort, withTimeout, type LinkedAbort } from './abort.ts'
 export { parseJson } from './json.ts'
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -1,4 +1,4 @@
-import { delay, linkAbort, Wakeup, withTimeout } from '@wisteriaslip/core.result'
+import { allEnded, delay, linkAbort, Wakeup, withTimeout } from '@wisteriaslip/core.result'
 import type { Job, JobState, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { ExplainRequest, ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import { explainJob, explainWorker, LostWorkerDetector, Scheduler, type PermitRequest, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
@@ -45,6 +45,8 @@
   private readonly startWindow = new StartWindow()
   private readonly recordWriter: TermRecordWriter
   private readonly leadership: LeadershipCheck
+  /** Sessions and calls in progress. */
+  private readonly inProgress = new Set<Promise<void>>()
   private components: { scheduler: Scheduler, writer: ProgressWriter, requestWatcher: RequestWatcher } | undefined
   private unknownRunsUntil = 0
   /** The registry's list of workers that was last passed to the scheduler. */
@@ -60,8 +62,9 @@
 
   /**
    * Leads the service until the signal aborts or a newer leader is detected. Unless leadership was lost, it
-   * tries to write pending records before it returns.
+   * tries to write pending records before it returns. However it ends, nothing of the term goes on afterwards.
    * @param signal - ends the term
+   * @throws the error of a part of the term that has failed, once all others have ended
    */
   async run (signal: AbortSignal): Promise<void> {
     const termAbort = linkAbort(signal)
@@ -70,22 +73,30 @@
       await this.loadRecords(termAbort.signal)
       if (this.components === undefined || termAbort.signal.aborted) return
       const { writer, scheduler, requestWatcher } = this.components
-      await Promise.all([
+      await allEnded([
         writer.run(termAbort.signal),
         requestWatcher.run(termAbort.signal),
         this.runSchedulingLoop(termAbort.signal),
         this.recordWriter.run(scheduler, () => this.wakeup.wake(), termAbort.signal),
         this.detectLostWorkers(scheduler, termAbort.signal),
         this.runPeriodically(JOB_EXPIRY_INTERVAL_MS, termAbort.signal, async () => await removeExpiredJobs(scheduler, writer, this.opts))
-      ])
+      ], termAbort.abort)
       for (let tries = 0; tries < MAX_FLUSH_ATTEMPTS && !this.leadershipLost.signal.aborted; tries++) {
         if (await writer.flush() && await this.recordWriter.writeIfChanged(scheduler)) break
       }
     } finally {
+      termAbort.abort()
       termAbort.release()
+      await Promise.all(this.inProgress)
     }
   }
 
+  /** Keeps the term from ending before an operation that handles its own errors. */
+  private track (operation: Promise<void>): void {
+    const tracked = operation.finally(() => this.inProgress.delete(tracked))
+    this.inProgress.add(tracked)
+  }
+
   /**
    * Adds an accepted job. A job accepted under a newer token ends the term.
    * @param job - job as stored
@@ -247,13 +258,13 @@
     logRestart(run, this.opts)
     const session = this.sessions.get(run.worker)
     const started = session === undefined ? Promise.reject(new Error('no session with the worker')) : session.start(run, permit, signal)
-    started.catch(error => {
+    this.track(started.catch(error => {
       this.opts.logger.error({ err: error, task: run.task.name, worker: run.worker.registration.id }, 'start failed unexpectedly')
       this.components?.scheduler.handleStartResponse(run, { kind: 'unknown', message: String(error) })
     }).finally(() => {
       if (isFull()) this.wakeup.wake()
       this.startWindow.recordSettled()
-    })
+    }))
   }
 
   private logIsolation ({ task, attempt, worker, isolation }: Run): void {
@@ -310,13 +321,13 @@
       loadJobs: async jobs => await this.loadJobs(jobs)
     })
     this.sessions.set(worker, session)
-    session.run(signal).catch(async error => {
+    this.track(session.run(signal).catch(async error => {
       this.opts.logger.error({ err: error, worker: worker.registration.id }, 'worker session failed: opening another one')
       worker.markUnreachable(this.opts.clock.now())
       await delay(SESSION_RETRY_MS, signal)
       if (this.sessions.get(worker) === session) this.sessions.delete(worker)
       this.wakeup.wake()
-    })
+    }))
   }
 
   /**
@@ -343,9 +354,9 @@
   private send (run: Run, signal: AbortSignal, command: (session: WorkerSession) => Promise<void>): void {
     const session = this.sessions.get(run.worker)
     if (session === undefined) return
-    command(session).catch(error => {
+    this.track(command(session).catch(error => {
       if (!signal.aborted) this.opts.logger.error({ err: error, task: run.task.name }, 'worker command failed unexpectedly')
-    })
+    }))
   }
 
   private async loadJobs (jobs: readonly string[]): Promise<void> {
--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -33,6 +33,8 @@
    * @param worker - id of the worker
    */
   disconnectFrom (worker: string): void
+  /** Expects that its term fails, and resolves with the error once it has ended. */
+  failure (): Promise<unknown>
 }
 
 /** One service on an in-memory store: tests submit jobs, and elect and disconnect leaders. */
@@ -51,6 +53,8 @@
   plan: (task: string, attempt: number) => Partial<RunPlan> = () => ({})
   /** The platform's list of VMs. */
   vms: Vm[] = []
+  /** Called before each list of VMs; an error that it throws is thrown by the call. */
+  beforeVmList: () => void = () => {}
   /** Ids of the workers that have crashed, in order. */
   readonly crashed: string[] = []
   private readonly shutdown = new AbortController()
@@ -133,7 +137,10 @@
       workerClient: disconnectable<WorkerClient>(this.workers, id => reachesWorkers && !lostWorkers.has(id), async () => err({ kind: 'unknown', message: 'disconnected' })),
       permitClient: undefined,
       registeredWorkers: () => this.workers.registrations(),
-      vms: async () => link.up ? { vms: this.vms, unreadable: [], complete: true } : undefined,
+      vms: async () => {
+        this.beforeVmList()
+        return link.up ? { vms: this.vms, unreadable: [], complete: true } : undefined
+      },
       queue: () => queue,
       limits,
       clock: systemClock,
@@ -161,7 +168,11 @@
         reachesWorkers = false
       },
       disconnectFromStore,
-      disconnectFrom: worker => { lostWorkers.add(worker) }
+      disconnectFrom: worker => { lostWorkers.add(worker) },
+      failure: async () => {
+        this.running.splice(this.running.indexOf(done), 1)
+        return await done.then(() => undefined, error => error)
+      }
     }
   }
 
