A fencing token stands for one term: a leadership whose term has ended is given up, not led again

Callers saw the tasks of one live worker started again on another, by the same entry. An entry began a second term under the same token whenever a term had ended while the store still recorded it as the leader: after a failure, after a newer leader was reported, and when a service had lost its last queue and got one again. To that term a job accepted under the token counts as one that no earlier leader can have started, so that its tasks don't wait for the responses of all workers: what ran on a worker that had not responded yet was started on one that had, and fences can't tell the two terms apart.

TermRunner now remembers the last token of each resource and begins no second term under it; it gives the leadership up by removing its record, guarded by the record's revision, so that a newer leader's isn't touched. Whoever leads next has a new token and treats all runs as those of an earlier leader. What is not shown: that the users' entry began such a term.

--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -128,9 +128,10 @@
     this.clients = new PeerClients<JobPeerService>({ key: opts.peerKey, metrics })
     this.records = new JobRecords(this.store, new JobKeys(opts.keyPrefix))
     this.peerSync = new PeerSync({ members: this.members, mirror, site: this.site, clients: this.clients, clock, hasStoreAccess: () => this.hasStoreAccess() })
-    this.serviceTerms = new TermRunner((resource, token) => this.createServiceTerm(resource, token), { logger, signal: this.leaving.signal })
     this.confirmation = new LeadershipConfirmation({ lease: this.lease, leadership: this.leadership, members: this.members, peerSync: this.peerSync, isLeader: () => this.serviceTerms.all().length > 0, clock })
-    this.fleetTerms = new TermRunner((_resource, token) => this.createFleetTerm(token), { logger, signal: this.leaving.signal })
+    const termOpts = { logger, signal: this.leaving.signal, giveUp: async (resource: string, token: number) => await this.leadership.giveUp(resource, token) }
+    this.serviceTerms = new TermRunner((resource, token) => this.createServiceTerm(resource, token), termOpts)
+    this.fleetTerms = new TermRunner((_resource, token) => this.createFleetTerm(token), termOpts)
     this.service = new EntryPeerService({
       members: this.members,
       mirror,
--- a/jobs/entry/src/term-runner.ts
+++ b/jobs/entry/src/term-runner.ts
@@ -13,21 +13,35 @@
   readonly done: Promise<void>
 }
 
-/** Runs one term for each resource that this entry leads. */
+/** Options of {@link TermRunner}. */
+export interface TermRunnerOpts {
+  readonly logger: Logger
+  /** Ends all terms. */
+  readonly signal: AbortSignal
+  /** Gives up the leadership of a resource if this entry still holds it with the token; called again while it is held. */
+  readonly giveUp: (resource: string, token: number) => Promise<void>
+}
+
+/**
+ * Runs one term for each resource that this entry leads, and never two under one fencing token: commands of the first could
+ * not be told from those of the second. A leadership whose term has ended by itself is given up, so that whoever leads next
+ * has a new token.
+ */
 export class TermRunner<T extends Term> {
   private readonly running = new Map<string, RunningTerm<T>>()
+  /** Token of the last term that was started, by resource. */
+  private readonly lastTokens = new Map<string, number>()
+  private readonly givingUp = new Set<string>()
   private readonly createTerm: (resource: string, token: number) => T
-  private readonly logger: Logger
-  private readonly signal: AbortSignal
+  private readonly opts: TermRunnerOpts
 
   /**
    * @param createTerm - creates the term of a resource for a fencing token
-   * @param opts - logger, and the signal that ends all terms
+   * @param opts - logger, signal, and how to give up a leadership
    */
-  constructor (createTerm: (resource: string, token: number) => T, opts: { logger: Logger, signal: AbortSignal }) {
+  constructor (createTerm: (resource: string, token: number) => T, opts: TermRunnerOpts) {
     this.createTerm = createTerm
-    this.logger = opts.logger
-    this.signal = opts.signal
+    this.opts = opts
   }
 
   /**
@@ -44,7 +58,7 @@
   }
 
   /**
-   * Starts and ends terms to match the resources that this entry leads.
+   * Starts and ends terms to match the resources that this entry leads, and gives up those whose terms have ended.
    * @param held - fencing tokens by resource that this entry leads
    */
   reconcile (held: ReadonlyMap<string, number>): void {
@@ -52,7 +66,9 @@
       if (held.get(resource) !== term.token) linkedAbort.abort()
     }
     for (const [resource, token] of held) {
-      if (!this.running.has(resource) && !this.signal.aborted) this.start(resource, token)
+      if (this.running.has(resource) || this.opts.signal.aborted) continue
+      if (this.lastTokens.get(resource) === token) this.giveUp(resource, token)
+      else this.start(resource, token)
     }
   }
 
@@ -62,15 +78,25 @@
   }
 
   private start (resource: string, token: number): void {
-    const linkedAbort = linkAbort(this.signal)
+    const { logger } = this.opts
+    const linkedAbort = linkAbort(this.opts.signal)
     const term = this.createTerm(resource, token)
+    this.lastTokens.set(resource, token)
     const done = term.run(linkedAbort.signal)
-      .catch(error => this.logger.error({ err: error, resource, token }, 'term failed'))
+      .catch(error => logger.error({ err: error, resource, token }, 'term failed'))
       .finally(() => {
         linkedAbort.release()
         this.running.delete(resource)
-        this.logger.info({ resource, token }, 'term ended')
+        logger.info({ resource, token }, 'term ended')
       })
     this.running.set(resource, { term, linkedAbort, done })
   }
+
+  private giveUp (resource: string, token: number): void {
+    if (this.givingUp.has(resource)) return
+    this.givingUp.add(resource)
+    this.opts.giveUp(resource, token)
+      .catch(error => this.opts.logger.error({ err: error, resource, token }, 'failed to give up leadership'))
+      .finally(() => this.givingUp.delete(resource))
+  }
 }
--- a/peers/membership/src/leadership.ts
+++ b/peers/membership/src/leadership.ts
@@ -158,6 +158,16 @@
     return { key: this.opts.keys.leaders + resource, prior: undefined, value: record, leaseId }
   }
 
+  /**
+   * Gives up a leadership, so that any member may acquire it under a new fencing token. Does nothing unless the mirror records
+   * this entry as the leader with that token.
+   * @param resource - name of a resource
+   * @param token - fencing token of the leadership
+   */
+  async giveUp (resource: string, token: number): Promise<void> {
+    if (this.recordedToken(resource) === token) await this.remove(resource, 'leadership given up')
+  }
+
   private trackMembers (ids: readonly string[]): void {
     const now = this.opts.clock.now()
     for (const id of ids) {
@@ -181,9 +191,13 @@
 
   /** Another entry may have acquired the resource while earlier releases were written. */
   private async release (resource: string): Promise<void> {
+    if (this.token(resource) !== undefined) await this.remove(resource, 'leadership released')
+  }
+
+  private async remove (resource: string, message: string): Promise<void> {
     const doc = this.opts.mirror.get(this.opts.keys.leaders + resource)
-    if (doc === undefined || this.token(resource) === undefined) return
-    this.opts.logger.info({ resource }, 'leadership released')
-    await this.opts.store.update([{ key: doc.key, prior: doc, value: undefined }])
+    if (doc === undefined) return
+    const removed = await this.opts.store.update([{ key: doc.key, prior: doc, value: undefined }])
+    this.opts.logger.info({ resource, token: doc.createRevision, ...(removed.ok ? {} : { code: removed.error.code }) }, message)
   }
 }
--- a/peers/membership/test/leadership.test.ts
+++ b/peers/membership/test/leadership.test.ts
@@ -96,3 +96,26 @@
   assert.ok(releases >= 1, 'a leadership is released')
   assert.deepEqual(RESOURCES.slice(1).map(resource => leadership.leaderOf(resource)?.record.id), ['e2', 'e2', 'e2'])
 })
+
+test('a leadership is given up only with its own token, and acquired anew with another one', async () => {
+  const { keys, mirror, clock, client, lead, refresh } = await createEntries()
+  const lease = { validLeaseId: () => 'lease' } as unknown as EntryLease
+  const leadership = new Leadership({ store: client, mirror, members: new Members(member('e1'), mirror, keys), lease, keys, clock, logger: silentLogger })
+  const token = leadership.recordedToken('pool/a') ?? 0
+  await leadership.giveUp('pool/a', token + 1)
+  await refresh()
+  assert.equal(leadership.recordedToken('pool/a'), token)
+  await leadership.giveUp('pool/a', token)
+  await refresh()
+  assert.equal(leadership.leaderOf('pool/a'), undefined)
+  await lead('pool/a', 'e1')
+  assert.ok((leadership.recordedToken('pool/a') ?? 0) > token)
+  const stale = mirror.get(keys.leaders + 'pool/b')?.createRevision ?? 0
+  const other = await client.get(keys.leaders + 'pool/b')
+  assert.ok(other.ok && other.value !== undefined)
+  await client.update([{ key: keys.leaders + 'pool/b', prior: other.value, value: undefined }])
+  await client.update([{ key: keys.leaders + 'pool/b', prior: undefined, value: { id: 'e2', incarnation: 'e2-1' } }])
+  await leadership.giveUp('pool/b', stale)
+  await refresh()
+  assert.equal(leadership.leaderOf('pool/b')?.record.id, 'e2')
+})
