A long-running task isn't stopped for room on a VM that is drained with its own

Cause: withdrawWorkers took the workers one by one, and marked each as withdrawn just before it stopped its long-running tasks. A worker later in the list that was about to be withdrawn by the same call still counted as one that can take the task. Once both were withdrawn, the task had no place left: the others of its pool had their share (perWorker), and a withdrawn worker gets no starts. A wave of whole racks and moves at scale drain many VMs in one call.

Fix: all workers are marked first. The test failed before (the task was stopped). Class: a decision on a state that is half changed.

--- a/jobs/service/src/load.ts
+++ b/jobs/service/src/load.ts
@@ -55,9 +55,10 @@
   const withdrawnVms = new Set(vms)
   const empty = new Set<string>()
   const busy = new Set<string>()
+  // First all of them: a task that is stopped on one must not count on room on another.
+  for (const worker of scheduler.workers.values()) worker.withdrawn = withdrawnVms.has(worker.registration.vm)
   for (const worker of scheduler.workers.values()) {
     const { vm } = worker.registration
-    worker.withdrawn = withdrawnVms.has(vm)
     if (!worker.withdrawn) continue
     if (worker.fenced && worker.reachable && worker.runs.size === 0) empty.add(vm)
     else scheduler.stopLongRunningTasks(worker)
--- a/jobs/service/test/withdraw.test.ts
+++ b/jobs/service/test/withdraw.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { computeServiceLoad, withdrawWorkers } from '@wisteriaslip/jobs.service'
-import { SchedulerHarness, running, worker } from '../../scheduler/test/harness.ts'
+import { SchedulerHarness, running, step, worker } from '../../scheduler/test/harness.ts'
 
 const VM = 'vm-w1'
 
@@ -70,3 +70,17 @@
   harness.report('w1', { running: [running('00000000000000bb.0.0.0', 1)] })
   assert.equal(computeServiceLoad(harness.scheduler, harness.now).workers[0]?.emptyMs, 0)
 })
+
+// Two VMs were drained at once, a long-running task was stopped on the first for the room on the second, and ran nowhere.
+test('a long-running task is not stopped for room on a VM that is drained at the same time', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'), worker('w2'))
+  harness.addJob({ steps: [step({ lasting: true, mayMiss: 1, perWorker: 1 })] })
+  const [run] = harness.startReadyTasks()
+  assert.ok(run !== undefined)
+  harness.report(run.worker.registration.id, { running: [running(run.task.name, run.attempt, 100)] })
+  withdrawWorkers(harness.scheduler, ['vm-w1', 'vm-w2'])
+  assert.equal(run.stopReason, undefined)
+  withdrawWorkers(harness.scheduler, [run.worker.registration.vm])
+  assert.equal(run.stopReason, 'worker withdrawn')
+})
