An incarnation that responds is tracked even if it was born earlier than the one before it

Incarnations under one id were ordered by the Unix time of their birth, so that after the time of a worker's machine had been set back, a leader that met the new incarnation by a poll ended the old one and tracked nothing in its place: tasks that an earlier leader had started there were started elsewhere as well. Likewise the registration of the old incarnation, still listed, ended the one that was alive.

A response is proof of which incarnation lives, whatever the births: it is tracked, and the one it replaces is not tracked again while it is listed. Births still order registrations against each other, as a list may be older than the term record. Both tests failed before. No record shows a clock of a worker's machine set back; this was read from the code.

--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@wisteriaslip/core.result'
-import { parseTaskName, type ActiveRun, type EndedRun, type Job, type JobLimits, type Resources, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
+import { incarnationKey, parseTaskName, type ActiveRun, type EndedRun, type Job, type JobLimits, type Resources, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
 import { countUnavailableTasks } from './availability.ts'
 import { SETTLE_MS } from './crash.ts'
 import { CrashTracker } from './crash-tracker.ts'
@@ -72,6 +72,8 @@
   private readonly opts: SchedulerOpts
   private readonly runsToStop = new Set<Run>()
   private losses: WorkerLoss[] = []
+  /** Incarnations that are over because their ids have responded as others; their registrations may still be listed. */
+  private readonly replacedIncarnations = new Set<string>()
   /** Until this time of the injected clock, newly tracked workers may execute commands of earlier leaders. */
   private unknownRunsUntil = Number.NEGATIVE_INFINITY
   private readonly durationEstimator = new DurationEstimator()
@@ -143,13 +145,17 @@
   /**
    * Ends an incarnation whose id has responded as another one, and tracks that one, registered or not: it may have executed
    * commands that were meant for the other, also those of earlier leaders. It gets no starts before its own registration is seen.
+   * It may have been born earlier by the clock of its machine, which may have been set back.
    * @param worker - the incarnation that has ended
    * @param born - what identifies the other one under the same id
    */
   replaceIncarnation (worker: TrackedWorker, born: number): void {
     const { registration } = worker
-    if (this.workers.get(registration.id) === worker) this.registerWorker({ ...registration, born })
+    const reported = { ...registration, born }
+    if (this.workers.get(registration.id) === worker) this.trackIncarnation(reported)
     this.endIncarnation(worker)
+    this.replacedIncarnations.add(worker.incarnation())
+    this.replacedIncarnations.delete(incarnationKey(reported))
     const next = this.workers.get(registration.id)
     if (next !== undefined && next !== worker) next.deregistered = true
   }
@@ -381,6 +387,7 @@
   }
 
   private registerWorker (registration: WorkerRegistration): void {
+    if (this.replacedIncarnations.has(incarnationKey(registration))) return
     const existing = this.workers.get(registration.id)
     if (existing !== undefined && existing.registration.born === registration.born && !existing.ended) {
       existing.registration = registration
@@ -388,6 +395,12 @@
       return
     }
     if (existing !== undefined && (registration.born < existing.registration.born || (existing.ended && registration.born === existing.registration.born))) return
+    this.trackIncarnation(registration)
+  }
+
+  /** Tracks an incarnation and ends the one that is tracked under its id. */
+  private trackIncarnation (registration: WorkerRegistration): void {
+    const existing = this.workers.get(registration.id)
     if (existing !== undefined) this.endIncarnation(existing)
     const unresolvedRuns = [...existing?.runs.values() ?? []]
     const lateStartsUntil = unresolvedRuns.length === 0 ? 0 : this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
--- a/jobs/scheduler/test/restarted-worker.test.ts
+++ b/jobs/scheduler/test/restarted-worker.test.ts
@@ -205,3 +205,36 @@
   harness.report('w1')
   assert.equal(harness.scheduler.placeReadyTasks().length, 1)
 })
+
+/** After a takeover, an id that is registered as born at 2 has responded as born at 1: its machine's time was set back. */
+function respondAsEarlierBorn () {
+  const harness = new SchedulerHarness({ term: 1 })
+  harness.addJob({}, { acceptedThisTerm: false })
+  const listed = [worker('w1', { born: 2 }), worker('w2')]
+  harness.scheduler.setWorkers(listed, { unknownRunsUntil: harness.now + 6_000 })
+  harness.report('w2')
+  harness.scheduler.replaceIncarnation(harness.worker('w1'), 1)
+  return { harness, listed }
+}
+
+// An incarnation that was born earlier, by the clock of its machine, than the one before it was taken for one that had ended, so
+// that the tasks it ran for an earlier leader were started elsewhere.
+test('after a takeover, a worker that responds as an incarnation with an earlier birth is asked before tasks are started', () => {
+  const { harness } = respondAsEarlierBorn()
+  assert.deepEqual(harness.startReadyTasks(), [])
+  harness.report('w1', { running: [running(TASK, 1)] })
+  assert.deepEqual(harness.startReadyTasks(), [])
+  assert.equal(harness.worker('w1').registration.born, 1)
+})
+
+// The registration of the incarnation that had ended, still listed, ended the one that was alive.
+test('an incarnation that has proved to be over by a report is not tracked again while it is listed', () => {
+  const { harness, listed } = respondAsEarlierBorn()
+  harness.report('w1', { running: [running(TASK, 1)] })
+  harness.scheduler.setWorkers(listed, { unknownRunsUntil: 0 })
+  assert.equal(harness.worker('w1').registration.born, 1)
+  assert.deepEqual(harness.startReadyTasks(), [])
+  harness.scheduler.setWorkers([worker('w1', { born: 1 }), worker('w2')], { unknownRunsUntil: 0 })
+  harness.report('w1', { ended: [ended(1, TASK, 1)] })
+  assert.equal(harness.scheduler.table.jobs.get('00000000000000aa')?.outcome, 'completed')
+})
