Another worker at a former address of a worker does not prove that it has ended

A 421 ended the incarnation that a call was meant for, whichever call got it. It says which worker responds at the address that was called: if the worker's registration has named another address since, it may run on there, while its runs were released and started elsewhere. Now a 421 is a proof only from the address that the worker is still registered at; from another one the call has failed, and the next poll goes to the new address. A start that got a 421 is released in both cases: whoever responds so has done nothing. The three tests with a changed address failed before, those without one did not.

--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -100,9 +100,10 @@
     const command = { task: task.name, attempt, payload: task.step.job.job.payload, leaseUntilMs, checkpoint: task.checkpoint, permit }
     const sentAt = this.opts.clock.now()
     if (run.isolation !== undefined) this.pollOnceSettled(signal, { unless: () => run.phase === 'running' }).catch(() => {})
-    const response = await this.sendStart(command, signal).finally(() => this.worker.endLeaseCall(this.opts.clock.now()))
+    const endpoint = this.endpoint()
+    const response = await this.sendStart(endpoint, command, signal).finally(() => this.worker.endLeaseCall(this.opts.clock.now()))
     this.opts.metrics.observe('worker_start_us', { service: this.opts.service }, this.opts.clock.now() - sentAt)
-    if (!response.ok) this.handleError(response.error, 'start', task.name)
+    if (!response.ok) this.handleError(response.error, { command: 'start', task: task.name, endpoint })
     else if (this.worker.isOwnClock({ clockMs: response.value, sentAt })) this.worker.recordClock(response.value, this.opts.clock.now())
     else this.checkIncarnation(task.name)
     this.scheduler.handleStartResponse(run, response.ok ? undefined : response.error, response.ok ? { clockMs: response.value, sentAt } : undefined)
@@ -110,11 +111,11 @@
     else if (run.isolation !== undefined) this.pollOnceSettled(signal).catch(() => {})
   }
 
-  private async sendStart (command: StartCommand, signal: AbortSignal): Promise<Result<number, WorkerError>> {
+  private async sendStart (endpoint: WorkerEndpoint, command: StartCommand, signal: AbortSignal): Promise<Result<number, WorkerError>> {
     const start = linkAbort(signal, COMMAND_TIMEOUT_MS)
     this.starts.add(start)
     try {
-      return await this.opts.workerClient.start(this.endpoint(), command, start.signal)
+      return await this.opts.workerClient.start(endpoint, command, start.signal)
     } finally {
       this.starts.delete(start)
       start.release()
@@ -146,8 +147,9 @@
   }
 
   private async sendStop (task: string, attempt: number, signal: AbortSignal): Promise<boolean> {
-    const response = await withTimeout(COMMAND_TIMEOUT_MS, signal, async inner => await this.opts.workerClient.stop(this.endpoint(), { task, attempt }, inner))
-    if (!response.ok) this.handleError(response.error, 'stop', task)
+    const endpoint = this.endpoint()
+    const response = await withTimeout(COMMAND_TIMEOUT_MS, signal, async inner => await this.opts.workerClient.stop(endpoint, { task, attempt }, inner))
+    if (!response.ok) this.handleError(response.error, { command: 'stop', task, endpoint })
     return response.ok
   }
 
@@ -162,13 +164,14 @@
     this.currentPoll = currentPoll
     // Another incarnation numbers its completions anew: while the worker may have restarted, none is acknowledged.
     const seenSeq = worker.reachable ? worker.seenSeq() : 0
-    const response = await withTimeout(waitMs + POLL_TIMEOUT_MARGIN_MS, currentPoll.signal, async inner => await this.opts.workerClient.poll(this.endpoint(), { leaseUntilMs, seenSeq, waitMs }, inner))
+    const endpoint = this.endpoint()
+    const response = await withTimeout(waitMs + POLL_TIMEOUT_MARGIN_MS, currentPoll.signal, async inner => await this.opts.workerClient.poll(endpoint, { leaseUntilMs, seenSeq, waitMs }, inner))
       .finally(() => { if (leaseUntilMs !== undefined) worker.endLeaseCall(this.opts.clock.now()) })
     currentPoll.release()
     const wasEndedEarly = currentPoll.signal.aborted && !response.ok
     if (signal.aborted || wasEndedEarly || this.hasEnded()) return
     if (!response.ok) {
-      this.markPollFailed(response.error)
+      this.markPollFailed(response.error, endpoint)
       await delay(POLL_RETRY_MS, signal)
       return
     }
@@ -231,19 +234,25 @@
     return now - worker.lastResponseAt < MAX_RESPONSE_AGE_FOR_LEASE_MS
   }
 
-  private markPollFailed (error: WorkerError): void {
+  private markPollFailed (error: WorkerError, endpoint: WorkerEndpoint): void {
     if (this.worker.reachable) this.opts.logger.info({ worker: this.worker.registration.id, error }, 'failed to poll worker')
     this.worker.markUnreachable(this.opts.clock.now())
-    this.handleError(error, 'look', '')
+    this.handleError(error, { command: 'look', task: '', endpoint })
   }
 
-  private handleError (error: WorkerError, command: string, task: string): void {
-    if (error.kind === 'other-life') this.scheduler.endIncarnation(this.worker)
+  private handleError (error: WorkerError, { command, task, endpoint }: { command: string, task: string, endpoint: WorkerEndpoint }): void {
+    if (error.kind === 'other-life' && this.isRegisteredAt(endpoint)) this.scheduler.endIncarnation(this.worker)
     if (error.kind === 'refused' && error.reason === 'fence') this.events.onNewerLeader()
     this.opts.metrics.count('worker_errors_total', { order: command, kind: error.kind === 'refused' ? error.reason : error.kind })
     if (command !== 'look') this.opts.logger.info({ worker: this.worker.registration.id, order: command, task, error }, 'worker command failed')
   }
 
+  /** Another worker at an address proves the end of this one only while it is registered there: it may run on at a new address. */
+  private isRegisteredAt ({ host, port }: WorkerEndpoint): boolean {
+    const { registration } = this.worker
+    return registration.host === host && registration.port === port
+  }
+
   private hasEnded (): boolean {
     return this.worker.ended || this.scheduler.workers.get(this.worker.registration.id) !== this.worker
   }
--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -57,3 +57,46 @@
   const session = new WorkerSession(tracked, harness.scheduler, opts, { onChange: () => {}, onNewerLeader: () => {}, mayAct: () => true, lagMs: () => 0, loadJobs: async () => {} })
   return { harness, run, session }
 }
+
+/** A session of a worker that another one has replaced at the address that is called; commands and polls wait until told. */
+function callAnotherWorker () {
+  const harness = new SchedulerHarness()
+  const [tracked] = harness.addWorkers(worker('w1', { port: 1 }))
+  harness.addJob()
+  const [run] = harness.scheduler.placeReadyTasks()
+  assert.ok(tracked !== undefined && run !== undefined)
+  let respond = (): void => {}
+  const call = async (): Promise<unknown> => {
+    await new Promise<void>(resolve => { respond = resolve })
+    return err({ kind: 'other-life', message: 'another worker' })
+  }
+  const opts = { service: 's', token: 1, clock: { now: () => harness.now }, workerClient: { start: call, stop: call, poll: call, closeConnections: () => {} }, logger: silentLogger, metrics: new Metrics() } as unknown as ServiceTermOpts
+  const session = new WorkerSession(tracked, harness.scheduler, opts, { onChange: () => {}, onNewerLeader: () => {}, lagMs: () => 0, loadJobs: async () => {} })
+  const register = (port: number): void => harness.scheduler.setWorkers([worker('w1', { port })], { unknownRunsUntil: 0 })
+  return { tracked, run, session, register, respond: () => respond() }
+}
+
+// A worker whose registration had named another address meanwhile counted as ended because its former address had another worker:
+// its tasks were started elsewhere while they ran.
+for (const command of ['start', 'stop', 'poll'] as const) {
+  test(`another worker at an address that a worker is no longer registered at does not prove its end: ${command}`, async t => {
+    const { tracked, run, session, register, respond } = callAnotherWorker()
+    const abortController = new AbortController()
+    const called = command === 'start' ? session.start(run, '', t.signal) : command === 'stop' ? session.stop(run, t.signal) : session.run(abortController.signal)
+    register(2)
+    respond()
+    await new Promise(resolve => setTimeout(resolve, 20))
+    assert.equal(tracked.ended, false)
+    abortController.abort()
+    await called
+  })
+
+  test(`another worker at the address that a worker is registered at proves its end: ${command}`, async t => {
+    const { tracked, run, session, register, respond } = callAnotherWorker()
+    const called = command === 'start' ? session.start(run, '', t.signal) : command === 'stop' ? session.stop(run, t.signal) : session.run(t.signal)
+    register(1)
+    respond()
+    await called
+    assert.equal(tracked.ended, true)
+  })
+}
