--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -332,11 +332,7 @@
 
   /** @returns whether some worker may execute runs of earlier leaders that are not tracked here */
   mayHaveUnknownRuns (): boolean {
-    const leasesKnownAt = this.leasesKnownAt()
-    for (const worker of this.workers.values()) {
-      if (worker.mayHaveUnknownRuns(leasesKnownAt)) return true
-    }
-    return false
+    return this.workersWithUnknownRuns().length > 0
   }
 
   /** @returns the workers that may execute runs of earlier leaders that are not tracked here */
--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -71,7 +71,7 @@
     return err({ kind: 'other-life', message: 'another worker' })
   }
   const opts = { service: 's', token: 1, clock: { now: () => harness.now }, workerClient: { start: call, stop: call, poll: call, closeConnections: () => {} }, logger: silentLogger, metrics: new Metrics() } as unknown as ServiceTermOpts
-  const session = new WorkerSession(tracked, harness.scheduler, opts, { onChange: () => {}, onNewerLeader: () => {}, lagMs: () => 0, loadJobs: async () => {} })
+  const session = new WorkerSession(tracked, harness.scheduler, opts, { onChange: () => {}, onNewerLeader: () => {}, mayAct: () => true, lagMs: () => 0, loadJobs: async () => {} })
   const register = (port: number): void => harness.scheduler.setWorkers([worker('w1', { port })], { unknownRunsUntil: 0 })
   return { tracked, run, session, register, respond: () => respond() }
 }
