An unexpected error of a permit request is logged, and the step asks again

requestPermits swallowed what its client threw, without a line, and left the request marked as sent: the step got no permits, and its tasks no start, for the rest of the term. It counts as a request without a response now. The test failed before.

--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -229,7 +229,7 @@
       for (const run of components.scheduler.placeReadyTasks(this.leadership.mayAct() ? this.startWindow.free() : 0)) this.sendStart(run, signal)
       for (const worker of components.scheduler.takeWorkersToPoll()) this.sessions.get(worker)?.pollNow()
       for (const run of components.scheduler.collectDueStops()) this.send(run, signal, async session => await session.stop(run, signal))
-      for (const request of components.scheduler.permitRequester.collect()) this.requestPermits(components.scheduler, request, signal).catch(() => {})
+      for (const request of components.scheduler.permitRequester.collect()) this.track(this.requestPermits(components.scheduler, request, signal))
       components.writer.wake()
       await this.wakeup.sleep(components.scheduler.table.nextDueInMs(MAX_SCHEDULING_INTERVAL_MS), signal)
       await this.waitBetweenPasses(components.scheduler, signal)
@@ -273,12 +273,13 @@
   }
 
   private async requestPermits (scheduler: Scheduler, request: PermitRequest, signal: AbortSignal): Promise<void> {
-    const { permitClient } = this.opts
+    const { permitClient, logger } = this.opts
     if (permitClient === undefined) return
     const ids = request.workers.map(worker => worker.registration.id)
     const response = await withTimeout(PERMIT_TIMEOUT_MS, signal, async inner => await permitClient.requestPermits(request.name, ids, inner))
-    if (!response.ok) this.opts.logger.info({ step: request.name, workers: ids.length, error: response.error }, 'failed to request permits')
-    scheduler.permitRequester.handleResponse(request, response.ok ? response.value : undefined)
+      .catch((error: unknown) => logger.error({ err: error, step: request.name }, 'permit request failed unexpectedly'))
+    if (response?.ok === false) logger.info({ step: request.name, workers: ids.length, error: response.error }, 'failed to request permits')
+    scheduler.permitRequester.handleResponse(request, response?.ok === true ? response.value : undefined)
     this.wakeup.wake()
   }
 
--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -2,7 +2,7 @@
 import { recordingLogger, silentLogger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { Intake, type LeaderClient } from '@wisteriaslip/jobs.intake'
-import type { JobLimits, JobRequest, Queue, Step, Vm, WorkerClient, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import type { JobLimits, JobRequest, PermitClient, Queue, Step, Vm, WorkerClient, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import { ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { StoreClient, type Driver, type DriverError, type DriverTxn } from '@wisteriaslip/store.client'
@@ -43,6 +43,8 @@
   readonly workers: InMemoryWorkers
   readonly intake: Intake
   readonly queue = queue
+  /** The policy that permits must be requested from; no queue needs permits while it is undefined. */
+  permitClient: PermitClient | undefined
   /** Faults of the next writes of the intake, in order; later writes succeed. */
   readonly submitFaults: DriverFault[] = []
   /** Faults of the leaders' next writes of the term record, in order; later writes succeed. */
@@ -135,13 +137,13 @@
       store: this.createStoreClient(driver),
       records: this.createRecords(driver),
       workerClient: disconnectable<WorkerClient>(this.workers, id => reachesWorkers && !lostWorkers.has(id), async () => err({ kind: 'unknown', message: 'disconnected' })),
-      permitClient: undefined,
+      permitClient: this.permitClient,
       registeredWorkers: () => this.workers.registrations(),
       vms: async () => {
         this.beforeVmList()
         return link.up ? { vms: this.vms, unreadable: [], complete: true } : undefined
       },
-      queue: () => queue,
+      queue: () => ({ ...queue, needsPermit: this.permitClient !== undefined }),
       limits,
       clock: systemClock,
       wallClock: Date.now,
--- a/testing/jobs/test/unexpected-errors.test.ts
+++ b/testing/jobs/test/unexpected-errors.test.ts
@@ -1,9 +1,13 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { ok } from '@wisteriaslip/core.result'
 import { plainStep, untilState, withSite, type JobSite } from '@wisteriaslip/testing.jobs'
 
 const IDS = ['00000000000000aa', '00000000000000bb', '00000000000000cc']
 
+/** Far longer than the job takes. */
+const COMPLETION_MS = 10_000
+
 /** Lets the given call to workers throw for the next times, and then work as before. */
 function throwNext (site: JobSite, method: 'start' | 'poll', times: number): void {
   const { workers } = site
@@ -32,3 +36,25 @@
     })
   })
 }
+
+// An unexpected error of a permit request left it marked as sent: the step got no permits, and no start, for the rest of the term.
+test('an unexpected error of a permit request keeps the step for no longer than a refusal, and is logged', async () => {
+  await withSite(async site => {
+    let left = 2
+    site.permitClient = {
+      requestPermits: async (_step, workers) => {
+        left -= 1
+        if (left >= 0) throw new Error('injected')
+        return ok({ permits: new Map(workers.map(id => [id, 'p'])), validMs: 60_000 })
+      }
+    }
+    await site.elect()
+    await site.intake.submit(site.request(IDS[0] as string, [plainStep({ tasks: 3, estimateMs: 0 })]))
+    const started = Date.now()
+    while (await site.intake.state(site.queue, IDS[0] as string) !== 'completed') {
+      assert.ok(Date.now() - started < COMPLETION_MS, 'the job is not completed')
+      await new Promise(resolve => setTimeout(resolve, 20))
+    }
+    assert.ok(site.logged.includes('permit request failed unexpectedly'))
+  })
+})
