A fleet term whose pass fails in one part ends only when its other requests have ended

The parts of a pass run beside each other. When one threw, the term ended at once while requests of the others to move or maintain VMs were still on their way under its token, beside those of the term that followed. All parts are waited for now, and the leadership is then given up as after any failed term. The test failed before: two maintenances in progress when run() had rejected.

--- a/jobs/fleet/src/term.ts
+++ b/jobs/fleet/src/term.ts
@@ -1,4 +1,4 @@
-import { delay, withTimeout } from '@wisteriaslip/core.result'
+import { allEnded, delay, withTimeout } from '@wisteriaslip/core.result'
 import type { JobConfig, Service, Vm } from '@wisteriaslip/jobs.model'
 import type { ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import { areStillDrained, type DrainedVms } from './drained-vms.ts'
@@ -44,6 +44,7 @@
   /**
    * Leads the fleet until the signal aborts.
    * @param signal - ends the term
+   * @throws the error of a pass, once all its requests have ended
    */
   async run (signal: AbortSignal): Promise<void> {
     let tookMs = 0
@@ -107,7 +108,7 @@
     this.logListChanges(vms)
     const reservedVms = this.waves.plan({ list: listResult.value, loads, isLoadKnown: vm => this.isLoadKnown(vm, config, loads) })
     const moves = this.autoscaler.plan(services, vms, loads, reservedVms)
-    await Promise.all([
+    await allEnded([
       this.waves.repeat(signal),
       ...services.map(async service => await this.drainAndStart(service, { reservedVms, moves, signal }))
     ])
@@ -120,7 +121,7 @@
     const chosen = new Set([...reservedVms, ...moves.map(move => move.vm)])
     const drained = await this.withdraw(service, [...chosen].filter(vm => this.lastPools.get(vm) === service.name))
     const due = areStillDrained(drained, this.opts.clock.now()) ? moves.filter(move => drained.vms.has(move.vm)) : []
-    await Promise.all([
+    await allEnded([
       ...due.map(async move => await this.moveVm(move, signal)),
       this.waves.start(drained, signal)
     ])
--- a/jobs/fleet/src/wave-runner.ts
+++ b/jobs/fleet/src/wave-runner.ts
@@ -1,4 +1,4 @@
-import { withTimeout } from '@wisteriaslip/core.result'
+import { allEnded, withTimeout } from '@wisteriaslip/core.result'
 import type { Vm, VmList, Wave } from '@wisteriaslip/jobs.model'
 import type { ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import { DownVms } from './down-vms.ts'
@@ -134,7 +134,7 @@
     const recorded = due.filter(({ wave, vm }) => this.records.isRequested(wave.wave, vm))
     const others = due.filter(each => !recorded.includes(each))
     for (const { wave, vm } of due) wave.markSending(vm)
-    await Promise.all([
+    await allEnded([
       ...recorded.map(async ({ wave, vm }) => await this.request(wave, vm, opts.signal)),
       this.recordAndRequest(others, opts)
     ]).finally(() => { for (const { wave, vm } of due) wave.markSent(vm) })
@@ -152,7 +152,7 @@
     }
     // What is recorded and not sent in this pass is sent in the next one.
     if (!areStillDrained(drained, clock.now()) || !isLeader()) return
-    await Promise.all(due.map(async ({ wave, vm }) => await this.request(wave, vm, opts.signal)))
+    await allEnded(due.map(async ({ wave, vm }) => await this.request(wave, vm, opts.signal)))
   }
 
   /** Records what has changed, reports what is recorded, and logs what the waves wait for. */
--- a/jobs/fleet/test/term.test.ts
+++ b/jobs/fleet/test/term.test.ts
@@ -17,6 +17,10 @@
   /** Calls to withdraw workers of the service, with the time on the leader's clock. */
   readonly withdrawals: Array<{ at: number, vms: readonly string[] }> = []
   records: ReadonlyMap<number, WaveRecord> | undefined = new Map()
+  /** Called for each withdrawal; an error that it throws is thrown by the call. */
+  onWithdraw: () => Promise<void> = async () => {}
+  /** Called for each maintenance, before it is answered. */
+  beforeMaintenance: () => Promise<void> = async () => {}
   private readonly waveRecords: WaveRecordStore = {
     read: async () => this.records,
     write: async records => {
@@ -45,6 +49,7 @@
         },
         moveVm: async () => ok(undefined),
         startMaintenance: async ({ vm }) => {
+          await this.beforeMaintenance()
           this.maintained.push(vm)
           return ok(undefined)
         }
@@ -53,6 +58,7 @@
         load: async () => undefined,
         withdraw: async (_service, vms) => {
           this.withdrawals.push({ at: clock.now(), vms })
+          await this.onWithdraw()
           return { kind: 'withdrawn', empty: [] }
         }
       },
@@ -98,3 +104,23 @@
   assert.ok(times.length >= 2, `${times.length} calls`)
   for (const [index, at] of times.entries()) assert.ok(index === 0 || at - (times[index - 1] ?? 0) >= 1_000)
 })
+
+// A term whose pass failed in one part ended at once, while its other requests to the VM platform were still on their way.
+test('a term whose pass fails in one part ends only when its other requests have ended', async () => {
+  const fleet = new FakeFleet()
+  const other = { name: 'a', guardsCapacity: true, standby: false }
+  let inProgress = 0
+  const sleep = async (ms: number): Promise<void> => await new Promise(resolve => setTimeout(resolve, ms))
+  fleet.beforeMaintenance = async () => {
+    inProgress += 1
+    await sleep(400)
+    inProgress -= 1
+  }
+  fleet.onWithdraw = async () => {
+    await sleep(100)
+    if (inProgress > 0) throw new Error('injected')
+  }
+  await assert.rejects(fleet.runTerm(50, { stepMs: 1_000, services: [other] }), /injected/)
+  assert.equal(inProgress, 0)
+  assert.ok(fleet.maintained.length > 0)
+})
