Unexpected errors of a session's own commands are logged

What a stop of an orphaned run, a change of speed or an early poll threw was swallowed without a line; after a change of speed that threw, the new speed also counted as set. The test (a stop of an orphaned run) failed before.

--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -54,6 +54,9 @@
   private currentPollWaits = false
   /** The next poll does not. */
   private pollAtOnce = false
+  private readonly logUnexpected = (error: unknown): void => {
+    this.opts.logger.error({ err: error, worker: this.worker.registration.id }, 'worker command failed unexpectedly')
+  }
 
   constructor (worker: TrackedWorker, scheduler: Scheduler, opts: ServiceTermOpts, events: SessionEvents) {
     this.worker = worker
@@ -99,7 +102,7 @@
     const leaseUntilMs = this.worker.extendLease(this.opts.clock.now(), WORKER_LEASE_MS)
     const command = { task: task.name, attempt, payload: task.step.job.job.payload, leaseUntilMs, checkpoint: task.checkpoint, permit }
     const sentAt = this.opts.clock.now()
-    if (run.isolation !== undefined) this.pollOnceSettled(signal, { unless: () => run.phase === 'running' }).catch(() => {})
+    if (run.isolation !== undefined) this.pollOnceSettled(signal, { unless: () => run.phase === 'running' }).catch(this.logUnexpected)
     const endpoint = this.endpoint()
     const response = await this.sendStart(endpoint, command, signal).finally(() => this.worker.endLeaseCall(this.opts.clock.now()))
     this.opts.metrics.observe('worker_start_us', { service: this.opts.service }, this.opts.clock.now() - sentAt)
@@ -108,7 +111,7 @@
     else this.checkIncarnation(task.name)
     this.scheduler.handleStartResponse(run, response.ok ? undefined : response.error, response.ok ? { clockMs: response.value, sentAt } : undefined)
     if (!response.ok) this.events.onChange()
-    else if (run.isolation !== undefined) this.pollOnceSettled(signal).catch(() => {})
+    else if (run.isolation !== undefined) this.pollOnceSettled(signal).catch(this.logUnexpected)
   }
 
   private async sendStart (endpoint: WorkerEndpoint, command: StartCommand, signal: AbortSignal): Promise<Result<number, WorkerError>> {
@@ -202,7 +205,10 @@
   private adjustSpeeds (signal: AbortSignal): void {
     for (const { run, percent } of chooseBackfillSpeeds(this.worker)) {
       run.speedPercent = percent
-      this.sendSpeed(run, percent, signal).catch(() => {})
+      this.sendSpeed(run, percent, signal).catch(error => {
+        run.speedPercent = Number.NaN
+        this.logUnexpected(error)
+      })
     }
   }
 
@@ -215,7 +221,7 @@
   private stopOrphans (orphans: readonly OrphanedRun[], signal: AbortSignal): void {
     for (const orphan of orphans) {
       this.opts.logger.warn({ task: orphan.task, attempt: orphan.attempt, worker: this.worker.registration.id }, 'stopping orphaned run: its job is not stored')
-      this.sendStop(orphan.task, orphan.attempt, signal).catch(() => {})
+      this.sendStop(orphan.task, orphan.attempt, signal).catch(this.logUnexpected)
     }
   }
 
--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { silentLogger } from '@wisteriaslip/core.logger'
+import { recordingLogger, silentLogger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
-import { err } from '@wisteriaslip/core.result'
+import { err, ok } from '@wisteriaslip/core.result'
 import type { Run } from '@wisteriaslip/jobs.scheduler'
-import { SchedulerHarness, worker } from '../../scheduler/test/harness.ts'
+import { SchedulerHarness, running, worker } from '../../scheduler/test/harness.ts'
 import { WorkerSession } from '../src/worker-session.ts'
 import type { ServiceTermOpts } from '../src/ports.ts'
 
@@ -100,3 +100,27 @@
     assert.equal(tracked.ended, true)
   })
 }
+
+// What a stop of an orphaned run, or a change of speed, threw was swallowed: nobody could see why the run went on as it was.
+test('an unexpected error of a stop of an orphaned run is logged', async t => {
+  const harness = new SchedulerHarness()
+  const [tracked] = harness.addWorkers(worker('w1'))
+  assert.ok(tracked !== undefined)
+  harness.scheduler.table.markNotStored('00000000000000bb')
+  const logged: string[] = []
+  const abortController = new AbortController()
+  const workerClient = {
+    poll: async () => {
+      harness.now += 10
+      return ok({ clockMs: harness.now, born: tracked.registration.born, running: [running('00000000000000bb.0.0.0', 1)], ended: [], moreEnded: false })
+    },
+    stop: async () => {
+      abortController.abort()
+      throw new Error('injected')
+    }
+  }
+  const opts = { service: 's', token: 1, clock: { now: () => harness.now }, workerClient, logger: recordingLogger(logged), metrics: new Metrics() } as unknown as ServiceTermOpts
+  await new WorkerSession(tracked, harness.scheduler, opts, { onChange: () => {}, onNewerLeader: () => {}, lagMs: () => 0, loadJobs: async () => {} }).run(abortController.signal)
+  await new Promise(resolve => setTimeout(resolve, 10))
+  assert.ok(logged.includes('worker command failed unexpectedly'), String(logged))
+})
