An unexpected error of a batched write rejects its changes

The writer of batches swallowed what a write threw and settled none of its changes: whoever had submitted a job waited until the deadline, without a line in the log. The test failed before.

--- a/jobs/store/src/batch-writer.ts
+++ b/jobs/store/src/batch-writer.ts
@@ -12,6 +12,7 @@
 interface PendingWrite {
   readonly change: Change
   readonly settle: (result: Result<number, StoreError>) => void
+  readonly reject: (error: unknown) => void
 }
 
 /**
@@ -33,12 +34,13 @@
    * Adds a change to the next batch.
    * @param change - change of one key
    * @returns store revision of the write, or the store's error
+   * @throws what the store client throws unexpectedly
    */
   async write (change: Change): Promise<Result<number, StoreError>> {
-    return await new Promise(resolve => {
-      this.waiting.push({ change, settle: resolve })
+    return await new Promise((resolve, reject) => {
+      this.waiting.push({ change, settle: resolve, reject })
       if (this.waiting.length >= this.opts.maxBatchChanges) this.flush()
-      else if (!this.timerRunning) this.flushAfterWindow().catch(() => {})
+      else if (!this.timerRunning) this.flushAfterWindow().catch(reject)
     })
   }
 
@@ -52,7 +54,10 @@
   private flush (): void {
     const batch = this.waiting
     this.waiting = []
-    if (batch.length > 0) this.commit(batch).catch(() => {})
+    if (batch.length === 0) return
+    this.commit(batch).catch(error => {
+      for (const each of batch) each.reject(error)
+    })
   }
 
   private async commit (batch: readonly PendingWrite[]): Promise<void> {
--- a/jobs/store/test/batch-writer.test.ts
+++ b/jobs/store/test/batch-writer.test.ts
@@ -15,3 +15,22 @@
   assert.deepEqual(written.map(({ ok }) => ok), [true, false, true])
   assert.ok(store.available(), 'the store is not taken for unavailable')
 })
+
+// What a write threw was swallowed, and the changes of its batch were never settled: the caller of an accepted job waited forever.
+test('an unexpected error of a write rejects each change of its batch, and later ones are written', async () => {
+  const store = new StoreClient(new MemoryDriver(), { readsPerSecond: 1e6, writesPerSecond: 1e6, metrics: new Metrics() })
+  const update = store.update.bind(store)
+  let calls = 0
+  store.update = async (...args) => {
+    calls += 1
+    if (calls === 1) throw new Error('injected')
+    return await update(...args)
+  }
+  const writer = new BatchWriter(store, { batchWindowMs: 5, maxBatchChanges: 12 })
+  const settled = await Promise.race([
+    Promise.allSettled(['a', 'b'].map(async key => await writer.write({ key, prior: undefined, value: 1 }))),
+    new Promise<undefined>(resolve => setTimeout(() => resolve(undefined), 500))
+  ])
+  assert.deepEqual(settled?.map(({ status }) => status), ['rejected', 'rejected'])
+  assert.ok((await writer.write({ key: 'c', prior: undefined, value: 1 })).ok)
+})
