Fault soak: entries as processes on stand-ins of the platform

Real entries, the platform's store, VM list and workers on loopback, a proxy on the way from each entry to each server, signals, random and scripted courses of faults, and a check of what workers ran and callers were told.

--- /dev/null
+++ b/testing/soak/src/callers.ts
@@ -0,0 +1,103 @@
+import { delay } from '@wisteriaslip/core.result'
+import { request } from 'undici'
+import { ports } from './addresses.ts'
+import type { EntryProcess } from './entry-process.ts'
+import type { TaskPlan } from './worker.ts'
+
+const CALL_TIMEOUT_MS = 3_000
+const RETRY_MS = 200
+const MAX_TRIES = 8
+const ID_DIGITS = 16
+
+/** A job as its caller knows it. */
+export interface SubmittedJob {
+  readonly id: string
+  readonly plan: TaskPlan
+  readonly tasks: number
+  accepted: boolean
+  /** Every try was refused, so that the job must never run. */
+  refused: boolean
+  cancelled: boolean
+  /** Last state that was shown. */
+  state: string | undefined
+}
+
+/** Mean time between two jobs, and kinds of jobs. */
+export interface Traffic {
+  readonly everyMs: number
+  /** Chooses the next job; `tasks` of them run alike. */
+  readonly next: (random: () => number) => { plan: TaskPlan, tasks: number }
+}
+
+/** Callers that submit jobs at any entry, try again as the protocol says, and query states. */
+export class Callers {
+  readonly jobs: SubmittedJob[] = []
+  private readonly entries: readonly EntryProcess[]
+  private readonly queue: { readonly host: string, readonly path: string }
+  private readonly random: () => number
+
+  /**
+   * @param entries - entries to call
+   * @param queue - host name and path prefix of the queue
+   * @param random - decides about jobs and entries
+   */
+  constructor (entries: readonly EntryProcess[], queue: { host: string, path: string }, random: () => number) {
+    this.entries = entries
+    this.queue = queue
+    this.random = random
+  }
+
+  /** Submits jobs until the signal aborts, and waits for the last responses. */
+  async run (traffic: Traffic, signal: AbortSignal): Promise<void> {
+    const submissions: Array<Promise<void>> = []
+    while (await delay(traffic.everyMs * 2 * this.random(), signal)) submissions.push(this.submit(traffic.next(this.random)))
+    await Promise.all(submissions)
+  }
+
+  /** Submits one job, at other entries too until one tells what became of it. */
+  async submit ({ plan, tasks }: { plan: TaskPlan, tasks: number }): Promise<void> {
+    const id = Array.from({ length: ID_DIGITS }, () => Math.floor(this.random() * 16).toString(16)).join('')
+    const job: SubmittedJob = { id, plan, tasks, accepted: false, refused: true, cancelled: false, state: undefined }
+    this.jobs.push(job)
+    const { cpu, memMb, runMs } = plan
+    const body = { spec: JSON.stringify(plan), steps: [{ count: tasks, cpu, memMb, estimateMs: runMs, ...(runMs === 0 ? { longRunning: true } : {}) }] }
+    for (let tries = 0; tries < MAX_TRIES && !job.accepted; tries++) {
+      const status = (await this.call('POST', id, body))?.status
+      job.accepted = status !== undefined && status < 300
+      if (status === 429 || status === 503) {
+        if (job.refused) return
+      } else job.refused = false
+      if (!job.accepted) await new Promise(resolve => setTimeout(resolve, RETRY_MS))
+    }
+  }
+
+  /** Queries the state of a job, and keeps it. */
+  async query (job: SubmittedJob): Promise<void> {
+    const response = await this.call('GET', job.id)
+    if (response?.status === 200) job.state = String(response.body.state)
+    else if (response?.status === 410) job.state = 'none'
+  }
+
+  /** Cancels a job. */
+  async cancel (job: SubmittedJob): Promise<void> {
+    for (let tries = 0; tries < MAX_TRIES && !job.cancelled; tries++) {
+      const status = (await this.call('DELETE', job.id))?.status ?? 504
+      job.cancelled = status < 300 || status === 410
+    }
+  }
+
+  private async call (method: 'GET' | 'POST' | 'DELETE', id: string, body?: unknown): Promise<{ status: number, body: Record<string, unknown> } | undefined> {
+    const entry = this.entries[Math.floor(this.random() * this.entries.length)]
+    try {
+      const response = await request(`http://${entry?.ip ?? ''}:${ports.callers}${this.queue.path}${id}`, {
+        method,
+        headers: { host: this.queue.host, 'content-type': 'application/json', 'wisteriaslip-deadline-ms': String(CALL_TIMEOUT_MS) },
+        signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+        ...(body === undefined ? {} : { body: JSON.stringify(body) })
+      })
+      return { status: response.statusCode, body: await response.body.json() as Record<string, unknown> }
+    } catch {
+      return undefined
+    }
+  }
+}
--- /dev/null
+++ b/testing/soak/src/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Fault soak: entries as processes on stand-ins of the platform, with faults of links, processes, store and workers, and
+ * checks of what workers and callers see.
+ * @module
+ */
+export { play, type PlayResult } from './play.ts'
+export { checkRuns, type Violation } from './check.ts'
+export { randomFaults } from './random-faults.ts'
+export { replacedUnnoticed, type Scenario } from './scenario.ts'
+export { Callers, type SubmittedJob } from './callers.ts'
+export type { RunRecord } from './run-log.ts'
--- /dev/null
+++ b/testing/soak/src/site.ts
@@ -0,0 +1,161 @@
+import { mkdir } from 'node:fs/promises'
+import type { Server } from 'node:http'
+import { waitUntil } from '@wisteriaslip/testing.jobs'
+import { seededRandom } from '@wisteriaslip/testing.site'
+import { Addresses, ports } from './addresses.ts'
+import { EntryProcess } from './entry-process.ts'
+import { FaultProxy, type Replacement } from './fault-proxy.ts'
+import { closeServer, createJsonServer, listen } from './http.ts'
+import { PlatformStore } from './platform-store.ts'
+import { RunLog } from './run-log.ts'
+import { StoreServer } from './store-server.ts'
+import { WorkerHost } from './worker-host.ts'
+
+/** The only service, its queue and how callers reach it. */
+export const queue = { service: 'work', host: 'jobs.example', path: '/q/', attempts: 3 } as const
+const LEADER_KEY = `wisteriaslip/leaders/service/${queue.service}`
+const MEMBER_KEY_PREFIX = 'wisteriaslip/members/'
+
+/** Options of {@link SoakSite.start}. */
+export interface SiteOpts {
+  readonly seed: number
+  readonly entries: number
+  readonly workers: number
+  /** Folder for settings and logs. */
+  readonly folder: string
+  /** Path of the built program; undefined to run the sources. */
+  readonly binary: string | undefined
+}
+
+/** Entries as processes, and stand-ins of the platform, with a proxy on the way from each entry to each server. */
+export class SoakSite {
+  readonly log = new RunLog()
+  readonly store = new PlatformStore()
+  readonly entries: EntryProcess[] = []
+  readonly hosts: WorkerHost[] = []
+  readonly random: () => number
+  readonly storeServer: StoreServer
+  private readonly addresses: Addresses
+  private readonly vmList: Server
+  private readonly links = new Map<string, FaultProxy>()
+
+  private constructor (seed: number, addresses: Addresses) {
+    this.random = seededRandom(seed)
+    this.addresses = addresses
+    this.storeServer = new StoreServer(this.store, addresses, this.random)
+    this.vmList = createJsonServer(({ method }) => method === 'GET' ? { status: 200, body: { machines: this.hosts.map(host => host.listed()) } } : { status: 400 })
+  }
+
+  /**
+   * Starts a site and waits until its service has a leader.
+   * @param opts - size, seed and folder
+   * @returns the site; close it with {@link SoakSite.close}
+   * @throws when it does not start in time
+   */
+  static async start (opts: SiteOpts): Promise<SoakSite> {
+    const site = new SoakSite(opts.seed, await Addresses.take())
+    try {
+      await site.startAll(opts)
+      return site
+    } catch (error) {
+      await site.close()
+      throw error
+    }
+  }
+
+  /** Ends all processes, servers and timers of the site. */
+  async close (): Promise<void> {
+    await Promise.all(this.entries.map(async entry => await entry.kill()))
+    for (const host of this.hosts) host.close()
+    for (const link of this.links.values()) link.close()
+    for (const server of [this.storeServer.server, this.vmList]) closeServer(server)
+    this.store.close()
+    this.addresses.release()
+  }
+
+  /** @returns the way from an entry to the store */
+  toStore (entry: number): FaultProxy {
+    return this.link(entry, this.addresses.hosts.store)
+  }
+
+  /** @returns the way from an entry to the list of VMs */
+  toVmList (entry: number): FaultProxy {
+    return this.link(entry, this.addresses.hosts.vmList)
+  }
+
+  /** @returns the way from an entry to a worker */
+  toWorker (entry: number, worker: number): FaultProxy {
+    return this.link(entry, this.addresses.hosts.worker(worker))
+  }
+
+  /** @returns the way from an entry to another one, for its calls */
+  toPeer (entry: number, peer: number): FaultProxy {
+    return this.link(entry, this.addresses.hosts.entry(peer))
+  }
+
+  /** @returns all ways from an entry to anything */
+  allFrom (entry: number): FaultProxy[] {
+    return [...this.links].filter(([name]) => name.startsWith(`${entry}-`)).map(([, link]) => link)
+  }
+
+  /** @returns index of the entry that leads the service by the store's records, undefined if there is none */
+  leader (): number | undefined {
+    const item = this.store.get(LEADER_KEY)
+    if (item === undefined) return undefined
+    const { value } = JSON.parse(item.value) as { value: { id: string } }
+    const index = this.entries.findIndex(({ id }) => id === value.id)
+    return index < 0 ? undefined : index
+  }
+
+  /** Ends the lease of an entry in the store, without a word to it. */
+  revokeLease (entry: number): void {
+    const lease = this.store.get(MEMBER_KEY_PREFIX + (this.entries[entry]?.id ?? ''))?.lease ?? 0
+    if (lease !== 0) this.store.end(lease)
+  }
+
+  private link (entry: number, host: number): FaultProxy {
+    const link = this.links.get(`${entry}-${host}`)
+    if (link === undefined) throw new Error(`no link from entry ${entry} to host ${host}`)
+    return link
+  }
+
+  private async startAll ({ entries, workers, folder, binary }: SiteOpts): Promise<void> {
+    const { addresses, store, log, random } = this
+    const { hosts } = addresses
+    await mkdir(folder, { recursive: true })
+    const route = { name: 'q', host: queue.host, prefix: queue.path, service: queue.service, timeoutMs: 5_000, sloMs: 2_000, priority: 0, attempts: queue.attempts, stretch: 2 }
+    const config = { version: 1, routes: [route], services: [{ name: queue.service, enforcesCapacity: true }], limits: {} }
+    store.commit({ expected: [], puts: [{ key: 'op/config', value: JSON.stringify(config), lease: 0 }], removes: [] })
+    await listen(this.storeServer.server, ports.store, addresses.ip(hosts.store))
+    await listen(this.vmList, ports.store, addresses.ip(hosts.vmList))
+    for (let index = 0; index < workers; index++) {
+      const host = new WorkerHost({ index, service: queue.service, zone: `zone-${index % entries}`, addresses, store, log, random })
+      this.hosts.push(host)
+      await host.start({ sameId: true })
+    }
+    for (let index = 0; index < entries; index++) this.entries.push(await EntryProcess.create({ index, binary, folder, addresses }))
+    for (let index = 0; index < entries; index++) await this.openLinks(index)
+    for (const entry of this.entries) entry.start()
+    await waitUntil('the service has a leader', () => this.leader() !== undefined)
+    for (const entry of this.entries) await waitUntil(`${entry.id} is ready`, async () => await entry.isReady())
+  }
+
+  private async openLinks (entry: number): Promise<void> {
+    const { hosts } = this.addresses
+    await this.openLink(entry, hosts.store, ports.store)
+    await this.openLink(entry, hosts.vmList, ports.store)
+    for (const index of this.hosts.keys()) await this.openLink(entry, hosts.worker(index), ports.worker)
+    for (const peer of this.entries.keys()) if (peer !== entry) await this.openLink(entry, hosts.entry(peer), ports.peers, peer)
+  }
+
+  /** Peers exchange what they read from the store, so that addresses of one's view become those of the other's. */
+  private async openLink (entry: number, host: number, port: number, peer?: number): Promise<void> {
+    const { addresses } = this
+    const [own, other] = [addresses.viewPrefix(entry), addresses.viewPrefix(peer)]
+    const requests: Replacement = { from: own, to: other }
+    const replies: Replacement = { from: other, to: own }
+    const link = new FaultProxy({ host: addresses.ip(host, entry), port, target: { host: addresses.ip(host), port }, sourceIp: addresses.sourceIp(entry), ...(peer === undefined ? {} : { requests, replies }) })
+    await link.listen()
+    this.links.set(`${entry}-${host}`, link)
+  }
+}
--- a/testing/stand-ins/src/process.ts
+++ b/testing/stand-ins/src/process.ts
@@ -20,15 +20,20 @@
 /**
  * Starts the CLI as a separate process.
  * @param args - command-line arguments
- * @param opts - file for its log; path of a built binary to run instead of the sources; Node.js flags for the sources
+ * @param opts - file for its log; path of a built binary to run instead of the sources; Node.js flags for the sources;
+ * `appendOutput`: standard output goes to the log file, too, after what is there
  * @returns the process
  */
-export function startProcess (args: readonly string[], opts: { logFile?: string, binary?: string, nodeArgs?: readonly string[] } = {}): StartedProcess {
+export function startProcess (args: readonly string[], opts: { logFile?: string, binary?: string, nodeArgs?: readonly string[], appendOutput?: boolean } = {}): StartedProcess {
   const command = opts.binary ?? process.execPath
   const prefix = opts.binary === undefined ? [...opts.nodeArgs ?? [], '--import', 'tsx', CLI] : []
-  const child = spawn(command, [...prefix, ...args], { stdio: ['ignore', 'ignore', 'pipe'] })
-  if (opts.logFile !== undefined) child.stderr?.pipe(createWriteStream(opts.logFile))
-  else child.stderr?.resume()
+  const appends = opts.appendOutput === true
+  const child = spawn(command, [...prefix, ...args], { stdio: ['ignore', appends ? 'pipe' : 'ignore', 'pipe'] })
+  if (opts.logFile !== undefined) {
+    const log = createWriteStream(opts.logFile, { flags: appends ? 'a' : 'w' })
+    for (const output of [child.stdout, child.stderr]) output?.pipe(log, { end: false })
+    child.once('close', () => log.end())
+  } else child.stderr?.resume()
   const exited = once(child, 'exit')
   return {
     child,
