--- a/testing/soak/src/worker.ts
+++ b/testing/soak/src/worker.ts
@@ -98,7 +98,7 @@
     this.extendLease(body.deadlineMs)
     if (this.active.has(runKey(task, attempt))) return this.confirm()
     if (attempt <= (this.blocked.get(task) ?? 0)) return this.refuse('old')
-    if (this.leaseUntilMs <= this.clockMs()) return this.refuse('late')
+    if (Number(body.deadlineMs ?? 0) <= this.clockMs()) return this.refuse('late')
     const plan = JSON.parse(spec) as TaskPlan
     if (!this.hasRoom(plan)) return this.refuse('room')
     const { log, random } = this.opts
