--- a/jobs/fleet/src/pool-autoscaler.ts
+++ b/jobs/fleet/src/pool-autoscaler.ts
@@ -31,6 +31,16 @@
   readonly to: string
 }
 
+/** What a pool asked for in the last pass, and what it has. */
+export interface PoolNeed {
+  /** VMs required now, VMs that are available or arriving, and the pool's share of all VMs. */
+  readonly required: number
+  readonly supply: number
+  readonly share: number
+  /** Cores that its running, waiting and expected tasks want. */
+  readonly wantedCores: number
+}
+
 interface RequirementSample {
   readonly at: number
   readonly vms: number
@@ -66,6 +76,7 @@
   private readonly samples = new Map<string, RequirementSample[]>()
   private readonly upSince = new Map<string, number>()
   private readonly movedAt = new Map<string, { readonly at: number, readonly to: string }>()
+  private lastNeeds: ReadonlyMap<string, PoolNeed> = new Map()
 
   /** @param clock - time source */
   constructor (clock: Clock) {
@@ -91,6 +102,7 @@
     }
     const standbyVms = vms.filter(vm => vm.pool === standby && this.isMovable(vm, reservedVms, now))
     const pools = withShares(evaluated, standbyVms.length)
+    this.lastNeeds = new Map(pools.map(({ name, required, supply, share }) => [name, { required, supply, share, wantedCores: Math.round((loads.get(name)?.wantedCpu ?? 0) / 1_000) }]))
     const idle = pools.flatMap(pool => this.idleVms(pool, reservedVms, now))
     const surplus = pools.flatMap(pool => this.surplusVms(pool, reservedVms, now)).filter(vm => !idle.includes(vm))
     const shortfalls = pools.map(pool => ({ pool, shortfall: pool.share - pool.supply })).filter(each => each.shortfall > 0)
@@ -111,6 +123,11 @@
     return moves
   }
 
+  /** @returns what each pool asked for in the last pass */
+  needs (): ReadonlyMap<string, PoolNeed> {
+    return this.lastNeeds
+  }
+
   /**
    * Records a move, so that the VM is not moved again before the platform's list shows the move.
    * @param move - move that the platform accepted, or may have accepted
--- a/jobs/fleet/src/term.ts
+++ b/jobs/fleet/src/term.ts
@@ -13,6 +13,8 @@
 const MAX_LOGGED_VMS = 20
 /** A leader that has confirmed that none of its workers is withdrawn is told so again after this time: it may be a new one. */
 const REPEAT_EMPTY_WITHDRAWAL_MS = 1_000
+/** Interval at which pools that lack VMs are logged. */
+const SHORTFALL_REPORT_INTERVAL_MS = 1_000
 
 /** What a pass has planned. */
 interface PlannedStarts {
@@ -33,6 +35,7 @@
   private readonly lastPools = new Map<string, string>()
   /** When the leader of a service last confirmed that none of its workers is withdrawn. */
   private readonly noneWithdrawnAt = new Map<string, number>()
+  private shortfallReportedAt = Number.NEGATIVE_INFINITY
 
   constructor (opts: FleetTermOpts) {
     this.opts = opts
@@ -78,6 +81,15 @@
     for (const { id, pool } of vms) this.lastPools.set(id, pool)
   }
 
+  /** Logs what all pools ask for and have while one of them has less than it asks for. */
+  private logShortfalls (): void {
+    const now = this.opts.clock.now()
+    const needs = [...this.autoscaler.needs()]
+    if (now - this.shortfallReportedAt < SHORTFALL_REPORT_INTERVAL_MS || needs.every(([, { required, supply }]) => supply >= required)) return
+    this.shortfallReportedAt = now
+    this.opts.logger.info({ token: this.token, pools: Object.fromEntries(needs) }, 'pools lack VMs')
+  }
+
   /**
    * Returns whether all services that may run something on the VM have responded. A service without queues has no leader;
    * it may still run earlier jobs on the VMs of its pool.
@@ -108,6 +120,7 @@
     this.logListChanges(vms)
     const reservedVms = this.waves.plan({ list: listResult.value, loads, isLoadKnown: vm => this.isLoadKnown(vm, config, loads) })
     const moves = this.autoscaler.plan(services, vms, loads, reservedVms)
+    this.logShortfalls()
     await allEnded([
       this.waves.repeat(signal),
       ...services.map(async service => await this.drainAndStart(service, { reservedVms, moves, signal }))
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -13,6 +13,7 @@
 import { StartWindow } from './start-window.ts'
 import { TakeoverMonitor } from './takeover-monitor.ts'
 import { TermRecordWriter } from './term-record-writer.ts'
+import { WaitMonitor } from './wait-monitor.ts'
 import { WorkerSession } from './worker-session.ts'
 
 const RECORD_READ_RETRY_MS = 100
@@ -219,6 +220,7 @@
     const components = this.components
     if (components === undefined) return
     const takeoverMonitor = new TakeoverMonitor(this.opts)
+    const waitMonitor = new WaitMonitor(this.opts, this.startWindow)
     while (!signal.aborted) {
       this.leadership.observe()
       this.updateWorkers(components.scheduler)
@@ -226,7 +228,9 @@
       components.scheduler.tick()
       takeoverMonitor.observe(components.scheduler)
       logLosses(components.scheduler, this.opts)
-      for (const run of components.scheduler.placeReadyTasks(this.leadership.mayAct() ? this.startWindow.free() : 0)) this.sendStart(run, signal)
+      const runs = components.scheduler.placeReadyTasks(this.leadership.mayAct() ? this.startWindow.free() : 0)
+      for (const run of runs) this.sendStart(run, signal)
+      waitMonitor.observe(components.scheduler, runs.length)
       for (const worker of components.scheduler.takeWorkersToPoll()) this.sessions.get(worker)?.pollNow()
       for (const run of components.scheduler.collectDueStops()) this.send(run, signal, async session => await session.stop(run, signal))
       for (const request of components.scheduler.permitRequester.collect()) this.track(this.requestPermits(components.scheduler, request, signal))
