--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -143,7 +143,7 @@
       fleetTerm: () => this.fleetTerms.get(fleetResource),
       signal: this.stopping.signal
     })
-    this.leaderClient = new PeerLeaderClient({ leadership: this.leadership, members: this.members, clients: this.clients, localService: () => this.service, signal: this.stopping.signal })
+    this.leaderClient = new PeerLeaderClient({ leadership: this.leadership, members: this.members, clients: this.clients, localService: () => this.service, logger: topicLogger(logger, 'leader'), signal: this.stopping.signal })
     this.intake = new Intake({ records: this.records, leaderClient: this.leaderClient, clock, logger: topicLogger(logger, 'intake'), metrics, signal: this.stopping.signal })
   }
 
--- a/jobs/entry/src/leader-client.ts
+++ b/jobs/entry/src/leader-client.ts
@@ -1,3 +1,4 @@
+import type { Logger } from '@wisteriaslip/core.logger'
 import type { Result } from '@wisteriaslip/core.result'
 import type { LeaderClient } from '@wisteriaslip/jobs.intake'
 import type { ExplainRequest, JobPeerService, JobNotification, ServiceLoad, JobStateReply, WithdrawReply } from '@wisteriaslip/jobs.protocol'
@@ -12,11 +13,14 @@
 
 const backgroundMethods: ReadonlySet<LeaderMethod> = new Set<LeaderMethod>(['push', 'load', 'withdraw'])
 
+/** Calls of the fleet's leader, whose failures are logged: without a response, the VMs of a pool stay as they are. */
+const fleetMethods: ReadonlySet<LeaderMethod> = new Set<LeaderMethod>(['load', 'withdraw'])
+
 type LeaderMethod = 'push' | 'cancelled' | 'state' | 'pending' | 'load' | 'withdraw' | 'explain'
 
 /** Calls the leader of a service or of the fleet; when this entry is the leader, the call stays in the process. */
 export class PeerLeaderClient implements LeaderClient {
-  private readonly opts: { leadership: Leadership, members: Members, clients: PeerClients<JobPeerService>, localService: () => JobPeerService, signal: AbortSignal }
+  private readonly opts: { leadership: Leadership, members: Members, clients: PeerClients<JobPeerService>, localService: () => JobPeerService, logger: Logger, signal: AbortSignal }
 
   constructor (opts: PeerLeaderClient['opts']) {
     this.opts = opts
@@ -79,6 +83,7 @@
     if (member === undefined) return undefined
     const timeoutMs = backgroundMethods.has(method) ? BACKGROUND_CALL_TIMEOUT_MS : LEADER_CALL_TIMEOUT_MS
     const reply = await clients.call(member.peerAddress, method, input as never, { timeoutMs, signal }) as Result<Awaited<ReturnType<JobPeerService[M]>>, PeerError>
+    if (!reply.ok && fleetMethods.has(method)) this.opts.logger.info({ resource, method, leader: member.id, message: reply.error.message }, 'failed to call a leader')
     return reply.ok ? reply.value : undefined
   }
 }
