--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -120,7 +120,7 @@
     }
   }
   const opts = { service: 's', token: 1, clock: { now: () => harness.now }, workerClient, logger: recordingLogger(logged), metrics: new Metrics() } as unknown as ServiceTermOpts
-  await new WorkerSession(tracked, harness.scheduler, opts, { onChange: () => {}, onNewerLeader: () => {}, lagMs: () => 0, loadJobs: async () => {} }).run(abortController.signal)
+  await new WorkerSession(tracked, harness.scheduler, opts, { onChange: () => {}, onNewerLeader: () => {}, mayAct: () => true, lagMs: () => 0, loadJobs: async () => {} }).run(abortController.signal)
   await new Promise(resolve => setTimeout(resolve, 10))
   assert.ok(logged.includes('worker command failed unexpectedly'), String(logged))
 })
