Model of a service: history of all runs, and connections that are cut for one pair of entry and worker

The check of TWICE compared a start with what ran elsewhere at that moment. It now goes over all runs as their workers saw them, and also finds a start after a run that had ended done to the knowledge of a leader. A connection may be cut silently, reset, or cut one way for one pair, its messages may be late, and a reply may come after its sender gave up.

--- a/testing/jobs/test/faulty-workers.ts
+++ b/testing/jobs/test/faulty-workers.ts
@@ -1,6 +1,8 @@
 import { err, ok, type Result } from '@wisteriaslip/core.result'
 import type { EndedRun, StartCommand, Vm, WorkerClient, WorkerEndpoint, WorkerError, WorkerRegistration, WorkerReport } from '@wisteriaslip/jobs.model'
 import type { VirtualProcess } from '@wisteriaslip/testing.jobs'
+import { Incarnation, type Link, type Machine } from './faulty-machine.ts'
+import { RunHistory } from './run-history.ts'
 
 export const LONGEST_LEASE_MS = 10_000
 const RACKS = 3
@@ -24,49 +26,12 @@
   (below: number): number
 }
 
-/** One incarnation of a worker. It holds and knows nothing of the one before it. */
-class Incarnation {
-  readonly registration: WorkerRegistration
-  readonly bornAt: number
-  readonly runs = new Map<string, { attempt: number, startedAt: number, cpu: number }>()
-  readonly blockedAttempts = new Map<string, number>()
-  readonly waitingPolls = new Set<(crashed?: true) => void>()
-  ended: EndedRun[] = []
-  token = 0
-  leaseUntilMs = 0
-  seq = 0
-  alive = true
-
-  constructor (registration: WorkerRegistration, bornAt: number) {
-    this.registration = registration
-    this.bornAt = bornAt
-  }
-
-  /** @returns capacity that its runs leave, in thousandths of a core */
-  freeCpu (): number {
-    return [...this.runs.values()].reduce((free, run) => free - run.cpu, this.registration.capacity.cpu)
-  }
-}
-
-/** A VM that has one worker after the other. */
-interface Machine {
-  readonly vm: string
-  readonly clockRate: number
-  incarnation: Incarnation | undefined
-  /** Nothing reaches it, and nothing that it says arrives. */
-  dark: boolean
-  listedAs: 'up' | 'down' | 'absent'
-  /** What its address does without a worker. */
-  refusesConnections: boolean
-}
-
 /** Workers whose machines crash and go dark, and that carry orders out late or without a response. */
 export class FaultyWorkers {
   /** Machines by VM. */
   readonly machines = new Map<string, Machine>()
   readonly registered = new Map<string, WorkerRegistration>()
-  /** Broken rules, as seen by the workers. */
-  readonly violations: string[] = []
+  readonly history: RunHistory
   /** Of each hundred orders, this many get no response. */
   faultyOrdersPercent = 0
   /** When the last of the late orders is carried out. */
@@ -79,6 +44,7 @@
 
   constructor (process: VirtualProcess, opts: { machines: number, draw: Draw, demandOf: (task: string) => { cpu: number, runMs: number } }) {
     this.process = process
+    this.history = new RunHistory(() => process.now())
     this.draw = opts.draw
     this.demandOf = opts.demandOf
     for (let number = 0; number < opts.machines; number++) {
@@ -105,6 +71,7 @@
     const { incarnation } = machine
     if (incarnation === undefined) return
     incarnation.alive = false
+    this.history.crash(incarnation)
     machine.incarnation = undefined
     machine.listedAs = this.draw(3) === 0 ? 'up' : opts.backMs === undefined && this.draw(2) === 0 ? 'absent' : 'down'
     machine.refusesConnections = this.draw(2) === 0
@@ -138,10 +105,10 @@
   }
 
   /**
-   * @param link - connection of an entry; nothing passes once it is down
+   * @param link - connection of an entry
    * @returns the client of that entry
    */
-  client (link: { up: boolean }): WorkerClient {
+  client (link: Link): WorkerClient {
     return {
       start: async (endpoint, command, signal) => await this.call(link, endpoint, signal, (worker, respond) => respond(this.start(worker, command))),
       stop: async (endpoint, command, signal) => await this.call(link, endpoint, signal, (worker, respond) => {
@@ -183,7 +150,7 @@
     this.onRegistrations()
   }
 
-  private async call<T> (link: { up: boolean }, endpoint: WorkerEndpoint, signal: AbortSignal, carryOut: (worker: Incarnation, respond: (response: Result<T, WorkerError>) => void) => void): Promise<Result<T, WorkerError>> {
+  private async call<T> (link: Link, endpoint: WorkerEndpoint, signal: AbortSignal, carryOut: (worker: Incarnation, respond: (response: Result<T, WorkerError>) => void) => void): Promise<Result<T, WorkerError>> {
     if (signal.aborted) return err({ kind: 'refused', reason: 'not-sent' })
     const machine = this.machine(endpoint.host)
     const fault = this.drawOrderFault()
@@ -193,9 +160,13 @@
         endedAt = Math.min(endedAt, this.process.now())
         resolve(response)
       }
-      signal.addEventListener('abort', () => end(err({ kind: 'unknown', message: 'aborted' })), { once: true })
-      const respond = (response: Result<T, WorkerError>): void => this.process.outsideAfter(1 + this.draw(MAX_NETWORK_DELAY_MS), () => {
-        if (link.up && !machine.dark) this.process.deliver(() => end(response))
+      const giveUp = (): void => end(err({ kind: 'unknown', message: 'aborted' }))
+      signal.addEventListener('abort', () => { this.after(link.lateReplyMs?.() ?? 0, giveUp) }, { once: true })
+      const reset = (): void => this.process.deliver(() => end(err({ kind: 'unknown', message: 'read ECONNRESET' })))
+      const respond = (response: Result<T, WorkerError>): void => this.process.outsideAfter(this.drawDelay(link), () => {
+        const cut = link.cutFrom?.(machine.vm)
+        if (cut === 'reset') return reset()
+        if (link.up && !machine.dark && cut === undefined) this.process.deliver(() => end(response))
       })
       const arrive = (answer: typeof respond): void => {
         const { incarnation } = machine
@@ -206,15 +177,29 @@
         carryOut(incarnation, answer)
       }
       // A call ends with its connection: an incarnation that begins later never gets the order.
-      const arriveLate = (): void => { if (machine.incarnation !== undefined && machine.incarnation.bornAt <= endedAt) arrive(() => {}) }
-      this.process.outsideAfter(1 + this.draw(MAX_NETWORK_DELAY_MS), () => {
-        if (!link.up || machine.dark || fault === 'never') return
-        if (fault === 'late') this.process.outsideAfter(this.drawLateness(), arriveLate)
+      const arriveLate = (answer: typeof respond): void => { if (machine.incarnation !== undefined && machine.incarnation.bornAt <= endedAt) arrive(answer) }
+      const lateMs = link.latenessMs?.() ?? 0
+      this.process.outsideAfter(1 + this.draw(MAX_NETWORK_DELAY_MS) + lateMs, () => {
+        const cut = link.cutFrom?.(machine.vm)
+        if (cut === 'reset') return reset()
+        if (!link.up || machine.dark || fault === 'never' || cut === 'silent') return
+        if (fault === 'late') this.process.outsideAfter(this.drawLateness(), () => arriveLate(() => {}))
+        else if (lateMs > 0) arriveLate(respond)
         else arrive(fault === 'response-lost' ? () => {} : respond)
       })
     })
   }
 
+  /** Runs something now, or later outside of the process. */
+  private after (ms: number, callback: () => void): void {
+    if (ms === 0) callback()
+    else this.process.outsideAfter(ms, () => this.process.deliver(callback))
+  }
+
+  private drawDelay (link: Link): number {
+    return 1 + this.draw(MAX_NETWORK_DELAY_MS) + (link.latenessMs?.() ?? 0)
+  }
+
   private drawOrderFault (): OrderFault {
     if (this.draw(100) >= this.faultyOrdersPercent) return 'none'
     return (['late', 'late', 'never', 'response-lost'] as const)[this.draw(4)] ?? 'late'
@@ -233,8 +218,7 @@
     if (worker.runs.has(task) || attempt <= (worker.blockedAttempts.get(task) ?? 0)) return err({ kind: 'refused', reason: 'old' })
     const { cpu, runMs } = this.demandOf(task)
     if (cpu > worker.freeCpu()) return err({ kind: 'refused', reason: 'room' })
-    const elsewhere = [...this.machines.values()].filter(({ incarnation }) => incarnation?.runs.has(task))
-    if (elsewhere.length > 0) this.violations.push(`${Math.round(this.process.now())} ms: ${task} is started as ${attempt} on ${worker.registration.id} and runs on ${elsewhere.map(({ incarnation }) => `${incarnation?.registration.id} as ${incarnation?.runs.get(task)?.attempt}`).join()}`)
+    this.history.start(worker, { task, attempt })
     worker.runs.set(task, { attempt, startedAt: this.process.now(), cpu })
     if (runMs !== Infinity) this.process.outsideAfter(runMs, () => this.end(worker, task, 'done', attempt))
     return ok(this.clockOf(worker))
@@ -242,6 +226,7 @@
 
   private poll (worker: Incarnation, opts: { leaseUntilMs?: number | undefined, seenSeq: number, waitMs: number }, respond: (response: Result<WorkerReport, WorkerError>) => void): void {
     if (opts.leaseUntilMs !== undefined) this.extendLease(worker, opts.leaseUntilMs)
+    this.history.note(worker, worker.ended.filter(({ seq }) => seq <= opts.seenSeq))
     worker.ended = worker.ended.filter(({ seq }) => seq > opts.seenSeq)
     const answer = (crashed?: true): void => {
       if (!worker.waitingPolls.delete(answer) || (!worker.alive && crashed === undefined)) return
@@ -264,7 +249,12 @@
     const leftMs = worker.leaseUntilMs - this.clockOf(worker)
     if (!worker.alive) return
     if (leftMs > 0) this.process.outsideAfter(leftMs / this.machine(worker.registration.vm).clockRate, () => this.expireLease(worker))
-    else for (const task of [...worker.runs.keys()]) this.end(worker, task, 'lapsed')
+    else this.endLeased(worker)
+  }
+
+  private endLeased (worker: Incarnation): void {
+    for (const task of [...worker.runs.keys()]) this.end(worker, task, 'lapsed')
+    this.history.lapse(worker)
   }
 
   private end (worker: Incarnation, task: string, how: EndedRun['how'], only?: number): void {
@@ -274,6 +264,7 @@
     this.block(worker, task, attempt)
     worker.seq += 1
     worker.ended.push({ seq: worker.seq, task, attempt, how, checkpoint: '' })
+    this.history.end(worker, { task, attempt, how })
     for (const answer of [...worker.waitingPolls]) answer()
   }
 
--- a/testing/jobs/test/service-liveness.model.test.ts
+++ b/testing/jobs/test/service-liveness.model.test.ts
@@ -60,7 +60,8 @@
     const waiting = service.waitingTasks().filter(task => !failed.some(id => task.startsWith(`${id}.`)))
     if (waiting.length > 0) broken.waiting.push(`${name}: ${waiting.join(' ')}`)
     if (failed.length > 0) broken.failed.push(`${name}: ${failed.join(' ')}`)
-    if (service.workers.violations.length > 0) broken.twice.push(`${name}: ${service.workers.violations[0]}`)
+    const twice = service.workers.history.violations()
+    if (twice.length > 0) broken.twice.push(`${name}: ${twice[0]}`)
   } finally {
     service.close()
   }
