Model of a service that several entries lead, with errors thrown and late messages

The model of a service as a whole had one leader that acted at a time: an earlier one stopped the moment that it was replaced, and no call ever threw. Now entries have leases in the store, mirrors of who leads, and the real TermRunner with the real ServiceTerm; an entry may be cut from the store and its peers, and from each machine on its own; each call of a term may throw once; messages may be late by seconds, overtake each other and be answered after their sender gave up. The entries tell their terms until when their leadership is certain, which terms do not ask yet.

--- /dev/null
+++ b/testing/jobs/test/model-entry.ts
@@ -0,0 +1,195 @@
+import { err, linkAbort, type Result } from '@wisteriaslip/core.result'
+import type { Logger } from '@wisteriaslip/core.logger'
+import { Metrics } from '@wisteriaslip/core.metrics'
+import type { PermitClient, Queue, VmList, WorkerClient, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import { ServiceTerm } from '@wisteriaslip/jobs.service'
+import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
+import { StoreClient, type Driver, type DriverError } from '@wisteriaslip/store.client'
+import type { VirtualProcess } from '@wisteriaslip/testing.jobs'
+import type { MemoryDriver } from '@wisteriaslip/testing.stand-ins'
+import { TermRunner } from '../../../jobs/entry/src/term-runner.ts'
+import type { Cut, Link } from './faulty-machine.ts'
+import { LONGEST_LEASE_MS, type Draw } from './faulty-workers.ts'
+import { ThrowingPorts } from './throwing-ports.ts'
+
+export const LEADER_KEY = 'w/leaders/service/s'
+const RESOURCE = 'service/s'
+const STORE_DELAY_MS = 2
+/** An entry's lease in the store ends this long after its last renewal. */
+const LEASE_TTL_MS = 1_500
+export const LEASE_RENEWAL_MS = 500
+/** The entry counts on its lease for this long after it sent the last renewal that succeeded. */
+const LEASE_VALID_MS = 1_000
+
+/** What an entry finds around it. */
+export interface Surroundings {
+  readonly process: VirtualProcess
+  readonly draw: Draw
+  readonly driver: MemoryDriver
+  readonly workerClient: (link: Link) => WorkerClient
+  readonly queue: (name: string) => Queue | undefined
+  readonly vms: () => VmList
+  readonly isStoreUp: () => boolean
+  readonly latenessMs: () => number
+  readonly lateReplyMs: () => number
+  /** Called when an entry begins a term. */
+  readonly onTerm: () => void
+  readonly logger: Logger
+}
+
+/** An entry with its lease, its mirror of who leads, and its terms, which it runs as a real one does. */
+export class ModelEntry {
+  readonly ports: ThrowingPorts
+  /** Cut from the store, from its peers and from the list of VMs. */
+  isolated = false
+  /** How it is cut from machines, by VM. */
+  readonly cuts = new Map<string, Cut>()
+  /** The service's workers as last published to it. */
+  registrations: readonly WorkerRegistration[] | undefined
+  /** Token under which it leads as far as its mirror shows. */
+  mirroredToken: number | undefined
+  /** Its lease, as the store has it. */
+  lease: { readonly number: number, endsAt: number }
+  private readonly around: Surroundings
+  private readonly runner: TermRunner<ServiceTerm>
+  private readonly store: StoreClient
+  private readonly stopped = new AbortController()
+  private storeOutage = new AbortController()
+  /** Leases with which it became a leader, by token. */
+  private readonly leaseOf = new Map<number, number>()
+  /** The lease as the entry knows it. */
+  private known: { readonly number: number, readonly validUntil: number }
+
+  constructor (around: Surroundings) {
+    this.around = around
+    this.ports = new ThrowingPorts()
+    this.store = new StoreClient(this.reachableDriver(), { readsPerSecond: 1e6, writesPerSecond: 1e6, metrics: new Metrics(), clock: around.process })
+    this.lease = { number: 0, endsAt: around.process.now() + LEASE_TTL_MS }
+    this.known = { number: 0, validUntil: around.process.now() + LEASE_VALID_MS }
+    this.runner = new TermRunner((_resource, token) => this.createTerm(token), { logger: around.logger, signal: this.stopped.signal })
+  }
+
+  /** @returns whether its calls to the store arrive */
+  reachesStore (): boolean {
+    return !this.isolated && this.around.isStoreUp()
+  }
+
+  /** @returns its term, undefined if it has none */
+  term (): ServiceTerm | undefined {
+    return this.runner.get(RESOURCE)
+  }
+
+  /** Renews its lease, or finds that it is gone and gets another one. */
+  renewLease (): void {
+    if (!this.reachesStore()) return
+    const now = this.around.process.now()
+    if (this.lease.endsAt <= now) this.lease = { number: this.lease.number + 1, endsAt: 0 }
+    this.lease.endsAt = now + LEASE_TTL_MS
+    this.known = { number: this.lease.number, validUntil: now + LEASE_VALID_MS }
+  }
+
+  /**
+   * @param token - token of one of its terms
+   * @returns time of its clock until which no other entry can have become the leader, unless the store ended its lease early
+   */
+  certainUntil (token: number): number {
+    return this.leaseOf.get(token) === this.known.number ? this.known.validUntil : Number.NEGATIVE_INFINITY
+  }
+
+  /** Notes that it has become the leader with its present lease. */
+  lead (token: number): void {
+    this.leaseOf.set(token, this.lease.number)
+    this.mirror(token)
+  }
+
+  /** Lets its mirror show under which token it leads, if it does. */
+  mirror (token: number | undefined): void {
+    this.mirroredToken = token
+    this.reconcile()
+  }
+
+  /** Begins and ends terms as the mirror says; an entry does so at least once a second. */
+  reconcile (): void {
+    this.runner.reconcile(new Map(this.mirroredToken === undefined ? [] : [[RESOURCE, this.mirroredToken]]))
+  }
+
+  /** Ends the watches of the store, which has gone out of reach. */
+  loseStore (): void {
+    this.storeOutage.abort()
+    this.storeOutage = new AbortController()
+  }
+
+  close (): void {
+    this.stopped.abort()
+  }
+
+  private createTerm (token: number): ServiceTerm {
+    const { process, queue, logger } = this.around
+    this.around.onTerm()
+    const { ports, store } = this
+    const link: Link = { up: true, cutFrom: vm => this.cuts.get(vm), latenessMs: this.around.latenessMs, lateReplyMs: this.around.lateReplyMs }
+    const opts: ConstructorParameters<typeof ServiceTerm>[0] & { leadership: { certainUntil (): number } } = {
+      service: 's',
+      token,
+      guard: { key: LEADER_KEY, createRevision: token },
+      leadership: { certainUntil: () => this.certainUntil(token) },
+      store: ports.wrap('store', store),
+      records: ports.wrap('records', new JobRecords(store, new JobKeys('w'))),
+      workerClient: ports.wrap('worker', this.around.workerClient(link)),
+      permitClient: ports.wrap('permits', this.permitClient()),
+      registeredWorkers: () => {
+        ports.check('registeredWorkers')
+        return this.registrations
+      },
+      vms: async () => {
+        ports.check('vms')
+        return await this.listVms()
+      },
+      queue,
+      limits: { longestLeaseMs: LONGEST_LEASE_MS, stopMs: 400, shutdownGraceMs: 6_000, keepMs: 120_000, maintenanceMs: 2_000 },
+      clock: process,
+      wallClock: () => process.now(),
+      logger: logger.child({ token }),
+      metrics: new Metrics()
+    }
+    return new ServiceTerm(opts)
+  }
+
+  private permitClient (): PermitClient {
+    return {
+      requestPermits: async (_step, workers) => {
+        await this.wait(20)
+        return { ok: true, value: { permits: new Map(workers.map(id => [id, 'permit'])), validMs: 5_000 } }
+      }
+    }
+  }
+
+  private async listVms (): Promise<VmList | undefined> {
+    const list = this.around.vms()
+    await this.wait(20 + this.around.draw(100))
+    return this.isolated ? undefined : list
+  }
+
+  private async wait (ms: number): Promise<void> {
+    const { process } = this.around
+    await new Promise<void>(resolve => process.outsideAfter(ms, () => process.deliver(resolve)))
+  }
+
+  /** The store as this entry reaches it. */
+  private reachableDriver (): Driver {
+    const { driver } = this.around
+    const lost: { ok: false, error: DriverError } = { ok: false, error: { kind: 'lost', message: 'connection lost' } }
+    const call = async <T>(run: () => Promise<Result<T, DriverError>>): Promise<Result<T, DriverError>> => {
+      await this.wait(STORE_DELAY_MS)
+      return this.reachesStore() ? await run() : err(lost.error)
+    }
+    const watch: Driver['watch'] = async (prefix, fromRevision, onBatch, signal) => {
+      if (!this.reachesStore()) return lost.error
+      const untilOutage = linkAbort(signal)
+      this.storeOutage.signal.addEventListener('abort', () => untilOutage.abort(), { once: true })
+      return await driver.watch(prefix, fromRevision, onBatch, untilOutage.signal).finally(() => untilOutage.release())
+    }
+    const methods: Partial<Driver> = { range: async (key, opts) => await call(async () => await driver.range(key, opts)), txn: async txn => await call(async () => await driver.txn(txn)), watch }
+    return Object.assign(Object.create(driver) as Driver, methods)
+  }
+}
