Model: a new leader starts tasks again that the earlier one keeps alive

As before with the cuts exchanged: entry 0 reaches only vm0 and goes on extending its lease, entry 1 only vm1. Entry 1 waits out the longest lease that it allows for and the overlap of 1.5 s, and starts the tasks of vm0 again at 11.9 s, while entry 0 has led on for 5.8 s beside it. The cuts last 12 s.

--- a/testing/jobs/test/contested-service.model.test.ts
+++ b/testing/jobs/test/contested-service.model.test.ts
@@ -5,7 +5,8 @@
 
 /** Scenarios that were found to break a rule, as small as they could be made. */
 const found = {
-  cutOffLeader: { seed: 1, machines: 2, troubles: [isolated(1_000, 4_000), cut(1_000, 4_000, 0, 0), cut(1_000, 4_000, 1, 1)] }
+  cutOffLeader: { seed: 1, machines: 2, troubles: [isolated(1_000, 4_000), cut(1_000, 4_000, 0, 0), cut(1_000, 4_000, 1, 1)] },
+  outOfReach: { seed: 1, machines: 2, troubles: [isolated(5_000, 12_000), cut(5_000, 12_000, 0, 1), cut(5_000, 12_000, 1, 0)] }
 } as const satisfies Record<string, Contest>
 
 function isolated (atMs: number, forMs: number): Trouble {
@@ -27,6 +28,11 @@
   assert.deepEqual(broken.get('cutOffLeader'), nothing)
 })
 
+// A leader that had lost the store kept runs alive on a worker that its successor could not reach.
+test('a leader does not start tasks again that an earlier one keeps alive on a worker out of its reach', () => {
+  assert.deepEqual(broken.get('outOfReach'), nothing)
+})
+
 // A leader that was cut off left tasks waiting.
 test('after two entries have led at once, each long-running task for which there is room runs within 7 s', () => {
   assert.deepEqual(random.twoLeaders.waiting, [])
