Model: a task is started again whose end as done is taken note of

The other kind of pair in the users' record: the earlier run ends done and its end is noted. Entry 0 is cut from vm2 at 3.0 s and from the store at 5.0 s; entry 1 takes over and extends vm2's lease. Entry 0 judges it expired at 7.1 s and starts the tasks again on vm1, which entry 1 does not reach; the first runs end done at 7.9 s.

--- a/testing/jobs/test/contested-service.model.test.ts
+++ b/testing/jobs/test/contested-service.model.test.ts
@@ -6,7 +6,8 @@
 /** Scenarios that were found to break a rule, as small as they could be made. */
 const found = {
   cutOffLeader: { seed: 1, machines: 2, troubles: [isolated(1_000, 4_000), cut(1_000, 4_000, 0, 0), cut(1_000, 4_000, 1, 1)] },
-  outOfReach: { seed: 1, machines: 2, troubles: [isolated(5_000, 12_000), cut(5_000, 12_000, 0, 1), cut(5_000, 12_000, 1, 0)] }
+  outOfReach: { seed: 1, machines: 2, troubles: [isolated(5_000, 12_000), cut(5_000, 12_000, 0, 1), cut(5_000, 12_000, 1, 0)] },
+  notedEnd: { seed: 15, machines: 3, troubles: [cut(3_000, 7_000, 1, 1), cut(3_000, 7_000, 0, 2), isolated(5_000, 3_000), { kind: 'jobs', atMs: 1_000 }] }
 } as const satisfies Record<string, Contest>
 
 function isolated (atMs: number, forMs: number): Trouble {
@@ -33,6 +34,11 @@
   assert.deepEqual(broken.get('outOfReach'), nothing)
 })
 
+// A run ended done to the knowledge of the new leader, and the earlier one had started it again before.
+test('a leader that is cut off does not start a task again whose end its successor takes note of', () => {
+  assert.deepEqual(broken.get('notedEnd'), nothing)
+})
+
 // A leader that was cut off left tasks waiting.
 test('after two entries have led at once, each long-running task for which there is room runs within 7 s', () => {
   assert.deepEqual(random.twoLeaders.waiting, [])
