Model: a leader whose lease is revoked goes on beside its successor

The store ends the leader's lease at 3.6 s, at the moment at which the leader is cut off. Its successor is elected at once and extends the lease of vm0, which the old one judges expired at 4.3 s: within the second for which it may count on its last renewal. A leader that stops when its own lease may have expired is not enough here.

--- a/testing/jobs/test/contested-service.model.test.ts
+++ b/testing/jobs/test/contested-service.model.test.ts
@@ -7,7 +7,8 @@
 const found = {
   cutOffLeader: { seed: 1, machines: 2, troubles: [isolated(1_000, 4_000), cut(1_000, 4_000, 0, 0), cut(1_000, 4_000, 1, 1)] },
   outOfReach: { seed: 1, machines: 2, troubles: [isolated(5_000, 12_000), cut(5_000, 12_000, 0, 1), cut(5_000, 12_000, 1, 0)] },
-  notedEnd: { seed: 15, machines: 3, troubles: [cut(3_000, 7_000, 1, 1), cut(3_000, 7_000, 0, 2), isolated(5_000, 3_000), { kind: 'jobs', atMs: 1_000 }] }
+  notedEnd: { seed: 15, machines: 3, troubles: [cut(3_000, 7_000, 1, 1), cut(3_000, 7_000, 0, 2), isolated(5_000, 3_000), { kind: 'jobs', atMs: 1_000 }] },
+  revokedLease: { seed: 1, machines: 2, troubles: [cut(1_000, 6_000, 0, 0), cut(1_000, 6_000, 1, 1), { kind: 'revoked', atMs: 3_600 }, isolated(3_600, 3_000)] }
 } as const satisfies Record<string, Contest>
 
 function isolated (atMs: number, forMs: number): Trouble {
@@ -39,6 +40,11 @@
   assert.deepEqual(broken.get('notedEnd'), nothing)
 })
 
+// The store ended the lease of a leader early: its successor extended the lease of a worker that the leader held for lost.
+test('a leader whose lease the store has revoked does not start tasks again beside its successor', () => {
+  assert.deepEqual(broken.get('revokedLease'), nothing)
+})
+
 // A leader that was cut off left tasks waiting.
 test('after two entries have led at once, each long-running task for which there is room runs within 7 s', () => {
   assert.deepEqual(random.twoLeaders.waiting, [])
