--- a/testing/jobs/test/contested-service.model.test.ts
+++ b/testing/jobs/test/contested-service.model.test.ts
@@ -10,7 +10,8 @@
   notedEnd: { seed: 15, machines: 3, troubles: [cut(3_000, 7_000, 1, 1), cut(3_000, 7_000, 0, 2), isolated(5_000, 3_000), { kind: 'jobs', atMs: 1_000 }] },
   revokedLease: { seed: 1, machines: 2, troubles: [cut(1_000, 6_000, 0, 0), cut(1_000, 6_000, 1, 1), { kind: 'revoked', atMs: 3_600 }, isolated(3_600, 3_000)] },
   vmListThrows: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 7_000, call: 'vms' }, { kind: 'crash', atMs: 7_000, forMs: 1_100, vm: 1, sameId: true }, { kind: 'jobs', atMs: 4_900 }] },
-  progressThrows: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 11_000, call: 'store.update' }, { kind: 'jobs', atMs: 8_000 }, { kind: 'jobs', atMs: 6_000 }] }
+  progressThrows: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 11_000, call: 'store.update' }, { kind: 'jobs', atMs: 8_000 }, { kind: 'jobs', atMs: 6_000 }] },
+  permitsThrow: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 7_000, call: 'permits.requestPermits' }, { kind: 'crash', atMs: 7_000, forMs: 100, vm: 1, sameId: false }] }
 } as const satisfies Record<string, Contest>
 
 function isolated (atMs: number, forMs: number): Trouble {
@@ -57,6 +58,11 @@
   assert.deepEqual(broken.get('progressThrows'), nothing)
 })
 
+// A request for permits threw: the step never asked again.
+test('tasks that need permits run after a request for permits has thrown', () => {
+  assert.deepEqual(broken.get('permitsThrow'), nothing)
+})
+
 // A leader that was cut off left tasks waiting.
 test('after two entries have led at once, each long-running task for which there is room runs within 7 s', () => {
   assert.deepEqual(random.twoLeaders.waiting, [])
