Model: a late start of an ended term runs beside the next term's

A term ends whole and the entry begins another under the same token. A start of the first arrives after the second has seen the worker without it; the worker cannot refuse it, as the token is the same, and the second starts the task too. Ending a failed term whole is therefore not enough where the next one has its token.

--- a/testing/jobs/test/contested-service.model.test.ts
+++ b/testing/jobs/test/contested-service.model.test.ts
@@ -11,7 +11,8 @@
   revokedLease: { seed: 1, machines: 2, troubles: [cut(1_000, 6_000, 0, 0), cut(1_000, 6_000, 1, 1), { kind: 'revoked', atMs: 3_600 }, isolated(3_600, 3_000)] },
   vmListThrows: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 7_000, call: 'vms' }, { kind: 'crash', atMs: 7_000, forMs: 1_100, vm: 1, sameId: true }, { kind: 'jobs', atMs: 4_900 }] },
   progressThrows: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 11_000, call: 'store.update' }, { kind: 'jobs', atMs: 8_000 }, { kind: 'jobs', atMs: 6_000 }] },
-  permitsThrow: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 7_000, call: 'permits.requestPermits' }, { kind: 'crash', atMs: 7_000, forMs: 100, vm: 1, sameId: false }] }
+  permitsThrow: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 7_000, call: 'permits.requestPermits' }, { kind: 'crash', atMs: 7_000, forMs: 100, vm: 1, sameId: false }] },
+  lateStart: { seed: 14, machines: 2, troubles: [{ kind: 'slow', atMs: 1_900, forMs: 1_000, byMs: 2_500 }, { kind: 'jobs', atMs: 2_000 }, { kind: 'flap', atMs: 2_100, forMs: 100, entry: 0 }] }
 } as const satisfies Record<string, Contest>
 
 function isolated (atMs: number, forMs: number): Trouble {
@@ -63,6 +64,11 @@
   assert.deepEqual(broken.get('permitsThrow'), nothing)
 })
 
+// A start of a term that had ended arrived after the next term under the same token had seen the worker without it.
+test('a late start of a term that has ended does not run beside the next one under its token', () => {
+  assert.deepEqual(broken.get('lateStart'), nothing)
+})
+
 // A leader that was cut off left tasks waiting.
 test('after two entries have led at once, each long-running task for which there is room runs within 7 s', () => {
   assert.deepEqual(random.twoLeaders.waiting, [])
