--- a/testing/jobs/test/contested-service.model.test.ts
+++ b/testing/jobs/test/contested-service.model.test.ts
@@ -69,6 +69,11 @@
   assert.deepEqual(broken.get('lateStart'), nothing)
 })
 
+// Two leaders at once started tasks that the other one's workers ran.
+test('no task is started twice while two entries lead', () => {
+  assert.deepEqual(random.twoLeaders.twice, [])
+})
+
 // A leader that was cut off left tasks waiting.
 test('after two entries have led at once, each long-running task for which there is room runs within 7 s', () => {
   assert.deepEqual(random.twoLeaders.waiting, [])
