--- a/testing/jobs/test/contested-service.model.test.ts
+++ b/testing/jobs/test/contested-service.model.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { Contest, Trouble } from './contested-service.ts'
-import { lateReplies, playContest, playSome, sameToken, twoLeaders, type Broken } from './contests.ts'
+import { lateReplies, playContest, playSome, sameToken, thrownErrors, twoLeaders, type Broken } from './contests.ts'
 
 /** Scenarios that were found to break a rule, as small as they could be made. */
 const found = {
@@ -26,7 +26,7 @@
 // Played before the first test begins, as promises cost three times as much inside of a test.
 const broken = new Map<string, Broken>()
 for (const [name, contest] of Object.entries(found)) broken.set(name, await playContest(contest))
-const random = { twoLeaders: await playSome(twoLeaders), lateReplies: await playSome(lateReplies), sameToken: await playSome(sameToken) }
+const random = { twoLeaders: await playSome(twoLeaders), thrownErrors: await playSome(thrownErrors), lateReplies: await playSome(lateReplies), sameToken: await playSome(sameToken) }
 const nothing: Broken = { twice: [], waiting: [] }
 
 // A leader that had lost the store and a worker took the worker's lease for expired, which its successor had extended.
@@ -79,6 +79,16 @@
   assert.deepEqual(random.twoLeaders.waiting, [])
 })
 
+// Errors thrown in one loop of a term left its other loops running.
+test('no task is started twice after a call of a term has thrown', () => {
+  assert.deepEqual(random.thrownErrors.twice, [])
+})
+
+// An error thrown in one loop of a term ended that loop alone.
+test('after a call of a term has thrown, each long-running task for which there is room runs within 7 s', () => {
+  assert.deepEqual(random.thrownErrors.waiting, [])
+})
+
 // Guards against replies that are taken for those of a later call.
 test('late and overtaking messages start no task twice and keep none waiting', () => {
   assert.deepEqual(random.lateReplies, nothing)
