--- a/testing/jobs/test/contests.ts
+++ b/testing/jobs/test/contests.ts
@@ -43,9 +43,9 @@
 export const thrownErrors: fc.Arbitrary<Contest> = fc.record({ seed: fc.nat(), machines: fc.integer({ min: 2, max: MAX_MACHINES }), errors: fc.array(throws, { minLength: 1, maxLength: 3 }), crashes: fc.array(crash, { minLength: 1, maxLength: 3 }), more: fc.array(some, { maxLength: 4 }) })
   .map(({ seed, machines, errors, crashes, more }) => inTime({ seed, machines, troubles: [...errors, ...crashes, ...more] }))
 
-/** Messages to and from workers are late and overtake each other, and replies come after their sender gave up. */
-export const lateReplies: fc.Arbitrary<Contest> = fc.record({ seed: fc.nat(), machines: fc.integer({ min: 2, max: MAX_MACHINES }), slows: fc.array(slow, { minLength: 1, maxLength: 2 }), more: fc.array(some, { maxLength: 5 }) })
-  .map(({ seed, machines, slows, more }) => inTime({ seed, machines, troubles: [...slows, ...more] }))
+/** Messages to and from workers are late and overtake each other while tasks start, and replies come after their sender gave up. */
+export const lateReplies: fc.Arbitrary<Contest> = fc.record({ seed: fc.nat(), machines: fc.integer({ min: 2, max: MAX_MACHINES }), slows: fc.array(slow, { minLength: 1, maxLength: 2 }), afterMs: fc.array(fc.integer({ min: 0, max: 2_000 }), { minLength: 2, maxLength: 4 }), more: fc.array(some, { maxLength: 3 }) })
+  .map(({ seed, machines, slows, afterMs, more }) => inTime({ seed, machines, troubles: [...slows, ...afterMs.map((each): Trouble => ({ kind: 'jobs', atMs: (slows[0]?.atMs ?? 0) + each })), ...more] }))
 
 /** An entry ends its term and begins another under the same token, while starts of the first are late. */
 export const sameToken: fc.Arbitrary<Contest> = fc.record({ seed: fc.nat(), machines: fc.integer({ min: 2, max: MAX_MACHINES }), atMs, afterMs: fc.integer({ min: 5, max: 500 }), forMs: fc.integer({ min: 50, max: 1_000 }), byMs: fc.integer({ min: 500, max: 3_500 }), more: fc.array(some, { maxLength: 3 }) })
