--- a/testing/jobs/test/contested-service.ts
+++ b/testing/jobs/test/contested-service.ts
@@ -122,6 +122,7 @@
       isStoreUp: () => this.storesDown === 0,
       latenessMs: () => this.drawSlowness(),
       lateReplyMs: () => this.drawSlowness(),
+      giveUp: async token => await this.giveUp(token),
       onTerm: () => { this.calmAt = Math.max(this.calmAt, this.process.now()) },
       logger
     }
@@ -222,6 +223,16 @@
     this.electing = false
   }
 
+  private async giveUp (token: number): Promise<void> {
+    const { leader } = this
+    if (leader?.token !== token || !leader.entry.reachesStore()) return
+    const current = await this.store.get(LEADER_KEY)
+    if (!current.ok || current.value?.createRevision !== token) return
+    await this.store.update([{ key: LEADER_KEY, prior: current.value, value: undefined }])
+    this.leader = undefined
+    this.mirror(leader.entry)
+  }
+
   private async acquire (): Promise<void> {
     const candidates = this.entries.map((entry, number) => ({ entry, number })).filter(({ entry }) => entry.reachesStore() && entry.lease.endsAt > this.process.now())
     const next = candidates.find(({ number }) => number > this.lastElected) ?? candidates[0]
