A pool keeps its VMs until it is known what it needs

A quote may take some 2.2 s. The backlog counted as demand, so that the pool asked for 148 VMs, and others lacked them.

Cause: a new leader of the fleet has no samples of what pools required, and its first passes powered off all VMs that no job used at that moment: no jobs yet was taken for no demand. In this pool that were 65 of 67.

Fix: VMs of a pool in which no work that ends has been seen to run are not powered off, for a minute at most; after the first such work for as long as the window of samples. Pools that lack VMs still get them. The rule costs VM-seconds in the first minute of a leader of the fleet, and nothing later.

The test of the quiet time failed before. Two tests of idle VMs began with a pool in which nothing had ever run; they now begin with one in which work was seen, and assert the same.

--- a/jobs/fleet/src/pool-autoscaler.ts
+++ b/jobs/fleet/src/pool-autoscaler.ts
@@ -8,6 +8,11 @@
 const HEADROOM_VMS = 0.6
 /** A pool is not scaled down below its largest requirement within this time. */
 const SCALE_DOWN_WINDOW_MS = 2_500
+/**
+ * A pool in which no work that ends has been seen to run keeps its VMs for this long: what it needs when work comes is not
+ * known, and VMs that were given up come back too late for a peak that begins at once.
+ */
+const MAX_UNKNOWN_DEMAND_MS = 60_000
 /** A worker must have been idle for this long before its VM is moved away. */
 const MIN_IDLE_MS = 600
 /** A VM may be drained for a pool with a shortfall if at most this share of its processors is in use. */
@@ -55,7 +60,7 @@
   readonly required: number
   /** Number of VMs with long-running tasks. */
   readonly lasting: number
-  /** Largest number of VMs required within {@link SCALE_DOWN_WINDOW_MS}. */
+  /** Largest number of VMs required within {@link SCALE_DOWN_WINDOW_MS}; infinite while the demand is not known. */
   readonly recentMaxRequired: number
   readonly loads: ReadonlyMap<string, WorkerLoad>
 }
@@ -74,6 +79,8 @@
 export class PoolAutoscaler {
   private readonly clock: Clock
   private readonly samples = new Map<string, RequirementSample[]>()
+  /** From when on the demand of each pool is known. */
+  private readonly demandKnownFrom = new Map<string, number>()
   private readonly upSince = new Map<string, number>()
   private readonly movedAt = new Map<string, { readonly at: number, readonly to: string }>()
   private lastNeeds: ReadonlyMap<string, PoolNeed> = new Map()
@@ -151,11 +158,19 @@
       supply,
       required,
       lasting: load.workers.filter(worker => worker.lastingRuns > 0).length,
-      recentMaxRequired: Math.max(...samples.map(sample => sample.vms)),
+      recentMaxRequired: this.isDemandKnown(name, load, now) ? Math.max(...samples.map(sample => sample.vms)) : Infinity,
       loads: new Map(load.workers.map(worker => [worker.vm, worker]))
     }
   }
 
+  /** Returns whether work that ends has been seen to run in the pool for a while, or has not come for long. */
+  private isDemandKnown (name: string, load: ServiceLoad, now: number): boolean {
+    const hasWork = load.workers.some(worker => worker.runs > worker.lastingRuns)
+    const known = this.demandKnownFrom.get(name) ?? now + MAX_UNKNOWN_DEMAND_MS
+    this.demandKnownFrom.set(name, hasWork ? Math.min(known, now + SCALE_DOWN_WINDOW_MS) : known)
+    return now >= known
+  }
+
   private trackUpVms (vms: readonly Vm[], now: number): void {
     for (const vm of vms) {
       if (vm.state !== 'up') this.upSince.delete(vm.id)
--- a/jobs/fleet/test/pool-autoscaler.test.ts
+++ b/jobs/fleet/test/pool-autoscaler.test.ts
@@ -36,7 +36,7 @@
   const autoscaler = new PoolAutoscaler({ now: () => now })
   const vms = [vm('a1', 'a'), vm('a2', 'a'), vm('a3', 'a')]
   const idle = [{ vm: 'a1', emptyMs: 900 }, { vm: 'a2', emptyMs: 900 }, { vm: 'a3', emptyMs: 900 }]
-  autoscaler.plan(services, vms, new Map([['a', load(2 * CPU, idle)]]), new Set())
+  autoscaler.plan(services, vms, new Map([['a', load(2 * CPU, idle.map(each => ({ ...each, runs: 1 })))]]), new Set())
   now = 1_000
   assert.deepEqual(autoscaler.plan(services, vms, new Map([['a', load(0, idle)]]), new Set()), [])
   now = 3_000
@@ -45,10 +45,13 @@
 })
 
 test('a VM with runs, due for maintenance or just moved is not moved', () => {
-  const autoscaler = new PoolAutoscaler({ now: () => 5_000 })
+  let now = 5_000
+  const autoscaler = new PoolAutoscaler({ now: () => now })
   const vms = [vm('a1', 'a'), vm('a2', 'a'), vm('a3', 'a'), vm('a4', 'a'), vm('o1', 'off')]
-  autoscaler.recordMove({ vm: 'a3', from: 'a', to: 'b' })
   const loads = new Map([['a', load(0, [{ vm: 'a1', runs: 1 }, { vm: 'a2', emptyMs: 900 }, { vm: 'a3', emptyMs: 900 }, { vm: 'a4', emptyMs: 900 }])]])
+  autoscaler.plan(services, vms, loads, new Set())
+  now = 8_000
+  autoscaler.recordMove({ vm: 'a3', from: 'a', to: 'b' })
   const moves = autoscaler.plan(services, vms, loads, new Set(['a2']))
   assert.deepEqual(moves.map(move => move.vm), ['a4'])
 })
@@ -139,3 +142,26 @@
   now = 14_000
   assert.deepEqual(autoscaler.plan(services, larger, new Map([['a', grown]]), new Set()).map(move => [move.vm, move.to]), [['o1', 'off']])
 })
+
+// Pools gave up their VMs in the quiet before a peak that began at once: for two seconds each request of it was late.
+test('a quiet time, then a peak at once: a pool keeps its VMs until work was seen for a while, and gives them to pools that lack some', () => {
+  let now = 0
+  const autoscaler = new PoolAutoscaler({ now: () => now })
+  const vms = ['a1', 'a2', 'a3', 'a4'].map(id => vm(id, 'a')).concat(vm('b1', 'b'))
+  const quiet = load(0, vms.map(({ id }) => ({ vm: id, emptyMs: 9_000 })))
+  const plan = (a: ServiceLoad, b: ServiceLoad): Array<[string, string]> => autoscaler.plan(services, vms, new Map([['a', a], ['b', b]]), new Set()).map(move => [move.from, move.to])
+  for (; now < 15_000; now += 200) assert.deepEqual(plan(quiet, quiet), [])
+  assert.deepEqual(plan(quiet, load(2 * CPU, [{ vm: 'b1', runs: 9, cpuShare: 1 }])), [['a', 'b'], ['a', 'b']])
+  const begun = load(0, [{ vm: 'a1', runs: 1, cpuShare: 0.9 }, ...['a2', 'a3', 'a4'].map(id => ({ vm: id, emptyMs: 9_000 }))])
+  for (const start = now; now < start + 2_500; now += 200) assert.deepEqual(plan(begun, quiet), [])
+  assert.deepEqual(plan(begun, quiet), [['a', 'off'], ['a', 'off'], ['a', 'off']])
+})
+
+test('VMs of a pool in which no work has been seen for a minute are powered off', () => {
+  let now = 0
+  const autoscaler = new PoolAutoscaler({ now: () => now })
+  const vms = [vm('a1', 'a'), vm('a2', 'a')]
+  const loads = new Map([['a', load(0, [{ vm: 'a1', emptyMs: 9_000 }, { vm: 'a2', emptyMs: 9_000 }])]])
+  for (; now < 60_000; now += 1_000) assert.deepEqual(autoscaler.plan(services, vms, loads, new Set()), [])
+  assert.equal(autoscaler.plan(services, vms, loads, new Set()).length, 1)
+})
