Model: a leader that learns late of a revoked lease starts tasks beside its successor

The leader stays in touch with the store, and its mirror shows 0.02 to 0.42 s after the revocation that it leads no more.

--- a/testing/jobs/test/contested-service.model.test.ts
+++ b/testing/jobs/test/contested-service.model.test.ts
@@ -9,6 +9,7 @@
   outOfReach: { seed: 1, machines: 2, troubles: [isolated(5_000, 12_000), cut(5_000, 12_000, 0, 1), cut(5_000, 12_000, 1, 0)] },
   notedEnd: { seed: 15, machines: 3, troubles: [cut(3_000, 7_000, 1, 1), cut(3_000, 7_000, 0, 2), isolated(5_000, 3_000), { kind: 'jobs', atMs: 1_000 }] },
   revokedLease: { seed: 1, machines: 2, troubles: [cut(1_000, 6_000, 0, 0), cut(1_000, 6_000, 1, 1), { kind: 'revoked', atMs: 3_600 }, isolated(3_600, 3_000)] },
+  revokedInTouch: { seed: 5, machines: 2, troubles: [cut(1_000, 6_000, 0, 0), cut(1_000, 6_000, 1, 1), { kind: 'revoked', atMs: 3_800 }] },
   vmListThrows: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 7_000, call: 'vms' }, { kind: 'crash', atMs: 7_000, forMs: 1_100, vm: 1, sameId: true }, { kind: 'jobs', atMs: 4_900 }] },
   progressThrows: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 11_000, call: 'store.update' }, { kind: 'jobs', atMs: 8_000 }, { kind: 'jobs', atMs: 6_000 }] },
   permitsThrow: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 7_000, call: 'permits.requestPermits' }, { kind: 'crash', atMs: 7_000, forMs: 100, vm: 1, sameId: false }] },
@@ -49,6 +50,11 @@
   assert.deepEqual(broken.get('revokedLease'), nothing)
 })
 
+// A leader learned some tenths of a second after its successor had begun that the store had revoked its lease.
+test('a leader that learns late of a revoked lease does not start tasks again beside its successor', () => {
+  assert.deepEqual(broken.get('revokedInTouch'), nothing)
+})
+
 // The list of VMs threw: the failed term went on beside the next one under the same token.
 test('a term whose list of VMs throws does not start tasks beside the next one', () => {
   assert.deepEqual(broken.get('vmListThrows'), nothing)
