Model: a job is given up for a crash soon after a takeover and another one

Found by a random scenario of thrown errors (340 of 1,000), which needs none of them: the store is away until the leader's lease has ended; the worker that holds all tasks crashes 0.14 s after the first report to the new leader, and the next one on its VM 0.6 s later. The tasks have run since 0.1 s under the earlier leader, but the new one counts 0 ms and takes the crash for one at their start. It starts them in isolation, one after the other on the same worker, and the second crash makes it give the job up (CRASHES_WORKERS). The cause is not traced further. Jobs that are given up no longer count as waiting, as in the other model, and have a test of their own.

--- a/testing/jobs/test/contested-service.model.test.ts
+++ b/testing/jobs/test/contested-service.model.test.ts
@@ -13,6 +13,7 @@
   vmListThrows: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 7_000, call: 'vms' }, { kind: 'crash', atMs: 7_000, forMs: 1_100, vm: 1, sameId: true }, { kind: 'jobs', atMs: 4_900 }] },
   progressThrows: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 11_000, call: 'store.update' }, { kind: 'jobs', atMs: 8_000 }, { kind: 'jobs', atMs: 6_000 }] },
   permitsThrow: { seed: 1, machines: 2, troubles: [{ kind: 'throws', atMs: 7_000, call: 'permits.requestPermits' }, { kind: 'crash', atMs: 7_000, forMs: 100, vm: 1, sameId: false }] },
+  crashAfterTakeover: { seed: 1, machines: 2, troubles: [{ kind: 'store-down', atMs: 1_000, forMs: 3_400 }, { kind: 'crash', atMs: 4_800, forMs: 100, vm: 0, sameId: false }, { kind: 'crash', atMs: 5_400, forMs: 100, vm: 0, sameId: true }] },
   lateStart: { seed: 14, machines: 2, troubles: [{ kind: 'slow', atMs: 1_900, forMs: 1_000, byMs: 2_500 }, { kind: 'jobs', atMs: 2_000 }, { kind: 'flap', atMs: 2_100, forMs: 100, entry: 0 }] }
 } as const satisfies Record<string, Contest>
 
@@ -28,7 +29,7 @@
 const broken = new Map<string, Broken>()
 for (const [name, contest] of Object.entries(found)) broken.set(name, await playContest(contest))
 const random = { twoLeaders: await playSome(twoLeaders), thrownErrors: await playSome(thrownErrors), lateReplies: await playSome(lateReplies), sameToken: await playSome(sameToken) }
-const nothing: Broken = { twice: [], waiting: [] }
+const nothing: Broken = { twice: [], waiting: [], failed: [] }
 
 // A leader that had lost the store and a worker took the worker's lease for expired, which its successor had extended.
 test('a leader that is cut off does not start the tasks of a worker again whose lease its successor extends', () => {
@@ -70,6 +71,11 @@
   assert.deepEqual(broken.get('permitsThrow'), nothing)
 })
 
+// A new leader took a crash soon after its first report for one at the start of tasks that had run under an earlier leader.
+test('no job is given up for a crash soon after a takeover and another one', () => {
+  assert.deepEqual(broken.get('crashAfterTakeover'), nothing)
+})
+
 // A start of a term that had ended arrived after the next term under the same token had seen the worker without it.
 test('a late start of a term that has ended does not run beside the next one under its token', () => {
   assert.deepEqual(broken.get('lateStart'), nothing)
@@ -104,3 +110,8 @@
 test('no task is started twice when a term follows another one under the same token', () => {
   assert.deepEqual(random.sameToken, nothing)
 })
+
+// Jobs were given up because their workers had crashed for reasons of their own.
+test('no job is given up when several entries lead and workers crash that none of its tasks has crashed', () => {
+  assert.deepEqual(Object.values(random).flatMap(({ failed }) => failed), [])
+})
--- a/testing/jobs/test/contested-service.ts
+++ b/testing/jobs/test/contested-service.ts
@@ -105,6 +105,11 @@
     return tasks.filter(({ name, cpu }) => !reachable.some(({ runs }) => runs.has(name)) && reachable.some(worker => worker.freeCpu() >= cpu)).map(({ name }) => name)
   }
 
+  /** @returns jobs that have been given up */
+  failedJobs (): string[] {
+    return [...this.submitted].filter(id => this.leader?.entry.term()?.state(id) === 'failed')
+  }
+
   close (): void {
     for (const entry of this.entries) entry.close()
     this.process.uninstall()
--- a/testing/jobs/test/contests.ts
+++ b/testing/jobs/test/contests.ts
@@ -63,6 +63,8 @@
   readonly twice: string[]
   /** Long-running tasks that run nowhere although there is room. */
   readonly waiting: string[]
+  /** Jobs that were given up. */
+  readonly failed: string[]
 }
 
 /**
@@ -70,12 +72,13 @@
  * @returns what the scenarios of this run broke, each with its number
  */
 export async function playSome (arbitrary: fc.Arbitrary<Contest>): Promise<Broken> {
-  const broken: Broken = { twice: [], waiting: [] }
+  const broken: Broken = { twice: [], waiting: [], failed: [] }
   for (const [number, contest] of fc.sample(arbitrary, { numRuns: NUM_RUNS, seed: SEED }).entries()) {
     if (ONLY !== undefined && ONLY !== `${number}`) continue
-    const { twice, waiting } = await playContest(contest)
+    const { twice, waiting, failed } = await playContest(contest)
     if (twice[0] !== undefined) broken.twice.push(`${number}: ${twice[0]}`)
     if (waiting.length > 0) broken.waiting.push(`${number}: ${waiting.join(' ')}`)
+    if (failed.length > 0) broken.failed.push(`${number}: ${failed.join(' ')}`)
   }
   return broken
 }
@@ -88,7 +91,9 @@
   const service = new ContestedService(contest)
   try {
     await service.play(contest, MAX_WAIT_MS)
-    return { twice: service.workers.history.violations().slice(0, MAX_SHOWN), waiting: service.waitingTasks() }
+    const failed = service.failedJobs()
+    const waiting = service.waitingTasks().filter(task => !failed.some(id => task.startsWith(`${id}.`)))
+    return { twice: service.workers.history.violations().slice(0, MAX_SHOWN), waiting, failed }
   } finally {
     service.close()
   }
