A leadership that is being released is not confirmed any more, and its release is repeated until it is written

Tasks could run twice around a planned change of leader: an entry that released a service (rebalancing, a failed term) went on starting tasks until its mirror showed that the record was gone, while another entry may have acquired it meanwhile; its own lease confirmed it all the while. Found by reading, with the model of two leaders. The test failed before. A release whose outcome is unknown is repeated, as the service would else keep a leader that does nothing.

--- a/peers/membership/src/leadership.ts
+++ b/peers/membership/src/leadership.ts
@@ -41,6 +41,8 @@
   private readonly vacantSince = new Map<string, number>()
   private readonly memberFirstSeenAt = new Map<string, number>()
   private lastRebalanceAt = 0
+  /** Tokens of leaderships that this entry has begun to remove: another entry may have the resource before the mirror shows that. */
+  private readonly removedTokens = new Set<number>()
 
   constructor (opts: LeadershipOpts) {
     this.opts = opts
@@ -88,7 +90,8 @@
     const registration = this.opts.members.latestRegistration()
     // Leadership is acquired after the registration under the same lease: an older token belongs to an earlier lease.
     const isOfThisLease = lease !== undefined && registration?.leaseId === lease.leaseId && token > registration.revision
-    return isOfThisLease && this.recordedToken(resource) === token ? lease.at : Number.NEGATIVE_INFINITY
+    const isHeld = isOfThisLease && this.recordedToken(resource) === token && !this.removedTokens.has(token)
+    return isHeld ? lease.at : Number.NEGATIVE_INFINITY
   }
 
   /**
@@ -110,6 +113,7 @@
     const ids = this.opts.members.all().map(member => member.id)
     if (leaseId === undefined || !ids.includes(this.opts.members.self.id)) return
     this.trackMembers(ids)
+    for (const resource of resources) await this.repeatRemoval(resource)
     for (const due of splitChanges(this.dueResources(resources))) await this.acquire(due, leaseId)
     await this.rebalance(resources)
   }
@@ -194,9 +198,16 @@
     if (this.token(resource) !== undefined) await this.remove(resource, 'leadership released')
   }
 
+  /** A removal that was not carried out, as far as the mirror shows, would leave the resource with a leader that does nothing. */
+  private async repeatRemoval (resource: string): Promise<void> {
+    const token = this.recordedToken(resource)
+    if (token !== undefined && this.removedTokens.has(token)) await this.remove(resource, 'leadership released again')
+  }
+
   private async remove (resource: string, message: string): Promise<void> {
     const doc = this.opts.mirror.get(this.opts.keys.leaders + resource)
     if (doc === undefined) return
+    this.removedTokens.add(doc.createRevision)
     const removed = await this.opts.store.update([{ key: doc.key, prior: doc, value: undefined }])
     this.opts.logger.info({ resource, token: doc.createRevision, ...(removed.ok ? {} : { code: removed.error.code }) }, message)
   }
--- a/peers/membership/test/leadership.test.ts
+++ b/peers/membership/test/leadership.test.ts
@@ -119,3 +119,26 @@
   await refresh()
   assert.equal(leadership.leaderOf('pool/b')?.record.id, 'e2')
 })
+
+// A leader that had released a service went on until its mirror showed that, beside the one that had acquired it.
+test('a leadership that is being released is not confirmed, and its release is repeated until it is written', async () => {
+  const { keys, mirror, clock, client, refresh } = await createEntries()
+  const members = new Members(member('e1'), mirror, keys)
+  assert.ok((await members.register(client, 'lease')).ok)
+  await client.update([{ key: `${keys.leaders}pool/z`, prior: undefined, value: { id: 'e1', incarnation: 'e1-1' } }])
+  await refresh()
+  let isLost = true
+  const store = {
+    update: async (...args: Parameters<Store['update']>) => isLost ? err({ kind: 'unavailable', code: 'STORE_UNAVAILABLE', maybeApplied: true, message: 'lost' }) : await client.update(...args)
+  } as unknown as Store
+  const lease = { validLeaseId: () => 'lease', confirmation: () => ({ leaseId: 'lease', at: clock.now() }) } as unknown as EntryLease
+  const leadership = new Leadership({ store, mirror, members, lease, keys, clock, logger: silentLogger })
+  const token = leadership.recordedToken('pool/z') ?? 0
+  assert.equal(leadership.confirmedAt('pool/z', token), clock.now())
+  await leadership.giveUp('pool/z', token)
+  assert.equal(leadership.confirmedAt('pool/z', token), Number.NEGATIVE_INFINITY)
+  isLost = false
+  await leadership.step(['pool/z'])
+  await refresh()
+  assert.equal(leadership.leaderOf('pool/z'), undefined)
+})
