--- a/jobs/model/src/worker.ts
+++ b/jobs/model/src/worker.ts
@@ -4,7 +4,7 @@
 /** A worker's registration in the store. */
 export interface WorkerRegistration {
   readonly id: string
-  /** Unix milliseconds of the worker's start; together with the id it identifies the incarnation. */
+  /** Unix milliseconds of the worker's start; together with the id it identifies the incarnation. {@link UNKNOWN_BORN} if it does not say. */
   readonly born: number
   readonly service: string
   readonly host: string
@@ -25,6 +25,18 @@
   return `${worker.id}/${worker.born}`
 }
 
+/** `born` of a registration that does not say when the worker started, so that it tells no incarnation from another. */
+export const UNKNOWN_BORN = 0
+
+/**
+ * @param a - a registration
+ * @param b - another one under the same id
+ * @returns whether both may be of one incarnation
+ */
+export function mayBeSameIncarnation (a: WorkerRegistration, b: WorkerRegistration): boolean {
+  return a.born === b.born || a.born === UNKNOWN_BORN || b.born === UNKNOWN_BORN
+}
+
 /** Outcomes of a run. */
 export const runOutcomes = { done: 'done', failed: 'failed', stopped: 'stopped', lapsed: 'lapsed', broken: 'broken', alone: 'alone' } as const
 
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@wisteriaslip/core.result'
-import { incarnationKey, parseTaskName, type ActiveRun, type EndedRun, type Job, type JobLimits, type Resources, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
+import { incarnationKey, mayBeSameIncarnation, parseTaskName, type ActiveRun, type EndedRun, type Job, type JobLimits, type Resources, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
 import { countUnavailableTasks } from './availability.ts'
 import { SETTLE_MS } from './crash.ts'
 import { CrashTracker } from './crash-tracker.ts'
@@ -385,8 +385,8 @@
   private registerWorker (registration: WorkerRegistration): void {
     if (this.replacedIncarnations.has(incarnationKey(registration))) return
     const existing = this.workers.get(registration.id)
-    if (existing !== undefined && existing.registration.born === registration.born && !existing.ended) {
-      existing.registration = registration
+    if (existing !== undefined && !existing.ended && mayBeSameIncarnation(existing.registration, registration)) {
+      existing.registration = { ...registration, born: Math.max(existing.registration.born, registration.born) }
       existing.deregistered = false
       return
     }
--- a/jobs/scheduler/test/restarted-worker.test.ts
+++ b/jobs/scheduler/test/restarted-worker.test.ts
@@ -238,3 +238,18 @@
   harness.report('w1', { ended: [ended(1, TASK, 1)] })
   assert.equal(harness.scheduler.table.jobs.get('00000000000000aa')?.outcome, 'completed')
 })
+
+// An odd entry under a worker's id, without a start, ended the incarnation that ran on, and its tasks were started elsewhere.
+for (const borns of [[5, 0, 5], [0, 5, 0]]) {
+  test(`registrations that do not say when the worker started end no incarnation (${borns.join(', ')})`, () => {
+    const harness = new SchedulerHarness()
+    harness.addWorkers(worker('w1', { born: borns[0] ?? 0 }))
+    harness.addJob({})
+    const tracked = harness.worker('w1')
+    assert.equal(harness.startReadyTasks().length, 1)
+    for (const born of borns) harness.scheduler.setWorkers([worker('w1', { born }), worker('w2')], { unknownRunsUntil: 0 })
+    assert.equal(harness.worker('w1'), tracked)
+    assert.equal(tracked.ended, false)
+    assert.equal(tracked.registration.born, 5)
+  })
+}
