A leader without the store is confirmed by all members that run, not by a majority of them

None of those who are cut off can vouch for the others. Now each member that the leader knows has to have synced with it; one whose machine refuses the connection does not run. A member that is silent while nobody reaches the store stops leaders: leases of workers run out, and their tasks are started again once the store is back. That is the price of not running them twice.

--- a/jobs/entry/src/leadership-confirmation.ts
+++ b/jobs/entry/src/leadership-confirmation.ts
@@ -18,9 +18,9 @@
 }
 
 /**
- * Confirms the leadership of this entry: by the renewals of its lease and, while these fail, by a majority of the members. Their
- * leases have not ended as far as this entry knows; none of them knows of another leader. So an entry that is cut off is not
- * confirmed, and a store that nobody reaches stops no leader.
+ * Confirms the leadership of this entry: by the renewals of its lease and, while these fail, by all members that run: none of them
+ * knows of another leader. So an entry that is cut off is not confirmed, nor one of several that are cut off together, and a store
+ * that nobody reaches stops no leader.
  */
 export class LeadershipConfirmation {
   private readonly opts: LeadershipConfirmationOpts
@@ -38,7 +38,7 @@
     const { leadership, peerSync, clock } = this.opts
     const byStore = leadership.confirmedAt(resource, token)
     const hasEnded = byStore === Number.NEGATIVE_INFINITY
-    return hasEnded || clock.now() - byStore <= OVERDUE_MS ? byStore : Math.max(byStore, peerSync.majoritySyncedAt())
+    return hasEnded || clock.now() - byStore <= OVERDUE_MS ? byStore : Math.max(byStore, peerSync.allSyncedAt())
   }
 
   /** Asks the members whenever renewals are overdue while this entry leads something, until the signal aborts. */
--- a/jobs/entry/src/peer-sync.ts
+++ b/jobs/entry/src/peer-sync.ts
@@ -34,7 +34,7 @@
   private readonly opts: PeerSyncOpts
   /** Time of the last report of store access, by the peer's incarnation. */
   private readonly storeAccessReportedAt = new Map<string, number>()
-  /** When the last sync that succeeded was requested, by the peer's incarnation. */
+  /** When the last sync was requested that succeeded, or that no process was there to answer, by the peer's incarnation. */
   private readonly syncedAt = new Map<string, number>()
   /** Newest configuration version that a peer reported, and since when this entry has been behind. */
   private newestPeerConfig = { version: -1, since: 0 }
@@ -60,15 +60,12 @@
   }
 
   /**
-   * @returns latest time of the injected clock after which this entry and enough peers for a majority of the members have synced:
-   * what this entry knows is what they knew then, or newer
+   * @returns latest time of the injected clock after which this entry has synced with all members that run: what it knows is
+   * what they knew then, or newer. Negative infinity if it knows no other member
    */
-  majoritySyncedAt (): number {
-    const { members, clock } = this.opts
-    const peersNeeded = members.majority() - 1
-    if (peersNeeded === 0) return clock.now()
-    const times = members.peers().map(peer => this.syncedAt.get(peer.incarnation) ?? Number.NEGATIVE_INFINITY).sort((a, b) => b - a)
-    return times[peersNeeded - 1] ?? Number.NEGATIVE_INFINITY
+  allSyncedAt (): number {
+    const times = this.opts.members.peers().map(peer => this.syncedAt.get(peer.incarnation) ?? Number.NEGATIVE_INFINITY)
+    return times.length === 0 ? Number.NEGATIVE_INFINITY : Math.min(...times)
   }
 
   /**
@@ -100,6 +97,7 @@
     const req = { from: members.self.incarnation, revision: mirror.revision(), ...(this.needsConfig() ? { configVersion: this.configVersion() } : {}) }
     const reply = await clients.call(peer.peerAddress, 'sync', req, { timeoutMs: SYNC_TIMEOUT_MS, signal })
     if (!reply.ok) {
+      if (reply.error.refused === true) this.syncedAt.set(peer.incarnation, requestedAt)
       this.storeAccessReportedAt.delete(peer.incarnation)
       return
     }
--- a/jobs/entry/test/leadership-confirmation.test.ts
+++ b/jobs/entry/test/leadership-confirmation.test.ts
@@ -21,7 +21,7 @@
 }
 
 /** Entry `e1` of five, which leads the resource under its first lease; the store then no longer responds to it. */
-async function createLeader (opts: { reachablePeers: readonly string[] }) {
+async function createLeader (opts: { reachablePeers: readonly string[], stoppedPeers?: readonly string[] }) {
   const clock = new ManualClock()
   const keys = new StoreKeys('x')
   const mirror = new Mirror()
@@ -41,7 +41,7 @@
   assert.ok(token.ok)
   await refresh()
   const state: PeerState = { incarnation: '', storeAvailable: false, configVersion: 0 }
-  const call = async ({ host }: { host: string }) => opts.reachablePeers.includes(host) ? ok(state) : err({ kind: 'peer-unreachable', code: 'PEER_UNREACHABLE', message: 'no reply' })
+  const call = async ({ host }: { host: string }) => opts.reachablePeers.includes(host) ? ok(state) : err({ kind: 'peer-unreachable', code: 'PEER_UNREACHABLE', message: 'no reply', refused: opts.stoppedPeers?.includes(host) === true })
   const site = new SiteView({ operatorPrefix: 'op/', workerPrefix: 'workers/' } as unknown as StoreLayout, silentLogger)
   const peerSync = new PeerSync({ members, mirror, site, clients: { call } as unknown as PeerSyncOpts['clients'], clock, hasStoreAccess: () => false })
   const confirmation = new LeadershipConfirmation({ lease, leadership, members, peerSync, isLeader: () => true, clock })
@@ -55,17 +55,20 @@
   }
 }
 
-// A leader that was cut off from the store and its peers went on for as long as nobody told it of its successor.
-test('a leader that reaches neither the store nor a majority of the members is not confirmed', async () => {
-  const { clock, sync, confirmedAt } = await createLeader({ reachablePeers: ['e2'] })
-  clock.advance(OUTAGE_MS)
-  await sync()
-  assert.equal(confirmedAt(), 0)
-})
+// A leader that was cut off from the store and its peers went on for as long as nobody told it of its successor, or with some of
+// its peers, while the successor was among the others.
+for (const reachablePeers of [[], ['e2'], ['e2', 'e3', 'e4']]) {
+  test(`a leader that reaches neither the store nor all members is not confirmed (${reachablePeers.length} of 4)`, async () => {
+    const { clock, sync, confirmedAt } = await createLeader({ reachablePeers })
+    clock.advance(OUTAGE_MS)
+    await sync()
+    assert.equal(confirmedAt(), 0)
+  })
+}
 
 // Guards against a store that nobody reaches ending the leases of all workers.
-test('a leader is confirmed by a majority of the members while the store is away', async () => {
-  const { clock, sync, confirmedAt } = await createLeader({ reachablePeers: ['e2', 'e3'] })
+test('a leader is confirmed by all members that run while the store is away', async () => {
+  const { clock, sync, confirmedAt } = await createLeader({ reachablePeers: ['e2', 'e3', 'e4'], stoppedPeers: ['e5'] })
   clock.advance(OUTAGE_MS)
   await sync()
   assert.equal(confirmedAt(), OUTAGE_MS)
@@ -73,7 +76,7 @@
 
 // Guards against the renewals of a new lease confirming a leadership that has ended with the lease before.
 test('a leadership is not confirmed by a lease that was granted after it, nor by peers', async () => {
-  const { clock, renewed, members, store, sync, confirmedAt } = await createLeader({ reachablePeers: ['e2', 'e3'] })
+  const { clock, renewed, members, store, sync, confirmedAt } = await createLeader({ reachablePeers: ['e2', 'e3', 'e4', 'e5'] })
   clock.advance(OUTAGE_MS)
   Object.assign(renewed, { leaseId: '2', at: clock.now() })
   assert.equal(confirmedAt(), Number.NEGATIVE_INFINITY, 'not registered under the new lease')
--- a/peers/protocol/src/client.ts
+++ b/peers/protocol/src/client.ts
@@ -13,6 +13,8 @@
   readonly kind: 'peer-unreachable'
   readonly code: 'PEER_UNREACHABLE'
   readonly message: string
+  /** The peer's machine has refused the connection: no process listens there. */
+  readonly refused?: boolean
 }
 
 /** Address on which a peer listens. */
@@ -71,7 +73,7 @@
     } catch (error) {
       this.disconnect(origin)
       this.opts.metrics.count('peer_failures_total', { method })
-      return err({ kind: 'peer-unreachable', code: 'PEER_UNREACHABLE', message: (error as Error).message })
+      return err({ kind: 'peer-unreachable', code: 'PEER_UNREACHABLE', message: (error as Error).message, refused: isRefused(error) })
     }
   }
 
@@ -118,3 +120,9 @@
     peer.agent.destroy().catch(() => {})
   }
 }
+
+/** Returns whether a connection was refused, as the cause of an error or of one of its causes. */
+function isRefused (error: unknown): boolean {
+  const { code, cause } = error as { code?: unknown, cause?: unknown }
+  return code === 'ECONNREFUSED' || (cause instanceof Error && isRefused(cause))
+}
--- a/peers/protocol/test/protocol.test.ts
+++ b/peers/protocol/test/protocol.test.ts
@@ -3,7 +3,7 @@
 import { test, type TestContext } from 'node:test'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { createPeerServer, createPeerRouter, PeerClients, RelayDriver, type PeerService } from '@wisteriaslip/peers.protocol'
-import { MemoryDriver } from '@wisteriaslip/testing.stand-ins'
+import { freePorts, MemoryDriver } from '@wisteriaslip/testing.stand-ins'
 
 const KEY = 'a key of sixteen characters'
 
@@ -73,3 +73,15 @@
   assert.equal((await driver.txn(txn, signal)).ok, true)
   assert.equal(relayed, 1)
 })
+
+// Guards against a silent peer, which may lead elsewhere, being taken for one that does not run, and the reverse.
+test('a call to a machine on which no process listens is refused, one to a silent process is not', async t => {
+  const { address } = await serve(t, { borrow: async () => await new Promise(() => {}) })
+  const peers = createClients(t, KEY)
+  const input = { pool: 'p', to: 'you', slots: 2 }
+  const silent = await peers.call(address, 'borrow', input, { timeoutMs: 100 })
+  assert.equal(!silent.ok && silent.error.refused, false)
+  const [port] = await freePorts(1)
+  const refused = await peers.call({ host: '127.0.0.1', port: port ?? 0 }, 'borrow', input)
+  assert.equal(!refused.ok && refused.error.refused, true)
+})
