--- a/testing/soak/src/main.ts
+++ b/testing/soak/src/main.ts
@@ -47,7 +47,10 @@
 }
 
 function scenarioOf (seed: number): Scenario {
-  return values.scenario === 'replaced' ? replacedUnnoticed({ calmMs: 8_000, cutMs: 12_000, finishMs: 20_000 }) : randomFaults(seed, Number(values.seconds) * 1_000)
+  const replaced = { calmMs: 8_000, cutMs: 12_000, finishMs: 20_000 }
+  if (values.scenario === 'replaced') return replacedUnnoticed(replaced)
+  if (values.scenario === 'majority') return replacedUnnoticed({ ...replaced, companions: 1 })
+  return randomFaults(seed, Number(values.seconds) * 1_000)
 }
 
 function parseSeeds (text: string): number[] {
--- a/testing/soak/src/random-faults.ts
+++ b/testing/soak/src/random-faults.ts
@@ -84,8 +84,8 @@
   return Array.from({ length: items.length }, (_, index) => index)
 }
 
-function peerLinks (site: SoakSite, entry: number): FaultProxy[] {
-  return indices(site.entries).filter(peer => peer !== entry).flatMap(peer => [site.toPeer(entry, peer), site.toPeer(peer, entry)])
+function linksBetween (site: SoakSite, entry: number, peers: readonly number[]): FaultProxy[] {
+  return peers.flatMap(peer => [site.toPeer(entry, peer), site.toPeer(peer, entry)])
 }
 
 async function cutFromStore (site: SoakSite, dice: Dice, signal: AbortSignal): Promise<void> {
@@ -93,7 +93,7 @@
   await hold([site.toStore(entry), ...dice.chance(0.5) ? [site.toVmList(entry)] : []], drawCut(dice), dice.ms(MAX_CUT_MS), signal)
 }
 
-/** The leader loses the store, its peers and some workers; others do not reach the rest of the workers. */
+/** The leader loses the store, its peers but at times one, and some workers; others do not reach the rest of the workers. */
 async function isolateLeader (site: SoakSite, dice: Dice, signal: AbortSignal): Promise<void> {
   const entry = site.leader() ?? 0
   const lost = dice.some(indices(site.hosts), 0.5)
@@ -101,11 +101,13 @@
   const others = indices(site.entries).filter(other => other !== entry)
   const hidden = dice.some(kept, 0.7).flatMap(worker => others.map(other => site.toWorker(other, worker)))
   const ms = 3_000 + dice.ms(MAX_CUT_MS)
-  await Promise.all([
-    hold([site.toStore(entry), ...peerLinks(site, entry)], HOLD, ms, signal),
+  const workerCuts = [
     hold(lost.map(worker => site.toWorker(entry, worker)), drawCut(dice), ms, signal),
     hold(hidden, drawCut(dice), ms * dice.random(), signal)
-  ])
+  ]
+  const cutOff = [entry, ...others.slice(0, dice.chance(0.25) ? 1 : 0)]
+  const links = cutOff.flatMap(each => [site.toStore(each), ...linksBetween(site, each, others.filter(other => !cutOff.includes(other)))])
+  await Promise.all([hold(links, HOLD, ms, signal), ...workerCuts])
 }
 
 async function cutFromWorkers (site: SoakSite, dice: Dice, signal: AbortSignal): Promise<void> {
--- a/testing/soak/src/scenario.ts
+++ b/testing/soak/src/scenario.ts
@@ -33,15 +33,17 @@
   readonly calmMs: number
   readonly cutMs: number
   readonly finishMs?: number
+  /** How many of its peers are cut off together with the leader, which it still reaches; none by default. */
+  readonly companions?: number
 }
 
 /**
- * A leader is cut off from the store, its peers and one worker. Its successor reaches this worker, but not the other one,
+ * A leader is cut off from the store, its other peers and one worker. Its successor reaches this worker, but not the other one,
  * which the old leader still reaches.
  * @param opts - how long it is calm before, how long the cut lasts
  * @returns the scenario
  */
-export function replacedUnnoticed ({ calmMs, cutMs, finishMs }: ReplacedOpts): Scenario {
+export function replacedUnnoticed ({ calmMs, cutMs, finishMs, companions = 0 }: ReplacedOpts): Scenario {
   return {
     entries: 3,
     workers: 2,
@@ -51,13 +53,14 @@
     async run (site, signal) {
       await delay(calmMs, signal)
       const leader = site.leader() ?? 0
-      const others = [...site.entries.keys()].filter(entry => entry !== leader)
+      const peers = [...site.entries.keys()].filter(entry => entry !== leader)
+      const cutOff = [leader, ...peers.slice(0, companions)]
+      const others = peers.slice(companions)
       const ends = [
-        site.toStore(leader).begin(HOLD),
-        site.toVmList(leader).begin(HOLD),
-        site.toWorker(leader, 0).begin(HOLD),
-        ...others.flatMap(other => [site.toPeer(leader, other).begin(HOLD), site.toPeer(other, leader).begin(HOLD), site.toWorker(other, 1).begin({ resetNew: true })])
-      ]
+        ...cutOff.flatMap(entry => [site.toStore(entry), site.toVmList(entry), ...others.flatMap(other => [site.toPeer(entry, other), site.toPeer(other, entry)])]),
+        site.toWorker(leader, 0)
+      ].map(link => link.begin(HOLD))
+      for (const other of others) ends.push(site.toWorker(other, 1).begin({ resetNew: true }))
       for (const other of others) site.toWorker(other, 1).reset()
       await delay(cutMs, signal)
       for (const end of ends) end()
