A run that a worker had from an earlier leader has not crashed it by its start

A job was given up (LOST) although its tasks had run for seconds: the worker crashed 0.1 to 0.2 s after its first report to a new leader, for which these runs were 0 ms old, and the next worker 0.6 s later (model of two leaders, named scenario, failed before). A worker that reports a run is alive with it: that crash counts for isolation, and not as one by the start. BUDGET still holds in the models of crashes.

--- a/jobs/scheduler/src/run.ts
+++ b/jobs/scheduler/src/run.ts
@@ -31,8 +31,8 @@
    */
   begunHere: boolean
   /**
-   * The worker has responded to a poll that was sent once the run would have settled: the start has not crashed it, unless the
-   * command is executed later.
+   * The worker has responded to a poll that was sent once the run would have settled, or was reported by a worker that had it from
+   * an earlier leader: the start has not crashed it, unless the command is executed later.
    */
   outlivedStart: boolean
   /** Polls that are sent after this time list the run if it is in progress. */
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -491,6 +491,7 @@
     worker.assumeEarlierLease(this.opts.maxEarlierLeaseMs)
     const run = this.addRun(task, worker, running.attempt)
     run.phase = 'running'
+    run.outlivedStart = true
     run.speedPercent = Number.NaN
     this.updateRun(run, running, clockMs)
     const hasOtherRuns = task.runs.some(other => other !== run && other.stopReason === undefined)
