A leadership that is being released has no token

The fleet's leader goes by Leadership.token (isLeader), as do the leaders of pools and partitions. A release wrote the removal of the leader's key, and until the mirror showed that, the token stayed valid: with a watch that delivers late, the entry requested moves and maintenances beside its successor, for as long as its lease was renewed.

The test failed before (4 !== undefined).

--- a/peers/membership/src/leadership.ts
+++ b/peers/membership/src/leadership.ts
@@ -71,12 +71,13 @@
 
   /**
    * @param resource - name of a resource
-   * @returns the fencing token while this entry is recorded as the leader and its lease is certainly valid by the local
-   * clock
+   * @returns the fencing token while this entry is recorded as the leader, has not begun to release that, and its lease is
+   * certainly valid by the local clock
    */
   token (resource: string): number | undefined {
     if (this.opts.lease.validLeaseId() === undefined) return undefined
-    return this.recordedToken(resource)
+    const token = this.recordedToken(resource)
+    return token === undefined || this.removedTokens.has(token) ? undefined : token
   }
 
   /**
--- a/peers/membership/test/leadership.test.ts
+++ b/peers/membership/test/leadership.test.ts
@@ -142,3 +142,15 @@
   await refresh()
   assert.equal(leadership.leaderOf('pool/z'), undefined)
 })
+
+// The fleet's leader goes by its token: it moved and maintained VMs beside the entry that had acquired what it was releasing.
+test('a leadership that is being released has no token, even while its lease is valid and the mirror still shows it', async () => {
+  const { keys, mirror, clock, client } = await createEntries()
+  const lease = { validLeaseId: () => 'lease' } as unknown as EntryLease
+  const leadership = new Leadership({ store: client, mirror, members: new Members(member('e1'), mirror, keys), lease, keys, clock, logger: silentLogger })
+  const token = leadership.token('pool/a') ?? 0
+  assert.ok(token > 0)
+  await leadership.giveUp('pool/a', token)
+  assert.equal(leadership.recordedToken('pool/a'), token, 'the mirror does not show the release yet')
+  assert.equal(leadership.token('pool/a'), undefined)
+})
