A leader that is not confirmed calls no VM drained

The fleet's leader asks the leader of a service which VMs are drained, and moves or maintains these at once; everything on them ends. A replaced leader went on answering: a poll of it that was already waiting is not refused by the worker, so that for the length of the poll it takes workers for empty on which its successor has started tasks.

What remains is LEADERSHIP_OVERLAP_MS: within it, the answer may still come from a replaced leader.

--- a/jobs/service/src/leadership-check.ts
+++ b/jobs/service/src/leadership-check.ts
@@ -7,7 +7,7 @@
 export const LEADERSHIP_OVERLAP_MS = 1_500
 
 /**
- * Says whether a term may start runs and grant leases. A leader that is cut off is replaced without being told so; what it does
+ * Says whether a term may start runs, grant leases and call VMs drained. A leader that is cut off is replaced without being told so; what it does
  * after {@link LEADERSHIP_OVERLAP_MS} its successor does not reckon with.
  */
 export class LeadershipCheck {
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -163,10 +163,10 @@
   /**
    * Withdraws the workers on the given VMs; workers on all other VMs accept runs again.
    * @param vms - ids of the VMs to drain
-   * @returns ids of the VMs whose workers are drained, undefined while the records are not loaded
+   * @returns ids of the VMs whose workers are drained, undefined while the records are not loaded or leadership is not confirmed
    */
   withdraw (vms: readonly string[]): readonly string[] | undefined {
-    if (this.components === undefined) return undefined
+    if (this.components === undefined || !this.leadership.mayAct()) return undefined
     const empty = withdrawWorkers(this.components.scheduler, vms)
     this.wakeup.wake()
     return empty
