A leader without the store asks former members, too, before it counts as confirmed

A leader without the store is confirmed by all members, as its mirror lists them. A member whose lease had run out was not among them, though it may run on and register again: when the leader and all the others were cut off just then, they confirmed each other for as long as that lasted, while the returned member led the service.

PeerSync now remembers members for a minute after they were last listed, and they must answer or refuse, too. What remains: an entry that was never listed, or not for a minute, and that registers during the cut. A former member that is silent stops a leader without the store for as long.

--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -128,7 +128,7 @@
     this.clients = new PeerClients<JobPeerService>({ key: opts.peerKey, metrics })
     this.records = new JobRecords(this.store, new JobKeys(opts.keyPrefix))
     this.peerSync = new PeerSync({ members: this.members, mirror, site: this.site, clients: this.clients, clock, hasStoreAccess: () => this.hasStoreAccess() })
-    this.confirmation = new LeadershipConfirmation({ lease: this.lease, leadership: this.leadership, members: this.members, peerSync: this.peerSync, isLeader: () => this.serviceTerms.all().length > 0, clock })
+    this.confirmation = new LeadershipConfirmation({ lease: this.lease, leadership: this.leadership, peerSync: this.peerSync, isLeader: () => this.serviceTerms.all().length > 0, clock })
     const termOpts = { logger, signal: this.leaving.signal, giveUp: async (resource: string, token: number) => await this.leadership.giveUp(resource, token) }
     this.serviceTerms = new TermRunner((resource, token) => this.createServiceTerm(resource, token), termOpts)
     this.fleetTerms = new TermRunner((_resource, token) => this.createFleetTerm(token), termOpts)
--- a/jobs/entry/src/leadership-confirmation.ts
+++ b/jobs/entry/src/leadership-confirmation.ts
@@ -1,5 +1,5 @@
 import { delay, type Clock } from '@wisteriaslip/core.result'
-import type { EntryLease, Leadership, Members } from '@wisteriaslip/peers.membership'
+import type { EntryLease, Leadership } from '@wisteriaslip/peers.membership'
 import type { PeerSync } from './peer-sync.ts'
 
 /** A confirmation by the store that is older than this is overdue: renewals of the entry's lease fail. */
@@ -10,7 +10,6 @@
 export interface LeadershipConfirmationOpts {
   readonly lease: EntryLease
   readonly leadership: Leadership
-  readonly members: Members
   readonly peerSync: PeerSync
   /** @returns whether this entry leads anything */
   readonly isLeader: () => boolean
@@ -43,9 +42,9 @@
 
   /** Asks the members whenever renewals are overdue while this entry leads something, until the signal aborts. */
   async run (signal: AbortSignal): Promise<void> {
-    const { members, peerSync, isLeader } = this.opts
+    const { peerSync, isLeader } = this.opts
     while (await delay(CHECK_INTERVAL_MS, signal)) {
-      if (isLeader() && this.isOverdue()) await peerSync.syncWithPeers(members.peers(), signal)
+      if (isLeader() && this.isOverdue()) await peerSync.syncWithPeers(peerSync.membersThatMayRun(), signal)
     }
   }
 
--- a/jobs/entry/src/peer-sync.ts
+++ b/jobs/entry/src/peer-sync.ts
@@ -12,6 +12,8 @@
 const SYNC_TIMEOUT_MS = 600
 /** A peer's report that it reaches the store stays valid for this long. */
 const STORE_ACCESS_TTL_MS = 4_000
+/** A member may run on after its record was removed, and register again at any time; after this time it is forgotten. */
+export const FORMER_MEMBER_TTL_MS = 60_000
 /** An entry waits this long for the reply of a peer to a relayed call, in milliseconds. */
 export const RELAY_TIMEOUT_MS = 700
 
@@ -36,6 +38,8 @@
   private readonly storeAccessReportedAt = new Map<string, number>()
   /** When the last sync was requested that succeeded, or that no process was there to answer, by the peer's incarnation. */
   private readonly syncedAt = new Map<string, number>()
+  /** Members that were listed within {@link FORMER_MEMBER_TTL_MS}, by id, and when they last were. */
+  private readonly lastListed = new Map<string, { member: Member, at: number }>()
   /** Newest configuration version that a peer reported, and since when this entry has been behind. */
   private newestPeerConfig = { version: -1, since: 0 }
   private nextPeerIndex = 0
@@ -47,6 +51,7 @@
   /** Syncs with peers until the signal aborts. */
   async run (signal: AbortSignal): Promise<void> {
     while (await delay(SYNC_INTERVAL_MS, signal)) {
+      this.membersThatMayRun()
       await this.syncWithPeers(this.nextPeers(), signal)
     }
   }
@@ -59,12 +64,20 @@
     return round.filter(peer => peer !== undefined)
   }
 
+  /** @returns the other members, and former ones that may have lost the store only for a while */
+  membersThatMayRun (): Member[] {
+    const now = this.opts.clock.now()
+    for (const member of this.opts.members.peers()) this.lastListed.set(member.id, { member, at: now })
+    for (const [id, { at }] of this.lastListed) if (now - at > FORMER_MEMBER_TTL_MS) this.lastListed.delete(id)
+    return [...this.lastListed.values()].map(({ member }) => member)
+  }
+
   /**
-   * @returns latest time of the injected clock after which this entry has synced with all members that run: what it knows is
-   * what they knew then, or newer. Negative infinity if it knows no other member
+   * @returns latest time of the injected clock after which this entry has synced with all members that may run: what it knows
+   * is what they knew then, or newer. Negative infinity if it knows no other member
    */
   allSyncedAt (): number {
-    const times = this.opts.members.peers().map(peer => this.syncedAt.get(peer.incarnation) ?? Number.NEGATIVE_INFINITY)
+    const times = this.membersThatMayRun().map(peer => this.syncedAt.get(peer.incarnation) ?? Number.NEGATIVE_INFINITY)
     return times.length === 0 ? Number.NEGATIVE_INFINITY : Math.min(...times)
   }
 
--- a/jobs/entry/test/leadership-confirmation.test.ts
+++ b/jobs/entry/test/leadership-confirmation.test.ts
@@ -44,13 +44,15 @@
   const call = async ({ host }: { host: string }) => opts.reachablePeers.includes(host) ? ok(state) : err({ kind: 'peer-unreachable', code: 'PEER_UNREACHABLE', message: 'no reply', refused: opts.stoppedPeers?.includes(host) === true })
   const site = new SiteView({ operatorPrefix: 'op/', workerPrefix: 'workers/' } as unknown as StoreLayout, silentLogger)
   const peerSync = new PeerSync({ members, mirror, site, clients: { call } as unknown as PeerSyncOpts['clients'], clock, hasStoreAccess: () => false })
-  const confirmation = new LeadershipConfirmation({ lease, leadership, members, peerSync, isLeader: () => true, clock })
+  const confirmation = new LeadershipConfirmation({ lease, leadership, peerSync, isLeader: () => true, clock })
   return {
     clock,
     renewed,
     members,
     store,
-    sync: async () => await peerSync.syncWithPeers(members.peers(), new AbortController().signal),
+    refresh,
+    keys,
+    sync: async () => await peerSync.syncWithPeers(peerSync.membersThatMayRun(), new AbortController().signal),
     confirmedAt: () => confirmation.confirmedAt(RESOURCE, token.value)
   }
 }
@@ -84,3 +86,18 @@
   await sync()
   assert.equal(confirmedAt(), Number.NEGATIVE_INFINITY, 'registered under it, after the leadership was acquired')
 })
+
+// The successor was a member whose record had been removed before the leader was cut off: the leader asked all others only.
+test('a leader is not confirmed without a member whose record was removed before, until that member refuses', async () => {
+  for (const stoppedPeers of [[], ['e5']]) {
+    const { clock, keys, store, refresh, sync, confirmedAt } = await createLeader({ reachablePeers: ['e2', 'e3', 'e4'], stoppedPeers })
+    await sync()
+    const record = await store.get(keys.members + 'e5')
+    assert.ok(record.ok && record.value !== undefined)
+    await store.update([{ key: record.value.key, prior: record.value, value: undefined }])
+    await refresh()
+    clock.advance(OUTAGE_MS)
+    await sync()
+    assert.equal(confirmedAt(), stoppedPeers.length === 0 ? 0 : OUTAGE_MS)
+  }
+})
--- a/testing/soak/src/scenario.ts
+++ b/testing/soak/src/scenario.ts
@@ -23,6 +23,9 @@
 /** Holds all bytes in both directions. */
 export const HOLD: LinkFault = { holdRequests: true, holdReplies: true }
 
+/** Outlasts the lease of an entry. */
+const LAPSE_MS = 4_000
+
 const longTasks: Traffic = {
   everyMs: 700,
   next: random => ({ plan: { cpu: 500, memMb: 100, runMs: 7_000 + Math.floor(random() * 3_000), failShare: 0 }, tasks: 1 })
@@ -35,6 +38,8 @@
   readonly finishMs?: number
   /** How many of its peers are cut off together with the leader, which it still reaches; none by default. */
   readonly companions?: number
+  /** The others lose the store before, for so long that their leases run out, and reach it again when the leader is cut off. */
+  readonly othersLapsed?: boolean
 }
 
 /**
@@ -43,7 +48,7 @@
  * @param opts - how long it is calm before, how long the cut lasts
  * @returns the scenario
  */
-export function replacedUnnoticed ({ calmMs, cutMs, finishMs, companions = 0 }: ReplacedOpts): Scenario {
+export function replacedUnnoticed ({ calmMs, cutMs, finishMs, companions = 0, othersLapsed = false }: ReplacedOpts): Scenario {
   return {
     entries: 3,
     workers: 2,
@@ -56,12 +61,15 @@
       const peers = [...site.entries.keys()].filter(entry => entry !== leader)
       const cutOff = [leader, ...peers.slice(0, companions)]
       const others = peers.slice(companions)
+      const lapses = othersLapsed ? others.flatMap(entry => [site.toStore(entry), ...cutOff.map(other => site.toPeer(entry, other))]).map(link => link.begin(HOLD)) : []
+      if (othersLapsed) await delay(LAPSE_MS, signal)
       const ends = [
         ...cutOff.flatMap(entry => [site.toStore(entry), site.toVmList(entry), ...others.flatMap(other => [site.toPeer(entry, other), site.toPeer(other, entry)])]),
         site.toWorker(leader, 0)
       ].map(link => link.begin(HOLD))
       for (const other of others) ends.push(site.toWorker(other, 1).begin({ resetNew: true }))
       for (const other of others) site.toWorker(other, 1).reset()
+      for (const end of lapses) end()
       await delay(cutMs, signal)
       for (const end of ends) end()
       await delay(1_000, signal)
--- a/testing/soak/test/replaced-leader.test.ts
+++ b/testing/soak/test/replaced-leader.test.ts
@@ -24,3 +24,8 @@
 test('a leader that is replaced while it is cut off with a majority starts no task that its successor has, entries as processes', { timeout: 60_000 }, async t => {
   await assertKept(t, { calmMs: 3_000, cutMs: 7_000, companions: 1 })
 })
+
+// The same, and the successor's record had lapsed before the cut: the leader asked all members that it knew, which were cut off, too.
+test('a leader that is cut off before its successor registers again starts no task that its successor has, entries as processes', { timeout: 60_000 }, async t => {
+  await assertKept(t, { calmMs: 3_000, cutMs: 9_000, companions: 1, othersLapsed: true })
+})
