--- a/testing/soak/src/main.ts
+++ b/testing/soak/src/main.ts
@@ -1,3 +1,4 @@
+import { existsSync } from 'node:fs'
 import { mkdir, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -18,6 +19,7 @@
   }
 })
 
+if (!existsSync(values.binary)) throw new Error(`${values.binary} is missing: run npm run build, or name another program with --binary`)
 const stop = new AbortController()
 for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => stop.abort())
 const queue = parseSeeds(values.seeds)
