--- a/jobs/entry/src/peer-sync.ts
+++ b/jobs/entry/src/peer-sync.ts
@@ -13,7 +13,7 @@
 /** A peer's report that it reaches the store stays valid for this long. */
 const STORE_ACCESS_TTL_MS = 4_000
 /** A member may run on after its record was removed, and register again at any time; after this time it is forgotten. */
-export const FORMER_MEMBER_TTL_MS = 60_000
+export const FORMER_MEMBER_TTL_MS = 20_000
 /** An entry waits this long for the reply of a peer to a relayed call, in milliseconds. */
 export const RELAY_TIMEOUT_MS = 700
 
