A registration that does not say when its worker started moves no worker whose start is known

Such an entry of another writer names no executor to use, but its address was taken over: the calls of the worker that ran on went there, and an answer of another executor at what was now its registered address (421, or a report with another start) ended it, so that its tasks were started elsewhere. Read from the code; the test failed before ('h2' !== 'h1').

--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@wisteriaslip/core.result'
-import { incarnationKey, mayBeSameIncarnation, parseTaskName, type ActiveRun, type EndedRun, type Job, type JobLimits, type Resources, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
+import { incarnationKey, mayBeSameIncarnation, parseTaskName, UNKNOWN_BORN, type ActiveRun, type EndedRun, type Job, type JobLimits, type Resources, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
 import { SETTLE_MS } from './crash.ts'
 import { CrashTracker } from './crash-tracker.ts'
 import { DemandEstimator } from './demand-estimator.ts'
@@ -383,7 +383,7 @@
     if (this.replacedIncarnations.has(incarnationKey(registration))) return
     const existing = this.workers.get(registration.id)
     if (existing !== undefined && !existing.ended && mayBeSameIncarnation(existing.registration, registration)) {
-      existing.registration = { ...registration, born: Math.max(existing.registration.born, registration.born) }
+      if (registration.born !== UNKNOWN_BORN || existing.registration.born === UNKNOWN_BORN) existing.registration = registration
       existing.deregistered = false
       return
     }
--- a/jobs/scheduler/test/restarted-worker.test.ts
+++ b/jobs/scheduler/test/restarted-worker.test.ts
@@ -253,3 +253,12 @@
     assert.equal(tracked.registration.born, 5)
   })
 }
+
+// An odd entry without a start moved the calls of a worker to its own address; 421 there ended the incarnation that ran on.
+test('a registration that does not say when the worker started does not move one whose start is known', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1', { born: 5, host: 'h1' }))
+  harness.scheduler.setWorkers([worker('w1', { born: 0, host: 'h2' })], { unknownRunsUntil: 0 })
+  assert.equal(harness.worker('w1').registration.host, 'h1')
+  assert.equal(harness.worker('w1').deregistered, false)
+})
