--- a/testing/soak/src/entry-process.ts
+++ b/testing/soak/src/entry-process.ts
@@ -8,6 +8,10 @@
 const READY_TIMEOUT_MS = 500
 const EXIT_POLL_INTERVAL_MS = 50
 
+/** Processes of all sites; they must not outlive this one, however it ends. */
+const started = new Set<StartedProcess>()
+process.once('exit', () => { for (const { child } of started) child.kill('SIGKILL') })
+
 /** Options of {@link EntryProcess.create}. */
 export interface EntryOpts {
   readonly index: number
@@ -56,6 +60,9 @@
   /** Starts the process; the previous one must have ended. */
   start (): void {
     this.process = startProcess(['serve', '--settings', this.settingsFile], { ...(this.binary === undefined ? {} : { binary: this.binary }), logFile: this.logFile, appendOutput: true })
+    const { process } = this
+    started.add(process)
+    process.child.once('exit', () => started.delete(process))
   }
 
   /** @returns whether the process runs, or is paused */
--- a/testing/soak/src/random-faults.ts
+++ b/testing/soak/src/random-faults.ts
@@ -181,9 +181,7 @@
   const hidden = dice.some(indices(site.entries), 0.4).map(entry => site.toWorker(entry, worker))
   const cut = hold(hidden, drawCut(dice), dice.ms(5_000), signal)
   await delay(dice.below(500), signal)
-  host.crash()
-  await delay(dice.below(3_000), signal)
-  await host.start({ sameId: dice.chance(0.6) })
+  await host.restart({ pauseMs: dice.below(3_000), sameId: dice.chance(0.6) }, signal)
   await cut
 }
 
--- a/testing/soak/src/worker-host.ts
+++ b/testing/soak/src/worker-host.ts
@@ -1,3 +1,4 @@
+import { delay } from '@wisteriaslip/core.result'
 import { ports, type Addresses } from './addresses.ts'
 import { closeServer, listen } from './http.ts'
 import type { PlatformStore } from './platform-store.ts'
@@ -29,6 +30,7 @@
   private incarnations = 0
   private lease: number | undefined
   private sequence = 0
+  private restarting = false
   /** The worker does not reach the store. */
   private disconnected = false
   private readonly heartbeat = setInterval(() => this.renew(), HEARTBEAT_MS)
@@ -65,6 +67,20 @@
     this.worker = undefined
   }
 
+  /**
+   * Crashes the worker and starts another one, unless that is under way.
+   * @param opts - pause before the start in milliseconds, whether the next worker has the same id
+   * @param signal - cuts the pause short
+   */
+  async restart ({ pauseMs, sameId }: { pauseMs: number, sameId: boolean }, signal: AbortSignal): Promise<void> {
+    if (this.restarting) return
+    this.restarting = true
+    this.crash()
+    await delay(pauseMs, signal)
+    await this.start({ sameId })
+    this.restarting = false
+  }
+
   /** @param disconnected - whether the worker reaches the store */
   setDisconnected (disconnected: boolean): void {
     this.disconnected = disconnected
