An unexpected error of a tracked operation is logged and ends neither term nor process

Found in review: the one operation without a handler of its own (the answer to a request for permits) would have been an unhandled rejection, which ends the process.

--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -92,9 +92,11 @@
     }
   }
 
-  /** Keeps the term from ending before an operation that handles its own errors. */
+  /** Keeps the term from ending before an operation, whose unexpected errors must not end the process. */
   private track (operation: Promise<void>): void {
-    const tracked = operation.finally(() => this.inProgress.delete(tracked))
+    const tracked = operation
+      .catch(error => this.opts.logger.error({ err: error, service: this.service, token: this.token }, 'operation of a term failed unexpectedly'))
+      .finally(() => this.inProgress.delete(tracked))
     this.inProgress.add(tracked)
   }
 
