--- a/jobs/entry/src/peer-sync.ts
+++ b/jobs/entry/src/peer-sync.ts
@@ -13,7 +13,7 @@
 /** A peer's report that it reaches the store stays valid for this long. */
 const STORE_ACCESS_TTL_MS = 4_000
 /** A member may run on after its record was removed, and register again at any time; after this time it is forgotten. */
-export const FORMER_MEMBER_TTL_MS = 20_000
+const FORMER_MEMBER_TTL_MS = 20_000
 /** An entry waits this long for the reply of a peer to a relayed call, in milliseconds. */
 export const RELAY_TIMEOUT_MS = 700
 
@@ -51,7 +51,6 @@
   /** Syncs with peers until the signal aborts. */
   async run (signal: AbortSignal): Promise<void> {
     while (await delay(SYNC_INTERVAL_MS, signal)) {
-      this.membersThatMayRun()
       await this.syncWithPeers(this.nextPeers(), signal)
     }
   }
@@ -66,10 +65,21 @@
 
   /** @returns the other members, and former ones that may have lost the store only for a while */
   membersThatMayRun (): Member[] {
+    const listed = this.opts.members.peers()
+    const ids = new Set(listed.map(member => member.id))
+    const since = this.opts.clock.now() - FORMER_MEMBER_TTL_MS
+    const former = [...this.lastListed.values()].filter(({ member, at }) => !ids.has(member.id) && at >= since)
+    return [...listed, ...former.map(({ member }) => member)]
+  }
+
+  private noteMembers (): void {
     const now = this.opts.clock.now()
     for (const member of this.opts.members.peers()) this.lastListed.set(member.id, { member, at: now })
-    for (const [id, { at }] of this.lastListed) if (now - at > FORMER_MEMBER_TTL_MS) this.lastListed.delete(id)
-    return [...this.lastListed.values()].map(({ member }) => member)
+    for (const [id, { member, at }] of this.lastListed) {
+      if (now - at <= FORMER_MEMBER_TTL_MS) continue
+      this.lastListed.delete(id)
+      this.syncedAt.delete(member.incarnation)
+    }
   }
 
   /**
@@ -87,6 +97,7 @@
    * @param signal - aborts the calls
    */
   async syncWithPeers (peers: readonly Member[], signal: AbortSignal): Promise<void> {
+    this.noteMembers()
     await Promise.all(peers.map(async peer => await this.syncWithPeer(peer, signal)))
   }
 
