--- a/peers/protocol/test/protocol.test.ts
+++ b/peers/protocol/test/protocol.test.ts
@@ -52,6 +52,33 @@
   assert.equal((await peers.call(address, 'loads', undefined)).ok, true)
 })
 
+// A peer that was slow for a moment lost every call in progress as soon as one of them timed out: its load was never known.
+test('a call that times out does not fail the other calls to the same peer', async t => {
+  let respond = (): void => {}
+  const responded = new Promise<void>(resolve => { respond = resolve })
+  const { address } = await serve(t, {
+    borrow: async () => await new Promise(() => {}),
+    loads: async () => await responded.then(() => [])
+  })
+  const peers = createClients(t, KEY)
+  const slow = peers.call(address, 'loads', undefined, { timeoutMs: 5_000 })
+  const late = await peers.call(address, 'borrow', { pool: 'p', to: 'you', slots: 1 }, { timeoutMs: 50 })
+  assert.equal(late.ok, false)
+  respond()
+  assert.equal((await slow).ok, true)
+})
+
+// A call behind others that were slow waited until those ended, whatever its own timeout.
+test('a call that waits for a connection fails at its timeout', async t => {
+  const { address } = await serve(t, { loads: async () => await new Promise(() => {}) })
+  const peers = createClients(t, KEY)
+  const slow = Array.from({ length: 4 }, async () => await peers.call(address, 'loads', undefined, { timeoutMs: 2_000 }))
+  const startedAt = performance.now()
+  assert.equal((await peers.call(address, 'loads', undefined, { timeoutMs: 50 })).ok, false)
+  assert.ok(performance.now() - startedAt < 1_000)
+  await Promise.all(slow)
+})
+
 test('malformed input is rejected', async t => {
   const { address } = await serve(t, { borrow: async () => [] })
   const refused = await createClients(t, KEY).call(address, 'borrow', { pool: '', to: 'you', slots: -1 })
