Log which long-running tasks are without a run, since when, and what keeps each from running

'tasks wait' counts tasks of all kinds together and workers by state: a task that waits for room on withdrawn workers, for the end of a takeover or for a run with an unknown outcome looks the same. 'explain job' knows the same new reason, ONLY_WITHDRAWN_ROOM. No decision changes.

--- a/bench/src/job-peaks.ts
+++ b/bench/src/job-peaks.ts
@@ -203,7 +203,7 @@
     const loads = new Map([...this.schedulers].map(([name, scheduler]) => [name, computeServiceLoad(scheduler, this.loop.now())]))
     const moves = this.autoscaler.plan(services, this.vms(), loads, new Set())
     for (const [name, scheduler] of this.schedulers) {
-      const empty = new Set(withdrawWorkers(scheduler, moves.filter(move => move.from === name).map(move => move.vm)))
+      const empty = new Set(withdrawWorkers(scheduler, moves.filter(move => move.from === name).map(move => move.vm), this.loop.now()))
       for (const move of moves) {
         if (move.from !== name || !empty.has(move.vm)) continue
         this.moveVm(move.vm, move.to)
--- a/jobs/scheduler/src/explain.ts
+++ b/jobs/scheduler/src/explain.ts
@@ -6,7 +6,7 @@
 import type { TrackedWorker } from './tracked-worker.ts'
 
 /** Reason why tasks of a ready step are not started. */
-export type WaitReason = 'EARLIER_LEADERS_WORKERS_SILENT' | 'NO_USABLE_WORKER' | 'NO_WORKER_WITH_LABEL' | 'NO_ROOM' | 'NO_PERMIT' | 'SUSPECTED_OF_CRASHES' | 'UNSETTLED_OR_RESTING'
+export type WaitReason = 'EARLIER_LEADERS_WORKERS_SILENT' | 'NO_USABLE_WORKER' | 'NO_WORKER_WITH_LABEL' | 'ONLY_WITHDRAWN_ROOM' | 'NO_ROOM' | 'NO_PERMIT' | 'SUSPECTED_OF_CRASHES' | 'UNSETTLED_OR_RESTING'
 
 const MAX_LISTED_TASKS = 50
 
@@ -84,9 +84,16 @@
   }
 }
 
-function waitReasonOf (scheduler: Scheduler, step: TrackedStep, opts: { queue: QueueLookup, now: number }): WaitReason {
+/**
+ * @param scheduler - scheduler of the service
+ * @param step - a ready step
+ * @param opts - `queue`: looks up queues; `now`: time of the injected clock
+ * @returns why tasks of the step are not started
+ */
+export function waitReasonOf (scheduler: Scheduler, step: TrackedStep, opts: { queue: QueueLookup, now: number }): WaitReason {
   if (scheduler.mayHaveUnknownRuns() && !step.job.acceptedThisTerm) return 'EARLIER_LEADERS_WORKERS_SILENT'
   const usable = [...scheduler.workers.values()].filter(worker => worker.takesStarts(opts.now))
+  if (!usable.some(worker => canPlace(step, worker)) && withdrawnWithRoom(scheduler, step, opts.now).length > 0) return 'ONLY_WITHDRAWN_ROOM'
   if (usable.length === 0) return 'NO_USABLE_WORKER'
   const labelled = usable.filter(worker => step.spec.label === '' || worker.registration.labels.includes(step.spec.label))
   if (labelled.length === 0) return 'NO_WORKER_WITH_LABEL'
@@ -98,6 +105,16 @@
   return waiting.length > 0 && waiting.every(needsIsolation) ? 'SUSPECTED_OF_CRASHES' : 'UNSETTLED_OR_RESTING'
 }
 
+/**
+ * @param scheduler - scheduler of the service
+ * @param step - a step
+ * @param now - time of the injected clock
+ * @returns withdrawn workers that could take a task of the step now
+ */
+export function withdrawnWithRoom (scheduler: Scheduler, step: TrackedStep, now: number): TrackedWorker[] {
+  return [...scheduler.workers.values()].filter(worker => worker.withdrawn && worker.isReadyForStarts(now) && canPlace(step, worker))
+}
+
 function unavailableReasonOf (worker: TrackedWorker, now: number): string | undefined {
   if (worker.ended) return 'LIFE_ENDED'
   if (!worker.fenced) return 'NOT_MET'
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -37,6 +37,9 @@
    * `mayMiss` allows and another worker can take them.
    */
   withdrawn = false
+  /** Since when it is withdrawn without a break, and when the fleet's leader last asked for that, by the injected clock. */
+  withdrawnSince = 0
+  withdrawnAskedAt = 0
   /** No starts before this time, by the injected clock. */
   cooldownUntil = 0
   /** Number of consecutive failed runs. */
@@ -96,6 +99,16 @@
     return incarnationKey(this.registration)
   }
 
+  /**
+   * Withdraws the worker, as the fleet's leader has asked.
+   * @param now - time of the injected clock
+   */
+  withdraw (now: number): void {
+    if (!this.withdrawn) this.withdrawnSince = now
+    this.withdrawn = true
+    this.withdrawnAskedAt = now
+  }
+
   /**
    * Notes that a poll has succeeded.
    * @param at - when its response arrived, by the injected clock
@@ -130,7 +143,15 @@
    * @returns whether starts may be sent to the worker
    */
   takesStarts (now: number): boolean {
-    return this.fenced && this.reachable && !this.hasUntrackedRuns && !this.ended && !this.deregistered && !this.withdrawn && !this.registration.draining && now >= this.cooldownUntil
+    return !this.withdrawn && this.isReadyForStarts(now)
+  }
+
+  /**
+   * @param now - time of the injected clock
+   * @returns whether starts may be sent to the worker unless it is withdrawn
+   */
+  isReadyForStarts (now: number): boolean {
+    return this.fenced && this.reachable && !this.hasUntrackedRuns && !this.ended && !this.deregistered && !this.registration.draining && now >= this.cooldownUntil
   }
 
   /**
--- /dev/null
+++ b/jobs/scheduler/src/unserved-tasks.ts
@@ -0,0 +1,42 @@
+import { waitReasonOf, withdrawnWithRoom, type WaitReason } from './explain.ts'
+import type { Scheduler } from './scheduler.ts'
+import type { QueueLookup } from './step-priority.ts'
+import type { Task } from './tracked-job.ts'
+
+/** A long-running task that no worker is known to run, and what keeps it from running. */
+export interface UnservedTask {
+  readonly task: string
+  /** Why it is not started; undefined while it has runs that may be in progress. */
+  readonly waitsFor: WaitReason | undefined
+  /** Runs that may be in progress. */
+  readonly runs: ReadonlyArray<{ readonly worker: string, readonly attempt: number, readonly phase: string, readonly stopReason: string | undefined, readonly startedMsAgo: number }>
+  /** Withdrawn workers with room for it: since when they are withdrawn, and when the fleet's leader last asked for that. */
+  readonly withdrawnWithRoom: ReadonlyArray<{ readonly worker: string, readonly withdrawnMs: number, readonly askedMsAgo: number }>
+}
+
+const MAX_LISTED_WORKERS = 5
+
+/**
+ * @param scheduler - scheduler of a service
+ * @returns the ready long-running tasks without a run that a worker in touch has shown
+ */
+export function findUnserved (scheduler: Scheduler): Task[] {
+  const lasting = [...scheduler.table.ready].filter(step => step.spec.lasting)
+  return lasting.flatMap(step => step.tasks.filter(task => !task.done && !task.runs.some(run => run.phase === 'running' && run.worker.reachable)))
+}
+
+/**
+ * @param scheduler - scheduler of the service
+ * @param task - a task without a run that a worker in touch has shown
+ * @param opts - `queue`: looks up queues; `now`: time of the injected clock
+ * @returns what keeps it from running
+ */
+export function describeUnserved (scheduler: Scheduler, task: Task, opts: { queue: QueueLookup, now: number }): UnservedTask {
+  const withRoom = withdrawnWithRoom(scheduler, task.step, opts.now)
+  return {
+    task: task.name,
+    waitsFor: task.runs.length === 0 ? waitReasonOf(scheduler, task.step, opts) : undefined,
+    runs: task.runs.map(({ worker, attempt, phase, stopReason, startedAt }) => ({ worker: worker.registration.id, attempt, phase, stopReason, startedMsAgo: Math.round(opts.now - startedAt) })),
+    withdrawnWithRoom: withRoom.slice(0, MAX_LISTED_WORKERS).map(({ registration: { id }, withdrawnSince, withdrawnAskedAt }) => ({ worker: id, withdrawnMs: Math.round(opts.now - withdrawnSince), askedMsAgo: Math.round(opts.now - withdrawnAskedAt) }))
+  }
+}
--- a/jobs/service/src/load.ts
+++ b/jobs/service/src/load.ts
@@ -48,15 +48,19 @@
  * far as `mayMiss` allows and another worker can take them. Workers on all other VMs accept runs again.
  * @param scheduler - scheduler of the service's leader
  * @param vms - ids of the VMs to drain
+ * @param now - time of the scheduler's clock, in milliseconds
  * @returns ids of the VMs whose workers are drained
  */
-export function withdrawWorkers (scheduler: Scheduler, vms: readonly string[]): string[] {
+export function withdrawWorkers (scheduler: Scheduler, vms: readonly string[], now: number): string[] {
   const leasesKnownAt = scheduler.leasesKnownAt()
   const withdrawnVms = new Set(vms)
   const empty = new Set<string>()
   const busy = new Set<string>()
   // First all of them: a task that is stopped on one must not count on room on another.
-  for (const worker of scheduler.workers.values()) worker.withdrawn = withdrawnVms.has(worker.registration.vm)
+  for (const worker of scheduler.workers.values()) {
+    if (withdrawnVms.has(worker.registration.vm)) worker.withdraw(now)
+    else worker.withdrawn = false
+  }
   for (const worker of scheduler.workers.values()) {
     const { vm } = worker.registration
     if (!worker.withdrawn) continue
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -13,6 +13,7 @@
 import { StartWindow } from './start-window.ts'
 import { TakeoverMonitor } from './takeover-monitor.ts'
 import { TermRecordWriter } from './term-record-writer.ts'
+import { UnservedMonitor } from './unserved-monitor.ts'
 import { WaitMonitor } from './wait-monitor.ts'
 import { WorkerSession } from './worker-session.ts'
 
@@ -169,7 +170,7 @@
    */
   withdraw (vms: readonly string[]): readonly string[] | undefined {
     if (this.components === undefined || !this.leadership.mayAct()) return undefined
-    const empty = withdrawWorkers(this.components.scheduler, vms)
+    const empty = withdrawWorkers(this.components.scheduler, vms, this.opts.clock.now())
     this.wakeup.wake()
     return empty
   }
@@ -223,6 +224,7 @@
     if (components === undefined) return
     const takeoverMonitor = new TakeoverMonitor(this.opts)
     const waitMonitor = new WaitMonitor(this.opts, this.startWindow)
+    const unservedMonitor = new UnservedMonitor(this.opts)
     while (!signal.aborted) {
       this.leadership.observe()
       this.updateWorkers(components.scheduler)
@@ -233,6 +235,7 @@
       const runs = components.scheduler.placeReadyTasks(this.leadership.mayAct() ? this.startWindow.free() : 0)
       for (const run of runs) this.sendStart(run, signal)
       waitMonitor.observe(components.scheduler, runs.length)
+      unservedMonitor.observe(components.scheduler)
       for (const worker of components.scheduler.takeWorkersToPoll()) this.sessions.get(worker)?.pollNow()
       for (const run of components.scheduler.collectDueStops()) this.send(run, signal, async session => await session.stop(run, signal))
       for (const request of components.scheduler.permitRequester.collect()) this.track(this.requestPermits(components.scheduler, request, signal))
--- a/jobs/service/test/withdraw.test.ts
+++ b/jobs/service/test/withdraw.test.ts
@@ -17,7 +17,7 @@
 test('a VM is empty once its worker has no runs', () => {
   const harness = new SchedulerHarness()
   harness.addWorkers(worker('w1'))
-  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM]), [VM])
+  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM], harness.now), [VM])
 })
 
 // A VM counted as empty because of its other worker, and was maintained under a task in progress.
@@ -25,7 +25,7 @@
   const harness = startTask()
   harness.scheduler.setWorkers([worker('w1'), worker('w9', { vm: VM })], { unknownRunsUntil: 0 })
   harness.report('w9')
-  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM]), [])
+  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM], harness.now), [])
 })
 
 // The runs of a worker that is no longer registered may still be in progress.
@@ -34,18 +34,18 @@
   harness.worker('w1').markUnreachable(harness.now)
   harness.scheduler.setWorkers([worker('w9', { vm: VM })], { unknownRunsUntil: 0 })
   harness.report('w9')
-  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM]), [])
+  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM], harness.now), [])
   harness.scheduler.endIncarnation(harness.worker('w1'))
-  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM]), [VM])
+  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM], harness.now), [VM])
 })
 
 test('a worker of the VM that has never responded counts only while it may execute runs of earlier leaders', () => {
   const harness = new SchedulerHarness()
   harness.scheduler.setWorkers([worker('w1'), worker('w9', { vm: VM })], { unknownRunsUntil: harness.now + 6_000 })
   harness.report('w9')
-  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM]), [])
+  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM], harness.now), [])
   harness.now += 6_000
-  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM]), [VM])
+  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM], harness.now), [VM])
 })
 
 test('a VM is not empty while a start on it has no response, or before its restarted worker has responded', () => {
@@ -53,11 +53,11 @@
   harness.addWorkers(worker('w1'))
   harness.addJob()
   harness.startWithoutResponse()
-  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM]), [])
+  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM], harness.now), [])
   harness.scheduler.setWorkers([worker('w1', { born: 2 })], { unknownRunsUntil: 0 })
-  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM]), [])
+  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM], harness.now), [])
   harness.report('w1')
-  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM]), [], 'the start may still arrive')
+  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM], harness.now), [], 'the start may still arrive')
 })
 
 // A worker that listed a run of a job that was being looked up counted as empty.
@@ -65,7 +65,7 @@
   const harness = new SchedulerHarness()
   harness.addWorkers(worker('w1'))
   harness.report('w1', { running: [running('00000000000000bb.0.0.0', 1)] })
-  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM]), [])
+  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM], harness.now), [])
   harness.now += 1_000
   harness.report('w1', { running: [running('00000000000000bb.0.0.0', 1)] })
   assert.equal(computeServiceLoad(harness.scheduler, harness.now).workers[0]?.emptyMs, 0)
@@ -79,8 +79,8 @@
   const [run] = harness.startReadyTasks()
   assert.ok(run !== undefined)
   harness.report(run.worker.registration.id, { running: [running(run.task.name, run.attempt, 100)] })
-  withdrawWorkers(harness.scheduler, ['vm-w1', 'vm-w2'])
+  withdrawWorkers(harness.scheduler, ['vm-w1', 'vm-w2'], harness.now)
   assert.equal(run.stopReason, undefined)
-  withdrawWorkers(harness.scheduler, [run.worker.registration.vm])
+  withdrawWorkers(harness.scheduler, [run.worker.registration.vm], harness.now)
   assert.equal(run.stopReason, 'worker withdrawn')
 })
