A withdrawal ends 4 s after the fleet's leader has last asked for it

What callers saw: a long-running task without a run although workers have room for it, for as long as a term lasts. Cause: a worker stayed withdrawn until a later call of the fleet's leader said otherwise. One that is killed, cut off or paused says nothing, nor one whose pass ends before because the list of VMs or the records of waves fail. What one process asks of another held without being renewed. The fleet's leader repeats its request in each pass, so that it needs no change; 4 s is longer than a pass with slow calls takes, and longer than the 2.5 s within which a VM that was called drained may go down.

--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -6,6 +6,8 @@
 const MIN_CLOCK_RATE = 0.98
 /** Readings are whole milliseconds. */
 const CLOCK_ROUNDING_MS = 2
+/** How long a withdrawal holds after it was last asked for: a pass of the fleet's leader, whose calls are slow, takes less. */
+const WITHDRAWAL_TTL_MS = 4_000
 
 /** A worker's clock as a response to a command shows it. */
 export interface ClockReading {
@@ -33,13 +35,10 @@
   /** The incarnation has ended: nothing runs there. */
   ended = false
   /**
-   * Being drained so that its VM can be maintained or moved: gets no new runs, and long-running ones are stopped as far as
-   * `mayMiss` allows and another worker can take them.
+   * Since when the worker is being drained without a break, and when the fleet's leader last asked for that, by the injected
+   * clock; undefined while it isn't.
    */
-  withdrawn = false
-  /** Since when it is withdrawn without a break, and when the fleet's leader last asked for that, by the injected clock. */
-  withdrawnSince = 0
-  withdrawnAskedAt = 0
+  private withdrawal: { readonly since: number, readonly askedAt: number } | undefined
   /** No starts before this time, by the injected clock. */
   cooldownUntil = 0
   /** Number of consecutive failed runs. */
@@ -100,13 +99,45 @@
   }
 
   /**
-   * Withdraws the worker, as the fleet's leader has asked.
+   * Being drained so that its VM can be maintained or moved: gets no new runs, and long-running ones are stopped as far as
+   * `mayMiss` allows and another worker can take them.
+   */
+  get withdrawn (): boolean {
+    return this.withdrawal !== undefined
+  }
+
+  /**
+   * Withdraws the worker for {@link WITHDRAWAL_TTL_MS}: the leader of the fleet that asks for it may be gone before it takes it back.
    * @param now - time of the injected clock
    */
   withdraw (now: number): void {
-    if (!this.withdrawn) this.withdrawnSince = now
-    this.withdrawn = true
-    this.withdrawnAskedAt = now
+    this.withdrawal = { since: this.withdrawal?.since ?? now, askedAt: now }
+  }
+
+  /** Lets the worker take runs again. */
+  endWithdrawal (): void {
+    this.withdrawal = undefined
+  }
+
+  /**
+   * Lets the worker take runs again if nobody has asked for the withdrawal for long.
+   * @param now - time of the injected clock
+   * @returns whether its withdrawal has ended so
+   */
+  endOldWithdrawal (now: number): boolean {
+    if (this.withdrawal === undefined || now - this.withdrawal.askedAt < WITHDRAWAL_TTL_MS) return false
+    this.withdrawal = undefined
+    return true
+  }
+
+  /**
+   * @param now - time of the injected clock
+   * @returns for how long it has been withdrawn, and how long ago the fleet's leader last asked for that, in milliseconds; undefined
+   * if it is not withdrawn
+   */
+  withdrawalAges (now: number): { readonly withdrawnMs: number, readonly askedMsAgo: number } | undefined {
+    if (this.withdrawal === undefined) return undefined
+    return { withdrawnMs: Math.round(now - this.withdrawal.since), askedMsAgo: Math.round(now - this.withdrawal.askedAt) }
   }
 
   /**
--- a/jobs/scheduler/src/unserved-tasks.ts
+++ b/jobs/scheduler/src/unserved-tasks.ts
@@ -11,7 +11,7 @@
   /** Runs that may be in progress. */
   readonly runs: ReadonlyArray<{ readonly worker: string, readonly attempt: number, readonly phase: string, readonly stopReason: string | undefined, readonly startedMsAgo: number }>
   /** Withdrawn workers with room for it: since when they are withdrawn, and when the fleet's leader last asked for that. */
-  readonly withdrawnWithRoom: ReadonlyArray<{ readonly worker: string, readonly withdrawnMs: number, readonly askedMsAgo: number }>
+  readonly withdrawnWithRoom: ReadonlyArray<{ readonly worker: string, readonly withdrawnMs?: number, readonly askedMsAgo?: number }>
 }
 
 const MAX_LISTED_WORKERS = 5
@@ -37,6 +37,6 @@
     task: task.name,
     waitsFor: task.runs.length === 0 ? waitReasonOf(scheduler, task.step, opts) : undefined,
     runs: task.runs.map(({ worker, attempt, phase, stopReason, startedAt }) => ({ worker: worker.registration.id, attempt, phase, stopReason, startedMsAgo: Math.round(opts.now - startedAt) })),
-    withdrawnWithRoom: withRoom.slice(0, MAX_LISTED_WORKERS).map(({ registration: { id }, withdrawnSince, withdrawnAskedAt }) => ({ worker: id, withdrawnMs: Math.round(opts.now - withdrawnSince), askedMsAgo: Math.round(opts.now - withdrawnAskedAt) }))
+    withdrawnWithRoom: withRoom.slice(0, MAX_LISTED_WORKERS).map(worker => ({ worker: worker.registration.id, ...worker.withdrawalAges(opts.now) }))
   }
 }
--- a/jobs/scheduler/test/scheduler.test.ts
+++ b/jobs/scheduler/test/scheduler.test.ts
@@ -233,7 +233,7 @@
   for (const { registration: { id }, runs } of harness.scheduler.workers.values()) harness.report(id, { running: [...runs.values()].map(run => running(run.task.name, run.attempt, 100)) })
   harness.scheduler.setWorkers([worker('w1'), worker('w2'), worker('w3', { capacity: { cpu: 4_000, memMb: 5_000, accelerators: 0 } })], { unknownRunsUntil: 0 })
   harness.report('w3')
-  for (const id of ['w1', 'w2']) harness.worker(id).withdrawn = true
+  for (const id of ['w1', 'w2']) harness.worker(id).withdraw(harness.now)
   for (const id of ['w1', 'w2', 'w1']) harness.scheduler.stopLongRunningTasks(harness.worker(id))
   assert.equal(harness.scheduler.collectDueStops().length, 1)
 })
--- a/jobs/scheduler/test/worker-loss.test.ts
+++ b/jobs/scheduler/test/worker-loss.test.ts
@@ -29,7 +29,7 @@
     assert.ok(tracked !== undefined)
     harness.addJob()
     harness.startReadyTasks()
-    if ('withdrawn' in plan) tracked.withdrawn = true
+    if ('withdrawn' in plan) tracked.withdraw(harness.now)
     else harness.scheduler.setWorkers([worker('w1', plan)], { unknownRunsUntil: 0 })
     harness.scheduler.endIncarnation(tracked)
     assert.deepEqual(harness.scheduler.takeLosses().map(loss => loss.cause), ['planned'])
--- a/jobs/service/src/index.ts
+++ b/jobs/service/src/index.ts
@@ -2,6 +2,7 @@
  * A leader's term for one service: takeover from the previous leader, worker sessions and durable records.
  * @module
  */
-export { computeServiceLoad, withdrawWorkers } from './load.ts'
+export { computeServiceLoad } from './load.ts'
+export { endOldWithdrawals, withdrawWorkers } from './withdrawals.ts'
 export { ServiceTerm } from './term.ts'
 export type { ServiceTermOpts } from './ports.ts'
--- a/jobs/service/src/load.ts
+++ b/jobs/service/src/load.ts
@@ -42,36 +42,3 @@
   const runs = workers.flatMap(worker => [...worker.runs.values()])
   return sum(runs.map(({ task }) => task.step.spec.lasting && !task.step.spec.backfill ? task.step.spec.demand.cpu : 0))
 }
-
-/**
- * Withdraws the workers on the given VMs: they get no new runs, batch runs finish, and long-running tasks are stopped as
- * far as `mayMiss` allows and another worker can take them. Workers on all other VMs accept runs again.
- * @param scheduler - scheduler of the service's leader
- * @param vms - ids of the VMs to drain
- * @param now - time of the scheduler's clock, in milliseconds
- * @returns ids of the VMs whose workers are drained
- */
-export function withdrawWorkers (scheduler: Scheduler, vms: readonly string[], now: number): string[] {
-  const leasesKnownAt = scheduler.leasesKnownAt()
-  const withdrawnVms = new Set(vms)
-  const empty = new Set<string>()
-  const busy = new Set<string>()
-  // First all of them: a task that is stopped on one must not count on room on another.
-  for (const worker of scheduler.workers.values()) {
-    if (withdrawnVms.has(worker.registration.vm)) worker.withdraw(now)
-    else worker.withdrawn = false
-  }
-  for (const worker of scheduler.workers.values()) {
-    const { vm } = worker.registration
-    if (!worker.withdrawn) continue
-    if (worker.fenced && worker.reachable && worker.runs.size === 0) empty.add(vm)
-    else scheduler.stopLongRunningTasks(worker)
-    if (mayExecuteRuns(worker, leasesKnownAt)) busy.add(vm)
-  }
-  return [...empty].filter(vm => !busy.has(vm))
-}
-
-/** A VM may have another worker than the one that last registered: its runs count, too, until it is known to have ended. */
-function mayExecuteRuns (worker: TrackedWorker, leasesKnownAt: number): boolean {
-  return !worker.ended && (worker.runs.size > 0 || worker.hasUntrackedRuns || worker.mayHaveUnknownRuns(leasesKnownAt))
-}
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -4,7 +4,7 @@
 import { explainJob, explainWorker, LostWorkerDetector, Scheduler, type PermitRequest, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import type { ServiceRecords, TermRecord } from '@wisteriaslip/jobs.store'
 import { removeExpiredJobs } from './expired-jobs.ts'
-import { computeServiceLoad, withdrawWorkers } from './load.ts'
+import { computeServiceLoad } from './load.ts'
 import { LeadershipCheck, LEADERSHIP_OVERLAP_MS } from './leadership-check.ts'
 import { logLosses, logRestart } from './loss-log.ts'
 import type { ServiceTermOpts } from './ports.ts'
@@ -15,6 +15,7 @@
 import { TermRecordWriter } from './term-record-writer.ts'
 import { UnservedMonitor } from './unserved-monitor.ts'
 import { WaitMonitor } from './wait-monitor.ts'
+import { endOldWithdrawals, withdrawWorkers } from './withdrawals.ts'
 import { WorkerSession } from './worker-session.ts'
 
 const RECORD_READ_RETRY_MS = 100
@@ -232,6 +233,7 @@
       components.scheduler.tick()
       takeoverMonitor.observe(components.scheduler)
       logLosses(components.scheduler, this.opts)
+      this.endOldWithdrawals(components.scheduler)
       const runs = components.scheduler.placeReadyTasks(this.leadership.mayAct() ? this.startWindow.free() : 0)
       for (const run of runs) this.sendStart(run, signal)
       waitMonitor.observe(components.scheduler, runs.length)
@@ -245,6 +247,12 @@
     }
   }
 
+  private endOldWithdrawals (scheduler: Scheduler): void {
+    const { service, token, clock, logger } = this.opts
+    const ended = endOldWithdrawals(scheduler, clock.now()).map(worker => worker.registration.id)
+    if (ended.length > 0) logger.info({ service, token, workers: ended }, 'withdrawal of workers ended: the leader of the fleet has not asked for it again')
+  }
+
   /** Waits for the minimum gap between passes, and measures by how much the event loop lags. */
   private async waitBetweenPasses (scheduler: Scheduler, signal: AbortSignal): Promise<void> {
     const gapMs = Math.max(MIN_SCHEDULING_GAP_MS, MIN_SCHEDULING_GAP_MS_PER_WORKER * scheduler.workers.size)
--- a/jobs/service/test/withdraw.test.ts
+++ b/jobs/service/test/withdraw.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { computeServiceLoad, withdrawWorkers } from '@wisteriaslip/jobs.service'
+import { computeServiceLoad, endOldWithdrawals, withdrawWorkers } from '@wisteriaslip/jobs.service'
 import { SchedulerHarness, running, step, worker } from '../../scheduler/test/harness.ts'
 
 const VM = 'vm-w1'
@@ -84,3 +84,18 @@
   withdrawWorkers(harness.scheduler, [run.worker.registration.vm], harness.now)
   assert.equal(run.stopReason, 'worker withdrawn')
 })
+
+// A worker stayed withdrawn for the rest of the term once the leader of the fleet that had asked for it was gone.
+test('a worker takes runs again 4 s after the last request to drain it', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  withdrawWorkers(harness.scheduler, [VM], harness.now)
+  harness.now += 3_000
+  withdrawWorkers(harness.scheduler, [VM], harness.now)
+  harness.now += 3_900
+  assert.deepEqual(endOldWithdrawals(harness.scheduler, harness.now), [])
+  assert.equal(harness.worker('w1').withdrawn, true)
+  harness.now += 100
+  assert.deepEqual(endOldWithdrawals(harness.scheduler, harness.now), [harness.worker('w1')])
+  assert.equal(harness.worker('w1').withdrawn, false)
+})
