A long-running task that fits only on withdrawn workers runs there; the drain gives way

What callers saw: a long-running task without a run, with room for it, for as long as a drain lasts that cannot end (a wave that waits for VMs, a move whose VM is never empty). Cause: a withdrawn worker takes no starts at all. A drain has no end of its own and nothing makes it yield to work that waits. Change: after 1 s without room elsewhere a long-running task is placed on a withdrawn worker. One that has been called drained in the last 2.5 s may go down (1 s until the fleet's leader asks for it, 1.5 s for the call), so that it is only claimed: it is not called drained any more and gets the task after that time. Claims are made during a takeover, too. Tasks that end by themselves still keep away, so that drains end where they can. The unit tests fail before. Ruled out: reopening the worker to all tasks (a queue of short tasks would keep the drain from ever ending).

--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -2,6 +2,7 @@
 import { incarnationKey, mayBeSameIncarnation, parseTaskName, UNKNOWN_BORN, type ActiveRun, type EndedRun, type Job, type JobLimits, type Resources, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
 import { SETTLE_MS } from './crash.ts'
 import { CrashTracker } from './crash-tracker.ts'
+import { collectDueStops } from './due-stops.ts'
 import { DemandEstimator } from './demand-estimator.ts'
 import { Isolation } from './isolation.ts'
 import { JobTable } from './job-table.ts'
@@ -16,6 +17,7 @@
 import { TaskPlacer } from './task-placer.ts'
 import { attachRun, detachRun, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
 import { runKey, TrackedWorker, type ClockReading } from './tracked-worker.ts'
+import { WithdrawnRoom } from './withdrawn-room.ts'
 import { describeSilence, lossCauses, toLostRun, type LossCause, type WorkerLoss } from './worker-loss.ts'
 
 /** Consecutive failed runs after which a worker gets no starts for `FAILURE_COOLDOWN_MS`. */
@@ -26,7 +28,6 @@
 /** Cooldown of a worker that rejected a start for lack of capacity or could not be sent one, or that is unhealthy. */
 const NO_CAPACITY_COOLDOWN_MS = 200
 const UNHEALTHY_COOLDOWN_MS = 600
-const STOP_RETRY_INTERVAL_MS = 600
 const REFUSED_RETRY_DELAY_MS = 30
 /** How long a worker whose lease has expired is tracked to find out whether it has crashed. */
 const EXPIRED_RUNS_KEPT_MS = 10_000
@@ -69,6 +70,7 @@
   readonly table: JobTable
   readonly workers = new Map<string, TrackedWorker>()
   readonly permitRequester: PermitRequester
+  readonly withdrawnRoom: WithdrawnRoom
   private readonly opts: SchedulerOpts
   private readonly runsToStop = new Set<Run>()
   private losses: WorkerLoss[] = []
@@ -89,6 +91,7 @@
     this.table = new JobTable({ ...opts, onRunNotNeeded: (run, reason) => this.requestStop(run, reason) })
     this.permitRequester = new PermitRequester({ clock: opts.clock, queue: opts.queue, ready: this.table.ready, workers: this.workers })
     this.isolation = new Isolation(this.placer)
+    this.withdrawnRoom = new WithdrawnRoom(this.placer, this.isolation)
     this.crashTracker = new CrashTracker(this.table, this.workers)
   }
 
@@ -295,7 +298,8 @@
     this.isolation.noteWaits(steps, now)
     const placeable = this.mayHaveUnknownRuns() ? steps.filter(step => step.job.acceptedThisTerm) : steps
     const { runs: isolatedRuns, openWorkers } = this.isolation.place(placeable, workers, { now, maxRuns })
-    return [...isolatedRuns, ...this.placer.place(placeable, openWorkers, { now, maxRuns: maxRuns - isolatedRuns.length })]
+    const runs = [...isolatedRuns, ...this.placer.place(placeable, openWorkers, { now, maxRuns: maxRuns - isolatedRuns.length })]
+    return [...runs, ...this.withdrawnRoom.place({ ready: steps, placeable }, this.workers.values(), { now, maxRuns: maxRuns - runs.length })]
   }
 
   /** @returns workers that must be polled at once, before a suspected task is started there */
@@ -311,15 +315,7 @@
 
   /** @returns runs for which a stop command is due, marked as sent */
   collectDueStops (): Run[] {
-    const now = this.opts.clock.now()
-    const due: Run[] = []
-    for (const run of this.runsToStop) {
-      const retryDue = run.stopSentAt === undefined || now - run.stopSentAt >= STOP_RETRY_INTERVAL_MS + (run.stopAcknowledgedAt === undefined ? 0 : this.opts.limits.stopMs)
-      if (!retryDue || run.phase === 'sending') continue
-      run.stopSentAt = now
-      due.push(run)
-    }
-    return due
+    return collectDueStops(this.runsToStop, { now: this.opts.clock.now(), stopMs: this.opts.limits.stopMs })
   }
 
   /**
@@ -547,6 +543,6 @@
     if (cause !== undefined) run.task.released = toReleasedRun(run, cause, this.opts.clock.now())
     run.worker.remove(run)
     this.runsToStop.delete(run)
-    detachRun(run)
+    detachRun(run, this.opts.clock.now())
   }
 }
--- a/jobs/scheduler/src/tracked-job.ts
+++ b/jobs/scheduler/src/tracked-job.ts
@@ -18,6 +18,8 @@
   checkpoint: string
   /** Runs that may be in progress; more than one only with copies, or while the outcome of an earlier run is unknown. */
   readonly runs: Run[]
+  /** When its last run in progress was released, by the injected clock; undefined if it had none in this term. */
+  idleSince: number | undefined
   /** Earliest time of the next start, by the injected clock. */
   retryAt: number
   /** Ids of workers on which a run of the task failed. */
@@ -171,6 +173,7 @@
         lastAttempt: 0,
         checkpoint: savedProgress?.checkpoint ?? '',
         runs: [],
+        idleSince: undefined,
         retryAt: 0,
         failedOn: new Set(),
         slowRestarts: 0,
@@ -196,12 +199,14 @@
 /**
  * Removes a run from its task. Does nothing if the task does not have it.
  * @param run - the run
+ * @param now - time of the injected clock
  */
-export function detachRun (run: Run): void {
+export function detachRun (run: Run, now: number): void {
   const { task } = run
   const at = task.runs.indexOf(run)
   if (at < 0) return
   task.runs.splice(at, 1)
+  if (run.phase !== 'sending') task.idleSince = now
   if (isWaiting(task)) task.step.waiting += 1
 }
 
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -39,6 +39,8 @@
    * clock; undefined while it isn't.
    */
   private withdrawal: { readonly since: number, readonly askedAt: number } | undefined
+  /** When the fleet's leader was last told that nothing runs on the VM, by the injected clock. */
+  private calledDrainedAt = Number.NEGATIVE_INFINITY
   /** No starts before this time, by the injected clock. */
   cooldownUntil = 0
   /** Number of consecutive failed runs. */
@@ -140,6 +142,23 @@
     return { withdrawnMs: Math.round(now - this.withdrawal.since), askedMsAgo: Math.round(now - this.withdrawal.askedAt) }
   }
 
+  /**
+   * Notes that the fleet's leader is told that nothing runs on the VM, so that it may be maintained or moved.
+   * @param now - time of the injected clock
+   */
+  noteCalledDrained (now: number): void {
+    this.calledDrainedAt = now
+  }
+
+  /**
+   * @param ms - time in milliseconds
+   * @param now - time of the injected clock
+   * @returns whether the fleet's leader was told within that time that nothing runs on the VM
+   */
+  wasCalledDrainedWithin (ms: number, now: number): boolean {
+    return now - this.calledDrainedAt < ms
+  }
+
   /**
    * Notes that a poll has succeeded.
    * @param at - when its response arrived, by the injected clock
--- /dev/null
+++ b/jobs/scheduler/src/withdrawn-room.ts
@@ -0,0 +1,73 @@
+import type { Isolation } from './isolation.ts'
+import { canPlace } from './placement.ts'
+import type { Run } from './run.ts'
+import type { PlacementOpts, TaskPlacer } from './task-placer.ts'
+import { isStartable, type Task, type TrackedStep } from './tracked-job.ts'
+import type { TrackedWorker } from './tracked-worker.ts'
+
+/** How long a long-running task waits for room on other workers: it mostly comes sooner, and a start here delays a drain. */
+const MAX_WAIT_MS = 1_000
+/** The fleet's leader asks for the maintenance or move of a VM within this time after it was told that nothing runs there. */
+const MAY_GO_DOWN_MS = 2_500
+
+/**
+ * Starts long-running tasks on withdrawn workers when no other worker has room: a drain that cannot end must not keep them from
+ * running. The VM of a worker that was just called drained may go down, so that such a worker is only claimed: it is not
+ * called drained again, and gets the task when its VM has stayed up.
+ */
+export class WithdrawnRoom {
+  private readonly placer: TaskPlacer
+  private readonly isolation: Isolation
+  private readonly claimed = new Set<TrackedWorker>()
+
+  /**
+   * @param placer - starts a task on a worker
+   * @param isolation - starts suspected tasks
+   */
+  constructor (placer: TaskPlacer, isolation: Isolation) {
+    this.placer = placer
+    this.isolation = isolation
+  }
+
+  /**
+   * Places tasks that are left after a pass over the other workers, and claims workers for those that have to wait.
+   * @param steps - steps with tasks to start, and those that may be started now
+   * @param workers - all workers
+   * @param opts - time and limits of the pass
+   * @returns runs to start
+   */
+  place ({ ready, placeable }: { ready: readonly TrackedStep[], placeable: readonly TrackedStep[] }, workers: Iterable<TrackedWorker>, opts: PlacementOpts): Run[] {
+    const { now } = opts
+    this.claimed.clear()
+    const overdue = ready.filter(step => step.spec.lasting && step.tasks.some(task => isOverdue(task, now)))
+    if (overdue.length === 0) return []
+    const withdrawn = [...workers].filter(worker => worker.withdrawn && worker.isReadyForStarts(now))
+    const runs = this.placeOn(withdrawn.filter(worker => !worker.wasCalledDrainedWithin(MAY_GO_DOWN_MS, now)), overdue.filter(step => placeable.includes(step)), opts)
+    for (const step of overdue) this.claim(step, withdrawn, now)
+    return runs
+  }
+
+  /**
+   * @param worker - a withdrawn worker without runs
+   * @returns whether a task is about to be started there, so that it must not be called drained
+   */
+  isClaimed (worker: TrackedWorker): boolean {
+    return this.claimed.has(worker)
+  }
+
+  private placeOn (workers: readonly TrackedWorker[], steps: readonly TrackedStep[], { now, maxRuns }: PlacementOpts): Run[] {
+    const { runs, openWorkers } = this.isolation.place(steps, workers, { now, maxRuns })
+    return [...runs, ...this.placer.place(steps, openWorkers, { now, maxRuns: maxRuns - runs.length })]
+  }
+
+  /** Claims as many workers as could take the tasks that are left. */
+  private claim (step: TrackedStep, withdrawn: readonly TrackedWorker[], now: number): void {
+    const left = step.tasks.filter(task => isOverdue(task, now)).length
+    const fitting = withdrawn.filter(worker => canPlace(step, worker) && !this.claimed.has(worker))
+    for (const worker of fitting.slice(0, left)) this.claimed.add(worker)
+  }
+}
+
+function isOverdue (task: Task, now: number): boolean {
+  return isStartable(task, now) && now - (task.idleSince ?? task.step.job.firstSeenAt) >= MAX_WAIT_MS
+}
--- a/jobs/service/src/withdrawals.ts
+++ b/jobs/service/src/withdrawals.ts
@@ -21,11 +21,13 @@
   for (const worker of scheduler.workers.values()) {
     const { vm } = worker.registration
     if (!worker.withdrawn) continue
-    if (worker.fenced && worker.reachable && worker.runs.size === 0) empty.add(vm)
+    if (worker.fenced && worker.reachable && worker.runs.size === 0 && !scheduler.withdrawnRoom.isClaimed(worker)) empty.add(vm)
     else scheduler.stopLongRunningTasks(worker)
     if (mayExecuteRuns(worker, leasesKnownAt)) busy.add(vm)
   }
-  return [...empty].filter(vm => !busy.has(vm))
+  const drained = new Set([...empty].filter(vm => !busy.has(vm)))
+  for (const worker of scheduler.workers.values()) if (drained.has(worker.registration.vm)) worker.noteCalledDrained(now)
+  return [...drained]
 }
 
 /**
--- a/jobs/service/test/withdraw.test.ts
+++ b/jobs/service/test/withdraw.test.ts
@@ -99,3 +99,16 @@
   assert.deepEqual(endOldWithdrawals(harness.scheduler, harness.now), [harness.worker('w1')])
   assert.equal(harness.worker('w1').withdrawn, false)
 })
+
+// A VM went down under a long-running task that was about to start there, as it fitted nowhere else.
+test('a VM is not called drained while a long-running task waits for room on its worker', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM], harness.now), [VM])
+  harness.addJob({ steps: [step({ lasting: true })] })
+  harness.now += 1_000
+  harness.scheduler.placeReadyTasks()
+  assert.deepEqual(withdrawWorkers(harness.scheduler, [VM], harness.now), [])
+  harness.now += 1_500
+  assert.equal(harness.startReadyTasks().length, 1)
+})
