The release of one leadership leaves others that were acquired in the same write

What callers saw: a service whose leader starts nothing and grants no lease until a second write, and one change of leader more. Cause: resources that are acquired in one write have the same create revision, which is their fencing token; an entry kept what it had begun to release by token alone, so that it took the others for released, too, and released them 'again'. With a store that does not answer, the service has a leader that does nothing for as long as that lasts. The test fails before. Read elsewhere: terms, guards and confirmations go by resource and token.

--- a/peers/membership/src/leadership.ts
+++ b/peers/membership/src/leadership.ts
@@ -41,8 +41,11 @@
   private readonly vacantSince = new Map<string, number>()
   private readonly memberFirstSeenAt = new Map<string, number>()
   private lastRebalanceAt = 0
-  /** Tokens of leaderships that this entry has begun to remove: another entry may have the resource before the mirror shows that. */
-  private readonly removedTokens = new Set<number>()
+  /**
+   * Leaderships that this entry has begun to remove, as the latest token of each resource: another entry may have the resource before
+   * the mirror shows that. Resources that are acquired in one write have the same token.
+   */
+  private readonly removedTokens = new Map<string, number>()
 
   constructor (opts: LeadershipOpts) {
     this.opts = opts
@@ -77,7 +80,7 @@
   token (resource: string): number | undefined {
     if (this.opts.lease.validLeaseId() === undefined) return undefined
     const token = this.recordedToken(resource)
-    return token === undefined || this.removedTokens.has(token) ? undefined : token
+    return token === undefined || this.isRemoved(resource, token) ? undefined : token
   }
 
   /**
@@ -91,7 +94,7 @@
     const registration = this.opts.members.latestRegistration()
     // Leadership is acquired after the registration under the same lease: an older token belongs to an earlier lease.
     const isOfThisLease = lease !== undefined && registration?.leaseId === lease.leaseId && token > registration.revision
-    const isHeld = isOfThisLease && this.recordedToken(resource) === token && !this.removedTokens.has(token)
+    const isHeld = isOfThisLease && this.recordedToken(resource) === token && !this.isRemoved(resource, token)
     return isHeld ? lease.at : Number.NEGATIVE_INFINITY
   }
 
@@ -202,13 +205,17 @@
   /** A removal that was not carried out, as far as the mirror shows, would leave the resource with a leader that does nothing. */
   private async repeatRemoval (resource: string): Promise<void> {
     const token = this.recordedToken(resource)
-    if (token !== undefined && this.removedTokens.has(token)) await this.remove(resource, 'leadership released again')
+    if (token !== undefined && this.isRemoved(resource, token)) await this.remove(resource, 'leadership released again')
+  }
+
+  private isRemoved (resource: string, token: number): boolean {
+    return this.removedTokens.get(resource) === token
   }
 
   private async remove (resource: string, message: string): Promise<void> {
     const doc = this.opts.mirror.get(this.opts.keys.leaders + resource)
     if (doc === undefined) return
-    this.removedTokens.add(doc.createRevision)
+    this.removedTokens.set(resource, doc.createRevision)
     const removed = await this.opts.store.update([{ key: doc.key, prior: doc, value: undefined }])
     this.opts.logger.info({ resource, token: doc.createRevision, ...(removed.ok ? {} : { code: removed.error.code }) }, message)
   }
--- a/peers/membership/test/leadership.test.ts
+++ b/peers/membership/test/leadership.test.ts
@@ -154,3 +154,20 @@
   assert.equal(leadership.recordedToken('pool/a'), token, 'the mirror does not show the release yet')
   assert.equal(leadership.token('pool/a'), undefined)
 })
+
+// Services acquired in one write have one token: the release of one stopped the leader of the others, which were then released, too.
+test('the release of one leadership leaves another one that was acquired in the same write', async () => {
+  const { keys, mirror, clock, client, refresh } = await createEntries()
+  const names = ['pool/y', 'pool/z']
+  await client.update(names.map(resource => ({ key: keys.leaders + resource, prior: undefined, value: { id: 'e1', incarnation: 'e1-1' } })))
+  await refresh()
+  const lease = { validLeaseId: () => 'lease' } as unknown as EntryLease
+  const leadership = new Leadership({ store: client, mirror, members: new Members(member('e1'), mirror, keys), lease, keys, clock, logger: silentLogger })
+  const token = leadership.token('pool/y') ?? 0
+  assert.equal(leadership.token('pool/z'), token)
+  await leadership.giveUp('pool/y', token)
+  assert.equal(leadership.token('pool/z'), token)
+  await leadership.step(names)
+  await refresh()
+  assert.deepEqual(names.map(resource => leadership.leaderOf(resource)?.record.id), [undefined, 'e1'])
+})
