A member that has restarted counts as present since then, for the release of leaderships by balance

What callers saw: a change of leader in the middle of trouble, with a wait for the runs of all workers. Cause: leaderships are released only to members that have been present for 20 s, which was kept by id: an entry that restarted before its old record had run out counted as present all the while. The test fails before.

--- a/peers/membership/src/leadership.ts
+++ b/peers/membership/src/leadership.ts
@@ -5,7 +5,7 @@
 import { rankCandidates, surplusLeaderships, type Candidate } from './candidates.ts'
 import type { StoreKeys } from './store-keys.ts'
 import type { EntryLease } from './lease.ts'
-import type { Members } from './members.ts'
+import type { Member, Members } from './members.ts'
 import { isLeaderRecord } from './record-schema.ts'
 
 /** A member waits this long for each better-ranked member before it acquires a vacant resource. */
@@ -39,7 +39,8 @@
 export class Leadership {
   private readonly opts: LeadershipOpts
   private readonly vacantSince = new Map<string, number>()
-  private readonly memberFirstSeenAt = new Map<string, number>()
+  /** Since when this entry has seen each member, by id, as the same process. */
+  private readonly presentSince = new Map<string, { readonly incarnation: string, readonly at: number }>()
   private lastRebalanceAt = 0
   /**
    * Leaderships that this entry has begun to remove, as the latest token of each resource: another entry may have the resource before
@@ -114,9 +115,9 @@
    */
   async step (resources: readonly string[]): Promise<void> {
     const leaseId = this.opts.lease.validLeaseId()
-    const ids = this.opts.members.all().map(member => member.id)
-    if (leaseId === undefined || !ids.includes(this.opts.members.self.id)) return
-    this.trackMembers(ids)
+    const members = this.opts.members.all()
+    if (leaseId === undefined || !members.some(({ id }) => id === this.opts.members.self.id)) return
+    this.trackMembers(members)
     for (const resource of resources) await this.repeatRemoval(resource)
     for (const due of splitChanges(this.dueResources(resources))) await this.acquire(due, leaseId)
     await this.rebalance(resources)
@@ -176,13 +177,14 @@
     if (this.recordedToken(resource) === token) await this.remove(resource, 'leadership given up')
   }
 
-  private trackMembers (ids: readonly string[]): void {
+  private trackMembers (members: readonly Member[]): void {
     const now = this.opts.clock.now()
-    for (const id of ids) {
-      if (!this.memberFirstSeenAt.has(id)) this.memberFirstSeenAt.set(id, now)
+    const ids = new Set(members.map(({ id }) => id))
+    for (const { id, incarnation } of members) {
+      if (this.presentSince.get(id)?.incarnation !== incarnation) this.presentSince.set(id, { incarnation, at: now })
     }
-    for (const id of this.memberFirstSeenAt.keys()) {
-      if (!ids.includes(id)) this.memberFirstSeenAt.delete(id)
+    for (const id of this.presentSince.keys()) {
+      if (!ids.has(id)) this.presentSince.delete(id)
     }
   }
 
@@ -191,7 +193,7 @@
     if (now - this.lastRebalanceAt < REBALANCE_INTERVAL_MS) return
     this.lastRebalanceAt = now
     const self = this.opts.members.self.id
-    const establishedCandidates = this.candidates(resources).filter(({ id }) => id === self || now - (this.memberFirstSeenAt.get(id) ?? now) >= MIN_MEMBER_AGE_MS)
+    const establishedCandidates = this.candidates(resources).filter(({ id }) => id === self || now - (this.presentSince.get(id)?.at ?? now) >= MIN_MEMBER_AGE_MS)
     const surplus = Math.min(MAX_RELEASES_PER_REBALANCE, surplusLeaderships(self, establishedCandidates))
     const ledResources = resources.filter(resource => this.token(resource) !== undefined)
     for (const resource of ledResources.slice(0, surplus)) await this.release(resource)
--- a/peers/membership/test/leadership.test.ts
+++ b/peers/membership/test/leadership.test.ts
@@ -171,3 +171,27 @@
   await refresh()
   assert.deepEqual(names.map(resource => leadership.leaderOf(resource)?.record.id), [undefined, 'e1'])
 })
+
+// An entry that restarted before its record had run out counted as present all the while, and got leaderships in the middle of trouble.
+test('no leadership is released to a member that has restarted within 20 s under a record that never was missing', async () => {
+  const { keys, mirror, clock, client, refresh } = await createEntries()
+  const lease = { validLeaseId: () => 'lease' } as unknown as EntryLease
+  const leadership = new Leadership({ store: client, mirror, members: new Members(member('e1'), mirror, keys), lease, keys, clock, logger: silentLogger })
+  await leadership.step(RESOURCES)
+  clock.advance(30_000)
+  const prior = await client.get(keys.members + 'e2')
+  assert.ok(prior.ok)
+  await client.update([{ key: keys.members + 'e2', prior: prior.value, value: { ...member('e2'), incarnation: 'e2-2' } }])
+  await refresh()
+  const leaders = (): Array<string | undefined> => RESOURCES.map(resource => leadership.leaderOf(resource)?.record.id)
+  for (const ageMs of [0, 19_000]) {
+    clock.advance(ageMs)
+    await leadership.step(RESOURCES)
+    await refresh()
+    assert.deepEqual(leaders(), RESOURCES.map(() => 'e1'))
+  }
+  clock.advance(6_000)
+  await leadership.step(RESOURCES)
+  await refresh()
+  assert.ok(leaders().includes(undefined))
+})
