A worker that is gone ends although nothing of it is known to run

Seen: in the model of a service, a new leader to which the lists show a worker's VM no more keeps all tasks of earlier jobs waiting until the leases of earlier leaders are over (5.7 s), although the VM was listed in the term and has been missing for 1.5 s.

Cause: after 1.5 s without a worker on the VM, starts without a response are released, and if no run is left then, the lists are taken for done with. A worker that has not responded in this term has no known runs, so that its end was never concluded.

Evidence: the new test of lost-worker-detector.test.ts failed before (the end was never concluded) and passes; the others are unchanged.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -131,7 +131,7 @@
       if (offSince !== undefined && (proof === 'replaced' || vacantSince !== undefined)) {
         const unansweredStarts = this.scheduler.releaseOverRuns(worker, offSince)
         if (unansweredStarts > 0) lost.push({ worker, proof: 'off', unansweredStarts, vmState: vm?.state })
-        if (worker.runs.size === 0) continue
+        if (proof === 'replaced' && worker.runs.size === 0) continue
       }
       if (suspect.confirmations < REQUIRED_VM_LISTS && !isGone(suspect, requestedAt)) continue
       if (proof === 'ended') this.endIncarnation(worker, { planned: isPlanned(vm, worker), offSince })
--- a/jobs/scheduler/test/lost-worker-detector.test.ts
+++ b/jobs/scheduler/test/lost-worker-detector.test.ts
@@ -42,6 +42,16 @@
   })
 }
 
+// Starts without a response were looked for on a worker that was gone; as there was none, its end was never concluded.
+test('after a takeover, jobs continue once lists that have shown the VM of an unresponsive worker have not shown it for a while', () => {
+  const { harness, detector } = takeOver()
+  assert.equal(applyVmListAfterDelay(harness, detector, [vm()]), 0)
+  for (let times = 0; times < 5; times++) assert.equal(applyVmListAfterDelay(harness, detector, [vm({ id: 'vm-other' })]), 0)
+  assert.deepEqual(harness.startReadyTasks(), [])
+  assert.equal(applyVmListAfterDelay(harness, detector, [vm({ id: 'vm-other' })]), 1)
+  assert.deepEqual(harness.startReadyTasks().map(run => run.task.name), [TASK])
+})
+
 test('contradictory VM lists do not prove a loss', () => {
   const { harness, detector } = takeOver()
   assert.equal(applyVmListAfterDelay(harness, detector, [vm({ state: 'moving' })]), 0)
