A worker that was lost before a change of leader is proven to have ended

Each term waits until all leases of earlier leaders are over, 5.7 s after its records were read.

Cause: only a VM that some list had shown in the term could prove to be gone. One that was lost before the term, or just before, is in none of its lists. Nothing durable says that it was listed, and the wait begins anew with each term.

Now it is also gone if it is missing from all complete lists of 1.5 s, and each of them names a responding worker of the service on its own VM: the lists cover the service and name VMs as registrations do. Once it has proved to be gone, unanswered starts there are released like those on a VM that was listed.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -76,7 +76,7 @@
   private readonly scheduler: Scheduler
   private readonly clock: Clock
   private readonly suspects = new Map<TrackedWorker, SuspectedLoss>()
-  /** Ids of the VMs that some list has shown: only these can prove to be gone. */
+  /** Ids of the VMs that some list has shown, or that proved to be gone: these can prove to be gone. */
   private readonly listedVms = new Set<string>()
 
   constructor (scheduler: Scheduler, clock: Clock) {
@@ -114,6 +114,7 @@
     const byId = new Map(vms.filter(vm => vm.id !== '').map(vm => [vm.id, vm]))
     const shown = new Set([...byId.keys(), ...coverage.unreadable])
     for (const id of shown) this.listedVms.add(id)
+    const showsOthers = this.showsRespondingWorkers(byId)
     const lost: LostWorker[] = []
     for (const [worker, suspect] of this.suspects) {
       const { proof, since } = suspect
@@ -121,7 +122,8 @@
       const vmId = worker.registration.vm
       const vm = byId.get(vmId)
       suspect.confirmations = provesLoss(proof, vm, worker) ? suspect.confirmations + 1 : 0
-      const isAbsent = coverage.complete && !shown.has(vmId) && this.listedVms.has(vmId)
+      const isExpected = this.listedVms.has(vmId) || (proof === 'ended' && vmId !== '' && showsOthers)
+      const isAbsent = coverage.complete && !shown.has(vmId) && isExpected
       const isVacant = isAbsent || (coverage.complete && vm !== undefined && vm.worker === '')
       suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt : undefined
       suspect.vacantSince = isVacant ? suspect.vacantSince ?? requestedAt : undefined
@@ -133,7 +135,8 @@
         if (unansweredStarts > 0) lost.push({ worker, proof: 'off', unansweredStarts, vmState: vm?.state })
         if (proof === 'replaced' && worker.runs.size === 0) continue
       }
-      if (suspect.confirmations < REQUIRED_VM_LISTS && !isGone(suspect, requestedAt)) continue
+      if (isGone(suspect, requestedAt)) this.listedVms.add(vmId)
+      else if (suspect.confirmations < REQUIRED_VM_LISTS) continue
       if (proof === 'ended') this.endIncarnation(worker, { planned: isPlanned(vm, worker), offSince })
       lost.push({ worker, proof, unansweredStarts: worker.runs.size, vmState: vm?.state })
       if (proof === 'replaced') this.scheduler.releaseRuns(worker, releaseCauses.vmReplaced)
@@ -142,6 +145,14 @@
     return lost
   }
 
+  /**
+   * Returns whether a list shows a worker of the service that responds on the VM that it names: then it would show the VMs of
+   * the others, too. A VM that was lost before this term is in none of its lists.
+   */
+  private showsRespondingWorkers (byId: ReadonlyMap<string, Vm>): boolean {
+    return [...this.scheduler.workers.values()].some(({ registration, fenced, reachable, ended }) => fenced && reachable && !ended && byId.get(registration.vm)?.worker === registration.id)
+  }
+
   private endIncarnation (worker: TrackedWorker, opts: { planned: boolean, offSince: number | undefined }): void {
     this.scheduler.endIncarnation(worker, { planned: opts.planned })
     if (opts.offSince !== undefined) this.scheduler.releaseOverRuns(worker, opts.offSince)
