Model: workers that are lost for good around kills of leaders

FaultyService begins one change of leader after the other: while the store was away, two could meet.

--- a/testing/jobs/test/faulty-service.ts
+++ b/testing/jobs/test/faulty-service.ts
@@ -9,6 +9,7 @@
 import { plainStep, VirtualProcess } from '@wisteriaslip/testing.jobs'
 import { seededRandom } from '@wisteriaslip/testing.site'
 import { MemoryDriver } from '@wisteriaslip/testing.stand-ins'
+import type { Machine } from './faulty-machine.ts'
 import { FaultyWorkers, LONGEST_LEASE_MS, type Draw } from './faulty-workers.ts'
 
 const LEADER_KEY = 'w/leaders/service/s'
@@ -40,11 +41,19 @@
   readonly count: number
 }
 
-/** A change of leader. The old one is killed, unless it goes on for `overlapMs`. */
+/** A change of leader. The old one is killed, unless it goes on for `overlapMs`; nobody leads for `vacantMs` then. */
 export interface Change {
   readonly atMs: number
   readonly entry: number
   readonly overlapMs: number
+  readonly vacantMs?: number
+}
+
+/** A worker that is lost for good, and how its VM is listed from then on. */
+export interface Loss {
+  readonly atMs: number
+  readonly vm: string
+  readonly listedAs: Machine['listedAs']
 }
 
 /** A scenario; `seed` decides what it leaves open. */
@@ -52,6 +61,7 @@
   readonly seed: number
   readonly faults: readonly Fault[]
   readonly changes: readonly Change[]
+  readonly losses?: readonly Loss[]
 }
 
 interface Leader {
@@ -78,6 +88,8 @@
   private readonly submitted = new Set<string>()
   private readonly terms: Leader[] = []
   private gone = 0
+  /** The changes of leader until now, each of which begins after the one before. */
+  private elections: Promise<void> = Promise.resolve()
 
   constructor (seed: number, logger: Logger = silentLogger) {
     const random = seededRandom(seed)
@@ -90,11 +102,12 @@
   }
 
   /** Plays a scenario until `calmMs` after its last fault. */
-  async play ({ faults, changes }: Scenario, calmMs: number): Promise<void> {
+  async play ({ faults, changes, losses = [] }: Scenario, calmMs: number): Promise<void> {
     for (const [id, { atOnce }] of Object.entries(JOBS)) if (atOnce === true) this.submit(id)
     await this.elect({ atMs: 0, entry: 0, overlapMs: 0 })
     for (const fault of faults) this.at(fault.atMs, () => this.begin(fault))
-    for (const change of changes) this.at(change.atMs, () => this.process.deliver(() => { this.elect(change).catch(assert.ifError) }))
+    for (const { atMs, vm, listedAs } of losses) this.at(atMs, () => this.workers.crash(vm, { sameId: false, listedAs }))
+    for (const change of changes) this.at(change.atMs, () => this.process.deliver(() => { this.elections = this.elections.then(async () => await this.elect(change)).catch(assert.ifError) }))
     while (this.process.now() < this.calmAt + calmMs) await this.process.run(this.calmAt + calmMs)
   }
 
@@ -172,15 +185,19 @@
 
   /** Ends the term of the leader, and begins that of an entry once the store is up. */
   private async elect (change: Change): Promise<void> {
-    if (this.isActive('store-down')) return this.at(this.process.now() + 100, () => this.process.deliver(() => { this.elect(change).catch(assert.ifError) }))
+    while (this.isActive('store-down')) {
+      this.calmAt = Math.max(this.calmAt, this.process.now() + 100)
+      await this.wait(100)
+    }
     this.calmAt = Math.max(this.calmAt, this.process.now())
     const before = this.terms.at(-1)
     const store = this.storeClient(this.driver)
     const current = await store.get(LEADER_KEY)
     if (current.ok && current.value !== undefined) await store.update([{ key: LEADER_KEY, prior: current.value, value: undefined }])
+    if (before !== undefined) this.endTerm(before, change.overlapMs)
+    if (change.vacantMs !== undefined) await this.wait(change.vacantMs)
     const acquired = await store.update([{ key: LEADER_KEY, prior: undefined, value: {} }])
     assert.ok(acquired.ok)
-    if (before !== undefined) this.endTerm(before, change.overlapMs)
     this.startTerm(change.entry, acquired.value)
   }
 
--- a/testing/jobs/test/faulty-workers.ts
+++ b/testing/jobs/test/faulty-workers.ts
@@ -65,21 +65,26 @@
     return listed.map(({ vm, incarnation, listedAs }) => ({ id: vm, pool: 's', state: listedAs === 'down' ? 'down' : 'up', zone: 'z', rack: `r${Number(vm.slice(2)) % RACKS}`, labels: [], capacity: CAPACITY, worker: incarnation?.registration.id ?? '' }))
   }
 
-  /** Crashes the worker of a machine, if it has one. Without `backMs` it is lost for good. */
-  crash (vm: string, opts: { backMs?: number, sameId: boolean }): void {
+  /** Crashes the worker of a machine, if it has one. Without `backMs` it is lost for good. `listedAs` says how its VM is listed then. */
+  crash (vm: string, opts: { backMs?: number, sameId: boolean, listedAs?: Machine['listedAs'] }): void {
     const machine = this.machine(vm)
     const { incarnation } = machine
     if (incarnation === undefined) return
     incarnation.alive = false
     this.history.crash(incarnation)
     machine.incarnation = undefined
-    machine.listedAs = this.draw(3) === 0 ? 'up' : opts.backMs === undefined && this.draw(2) === 0 ? 'absent' : 'down'
+    machine.listedAs = opts.listedAs ?? this.drawListing(opts)
     machine.refusesConnections = this.draw(2) === 0
     if (machine.refusesConnections) for (const answer of [...incarnation.waitingPolls]) answer(true)
     this.deregisterLater(incarnation)
     if (opts.backMs !== undefined) this.process.outsideAfter(opts.backMs, () => this.boot(vm, opts.sameId ? incarnation.registration.id : undefined))
   }
 
+  private drawListing (opts: { backMs?: number }): Machine['listedAs'] {
+    if (this.draw(3) === 0) return 'up'
+    return opts.backMs === undefined && this.draw(2) === 0 ? 'absent' : 'down'
+  }
+
   /** Cuts a machine off, or ends that. */
   setDark (vm: string, dark: boolean): void {
     const machine = this.machine(vm)
