A call to a peer that times out no longer ends the other calls to it

Seen: a call that fails ends all calls in progress to the same peer, and those that wait (two tests of peers/protocol). Syncs that confirm a leader, load reports and permits are lost with whatever other call is slow. Cause: connections to a peer were one agent, destroyed at each failure so that no dead connection (a machine that lost power) is used again. Change: each connection is a client of its own and carries one call at a time. A failed one closes its own connection and the idle ones; on the others the calls in progress decide. A waiting call gets the place that becomes free. A complete response of any status keeps its connection.

The other new tests pass before and after: at most four connections, a connection with a time-out is closed, old connections to a machine that lost power cost one time-out, restart at the same address.

--- a/peers/protocol/src/client.ts
+++ b/peers/protocol/src/client.ts
@@ -1,8 +1,9 @@
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
 import type { AnyTRPCRouter } from '@trpc/server'
-import { Agent, request } from 'undici'
+import type { Client } from 'undici'
 import { err, ok, withTimeout, type Result } from '@wisteriaslip/core.result'
 import type { Metrics } from '@wisteriaslip/core.metrics'
+import { Connections } from './connections.ts'
 import type { PeerService } from './service.ts'
 
 const CALL_TIMEOUT_MS = 1_000
@@ -24,8 +25,9 @@
 }
 
 interface Peer {
-  readonly agent: Agent
+  readonly connections: Connections
   readonly trpc: TRPCClient<AnyTRPCRouter>
+  callsInProgress: number
 }
 
 interface FetchInit {
@@ -44,7 +46,8 @@
 type ServiceMethods<S> = { [K in keyof S]: AnyMethod }
 
 /**
- * Clients of all peers. A failed call closes all connections to that peer, and the next call opens new ones.
+ * Clients of all peers. A call without a response closes its connection and the idle ones to that peer, which may be dead as
+ * well, and the next call opens a new one. Other calls in progress go on.
  * @typeParam S - service that the peers provide
  */
 export class PeerClients<S extends ServiceMethods<S> = PeerService> {
@@ -66,59 +69,64 @@
   async call<M extends keyof S & string> (address: PeerAddress, method: M, input: Parameters<S[M]>[0], opts: { timeoutMs?: number, signal?: AbortSignal } = {}): Promise<Result<Awaited<ReturnType<S[M]>>, PeerError>> {
     const origin = `http://${address.host}:${address.port}`
     const peer = this.getPeer(origin)
+    peer.callsInProgress += 1
     this.opts.metrics.count('peer_calls_total', { method })
     try {
       const procedure = peer.trpc[method] as unknown as { mutate (input: Parameters<S[M]>[0], opts: { signal: AbortSignal }): Promise<Awaited<ReturnType<S[M]>>> }
       return ok(await withTimeout(opts.timeoutMs ?? CALL_TIMEOUT_MS, opts.signal, async signal => await procedure.mutate(input, { signal })))
     } catch (error) {
-      this.disconnect(origin)
+      this.removeIfUnused(origin, peer)
       this.opts.metrics.count('peer_failures_total', { method })
       return err({ kind: 'peer-unreachable', code: 'PEER_UNREACHABLE', message: (error as Error).message, refused: isRefused(error) })
+    } finally {
+      peer.callsInProgress -= 1
     }
   }
 
   /** Closes all connections. */
   async close (): Promise<void> {
-    const agents = [...this.peers.values()].map(peer => peer.agent)
+    const peers = [...this.peers.values()]
     this.peers.clear()
-    await Promise.all(agents.map(async agent => await agent.destroy()))
+    await Promise.all(peers.map(async peer => await peer.connections.close()))
   }
 
   private getPeer (origin: string): Peer {
     const existing = this.peers.get(origin)
     if (existing !== undefined) return existing
-    const agent = new Agent({ connections: MAX_CONNECTIONS_PER_PEER, pipelining: 1, keepAliveTimeout: 30_000 })
+    const connections = new Connections(origin, MAX_CONNECTIONS_PER_PEER)
     const trpc = createTRPCClient<AnyTRPCRouter>({
       links: [httpLink({
         url: origin,
         headers: this.opts.key === undefined ? {} : { authorization: `Bearer ${this.opts.key}` },
-        fetch: async (url, init) => await this.fetch(agent, url, init as FetchInit | undefined)
+        fetch: async (url, init) => {
+          const path = String(url).slice(origin.length)
+          return await connections.run(async connection => await post(connection, path, init as FetchInit | undefined))
+        }
       })]
     })
-    const peer = { agent, trpc }
+    const peer = { connections, trpc, callsInProgress: 0 }
     this.peers.set(origin, peer)
     return peer
   }
 
-  /** Implements the part of `fetch` that tRPC uses. The streams of the built-in one make it several times as expensive. */
-  private async fetch (agent: Agent, url: unknown, init: FetchInit | undefined): Promise<FetchResponse> {
-    const res = await request(String(url), {
-      method: 'POST',
-      body: init?.body ?? '',
-      headers: init?.headers ?? {},
-      dispatcher: agent,
-      ...(init?.signal === undefined || init.signal === null ? {} : { signal: init.signal })
-    })
-    const ok = res.statusCode < 300
-    return { ok, status: res.statusCode, json: async () => await res.body.json() }
+  /** Removes a peer without connections after its only call has failed: it may have ended for good. */
+  private removeIfUnused (origin: string, peer: Peer): void {
+    const isUnused = peer.callsInProgress === 1 && peer.connections.count() === 0
+    if (isUnused && this.peers.get(origin) === peer) this.peers.delete(origin)
   }
+}
 
-  private disconnect (origin: string): void {
-    const peer = this.peers.get(origin)
-    if (peer === undefined) return
-    this.peers.delete(origin)
-    peer.agent.destroy().catch(() => {})
-  }
+/** Implements the part of `fetch` that tRPC uses. The streams of the built-in one make it several times as expensive. */
+async function post (connection: Client, path: string, init: FetchInit | undefined): Promise<FetchResponse> {
+  const res = await connection.request({
+    method: 'POST',
+    path,
+    body: init?.body ?? '',
+    headers: init?.headers ?? {},
+    ...(init?.signal === undefined || init.signal === null ? {} : { signal: init.signal })
+  })
+  const text = await res.body.text()
+  return { ok: res.statusCode < 300, status: res.statusCode, json: async () => JSON.parse(text) as unknown }
 }
 
 /** Returns whether a connection was refused, as the cause of an error or of one of its causes. */
