A call to a peer ends at its timeout also while it waits or its connection is not accepted

Seen: a call behind four slow ones ends only when one of these does, and a call to a machine that does not answer connections only after 10 s, whatever its timeout (600 ms for a sync). A confirmation of a leader waits for the syncs with all members. Cause: undici looks at the signal of a call only once there is a connection for it. It then closes that connection, too. Change: the signal takes a waiting call out of the queue, and closes the connection of one that has one, in whatever state. What is not sent by then is never sent.

--- a/peers/protocol/src/client.ts
+++ b/peers/protocol/src/client.ts
@@ -33,7 +33,7 @@
 interface FetchInit {
   readonly body?: string
   readonly headers?: Record<string, string>
-  readonly signal?: AbortSignal | null
+  readonly signal: AbortSignal
 }
 
 interface FetchResponse {
@@ -100,7 +100,8 @@
         headers: this.opts.key === undefined ? {} : { authorization: `Bearer ${this.opts.key}` },
         fetch: async (url, init) => {
           const path = String(url).slice(origin.length)
-          return await connections.run(async connection => await post(connection, path, init as FetchInit | undefined))
+          const request = init as FetchInit
+          return await connections.run(request.signal, async connection => await post(connection, path, request))
         }
       })]
     })
@@ -117,14 +118,8 @@
 }
 
 /** Implements the part of `fetch` that tRPC uses. The streams of the built-in one make it several times as expensive. */
-async function post (connection: Client, path: string, init: FetchInit | undefined): Promise<FetchResponse> {
-  const res = await connection.request({
-    method: 'POST',
-    path,
-    body: init?.body ?? '',
-    headers: init?.headers ?? {},
-    ...(init?.signal === undefined || init.signal === null ? {} : { signal: init.signal })
-  })
+async function post (connection: Client, path: string, init: FetchInit): Promise<FetchResponse> {
+  const res = await connection.request({ method: 'POST', path, body: init.body ?? '', headers: init.headers ?? {} })
   const text = await res.body.text()
   return { ok: res.statusCode < 300, status: res.statusCode, json: async () => JSON.parse(text) as unknown }
 }
--- a/peers/protocol/src/connections.ts
+++ b/peers/protocol/src/connections.ts
@@ -1,4 +1,5 @@
 import { Client } from 'undici'
+import { onAbort } from '@wisteriaslip/core.result'
 
 const IDLE_CONNECTION_TIMEOUT_MS = 30_000
 
@@ -29,12 +30,15 @@
 
   /**
    * Runs an exchange on a connection of its own, which is opened on its first use.
+   * @param signal - ends the exchange at once, whatever the state of its connection; what is not sent by then is never sent
    * @param exchange - sends a request and reads the complete response
    * @returns the result of the exchange
-   * @throws the error of the exchange, or one when the connections are closed
+   * @throws the error of the exchange, or one when the signal aborts or the connections are closed
    */
-  async run<T> (exchange: (connection: Client) => Promise<T>): Promise<T> {
-    const connection = this.take() ?? await this.wait()
+  async run<T> (signal: AbortSignal, exchange: (connection: Client) => Promise<T>): Promise<T> {
+    signal.throwIfAborted()
+    const connection = this.take() ?? await this.wait(signal)
+    const removeListener = onAbort(signal, () => destroy(connection, signal))
     try {
       const result = await exchange(connection)
       this.release(connection)
@@ -42,6 +46,8 @@
     } catch (error) {
       this.discard(connection)
       throw error
+    } finally {
+      removeListener()
     }
   }
 
@@ -69,8 +75,20 @@
     return new Client(this.origin, { pipelining: 1, keepAliveTimeout: IDLE_CONNECTION_TIMEOUT_MS })
   }
 
-  private async wait (): Promise<Client> {
-    return await new Promise((resolve, reject) => { this.waiters.add({ resolve, reject }) })
+  private async wait (signal: AbortSignal): Promise<Client> {
+    let removeListener = (): void => {}
+    try {
+      return await new Promise((resolve, reject) => {
+        const waiter = { resolve, reject }
+        this.waiters.add(waiter)
+        removeListener = onAbort(signal, () => {
+          this.waiters.delete(waiter)
+          reject(toError(signal))
+        })
+      })
+    } finally {
+      removeListener()
+    }
   }
 
   private release (connection: Client): void {
@@ -81,7 +99,7 @@
 
   private discard (connection: Client): void {
     this.busy.delete(connection)
-    for (const dead of [connection, ...this.idle.splice(0)]) dead.destroy().catch(() => {})
+    for (const dead of [connection, ...this.idle.splice(0)]) destroy(dead)
     this.serveWaiter()
   }
 
@@ -93,3 +111,11 @@
     waiter.resolve(connection)
   }
 }
+
+function destroy (connection: Client, signal?: AbortSignal): void {
+  connection.destroy(signal === undefined ? null : toError(signal)).catch(() => {})
+}
+
+function toError (signal: AbortSignal): Error {
+  return signal.reason instanceof Error ? signal.reason : new Error('call aborted')
+}
--- a/peers/protocol/test/connections.test.ts
+++ b/peers/protocol/test/connections.test.ts
@@ -5,6 +5,7 @@
 import { test, type TestContext } from 'node:test'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { PeerClients, type PeerAddress } from '@wisteriaslip/peers.protocol'
+import { DeafListener } from '@wisteriaslip/testing.stand-ins'
 
 const SHORT_TIMEOUT_MS = 200
 /** Not reached unless a call hangs, even on a busy machine. */
@@ -28,10 +29,18 @@
   server.close()
 }
 
-function createCaller (t: TestContext): (address: PeerAddress, timeoutMs: number) => Promise<boolean> {
+function createCaller (t: TestContext): (address: PeerAddress, timeoutMs: number, signal?: AbortSignal) => Promise<boolean> {
   const peers = new PeerClients({ key: undefined, metrics: new Metrics() })
   t.after(async () => await peers.close())
-  return async (address, timeoutMs) => (await peers.call(address, 'loads', undefined, { timeoutMs })).ok
+  return async (address, timeoutMs, signal) => (await peers.call(address, 'loads', undefined, { timeoutMs, ...(signal === undefined ? {} : { signal }) })).ok
+}
+
+async function waitUntil (condition: () => boolean): Promise<void> {
+  const startedAt = performance.now()
+  while (!condition()) {
+    assert.ok(performance.now() - startedAt < LONG_TIMEOUT_MS, 'condition not met')
+    await new Promise(resolve => setTimeout(resolve, 10))
+  }
 }
 
 async function callTogether (calls: number, call: () => Promise<boolean>): Promise<boolean[]> {
@@ -69,7 +78,7 @@
   const allBegun = new Promise<void>(resolve => { begin = resolve })
   const call = createCaller(t)
   const warmUp = callTogether(4, async () => await call(address, LONG_TIMEOUT_MS))
-  while (sockets.size < 4) await new Promise(resolve => setTimeout(resolve, 10))
+  await waitUntil(() => sockets.size === 4)
   begin()
   assert.deepEqual(await warmUp, [true, true, true, true])
   for (const socket of sockets) dead.add(socket)
@@ -96,3 +105,52 @@
   await startPeer(t, () => true, address.port)
   assert.deepEqual(await callTogether(4, async () => await call(address, LONG_TIMEOUT_MS)), [true, true, true, true])
 })
+
+// Such a call failed only when the system gave up connecting, after 10 s, and held up whatever waited for all members.
+test('a call whose connection is not accepted fails at its timeout and is not sent later', async t => {
+  const peer = await DeafListener.start('{"result":{"data":[]}}')
+  t.after(async () => await peer.stop())
+  const call = createCaller(t)
+  const startedAt = performance.now()
+  assert.equal(await call(peer, SHORT_TIMEOUT_MS), false)
+  assert.ok(performance.now() - startedAt < 5_000)
+  peer.accept()
+  assert.equal(await call(peer, LONG_TIMEOUT_MS), true)
+  await waitUntil(() => peer.seen.closed === 2)
+  assert.equal(peer.seen.requests, 1)
+})
+
+test('a call that timed out while it waited is not sent later and costs no connection', async t => {
+  let respond = (): void => {}
+  const responded = new Promise<boolean>(resolve => { respond = () => resolve(true) })
+  let requests = 0
+  const { address, sockets } = await startPeer(t, async () => {
+    requests += 1
+    return await responded
+  })
+  const call = createCaller(t)
+  const slow = callTogether(4, async () => await call(address, LONG_TIMEOUT_MS))
+  assert.equal(await call(address, SHORT_TIMEOUT_MS), false)
+  respond()
+  assert.deepEqual(await slow, [true, true, true, true])
+  assert.deepEqual(await callTogether(4, async () => await call(address, LONG_TIMEOUT_MS)), [true, true, true, true])
+  assert.equal(requests, 8)
+  assert.equal(sockets.size, 4)
+})
+
+test('calls end when their signal aborts, in progress or waiting', async t => {
+  let requests = 0
+  const { address } = await startPeer(t, () => {
+    requests += 1
+    return false
+  })
+  const call = createCaller(t)
+  const controller = new AbortController()
+  const startedAt = performance.now()
+  const calls = callTogether(6, async () => await call(address, LONG_TIMEOUT_MS, controller.signal))
+  await waitUntil(() => requests === 4)
+  controller.abort()
+  assert.deepEqual(await calls, [false, false, false, false, false, false])
+  assert.ok(performance.now() - startedAt < LONG_TIMEOUT_MS / 2)
+  assert.equal(requests, 4)
+})
