Calls to etcd, workers over HTTP and the VM platform end with their signals also while their connections are not accepted

The platform's clients end at once (`JsonClient`). Cause: undici looks at the signal of a call only once there is a connection for it. Change: the wait for the response ends when the signal aborts. undici itself does not send the request later.

--- a/core/result/src/abort.ts
+++ b/core/result/src/abort.ts
@@ -55,3 +55,21 @@
     linked.release()
   }
 }
+
+/**
+ * Waits for an operation until a signal aborts. For operations that observe the signal late, such as a request of undici, which
+ * looks at it only once there is a connection.
+ * @param signal - ends the wait
+ * @param operation - the operation; its later outcome is ignored
+ * @returns the result of the operation
+ * @throws the error of the operation, or one when the signal aborts
+ */
+export async function untilAborted<T> (signal: AbortSignal, operation: Promise<T>): Promise<T> {
+  let removeListener = (): void => {}
+  const aborted = new Promise<never>((_resolve, reject) => { removeListener = onAbort(signal, () => reject(new Error('aborted', { cause: signal.reason }))) })
+  try {
+    return await Promise.race([operation, aborted])
+  } finally {
+    removeListener()
+  }
+}
--- a/fleet/vm-list/src/vm-platform.ts
+++ b/fleet/vm-list/src/vm-platform.ts
@@ -1,6 +1,6 @@
 import { request } from 'undici'
 import { z } from 'zod'
-import { err, ok, withTimeout, type Result } from '@wisteriaslip/core.result'
+import { err, ok, untilAborted, withTimeout, type Result } from '@wisteriaslip/core.result'
 
 const CALL_TIMEOUT_MS = 2_000
 
@@ -66,7 +66,7 @@
   }
 
   private async fetchList (signal: AbortSignal): Promise<Result<readonly ListedVm[], VmPlatformError>> {
-    const res = await request(`${this.url}/vms`, { signal })
+    const res = await untilAborted(signal, request(`${this.url}/vms`, { signal }))
     const body: unknown = await res.body.json()
     const parsed = vmListSchema.safeParse(body)
     if (res.statusCode !== 200 || !parsed.success) return err(unavailable(`unusable VM list (HTTP status ${res.statusCode})`))
@@ -74,12 +74,12 @@
   }
 
   private async postReboot (vm: string, requestId: string, signal: AbortSignal): Promise<Result<void, VmPlatformError>> {
-    const res = await request(`${this.url}/vms/${encodeURIComponent(vm)}/reboot`, {
+    const res = await untilAborted(signal, request(`${this.url}/vms/${encodeURIComponent(vm)}/reboot`, {
       method: 'POST',
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify({ requestId }),
       signal
-    })
+    }))
     await res.body.dump()
     return res.statusCode < 300 ? ok(undefined) : err(unavailable(`reboot request failed with HTTP status ${res.statusCode}`))
   }
--- a/jobs/http/src/worker-client.ts
+++ b/jobs/http/src/worker-client.ts
@@ -1,4 +1,4 @@
-import { err, ok, type Result } from '@wisteriaslip/core.result'
+import { err, ok, untilAborted, type Result } from '@wisteriaslip/core.result'
 import type { StartCommand, WorkerClient, WorkerError, WorkerReport, WorkerEndpoint } from '@wisteriaslip/jobs.model'
 import { Agent, request } from 'undici'
 import { clockSchema, refusalSchema, reportSchema, workerPaths } from './wire-format.ts'
@@ -45,13 +45,13 @@
 
   private async post (endpoint: WorkerEndpoint, path: string, body: object, signal: AbortSignal): Promise<Result<unknown, WorkerError>> {
     try {
-      const res = await request(`http://${endpoint.host}:${endpoint.port}${path}`, {
+      const res = await untilAborted(signal, request(`http://${endpoint.host}:${endpoint.port}${path}`, {
         method: 'POST',
         dispatcher: this.agent,
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify({ ...body, worker: endpoint.id, token: endpoint.token }),
         signal
-      })
+      }))
       const responseBody = await res.body.json()
       return res.statusCode === 200 ? ok(responseBody) : err(toError(res.statusCode, responseBody))
     } catch (error) {
--- a/store/etcd-gateway/src/driver.ts
+++ b/store/etcd-gateway/src/driver.ts
@@ -1,5 +1,5 @@
 import { Agent, request } from 'undici'
-import { err, ok, type Result } from '@wisteriaslip/core.result'
+import { err, ok, untilAborted, type Result } from '@wisteriaslip/core.result'
 import type { Driver, DriverError, DriverTxn, Guard, KeyRange, RangeOpts, WatchBatch } from '@wisteriaslip/store.client'
 import { fromBase64, toBase64, prefixRangeEnd, type EventJson, type KeyValueJson } from './wire-format.ts'
 import { readLines } from './read-lines.ts'
@@ -83,13 +83,13 @@
   async watch (prefix: string, fromRevision: number, onBatch: (batch: WatchBatch) => void, signal: AbortSignal): Promise<DriverError> {
     const create = { key: toBase64(prefix), range_end: prefixRangeEnd(prefix), start_revision: String(fromRevision), progress_notify: true }
     try {
-      const res = await request(`${this.endpoint()}/v3/watch`, {
+      const res = await untilAborted(signal, request(`${this.endpoint()}/v3/watch`, {
         method: 'POST',
         body: JSON.stringify({ create_request: create }),
         dispatcher: this.agent,
         signal,
         bodyTimeout: 0
-      })
+      }))
       for await (const line of readLines(res.body)) {
         const reply = JSON.parse(line) as GatewayReply
         if (reply.result?.compact_revision !== undefined) return { kind: 'refused', code: 'compacted', message: 'requested revision has been compacted' }
@@ -105,12 +105,9 @@
 
   private async post (path: string, body: unknown, signal: AbortSignal | undefined): Promise<Result<GatewayReply, DriverError>> {
     try {
-      const res = await request(`${this.endpoint()}${path}`, {
-        method: 'POST',
-        body: JSON.stringify(body),
-        dispatcher: this.agent,
-        ...(signal === undefined ? {} : { signal })
-      })
+      const opts = { method: 'POST' as const, body: JSON.stringify(body), dispatcher: this.agent }
+      const url = `${this.endpoint()}${path}`
+      const res = signal === undefined ? await request(url, opts) : await untilAborted(signal, request(url, { ...opts, signal }))
       const text = await res.body.text()
       if (text.length > MAX_REPLY_CHARS) return err({ kind: 'lost', message: 'reply is too large' })
       if (res.statusCode !== 200) return err(toDriverError(res.statusCode, text))
