Soak: several services, VMs that move, maintenance, drains, VMs lost for good, a silent VM platform

The soak had one service and workers that always came back, so that no fleet leader had anything to do: no moves, no waves, no withdrawn workers. It has three services and a standby pool now, a stand-in of the platform's interface for VMs, and planned work beside faults. Two checks of what waves ask for: their limit, and that they are reported as completed only when they are.

--- a/testing/soak/src/callers.ts
+++ b/testing/soak/src/callers.ts
@@ -2,6 +2,7 @@
 import { request } from 'undici'
 import { ports } from './addresses.ts'
 import type { EntryProcess } from './entry-process.ts'
+import type { RunLog } from './run-log.ts'
 import type { TaskPlan } from './worker.ts'
 
 const CALL_TIMEOUT_MS = 3_000
@@ -14,7 +15,12 @@
   readonly id: string
   readonly plan: TaskPlan
   readonly tasks: number
+  /** Service of its queue. */
+  readonly service: string
   accepted: boolean
+  /** Time of the run log. */
+  acceptedAt?: number
+  cancelSentAt?: number
   /** Every try was refused, so that the job must never run. */
   refused: boolean
   cancelled: boolean
@@ -25,25 +31,42 @@
 /** Mean time between two jobs, and kinds of jobs. */
 export interface Traffic {
   readonly everyMs: number
-  /** Chooses the next job; `tasks` of them run alike. */
-  readonly next: (random: () => number) => { plan: TaskPlan, tasks: number }
+  /** Chooses the next job. */
+  readonly next: (random: () => number) => JobSpec
 }
 
+/** A job of tasks that run alike. */
+export interface JobSpec {
+  readonly plan: TaskPlan
+  readonly tasks: number
+  /** How many of the tasks may be away for planned work; none by default. */
+  readonly mayMiss?: number
+  /** Service of its queue; by default one that is drawn. */
+  readonly service?: string
+}
+
+/** A queue that callers use. */
+export interface Queue { readonly service: string, readonly path: string }
+
+/** Host name of all queues. */
+export const QUEUE_HOST = 'jobs.example'
+
 /** Callers that submit jobs at any entry, try again as the protocol says, and query states. */
 export class Callers {
   readonly jobs: SubmittedJob[] = []
   private readonly entries: readonly EntryProcess[]
-  private readonly queue: { readonly host: string, readonly path: string }
+  private readonly queues: readonly Queue[]
+  private readonly log: RunLog
   private readonly random: () => number
 
   /**
-   * @param entries - entries to call
-   * @param queue - host name and path prefix of the queue
-   * @param random - decides about jobs and entries
+   * @param site - entries to call, queues, and the log whose clock counts
+   * @param random - decides about jobs, queues and entries
    */
-  constructor (entries: readonly EntryProcess[], queue: { host: string, path: string }, random: () => number) {
+  constructor ({ entries, queues, log }: { entries: readonly EntryProcess[], queues: readonly Queue[], log: RunLog }, random: () => number) {
     this.entries = entries
-    this.queue = queue
+    this.queues = queues
+    this.log = log
     this.random = random
   }
 
@@ -55,15 +78,16 @@
   }
 
   /** Submits one job, at other entries too until one tells what became of it. */
-  async submit ({ plan, tasks }: { plan: TaskPlan, tasks: number }): Promise<void> {
+  async submit ({ plan, tasks, mayMiss = 0, service = this.drawService() }: JobSpec): Promise<void> {
     const id = Array.from({ length: ID_DIGITS }, () => Math.floor(this.random() * 16).toString(16)).join('')
-    const job: SubmittedJob = { id, plan, tasks, accepted: false, refused: true, cancelled: false, state: undefined }
+    const job: SubmittedJob = { id, plan, tasks, service, accepted: false, refused: true, cancelled: false, state: undefined }
     this.jobs.push(job)
     const { cpu, memMb, runMs } = plan
-    const body = { spec: JSON.stringify(plan), steps: [{ count: tasks, cpu, memMb, estimateMs: runMs, ...(runMs === 0 ? { longRunning: true } : {}) }] }
+    const body = { spec: JSON.stringify(plan), steps: [{ count: tasks, cpu, memMb, estimateMs: runMs, ...(runMs === 0 ? { longRunning: true, mayMiss } : {}) }] }
     for (let tries = 0; tries < MAX_TRIES && !job.accepted; tries++) {
-      const status = (await this.call('POST', id, body))?.status
+      const status = (await this.call('POST', job, body))?.status
       job.accepted = status !== undefined && status < 300
+      if (job.accepted) job.acceptedAt = this.log.now()
       if (status === 429 || status === 503) {
         if (job.refused) return
       } else job.refused = false
@@ -73,25 +97,31 @@
 
   /** Queries the state of a job, and keeps it. */
   async query (job: SubmittedJob): Promise<void> {
-    const response = await this.call('GET', job.id)
+    const response = await this.call('GET', job)
     if (response?.status === 200) job.state = String(response.body.state)
     else if (response?.status === 410) job.state = 'none'
   }
 
   /** Cancels a job. */
   async cancel (job: SubmittedJob): Promise<void> {
+    job.cancelSentAt = this.log.now()
     for (let tries = 0; tries < MAX_TRIES && !job.cancelled; tries++) {
-      const status = (await this.call('DELETE', job.id))?.status ?? 504
+      const status = (await this.call('DELETE', job))?.status ?? 504
       job.cancelled = status < 300 || status === 410
     }
   }
 
-  private async call (method: 'GET' | 'POST' | 'DELETE', id: string, body?: unknown): Promise<{ status: number, body: Record<string, unknown> } | undefined> {
+  private drawService (): string {
+    return this.queues[Math.floor(this.random() * this.queues.length)]?.service ?? ''
+  }
+
+  private async call (method: 'GET' | 'POST' | 'DELETE', { id, service }: SubmittedJob, body?: unknown): Promise<{ status: number, body: Record<string, unknown> } | undefined> {
     const entry = this.entries[Math.floor(this.random() * this.entries.length)]
+    const path = this.queues.find(queue => queue.service === service)?.path ?? '/'
     try {
-      const response = await request(`http://${entry?.ip ?? ''}:${ports.callers}${this.queue.path}${id}`, {
+      const response = await request(`http://${entry?.ip ?? ''}:${ports.callers}${path}${id}`, {
         method,
-        headers: { host: this.queue.host, 'content-type': 'application/json', 'wisteriaslip-deadline-ms': String(CALL_TIMEOUT_MS) },
+        headers: { host: QUEUE_HOST, 'content-type': 'application/json', 'wisteriaslip-deadline-ms': String(CALL_TIMEOUT_MS) },
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
         ...(body === undefined ? {} : { body: JSON.stringify(body) })
       })
--- a/testing/soak/src/check.ts
+++ b/testing/soak/src/check.ts
@@ -3,7 +3,7 @@
 
 /** A promise that was broken, with the runs that show it. */
 export interface Violation {
-  readonly rule: 'twice at once' | 'twice after its end' | 'more attempts than allowed' | 'unasked' | 'refused' | 'lost'
+  readonly rule: 'twice at once' | 'twice after its end' | 'more attempts than allowed' | 'unasked' | 'refused' | 'lost' | 'too many in maintenance' | 'wave completed early'
   readonly task: string
   readonly runs: readonly RunRecord[]
   readonly details: string
--- a/testing/soak/src/entry-process.ts
+++ b/testing/soak/src/entry-process.ts
@@ -4,6 +4,7 @@
 import { startProcess, type StartedProcess } from '@wisteriaslip/testing.stand-ins'
 import { request } from 'undici'
 import { ports, type Addresses } from './addresses.ts'
+import { MAINTENANCE_MS } from './vm-platform.ts'
 
 const READY_TIMEOUT_MS = 500
 const EXIT_POLL_INTERVAL_MS = 50
@@ -50,7 +51,7 @@
       portRange: [ports.peers, ports.peers + 15],
       limits: { cpuShare: 1, cores: 1 },
       listen: { front: `${entry.ip}:${ports.callers}`, ready: `${entry.ip}:${ports.ready}` },
-      bounds: { graceS: 6, holdMaxMs: 6_000, stopTimeoutMs: 400, status_s: 120, maintenanceS: 2 },
+      bounds: { graceS: 6, holdMaxMs: 6_000, stopTimeoutMs: 400, status_s: 120, maintenanceS: MAINTENANCE_MS / 1_000 },
       platform: { address: `${addresses.ip(addresses.hosts.store, index)}:${ports.store}`, writesPerS: 400, readsPerS: 2_000 },
       cloudApi: { address: `${addresses.ip(addresses.hosts.vmList, index)}:${ports.store}` }
     }))
--- a/testing/soak/src/main.ts
+++ b/testing/soak/src/main.ts
@@ -53,7 +53,7 @@
   const replaced = { calmMs: 8_000, cutMs: 12_000, finishMs: 20_000 }
   if (values.scenario === 'replaced') return replacedUnnoticed(replaced)
   if (values.scenario === 'majority') return replacedUnnoticed({ ...replaced, companions: 1 })
-  return randomFaults(seed, Number(values.seconds) * 1_000)
+  return randomFaults(seed, { forMs: Number(values.seconds) * 1_000 })
 }
 
 function parseSeeds (text: string): number[] {
--- a/testing/soak/src/run-log.ts
+++ b/testing/soak/src/run-log.ts
@@ -1,5 +1,10 @@
-/** Outcomes of runs. */
-export type RunEnd = 'done' | 'failed' | 'stopped' | 'lapsed' | 'crashed'
+import { FaultRecord } from './fault-record.ts'
+
+/** Outcomes of runs; `left`: the worker left as planned, or its VM was moved or maintained. */
+export type RunEnd = 'done' | 'failed' | 'stopped' | 'lapsed' | 'crashed' | 'left'
+
+/** Size of a task, or room of a worker. */
+export interface Size { readonly cpu: number, readonly memMb: number }
 
 /** One run of a task as its worker saw it. All times are in milliseconds since the log began, by one steady clock. */
 export interface RunRecord {
@@ -23,9 +28,23 @@
   notedAfterLapse?: boolean
 }
 
-/** Everything that the workers of a site have run. */
+/** One incarnation of a worker, in milliseconds since the log began. */
+export interface WorkerLife {
+  readonly worker: string
+  readonly born: number
+  readonly service: string
+  readonly capacity: Size
+  readonly startedAt: number
+  /** When it announced that it would leave. */
+  drainingAt?: number
+  endedAt?: number
+}
+
+/** Everything that the workers of a site have run, and what disturbed it. */
 export class RunLog {
   readonly runs: RunRecord[] = []
+  readonly lives: WorkerLife[] = []
+  readonly faults = new FaultRecord(() => this.now())
   /** Unix time of the beginning in milliseconds; the logs of entries tell this time. */
   readonly beganAt = Date.now()
   private readonly began = performance.now()
--- a/testing/soak/src/scenario.ts
+++ b/testing/soak/src/scenario.ts
@@ -1,15 +1,17 @@
 import { delay } from '@wisteriaslip/core.result'
-import type { Traffic } from './callers.ts'
+import type { JobSpec, Traffic } from './callers.ts'
 import type { LinkFault } from './fault-proxy.ts'
 import type { SoakSite } from './site.ts'
+import type { Pool } from './worker-host.ts'
+import type { TaskPlan } from './worker.ts'
 
 /** A course of faults, with the site and the jobs that it is meant for. */
 export interface Scenario {
   readonly entries: number
-  readonly workers: number
+  readonly pools: readonly Pool[]
   readonly traffic: Traffic
   /** Long-running jobs, submitted at the start. */
-  readonly lastingJobs: number
+  readonly lastingJobs: readonly JobSpec[]
   /** Jobs must be completed within this time after the last fault, in milliseconds; undefined if that is not checked. */
   readonly finishMs: number | undefined
   /**
@@ -23,6 +25,9 @@
 /** Holds all bytes in both directions. */
 export const HOLD: LinkFault = { holdRequests: true, holdReplies: true }
 
+/** Lasts until it is stopped. */
+export const LASTING: TaskPlan = { cpu: 300, memMb: 100, runMs: 0, failShare: 0 }
+
 /** Outlasts the lease of an entry. */
 const LAPSE_MS = 4_000
 
@@ -51,13 +56,14 @@
 export function replacedUnnoticed ({ calmMs, cutMs, finishMs, companions = 0, othersLapsed = false }: ReplacedOpts): Scenario {
   return {
     entries: 3,
-    workers: 2,
+    pools: [{ name: 'work', vms: 2 }],
     traffic: longTasks,
-    lastingJobs: 1,
+    lastingJobs: [{ plan: LASTING, tasks: 2 }],
     finishMs,
     async run (site, signal) {
       await delay(calmMs, signal)
       const leader = site.leader() ?? 0
+      const recover = site.log.faults.begin('leader replaced')
       const peers = [...site.entries.keys()].filter(entry => entry !== leader)
       const cutOff = [leader, ...peers.slice(0, companions)]
       const others = peers.slice(companions)
@@ -72,6 +78,7 @@
       for (const end of lapses) end()
       await delay(cutMs, signal)
       for (const end of ends) end()
+      recover()
       await delay(1_000, signal)
     }
   }
--- a/testing/soak/src/site.ts
+++ b/testing/soak/src/site.ts
@@ -1,26 +1,27 @@
 import { mkdir } from 'node:fs/promises'
-import type { Server } from 'node:http'
 import { waitUntil } from '@wisteriaslip/testing.jobs'
 import { seededRandom } from '@wisteriaslip/testing.site'
 import { Addresses, ports } from './addresses.ts'
 import { EntryProcess } from './entry-process.ts'
 import { FaultProxy, type Replacement } from './fault-proxy.ts'
-import { closeServer, createJsonServer, listen } from './http.ts'
+import { QUEUE_HOST, type Queue } from './callers.ts'
+import { closeServer, listen } from './http.ts'
 import { PlatformStore } from './platform-store.ts'
 import { RunLog } from './run-log.ts'
 import { StoreServer } from './store-server.ts'
-import { WorkerHost } from './worker-host.ts'
+import { VmPlatform } from './vm-platform.ts'
+import { WorkerHost, type Pool } from './worker-host.ts'
 
-/** The only service, its queue and how callers reach it. */
-export const queue = { service: 'work', host: 'jobs.example', path: '/q/', attempts: 3 } as const
-const LEADER_KEY = `wisteriaslip/leaders/service/${queue.service}`
+/** How often a task is tried. */
+export const ATTEMPTS = 3
+const LEADER_KEY_PREFIX = 'wisteriaslip/leaders/'
 const MEMBER_KEY_PREFIX = 'wisteriaslip/members/'
 
 /** Options of {@link SoakSite.start}. */
 export interface SiteOpts {
   readonly seed: number
   readonly entries: number
-  readonly workers: number
+  readonly pools: readonly Pool[]
   /** Folder for settings and logs. */
   readonly folder: string
   /** Path of the built program; undefined to run the sources. */
@@ -35,25 +36,30 @@
   readonly hosts: WorkerHost[] = []
   readonly random: () => number
   readonly storeServer: StoreServer
+  readonly vmPlatform: VmPlatform
+  /** One queue for each service. */
+  readonly queues: readonly Queue[]
   private readonly addresses: Addresses
-  private readonly vmList: Server
+  private readonly pools: readonly Pool[]
   private readonly links = new Map<string, FaultProxy>()
 
-  private constructor (seed: number, addresses: Addresses) {
+  private constructor ({ seed, pools }: SiteOpts, addresses: Addresses) {
     this.random = seededRandom(seed)
     this.addresses = addresses
+    this.pools = pools
+    this.queues = pools.filter(pool => pool.standby !== true).map(({ name }) => ({ service: name, path: `/q-${name}/` }))
     this.storeServer = new StoreServer(this.store, addresses, this.random)
-    this.vmList = createJsonServer(({ method }) => method === 'GET' ? { status: 200, body: { machines: this.hosts.map(host => host.listed()) } } : { status: 400 })
+    this.vmPlatform = new VmPlatform(this.hosts, pools, this.store)
   }
 
   /**
-   * Starts a site and waits until its service has a leader.
+   * Starts a site and waits until all services and the fleet have leaders.
    * @param opts - size, seed and folder
    * @returns the site; close it with {@link SoakSite.close}
    * @throws when it does not start in time
    */
   static async start (opts: SiteOpts): Promise<SoakSite> {
-    const site = new SoakSite(opts.seed, await Addresses.take())
+    const site = new SoakSite(opts, await Addresses.take())
     try {
       await site.startAll(opts)
       return site
@@ -68,7 +74,7 @@
     await Promise.all(this.entries.map(async entry => await entry.kill()))
     for (const host of this.hosts) host.close()
     for (const link of this.links.values()) link.close()
-    for (const server of [this.storeServer.server, this.vmList]) closeServer(server)
+    for (const server of [this.storeServer.server, this.vmPlatform.server]) closeServer(server)
     this.store.close()
     this.addresses.release()
   }
@@ -78,7 +84,7 @@
     return this.link(entry, this.addresses.hosts.store)
   }
 
-  /** @returns the way from an entry to the list of VMs */
+  /** @returns the way from an entry to the platform's interface for VMs */
   toVmList (entry: number): FaultProxy {
     return this.link(entry, this.addresses.hosts.vmList)
   }
@@ -98,9 +104,17 @@
     return [...this.links].filter(([name]) => name.startsWith(`${entry}-`)).map(([, link]) => link)
   }
 
-  /** @returns index of the entry that leads the service by the store's records, undefined if there is none */
-  leader (): number | undefined {
-    const item = this.store.get(LEADER_KEY)
+  /** @returns what needs a leader */
+  resources (): string[] {
+    return ['fleet', ...this.queues.map(({ service }) => `service/${service}`)]
+  }
+
+  /**
+   * @param resource - a service or the fleet
+   * @returns index of the entry that leads it by the store's records, undefined if there is none
+   */
+  leader (resource = this.resources()[1]): number | undefined {
+    const item = this.store.get(LEADER_KEY_PREFIX + (resource ?? ''))
     if (item === undefined) return undefined
     const { value } = JSON.parse(item.value) as { value: { id: string } }
     const index = this.entries.findIndex(({ id }) => id === value.id)
@@ -119,24 +133,25 @@
     return link
   }
 
-  private async startAll ({ entries, workers, folder, binary }: SiteOpts): Promise<void> {
+  private async startAll ({ entries, pools, folder, binary }: SiteOpts): Promise<void> {
     const { addresses, store, log, random } = this
     const { hosts } = addresses
     await mkdir(folder, { recursive: true })
-    const route = { name: 'q', host: queue.host, prefix: queue.path, service: queue.service, timeoutMs: 5_000, sloMs: 2_000, priority: 0, attempts: queue.attempts, stretch: 2 }
-    const config = { version: 1, routes: [route], services: [{ name: queue.service, enforcesCapacity: true }], limits: {} }
+    const routes = this.queues.map(({ service, path }) => ({ name: `q-${service}`, host: QUEUE_HOST, prefix: path, service, timeoutMs: 5_000, sloMs: 2_000, priority: 0, attempts: ATTEMPTS, stretch: 2 }))
+    const services = this.pools.map(({ name, standby = false }) => ({ name, enforcesCapacity: true, standby }))
+    const config = { version: 1, routes, services, limits: {} }
     store.commit({ expected: [], puts: [{ key: 'op/config', value: JSON.stringify(config), lease: 0 }], removes: [] })
     await listen(this.storeServer.server, ports.store, addresses.ip(hosts.store))
-    await listen(this.vmList, ports.store, addresses.ip(hosts.vmList))
-    for (let index = 0; index < workers; index++) {
-      const host = new WorkerHost({ index, service: queue.service, zone: `zone-${index % entries}`, addresses, store, log, random })
+    await listen(this.vmPlatform.server, ports.store, addresses.ip(hosts.vmList))
+    for (const [index, pool] of pools.flatMap(pool => Array.from({ length: pool.vms }, () => pool)).entries()) {
+      const host = new WorkerHost({ index, pool, zone: `zone-${index % entries}`, addresses, store, log, random })
       this.hosts.push(host)
       await host.start({ sameId: true })
     }
     for (let index = 0; index < entries; index++) this.entries.push(await EntryProcess.create({ index, binary, folder, addresses }))
     for (let index = 0; index < entries; index++) await this.openLinks(index)
     for (const entry of this.entries) entry.start()
-    await waitUntil('the service has a leader', () => this.leader() !== undefined)
+    for (const resource of this.resources()) await waitUntil(`${resource} has a leader`, () => this.leader(resource) !== undefined)
     for (const entry of this.entries) await waitUntil(`${entry.id} is ready`, async () => await entry.isReady())
   }
 
--- a/testing/soak/src/worker.ts
+++ b/testing/soak/src/worker.ts
@@ -2,7 +2,7 @@
 import { delay, linkAbort } from '@wisteriaslip/core.result'
 import type { Addresses } from './addresses.ts'
 import { createJsonServer, type JsonCall, type JsonReply } from './http.ts'
-import type { RunEnd, RunLog, RunRecord } from './run-log.ts'
+import type { RunEnd, RunLog, RunRecord, Size, WorkerLife } from './run-log.ts'
 
 const LONGEST_LEASE_MS = 6_000
 const MAX_STOP_MS = 400
@@ -12,9 +12,7 @@
 const MAX_CLOCK_SLOWNESS = 0.02
 
 /** What a task does; callers send it as the job's `spec`. */
-export interface TaskPlan {
-  readonly cpu: number
-  readonly memMb: number
+export interface TaskPlan extends Size {
   /** Duration in milliseconds; 0 for a run that lasts until it is stopped. */
   readonly runMs: number
   /** Share of the runs that end as failed. */
@@ -27,7 +25,8 @@
 /** Options of {@link Worker}. */
 export interface WorkerOpts {
   readonly id: string
-  readonly capacity: { readonly cpu: number, readonly memMb: number }
+  readonly service: string
+  readonly capacity: Size
   readonly addresses: Addresses
   readonly log: RunLog
   readonly random: () => number
@@ -52,27 +51,39 @@
   private readonly blocked = new Map<string, number>()
   private ends: ListedEnd[] = []
   private ended = new AbortController()
+  private readonly life: WorkerLife
 
   /** @param opts - identity, capacity, and the log of runs */
   constructor (opts: WorkerOpts) {
     this.opts = opts
     this.id = opts.id
+    this.life = { worker: opts.id, born: this.born, service: opts.service, capacity: opts.capacity, startedAt: opts.log.now() }
+    opts.log.lives.push(this.life)
     this.clockRate = 1 - opts.random() * MAX_CLOCK_SLOWNESS
     this.server = createJsonServer(async call => await this.handle(call))
   }
 
-  /** Ends the incarnation: nothing runs there any more, and nobody learns how it ended. */
-  crash (): void {
+  /**
+   * Ends the incarnation: nothing runs there any more, and nobody learns how it ended.
+   * @param how - whether that was planned
+   */
+  terminate (how: 'crashed' | 'left'): void {
     this.up = false
+    this.life.endedAt ??= this.opts.log.now()
     clearTimeout(this.leaseTimer)
-    for (const run of this.active.values()) this.endRecord(run, 'crashed')
+    for (const run of this.active.values()) this.endRecord(run, how)
     this.active.clear()
     this.ended.abort()
   }
 
-  /** @returns the runs in progress */
-  running (): RunRecord[] {
-    return [...this.active.values()].map(({ record }) => record)
+  /** Notes that the worker has announced that it will leave. */
+  noteDraining (): void {
+    this.life.drainingAt ??= this.opts.log.now()
+  }
+
+  /** @returns whether it has announced that it will leave */
+  isDraining (): boolean {
+    return this.life.drainingAt !== undefined
   }
 
   private clockMs (): number {
@@ -201,7 +212,7 @@
 
   private hasRoom (plan: TaskPlan): boolean {
     const plans = [plan, ...[...this.active.values()].map(run => run.plan)]
-    const used = (field: 'cpu' | 'memMb'): number => plans.reduce((sum, each) => sum + each[field], 0)
+    const used = (field: keyof Size): number => plans.reduce((sum, each) => sum + each[field], 0)
     return used('cpu') <= this.opts.capacity.cpu && used('memMb') <= this.opts.capacity.memMb
   }
 
