Soak: check that tasks that last do not wait within a play

The check reckons with what workers ran and with the course of faults, never with logs: no run for 3 s, from 6 s after the last one, calm from 4 s before, room for two more runs on workers that are up.

--- a/testing/soak/src/play.ts
+++ b/testing/soak/src/play.ts
@@ -1,7 +1,9 @@
 import { delay } from '@wisteriaslip/core.result'
 import { seededRandom } from '@wisteriaslip/testing.site'
 import { Callers, type SubmittedJob } from './callers.ts'
+import { watchCalm } from './calm-watch.ts'
 import { checkRuns, type Violation } from './check.ts'
+import { checkWaits, countCalmMs } from './check-waits.ts'
 import { describePlay } from './report.ts'
 import type { RunRecord } from './run-log.ts'
 import type { Scenario } from './scenario.ts'
@@ -22,6 +24,8 @@
   readonly violations: readonly Violation[]
   /** Longest time in milliseconds for which the machine held up the rig or an entry after the faults. */
   readonly heldUpMs: number
+  /** For how many milliseconds it was calm. */
+  readonly calmMs: number
   /** Violations with times and log lines, for reading. */
   readonly report: string
 }
@@ -35,9 +39,11 @@
  */
 export async function play (scenario: Scenario, opts: { seed: number, folder: string, binary: string | undefined, signal: AbortSignal }): Promise<PlayResult> {
   const site = await SoakSite.start({ ...opts, entries: scenario.entries, pools: scenario.pools })
+  const closed = new AbortController()
   try {
     const callers = new Callers(site, seededRandom(opts.seed + 1))
     for (const job of scenario.lastingJobs) await callers.submit(job)
+    const watch = watchCalm(site, closed.signal)
     const ended = new AbortController()
     const traffic = callers.run(scenario.traffic, ended.signal)
     await scenario.run(site, opts.signal)
@@ -45,13 +51,18 @@
     await traffic
     const heldUpMs = scenario.finishMs === undefined ? 0 : await awaitCompletion(site, callers, scenario.finishMs, opts.signal)
     if (scenario.finishMs !== undefined) await awaitLasting(site, callers, opts.signal)
+    closed.abort()
+    await watch
     const { log, vmPlatform } = site
+    const seen = { ...log, jobs: callers.jobs, disturbances: log.faults.disturbances, until: log.now() }
     const violations = [
       ...checkRuns(log.runs, callers.jobs, { attempts: ATTEMPTS, checkCompletion: scenario.finishMs !== undefined && !opts.signal.aborted }),
+      ...checkWaits(seen),
       ...vmPlatform.check()
     ]
-    return { heldUpMs, jobs: callers.jobs, runs: log.runs, violations, report: await describePlay(site, violations) }
+    return { heldUpMs, calmMs: countCalmMs(seen), jobs: callers.jobs, runs: log.runs, violations, report: await describePlay(site, violations) }
   } finally {
+    closed.abort()
     await site.close()
   }
 }
