--- a/testing/soak/src/entry-process.ts
+++ b/testing/soak/src/entry-process.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from 'node:fs'
 import { writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { delay } from '@wisteriaslip/core.result'
@@ -7,6 +8,7 @@
 import { MAINTENANCE_MS } from './vm-platform.ts'
 
 const READY_TIMEOUT_MS = 500
+const NS_PER_MS = 1e6
 const EXIT_POLL_INTERVAL_MS = 50
 
 /** Processes of all sites; they must not outlive this one, however it ends. */
@@ -72,6 +74,16 @@
     return child !== undefined && child.exitCode === null && child.signalCode === null
   }
 
+  /** @returns for how many milliseconds the process was ready to run and waited for a processor, since its start */
+  waitedForProcessorMs (): number {
+    if (!this.isRunning()) return 0
+    try {
+      return Number(readFileSync(`/proc/${this.process?.child.pid ?? ''}/schedstat`, 'utf8').split(' ')[1]) / NS_PER_MS
+    } catch {
+      return 0
+    }
+  }
+
   /** @returns whether the process reports itself ready */
   async isReady (): Promise<boolean> {
     try {
