--- a/testing/soak/src/entry-process.ts
+++ b/testing/soak/src/entry-process.ts
@@ -1,11 +1,14 @@
+import { readFileSync } from 'node:fs'
 import { writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { delay } from '@wisteriaslip/core.result'
 import { startProcess, type StartedProcess } from '@wisteriaslip/testing.stand-ins'
 import { request } from 'undici'
 import { ports, type Addresses } from './addresses.ts'
+import { MAINTENANCE_MS } from './vm-platform.ts'
 
 const READY_TIMEOUT_MS = 500
+const NS_PER_MS = 1e6
 const EXIT_POLL_INTERVAL_MS = 50
 
 /** Processes of all sites; they must not outlive this one, however it ends. */
@@ -50,7 +53,7 @@
       portRange: [ports.peers, ports.peers + 15],
       limits: { cpuShare: 1, cores: 1 },
       listen: { front: `${entry.ip}:${ports.callers}`, ready: `${entry.ip}:${ports.ready}` },
-      bounds: { graceS: 6, holdMaxMs: 6_000, stopTimeoutMs: 400, status_s: 120, maintenanceS: 2 },
+      bounds: { graceS: 6, holdMaxMs: 6_000, stopTimeoutMs: 400, status_s: 120, maintenanceS: MAINTENANCE_MS / 1_000 },
       platform: { address: `${addresses.ip(addresses.hosts.store, index)}:${ports.store}`, writesPerS: 400, readsPerS: 2_000 },
       cloudApi: { address: `${addresses.ip(addresses.hosts.vmList, index)}:${ports.store}` }
     }))
@@ -71,6 +74,16 @@
     return child !== undefined && child.exitCode === null && child.signalCode === null
   }
 
+  /** @returns for how many milliseconds the process was ready to run and waited for a processor, since its start */
+  waitedForProcessorMs (): number {
+    if (!this.isRunning()) return 0
+    try {
+      return Number(readFileSync(`/proc/${this.process?.child.pid ?? ''}/schedstat`, 'utf8').split(' ')[1]) / NS_PER_MS
+    } catch {
+      return 0
+    }
+  }
+
   /** @returns whether the process reports itself ready */
   async isReady (): Promise<boolean> {
     try {
--- a/testing/soak/src/index.ts
+++ b/testing/soak/src/index.ts
@@ -5,7 +5,9 @@
  */
 export { play, type PlayResult } from './play.ts'
 export { checkRuns, type Violation } from './check.ts'
+export { checkWaits, type Seen } from './check-waits.ts'
 export { randomFaults } from './random-faults.ts'
 export { replacedUnnoticed, type ReplacedOpts, type Scenario } from './scenario.ts'
 export { Callers, type SubmittedJob } from './callers.ts'
-export type { RunRecord } from './run-log.ts'
+export type { Disturbance } from './fault-record.ts'
+export type { RunRecord, WorkerLife } from './run-log.ts'
