A leader in the middle of trouble does not release its service for balance

Cause: a leader releases up to eight resources each 5 s to members that lead fewer, whatever goes on there. The leader knows the leases that it has granted; the next one has to allow for those of all earlier leaders, 5.7 s from its start.

That the entry passes it on is read, not tested.

--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -123,7 +123,7 @@
     const self: Member = { id: opts.id, incarnation: randomUUID(), region: opts.region, zone: opts.zone, peerAddress: opts.peers, weight: opts.availableCores }
     this.members = new Members(self, mirror, this.keys)
     this.lease = new EntryLease(this.store, { ttlMs: opts.availableCores < MIN_CORES_FOR_SHORT_LEASE ? LONG_LEASE_TTL_MS : LEASE_TTL_MS, clock, logger: topicLogger(logger, 'lease'), signal: this.leaving.signal })
-    this.leadership = new Leadership({ store: this.store, mirror, members: this.members, lease: this.lease, keys: this.keys, clock, logger: topicLogger(logger, 'leadership') })
+    this.leadership = new Leadership({ store: this.store, mirror, members: this.members, lease: this.lease, keys: this.keys, clock, logger: topicLogger(logger, 'leadership'), mayRelease: resource => this.serviceTerms.get(resource)?.isSettled() !== false })
     this.election = new Election({ members: this.members, lease: this.lease, leadership: this.leadership, store: this.store, resources: () => this.resources(), onStep: () => this.reconcileTerms(), clock, logger })
     this.clients = new PeerClients<JobPeerService>({ key: opts.peerKey, metrics })
     this.records = new JobRecords(this.store, new JobKeys(opts.keyPrefix))
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -1,7 +1,7 @@
 import { allEnded, delay, linkAbort, Wakeup, withTimeout } from '@wisteriaslip/core.result'
 import type { Job, JobState, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { ExplainRequest, ServiceLoad } from '@wisteriaslip/jobs.protocol'
-import { explainJob, explainWorker, LostWorkerDetector, Scheduler, type PermitRequest, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
+import { explainJob, explainWorker, isSettled, LostWorkerDetector, Scheduler, type PermitRequest, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import type { ServiceRecords, TermRecord } from '@wisteriaslip/jobs.store'
 import { removeExpiredJobs } from './expired-jobs.ts'
 import { computeServiceLoad, withdrawWorkers } from './load.ts'
@@ -148,6 +148,11 @@
     return this.components === undefined ? undefined : computeServiceLoad(this.components.scheduler, this.opts.clock.now())
   }
 
+  /** @returns whether a change of leader would keep no task waiting: see {@link isSettled}; false while the records are not loaded */
+  isSettled (): boolean {
+    return this.components !== undefined && isSettled(this.components.scheduler)
+  }
+
   /**
    * @param request - a job, a worker or the pool of this service
    * @returns its status and what it waits for, undefined if this leader does not have it
--- a/peers/membership/src/leadership.ts
+++ b/peers/membership/src/leadership.ts
@@ -33,6 +33,8 @@
   readonly keys: StoreKeys
   readonly clock: Clock
   readonly logger: Logger
+  /** @returns whether a resource that this entry leads may go to another one now, to balance them; if absent, each may */
+  readonly mayRelease?: (resource: string) => boolean
 }
 
 /** Acquires and releases leadership of resources. Each leadership is a key under the entry's lease. */
@@ -190,8 +192,8 @@
     const self = this.opts.members.self.id
     const establishedCandidates = this.candidates(resources).filter(({ id }) => id === self || now - (this.memberFirstSeenAt.get(id) ?? now) >= MIN_MEMBER_AGE_MS)
     const surplus = Math.min(MAX_RELEASES_PER_REBALANCE, surplusLeaderships(self, establishedCandidates))
-    const ledResources = resources.filter(resource => this.token(resource) !== undefined)
-    for (const resource of ledResources.slice(0, surplus)) await this.release(resource)
+    const releasable = resources.filter(resource => this.token(resource) !== undefined && this.opts.mayRelease?.(resource) !== false)
+    for (const resource of releasable.slice(0, surplus)) await this.release(resource)
   }
 
   /** Another entry may have acquired the resource while earlier releases were written. */
--- a/peers/membership/test/leadership.test.ts
+++ b/peers/membership/test/leadership.test.ts
@@ -97,6 +97,24 @@
   assert.deepEqual(RESOURCES.slice(1).map(resource => leadership.leaderOf(resource)?.record.id), ['e2', 'e2', 'e2'])
 })
 
+// A leader of a service in trouble released it to balance the numbers of services: its successor had to find out anew which workers were lost.
+test('an entry releases no leadership that must not change now, and releases it later', async () => {
+  const { keys, mirror, clock, client, refresh } = await createEntries()
+  const kept = new Set(RESOURCES)
+  const lease = { validLeaseId: () => 'lease' } as unknown as EntryLease
+  const leadership = new Leadership({ store: client, mirror, members: new Members(member('e1'), mirror, keys), lease, keys, clock, logger: silentLogger, mayRelease: resource => !kept.has(resource) })
+  const vacantAfterStep = async (): Promise<string[]> => {
+    clock.advance(25_000)
+    await leadership.step(RESOURCES)
+    await refresh()
+    return RESOURCES.filter(resource => leadership.leaderOf(resource) === undefined)
+  }
+  await leadership.step(RESOURCES)
+  assert.deepEqual(await vacantAfterStep(), [])
+  kept.delete('pool/c')
+  assert.deepEqual(await vacantAfterStep(), ['pool/c'])
+})
+
 test('a leadership is given up only with its own token, and acquired anew with another one', async () => {
   const { keys, mirror, clock, client, lead, refresh } = await createEntries()
   const lease = { validLeaseId: () => 'lease' } as unknown as EntryLease
