A worker that is reserved for a long-running task takes others that fit there

Seen: by reading (states-that-hold-a-task.md, "reservations": none ends it), then by a test: a long-running task that fits on a worker waits, because that worker is reserved for a larger one that doesn't fit there yet. It waits for as long as other work runs there, without a bound, with room for it.

Cause: a reservation takes the worker from all later steps, so that small tasks don't fill what becomes free; long-running ones are among them. They are to run as soon as there is room, whatever else waits.

Now the reservation keeps out only work that ends by itself. A larger task may wait longer, and reserves another worker if it fits on this one no more. reservations.test.ts: the new test failed before; jobs/scheduler and jobs/service pass.

--- a/jobs/scheduler/src/task-placer.ts
+++ b/jobs/scheduler/src/task-placer.ts
@@ -54,7 +54,9 @@
     const runs: Run[] = []
     for (const step of this.stepOrder.order(steps, now)) {
       if (!freeCapacity.mayFit(step) && !step.spec.lasting) continue
-      runs.push(...step.spec.gang ? this.placeUnsuspectedGang(step, usable, now) : this.placeTasks(step, usable, now, maxRuns - runs.length))
+      // What is reserved for a long-running task is room to the others: none has to wait for the work that keeps it from there.
+      const open = step.spec.lasting ? workers : usable
+      runs.push(...step.spec.gang ? this.placeUnsuspectedGang(step, open, now) : this.placeTasks(step, open, now, maxRuns - runs.length))
       if (runs.length >= maxRuns) break
       if (mayStart(step)) freeCapacity.update()
       if (step.spec.lasting && step.tasks.some(task => isStartable(task, now) && !needsIsolation(task))) {
--- a/jobs/scheduler/test/reservations.test.ts
+++ b/jobs/scheduler/test/reservations.test.ts
@@ -67,6 +67,18 @@
   assert.deepEqual(harness.startReadyTasks(), [])
 })
 
+// A long-running task that fitted on a worker only which was kept for a larger one waited for as long as other work ran there.
+test('a worker that is reserved for a long-running task takes other long-running tasks that fit there, and no others', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1'))
+  harness.addJob({ id: OTHER_ID, steps: [step({ demand: { cpu: 1_000, memMb: 100, accelerators: 0 } })] })
+  assert.equal(harness.startReadyTasks().length, 1)
+  harness.addJob({ steps: [step({ lasting: true, demand: LASTING })] })
+  harness.addJob({ id: 'dddddddddddddddd', steps: [step({ demand: { cpu: 100, memMb: 100, accelerators: 0 } })] })
+  harness.addJob({ id: 'eeeeeeeeeeeeeeee', steps: [step({ lasting: true, demand: { cpu: 200, memMb: 100, accelerators: 0 } })] })
+  assert.deepEqual(harness.startReadyTasks().map(run => run.task.name), ['eeeeeeeeeeeeeeee.0.0.0'])
+})
+
 // A pool grew without end for tasks that none of its workers may take, and other pools had fewer VMs.
 for (const [name, isPolicy] of [['label', false], ['policy', true]] as const) {
   test(`tasks that no worker may take because of their ${name} count as the demand of one of them`, () => {
