Model: starts and stops that get lost while polls are answered

Two states without an end of their own (states-that-hold-a-task.md): a start without a response whose stops are never acknowledged, and a worker with orphaned runs whose stops get lost.

--- a/testing/jobs/test/faulty-workers.ts
+++ b/testing/jobs/test/faulty-workers.ts
@@ -34,6 +34,8 @@
   readonly history: RunHistory
   /** Of each hundred orders, this many get no response. */
   faultyOrdersPercent = 0
+  /** Commands of these kinds never arrive, while all others do. */
+  readonly lostCommands = new Set<'start' | 'stop'>()
   /** When the last of the late orders is carried out. */
   lastLateOrderAt = 0
   onRegistrations: () => void = () => {}
@@ -109,14 +111,20 @@
     if (incarnation !== undefined && task !== undefined) this.end(incarnation, task, 'failed')
   }
 
+  /** Lets a worker run a task of a job that is not stored. */
+  haunt (vm: string, task: string): void {
+    this.machine(vm).incarnation?.runs.set(task, { attempt: 1, startedAt: this.process.now(), cpu: 100 })
+  }
+
   /**
    * @param link - connection of an entry
    * @returns the client of that entry
    */
   client (link: Link): WorkerClient {
     return {
-      start: async (endpoint, command, signal) => await this.call(link, endpoint, signal, (worker, respond) => respond(this.start(worker, command))),
+      start: async (endpoint, command, signal) => await this.call(link, endpoint, signal, (worker, respond) => { if (!this.lostCommands.has('start')) respond(this.start(worker, command)) }),
       stop: async (endpoint, command, signal) => await this.call(link, endpoint, signal, (worker, respond) => {
+        if (this.lostCommands.has('stop')) return
         this.block(worker, command.task, command.attempt)
         if (worker.runs.get(command.task)?.attempt === command.attempt) this.process.outsideAfter(this.draw(200), () => this.end(worker, command.task, 'stopped', command.attempt))
         respond(ok(this.clockOf(worker)))
