Tests of unanswered connections wait for what the listener counted

Seen: "a store call whose connection is not accepted fails when its signal aborts, and is not sent later" failed once in a run of 122 tests beside load of 24 (803 ms, after the second call). Cause: the listener counts requests in a worker thread, whose message may come after the response: in 3 of 150 plays of the test's calls the count was 0 at once and 1 later, in none anything else. A process that is held up also saw none of its own connections answered after 100 ms (once, ten plays at a time). Change: the tests wait until both connections are closed and counted, the listener until one of its own is answered.

--- a/jobs/http/test/worker-client.test.ts
+++ b/jobs/http/test/worker-client.test.ts
@@ -15,5 +15,6 @@
   assert.ok(performance.now() - startedAt < 5_000)
   worker.accept()
   assert.equal((await client.stop(endpoint, { task: 't', attempt: 2 }, AbortSignal.timeout(20_000))).ok, true)
+  await worker.waitForClosed(2)
   assert.equal(worker.seen.requests, 1)
 })
--- a/peers/protocol/test/connections.test.ts
+++ b/peers/protocol/test/connections.test.ts
@@ -116,7 +116,7 @@
   assert.ok(performance.now() - startedAt < 5_000)
   peer.accept()
   assert.equal(await call(peer, LONG_TIMEOUT_MS), true)
-  await waitUntil(() => peer.seen.closed === 2)
+  await peer.waitForClosed(2)
   assert.equal(peer.seen.requests, 1)
 })
 
--- a/store/etcd-gateway/test/driver-signal.test.ts
+++ b/store/etcd-gateway/test/driver-signal.test.ts
@@ -13,5 +13,6 @@
   assert.ok(performance.now() - startedAt < 5_000)
   store.accept()
   assert.equal((await driver.grantLease(1_000, AbortSignal.timeout(20_000))).ok, true)
+  await store.waitForClosed(2)
   assert.equal(store.seen.requests, 1)
 })
--- a/testing/stand-ins/src/deaf-listener.ts
+++ b/testing/stand-ins/src/deaf-listener.ts
@@ -5,6 +5,8 @@
 /** More than the system accepts on behalf of a listener with the shortest backlog. */
 const FILLERS = 8
 const FILL_MS = 100
+const WAIT_TIMEOUT_MS = 20_000
+const CHECK_INTERVAL_MS = 10
 
 type Counts = Record<'accepted' | 'closed' | 'requests', number>
 
@@ -45,9 +47,11 @@
       })
     })
     const fillers = Array.from({ length: FILLERS }, () => connect(port, '127.0.0.1').on('error', () => {}))
+    const countFilled = (): number => fillers.filter(socket => !socket.connecting).length
+    await waitUntil(() => countFilled() > 0)
     await new Promise(resolve => setTimeout(resolve, FILL_MS))
-    const filled = fillers.filter(socket => !socket.connecting).length
-    assert.ok(filled > 0 && filled < FILLERS, `${filled} connections answered`)
+    const filled = countFilled()
+    assert.ok(filled < FILLERS, 'all connections are answered')
     seen.accepted -= filled
     seen.closed -= filled
     return new DeafListener({ port, worker, gate, seen, fillers })
@@ -60,9 +64,25 @@
     Atomics.notify(this.gate, 0)
   }
 
+  /**
+   * Waits until connections have been accepted and closed, and all that arrived on them has been counted.
+   * @param count - number of connections
+   */
+  async waitForClosed (count: number): Promise<void> {
+    await waitUntil(() => this.seen.closed >= count)
+  }
+
   /** Ends the listener and its connections. */
   async stop (): Promise<void> {
     for (const socket of this.fillers) socket.destroy()
     await this.worker.terminate()
   }
 }
+
+async function waitUntil (condition: () => boolean): Promise<void> {
+  const startedAt = performance.now()
+  while (!condition()) {
+    assert.ok(performance.now() - startedAt < WAIT_TIMEOUT_MS, 'condition not met')
+    await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL_MS))
+  }
+}
