--- a/testing/soak/src/entry-process.ts
+++ b/testing/soak/src/entry-process.ts
@@ -20,6 +20,7 @@
   readonly index: number
   readonly binary: string | undefined
   readonly folder: string
+  readonly longestLeaseMs: number
   readonly addresses: Addresses
 }
 
@@ -53,7 +54,7 @@
       portRange: [ports.peers, ports.peers + 15],
       limits: { cpuShare: 1, cores: 1 },
       listen: { front: `${entry.ip}:${ports.callers}`, ready: `${entry.ip}:${ports.ready}` },
-      bounds: { graceS: 6, holdMaxMs: 6_000, stopTimeoutMs: 400, status_s: 120, maintenanceS: MAINTENANCE_MS / 1_000 },
+      bounds: { graceS: 6, holdMaxMs: opts.longestLeaseMs, stopTimeoutMs: 400, status_s: 120, maintenanceS: MAINTENANCE_MS / 1_000 },
       platform: { address: `${addresses.ip(addresses.hosts.store, index)}:${ports.store}`, writesPerS: 400, readsPerS: 2_000 },
       cloudApi: { address: `${addresses.ip(addresses.hosts.vmList, index)}:${ports.store}` }
     }))
--- a/testing/soak/src/main.ts
+++ b/testing/soak/src/main.ts
@@ -5,7 +5,7 @@
 import { parseArgs } from 'node:util'
 import { play } from './play.ts'
 import { randomFaults } from './random-faults.ts'
-import { replacedUnnoticed, type Scenario } from './scenario.ts'
+import { goneWithLeaders, replacedUnnoticed, type Scenario } from './scenario.ts'
 
 const { values } = parseArgs({
   options: {
@@ -52,6 +52,7 @@
 function scenarioOf (seed: number): Scenario {
   const replaced = { calmMs: 8_000, cutMs: 12_000, finishMs: 20_000 }
   if (values.scenario === 'replaced') return replacedUnnoticed(replaced)
+  if (values.scenario === 'gone') return goneWithLeaders()
   if (values.scenario === 'majority') return replacedUnnoticed({ ...replaced, companions: 1 })
   return randomFaults(seed, { forMs: Number(values.seconds) * 1_000 })
 }
--- a/testing/soak/src/play.ts
+++ b/testing/soak/src/play.ts
@@ -10,6 +10,7 @@
 import { ATTEMPTS, SoakSite } from './site.ts'
 import type { TaskPlan } from './worker.ts'
 
+const LONGEST_LEASE_MS = 6_000
 const QUERY_INTERVAL_MS = 500
 /** A machine that is busy with other things holds up leases, too: such times are not counted. */
 const HELD_UP_MS = 250
@@ -40,7 +41,7 @@
  * @throws when the site does not start
  */
 export async function play (scenario: Scenario, opts: { seed: number, folder: string, binary: string | undefined, signal: AbortSignal }): Promise<PlayResult> {
-  const site = await SoakSite.start({ ...opts, entries: scenario.entries, pools: scenario.pools })
+  const site = await SoakSite.start({ ...opts, entries: scenario.entries, pools: scenario.pools, longestLeaseMs: scenario.longestLeaseMs ?? LONGEST_LEASE_MS })
   const closed = new AbortController()
   try {
     const callers = new Callers(site, seededRandom(opts.seed + 1))
--- a/testing/soak/src/random-faults.ts
+++ b/testing/soak/src/random-faults.ts
@@ -39,6 +39,7 @@
   return {
     entries: 3,
     pools: [...SERVICES.map(name => ({ name, vms: 2 + sizes.below(3) })), { name: 'reserve', vms: 1 + sizes.below(3), standby: true }],
+    longestLeaseMs: sizes.pick([6_000, 10_000]),
     traffic: mixedTasks(),
     lastingJobs: SERVICES.flatMap(service => [lastingJob(service, 3, 300), lastingJob(service, 2, 600 + sizes.below(1_200))]),
     finishMs: FINISH_MS,
--- a/testing/soak/src/scenario.ts
+++ b/testing/soak/src/scenario.ts
@@ -9,6 +9,8 @@
 export interface Scenario {
   readonly entries: number
   readonly pools: readonly Pool[]
+  /** Longest lease of a worker in milliseconds; 6 s by default. */
+  readonly longestLeaseMs?: number
   readonly traffic: Traffic
   /** Long-running jobs, submitted at the start. */
   readonly lastingJobs: readonly JobSpec[]
@@ -28,6 +30,39 @@
 /** Lasts until it is stopped. */
 export const LASTING: TaskPlan = { cpu: 300, memMb: 100, runMs: 0, failShare: 0 }
 
+/**
+ * VMs with tasks that last are removed for good, and the leader of their service is killed, and so is its successor before it
+ * knows what runs; then it is calm.
+ * @returns the scenario
+ */
+export function goneWithLeaders (): Scenario {
+  return {
+    entries: 3,
+    pools: [{ name: 'work', vms: 7 }, { name: 'index', vms: 2 }, { name: 'report', vms: 2 }],
+    longestLeaseMs: 10_000,
+    traffic: longTasks,
+    lastingJobs: [{ service: 'work', plan: LASTING, tasks: 8, mayMiss: 1 }],
+    finishMs: 20_000,
+    async run (site, signal) {
+      await delay(5_000, signal)
+      for (const host of site.hosts.slice(0, 2)) host.remove()
+      await killLeader(site, signal)
+      await killLeader(site, signal)
+      await delay(20_000, signal)
+    }
+  }
+}
+
+/** Kills the leader, and waits until it has had a successor for some seconds. */
+async function killLeader (site: SoakSite, signal: AbortSignal): Promise<void> {
+  const leader = site.leader()
+  const recover = site.log.faults.begin('killEntry')
+  await site.entries[leader ?? 0]?.restart(0, 100, signal)
+  recover()
+  while ((site.leader() ?? leader) === leader && !signal.aborted) await delay(100, signal)
+  await delay(4_000, signal)
+}
+
 /** Outlasts the lease of an entry. */
 const LAPSE_MS = 4_000
 
--- a/testing/soak/src/site.ts
+++ b/testing/soak/src/site.ts
@@ -22,6 +22,8 @@
   readonly seed: number
   readonly entries: number
   readonly pools: readonly Pool[]
+  /** Longest lease of a worker, in milliseconds. */
+  readonly longestLeaseMs: number
   /** Folder for settings and logs. */
   readonly folder: string
   /** Path of the built program; undefined to run the sources. */
@@ -133,7 +135,7 @@
     return link
   }
 
-  private async startAll ({ entries, pools, folder, binary }: SiteOpts): Promise<void> {
+  private async startAll ({ entries, pools, longestLeaseMs, folder, binary }: SiteOpts): Promise<void> {
     const { addresses, store, log, random } = this
     const { hosts } = addresses
     await mkdir(folder, { recursive: true })
@@ -144,11 +146,11 @@
     await listen(this.storeServer.server, ports.store, addresses.ip(hosts.store))
     await listen(this.vmPlatform.server, ports.store, addresses.ip(hosts.vmList))
     for (const [index, pool] of pools.flatMap(pool => Array.from({ length: pool.vms }, () => pool)).entries()) {
-      const host = new WorkerHost({ index, pool, zone: `zone-${index % entries}`, addresses, store, log, random })
+      const host = new WorkerHost({ index, pool, zone: `zone-${index % entries}`, longestLeaseMs, addresses, store, log, random })
       this.hosts.push(host)
       await host.start({ sameId: true })
     }
-    for (let index = 0; index < entries; index++) this.entries.push(await EntryProcess.create({ index, binary, folder, addresses }))
+    for (let index = 0; index < entries; index++) this.entries.push(await EntryProcess.create({ index, binary, folder, longestLeaseMs, addresses }))
     for (let index = 0; index < entries; index++) await this.openLinks(index)
     for (const entry of this.entries) entry.start()
     for (const resource of this.resources()) await waitUntil(`${resource} has a leader`, () => this.leader(resource) !== undefined)
--- a/testing/soak/src/worker-host.ts
+++ b/testing/soak/src/worker-host.ts
@@ -26,6 +26,7 @@
   readonly index: number
   readonly pool: Pool
   readonly zone: string
+  readonly longestLeaseMs: number
   readonly addresses: Addresses
   readonly store: PlatformStore
   readonly log: RunLog
@@ -93,11 +94,11 @@
    * @param opts - whether it has the id of the one before
    */
   async start (opts: { sameId: boolean }): Promise<void> {
-    const { index, addresses, log, random } = this.opts
+    const { index, longestLeaseMs, addresses, log, random } = this.opts
     if (this.gone) return
     if (this.pool.standby !== true) {
       if (!opts.sameId || this.incarnations === 0) this.incarnations += 1
-      const worker = new Worker({ id: `w-${index}-${this.incarnations}`, service: this.pool.name, capacity: CAPACITY, addresses, log, random })
+      const worker = new Worker({ id: `w-${index}-${this.incarnations}`, service: this.pool.name, capacity: CAPACITY, longestLeaseMs, addresses, log, random })
       await listen(worker.server, ports.worker, addresses.ip(addresses.hosts.worker(index)))
       this.worker = worker
     }
--- a/testing/soak/src/worker.ts
+++ b/testing/soak/src/worker.ts
@@ -4,7 +4,6 @@
 import { createJsonServer, type JsonCall, type JsonReply } from './http.ts'
 import type { RunEnd, RunLog, RunRecord, Size, WorkerLife } from './run-log.ts'
 
-const LONGEST_LEASE_MS = 6_000
 const MAX_STOP_MS = 400
 const MAX_WAIT_MS = 2_000
 const MAX_LISTED_ENDS = 500
@@ -27,6 +26,7 @@
   readonly id: string
   readonly service: string
   readonly capacity: Size
+  readonly longestLeaseMs: number
   readonly addresses: Addresses
   readonly log: RunLog
   readonly random: () => number
@@ -160,7 +160,7 @@
 
   private extendLease (deadlineMs: unknown): void {
     if (typeof deadlineMs !== 'number') return
-    const until = Math.min(deadlineMs, this.clockMs() + LONGEST_LEASE_MS)
+    const until = Math.min(deadlineMs, this.clockMs() + this.opts.longestLeaseMs)
     if (until <= this.leaseUntilMs) return
     this.noteLapse()
     this.leaseUntilMs = until
