--- a/jobs/service/test/withdraw-flaps.test.ts
+++ b/jobs/service/test/withdraw-flaps.test.ts
@@ -25,7 +25,10 @@
       stops += over.length
       harness.report(id, {
         running: runs.map(run => running(run.task.name, run.attempt, harness.now - run.startedAt >= 500 ? 100 : 50)),
-        ended: over.map(run => ended(seq += 1, run.task.name, run.attempt, 'stopped'))
+        ended: over.map(run => {
+          seq += 1
+          return ended(seq, run.task.name, run.attempt, 'stopped')
+        })
       })
     }
     harness.persist()
