Model: peers confirm no leader that has not heard from them since it was cut off

Cause: the model. A leader is cut off and replaced, and reaches its peers again while the store is down. For up to 0.4 s its mirror doesn't show its successor, and the model took it for confirmed by its peers meanwhile. Real peers confirm by a sync, which names the successor (PeerSync.allSyncedAt, LeadershipConfirmation). Now they confirm nothing before the model has let it know who leads.

--- a/testing/jobs/test/contested-service.ts
+++ b/testing/jobs/test/contested-service.ts
@@ -191,6 +191,7 @@
 
   private isolate (entry: ModelEntry): void {
     entry.isolated = true
+    entry.outdated = true
     entry.loseStore()
   }
 
@@ -203,7 +204,9 @@
   /** Lets an entry learn who leads, unless it is out of reach then. */
   private mirror (entry: ModelEntry): void {
     this.process.outsideAfter(20 + this.draw(400), () => this.process.deliver(() => {
-      if (!entry.isolated) entry.mirror(this.leader?.entry === entry ? this.leader.token : undefined)
+      if (entry.isolated) return
+      entry.outdated = false
+      entry.mirror(this.leader?.entry === entry ? this.leader.token : undefined)
     }))
   }
 
--- a/testing/jobs/test/model-entry.ts
+++ b/testing/jobs/test/model-entry.ts
@@ -43,6 +43,8 @@
   readonly ports: ThrowingPorts
   /** Cut from the store, from its peers and from the list of VMs. */
   isolated = false
+  /** It was cut off, and has not heard from its peers since who leads: they confirm nothing before. */
+  outdated = false
   /** How it is cut from machines, by VM. */
   readonly cuts = new Map<string, Cut>()
   /** The service's workers as last published to it. */
@@ -96,7 +98,7 @@
    */
   confirmedAt (token: number): number {
     if (this.leaseOf.get(token) !== this.known.number) return Number.NEGATIVE_INFINITY
-    return this.isolated || this.around.isStoreUp() ? this.known.confirmedAt : this.around.process.now()
+    return this.isolated || this.outdated || this.around.isStoreUp() ? this.known.confirmedAt : this.around.process.now()
   }
 
   /** Notes that it has become the leader with its present lease. */
