A VM that was never listed proves its worker's end only once that is not registered any more

A worker that had just joined and was not reached yet was taken for ended, as no list showed its VM, and was not used for the rest of the term. A VM that was lost before the term is in no list either, but its worker's registration has lapsed. The tests of lost VMs let the registration lapse first; one more shows that a registered worker is not concluded upon.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -122,7 +122,7 @@
       const vmId = worker.registration.vm
       const vm = byId.get(vmId)
       suspect.confirmations = provesLoss(proof, vm, worker) ? suspect.confirmations + 1 : 0
-      const isExpected = this.listedVms.has(vmId) || (proof === 'ended' && vmId !== '' && showsOthers)
+      const isExpected = this.listedVms.has(vmId) || (proof === 'ended' && worker.deregistered && vmId !== '' && showsOthers)
       const isAbsent = coverage.complete && !shown.has(vmId) && isExpected
       const isVacant = isAbsent || (coverage.complete && vm !== undefined && vm.worker === '')
       suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt : undefined
@@ -147,7 +147,8 @@
 
   /**
    * Returns whether a list shows a worker of the service that responds on the VM that it names: then it would show the VMs of
-   * the others, too. A VM that was lost before this term is in none of its lists.
+   * the others, too. A VM that was lost before this term is in none of its lists, and its worker is no longer registered; one that has
+   * just joined may not be listed yet.
    */
   private showsRespondingWorkers (byId: ReadonlyMap<string, Vm>): boolean {
     return [...this.scheduler.workers.values()].some(({ registration, fenced, reachable, ended }) => fenced && reachable && !ended && byId.get(registration.vm)?.worker === registration.id)
--- a/jobs/scheduler/test/lost-before-term.test.ts
+++ b/jobs/scheduler/test/lost-before-term.test.ts
@@ -9,15 +9,20 @@
 /** Lists that are requested within the time for which a VM must be missing. */
 const LISTS_BEFORE_PROOF = 5
 
-/** A leader that has taken over, and has had a response of the worker `w2` alone. */
-function takeOver (registrations: readonly WorkerRegistration[] = [worker('w1'), worker('w2')]) {
+/** A leader that has taken over, and has had a response of the worker `w2` alone; by default the others are not registered any more. */
+function takeOver (registrations: readonly WorkerRegistration[] = [worker('w1'), worker('w2')], opts: { registered?: boolean } = {}) {
   const harness = new SchedulerHarness({ term: 1 })
   harness.addJob({}, { acceptedThisTerm: false })
   harness.scheduler.setWorkers(registrations, { unknownRunsUntil: harness.now + 6_000 })
   harness.report('w2')
+  if (opts.registered !== true) deregisterAllBut(harness, 'w2')
   return { harness, detector: new LostWorkerDetector(harness.scheduler, { now: () => harness.now }) }
 }
 
+function deregisterAllBut (harness: SchedulerHarness, id: string): void {
+  harness.scheduler.setWorkers([worker(id)], { unknownRunsUntil: harness.now + 6_000 })
+}
+
 function vm (id: string, workerId: string): Vm {
   return { id, pool: 's', state: 'up', zone: 'z', rack: 'r1', labels: [], capacity: { cpu: 4_000, memMb: 8_000, accelerators: 0 }, worker: workerId }
 }
@@ -45,13 +50,14 @@
 
 // Starts without a response on a worker that proved to be gone were kept for twice the longest lease, as its VM had never been listed.
 test('unanswered starts on a worker that is gone are released although its VM was never listed', () => {
-  const leader = takeOver()
+  const leader = takeOver(undefined, { registered: true })
   const { harness, detector } = leader
   const others = { vms: [vm('vm-w2', 'w2')] }
   harness.report('w1')
   harness.worker('w2').cooldownUntil = Infinity
   const run = harness.startWithoutResponse()
   harness.worker('w1').markUnreachable(harness.now)
+  deregisterAllBut(harness, 'w2')
   detector.needsVmList()
   harness.now += LIST_INTERVAL_MS
   detector.applyVmList(others.vms, harness.now)
@@ -75,6 +81,11 @@
   })
 }
 
+test('a VM that was never listed may run a worker that is registered', () => {
+  const leader = takeOver(undefined, { registered: true })
+  assert.equal(applyLists(leader, 2 * LISTS_BEFORE_PROOF, { vms: [vm('vm-w2', 'w2')] }), 0)
+})
+
 test('a VM that was never listed may run a worker if the lists show only workers that are as silent', () => {
   const leader = takeOver([worker('w1'), worker('w2'), worker('w3')])
   assert.equal(applyLists(leader, 2 * LISTS_BEFORE_PROOF, { vms: [vm('vm-w3', 'w3')] }), 0)
