Long-running tasks are not moved to room that the policy of their queue does not allow

A task on a worker that is drained was stopped for room on a worker that may not take it: it had no run, or, since drains give way, started again where it was, five times in 20 s.

--- a/jobs/scheduler/src/move-tasks.ts
+++ b/jobs/scheduler/src/move-tasks.ts
@@ -13,6 +13,8 @@
   readonly ready: Iterable<TrackedStep>
   /** Runs that are being stopped. */
   readonly stopping: Iterable<Run>
+  /** @returns whether the policy of the step's queue allows the worker */
+  mayTake (step: TrackedStep, worker: TrackedWorker): boolean
   stop (run: Run, reason: string): void
 }
 
@@ -29,18 +31,18 @@
     if (!step.spec.lasting || run.stopReason !== undefined || run.phase !== 'running') continue
     if (countUnavailableTasks(step) >= step.spec.mayMiss) continue
     room ??= unclaimedRoom(opts)
-    if (room.promise(step)) opts.stop(run, STOP_REASON)
+    if (room.promise(step, other => opts.mayTake(step, other))) opts.stop(run, STOP_REASON)
   }
 }
 
 /** Returns the room on the other workers that no long-running task needs which waits, or is being stopped to move there. */
-function unclaimedRoom ({ others, ready, stopping }: MoveOpts): Room {
+function unclaimedRoom ({ others, ready, stopping, mayTake }: MoveOpts): Room {
   const room = new Room(others)
   for (const step of ready) {
-    for (let claimed = 0; step.spec.lasting && claimed < step.waiting && room.promise(step);) claimed += 1
+    for (let claimed = 0; step.spec.lasting && claimed < step.waiting && room.promise(step, worker => mayTake(step, worker));) claimed += 1
   }
   for (const run of stopping) {
-    if (run.stopReason === STOP_REASON && run.task.step.spec.lasting) room.promise(run.task.step)
+    if (run.stopReason === STOP_REASON && run.task.step.spec.lasting) room.promise(run.task.step, worker => mayTake(run.task.step, worker))
   }
   return room
 }
--- a/jobs/scheduler/src/room.ts
+++ b/jobs/scheduler/src/room.ts
@@ -21,16 +21,27 @@
   /**
    * Promises room to one more task of a step.
    * @param step - the step
+   * @param mayTake - whether the policy of the step's queue allows a worker; by default it allows all
    * @returns whether there is room for it beside all that has been promised
    */
-  promise (step: TrackedStep): boolean {
-    const worker = this.workers.find(each => canPlace(step, each) && this.hasRoomLeft(step, each))
-    if (worker === undefined) return false
+  promise (step: TrackedStep, mayTake?: (worker: TrackedWorker) => boolean): boolean {
+    return this.take(step, mayTake) !== undefined
+  }
+
+  /**
+   * Promises room to one more task of a step.
+   * @param step - the step
+   * @param mayTake - whether the policy of the step's queue allows a worker; by default it allows all
+   * @returns the worker with the room, undefined if there is none beside all that has been promised
+   */
+  take (step: TrackedStep, mayTake: (worker: TrackedWorker) => boolean = () => true): TrackedWorker | undefined {
+    const worker = this.workers.find(each => mayTake(each) && canPlace(step, each) && this.hasRoomLeft(step, each))
+    if (worker === undefined) return undefined
     const promised = this.promised.get(worker) ?? { demands: [], steps: new Map<TrackedStep, number>() }
     promised.demands.push(step.spec.demand)
     promised.steps.set(step, (promised.steps.get(step) ?? 0) + 1)
     this.promised.set(worker, promised)
-    return true
+    return worker
   }
 
   private hasRoomLeft (step: TrackedStep, worker: TrackedWorker): boolean {
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -355,7 +355,7 @@
   stopLongRunningTasks (worker: TrackedWorker): void {
     const now = this.opts.clock.now()
     const others = [...this.workers.values()].filter(other => other !== worker && other.takesStarts(now))
-    moveLongRunningTasks(worker, { others, ready: this.table.ready, stopping: this.runsToStop, stop: (run, reason) => this.requestStop(run, reason) })
+    moveLongRunningTasks(worker, { others, ready: this.table.ready, stopping: this.runsToStop, mayTake: (step, other) => this.placer.permittedWorkers(step, [other], now).length > 0, stop: (run, reason) => this.requestStop(run, reason) })
   }
 
   /** @returns the runs that were lost with their workers since the previous call */
