Claims on withdrawn workers: at once, for permitted workers and whole gangs only, and for no longer than tasks wait

A worker is claimed as soon as no other one can take the task; it is started there after 1 s, as before. A VM that was called drained may go down for 4 s (was 2.5 s): the call of the fleet's leader may take twice its 1.5 s in a process that is held up.

--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -293,13 +293,13 @@
     const now = this.opts.clock.now()
     if (maxRuns <= 0) return []
     const steps = [...this.table.ready].filter(mayStart)
-    if (steps.length === 0) return []
+    if (steps.length === 0) return this.withdrawnRoom.place({ ready: [], placeable: [] }, [], { now, maxRuns })
     const workers = [...this.workers.values()].filter(worker => worker.takesStarts(now) && worker.hasClock())
     this.isolation.noteWaits(steps, now)
     const placeable = this.mayHaveUnknownRuns() ? steps.filter(step => step.job.acceptedThisTerm) : steps
     const { runs: isolatedRuns, openWorkers } = this.isolation.place(placeable, workers, { now, maxRuns })
     const runs = [...isolatedRuns, ...this.placer.place(placeable, openWorkers, { now, maxRuns: maxRuns - isolatedRuns.length })]
-    return [...runs, ...this.withdrawnRoom.place({ ready: steps, placeable }, this.workers.values(), { now, maxRuns: maxRuns - runs.length })]
+    return [...runs, ...this.withdrawnRoom.place({ ready: steps, placeable }, [...this.workers.values()], { now, maxRuns: maxRuns - runs.length })]
   }
 
   /** @returns workers that must be polled at once, before a suspected task is started there */
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -201,7 +201,12 @@
    * @returns whether starts may be sent to the worker unless it is withdrawn
    */
   isReadyForStarts (now: number): boolean {
-    return this.fenced && this.reachable && !this.hasUntrackedRuns && !this.ended && !this.deregistered && !this.registration.draining && now >= this.cooldownUntil
+    return this.isUsable() && now >= this.cooldownUntil
+  }
+
+  /** @returns whether starts may be sent to the worker unless it is withdrawn or in cooldown */
+  isUsable (): boolean {
+    return this.fenced && this.reachable && !this.hasUntrackedRuns && !this.ended && !this.deregistered && !this.registration.draining
   }
 
   /**
--- a/jobs/scheduler/src/withdrawn-room.ts
+++ b/jobs/scheduler/src/withdrawn-room.ts
@@ -1,5 +1,6 @@
 import type { Isolation } from './isolation.ts'
 import { canPlace } from './placement.ts'
+import { Room } from './room.ts'
 import type { Run } from './run.ts'
 import type { PlacementOpts, TaskPlacer } from './task-placer.ts'
 import { isStartable, type Task, type TrackedStep } from './tracked-job.ts'
@@ -7,8 +8,11 @@
 
 /** How long a long-running task waits for room on other workers: it mostly comes sooner, and a start here delays a drain. */
 const MAX_WAIT_MS = 1_000
-/** The fleet's leader asks for the maintenance or move of a VM within this time after it was told that nothing runs there. */
-const MAY_GO_DOWN_MS = 2_500
+/**
+ * The fleet's leader asks for the maintenance or move of a VM within 1 s after it was told that nothing runs there, and its call ends
+ * after 1.5 s, or twice that in a process that is held up.
+ */
+const MAY_GO_DOWN_MS = 4_000
 
 /**
  * Starts long-running tasks on withdrawn workers when no other worker has room: a drain that cannot end must not keep them from
@@ -36,14 +40,14 @@
    * @param opts - time and limits of the pass
    * @returns runs to start
    */
-  place ({ ready, placeable }: { ready: readonly TrackedStep[], placeable: readonly TrackedStep[] }, workers: Iterable<TrackedWorker>, opts: PlacementOpts): Run[] {
+  place ({ ready, placeable }: { ready: readonly TrackedStep[], placeable: readonly TrackedStep[] }, workers: readonly TrackedWorker[], opts: PlacementOpts): Run[] {
     const { now } = opts
     this.claimed.clear()
-    const overdue = ready.filter(step => step.spec.lasting && step.tasks.some(task => isOverdue(task, now)))
-    if (overdue.length === 0) return []
-    const withdrawn = [...workers].filter(worker => worker.withdrawn && worker.isReadyForStarts(now))
-    const runs = this.placeOn(withdrawn.filter(worker => !worker.wasCalledDrainedWithin(MAY_GO_DOWN_MS, now)), overdue.filter(step => placeable.includes(step)), opts)
-    for (const step of overdue) this.claim(step, withdrawn, now)
+    const waiting = ready.filter(step => step.spec.lasting && step.tasks.some(task => isStartable(task, now)))
+    if (waiting.length === 0) return []
+    const overdue = waiting.filter(step => placeable.includes(step) && step.tasks.some(task => isOverdue(task, now)))
+    const runs = this.placeOn(workers.filter(worker => worker.withdrawn && worker.isReadyForStarts(now) && !worker.wasCalledDrainedWithin(MAY_GO_DOWN_MS, now)), overdue, opts)
+    this.claimFor(waiting, workers, now)
     return runs
   }
 
@@ -60,11 +64,18 @@
     return [...runs, ...this.placer.place(steps, openWorkers, { now, maxRuns: maxRuns - runs.length })]
   }
 
-  /** Claims as many workers as could take the tasks that are left. */
-  private claim (step: TrackedStep, withdrawn: readonly TrackedWorker[], now: number): void {
-    const left = step.tasks.filter(task => isOverdue(task, now)).length
-    const fitting = withdrawn.filter(worker => canPlace(step, worker) && !this.claimed.has(worker))
-    for (const worker of fitting.slice(0, left)) this.claimed.add(worker)
+  /** Claims, for the tasks that no worker can take now, those that could if they were not drained. */
+  private claimFor (steps: readonly TrackedStep[], workers: readonly TrackedWorker[], now: number): void {
+    const room = new Room(workers.filter(worker => worker.isUsable()))
+    for (const step of steps) {
+      const permitted = new Set(this.placer.permittedWorkers(step, workers, now))
+      const open = workers.some(worker => permitted.has(worker) && worker.takesStarts(now) && canPlace(step, worker))
+      const left = open ? [] : step.tasks.filter(task => isStartable(task, now))
+      const found = left.map(() => room.take(step, worker => permitted.has(worker)))
+      // A gang that fits only together with other workers must not keep these from being drained.
+      if (step.spec.gang && found.includes(undefined)) continue
+      for (const worker of found) if (worker !== undefined) this.claimed.add(worker)
+    }
   }
 }
 
