--- a/jobs/service/src/withdrawals.ts
+++ b/jobs/service/src/withdrawals.ts
@@ -1,8 +1,9 @@
 import type { Scheduler, TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 
 /**
- * Withdraws the workers on the given VMs: they get no new runs but those of long-running tasks that fit nowhere else, batch runs finish, and long-running tasks are stopped as
- * far as `mayMiss` allows and another worker can take them. Workers on all other VMs accept runs again.
+ * Withdraws the workers on the given VMs: they get no new runs but those of long-running tasks that fit nowhere else, batch runs
+ * finish, and long-running tasks are stopped as far as `mayMiss` allows and another worker can take them. Workers on all other VMs
+ * accept runs again.
  * @param scheduler - scheduler of the service's leader
  * @param vms - ids of the VMs to drain
  * @param now - time of the scheduler's clock, in milliseconds
