Claims on withdrawn workers also for tasks beyond the room that other workers have

A worker with room for one of several tasks kept all of them from claiming a worker that is being drained, so that in a takeover the workers were called drained until its end, and could be used only 4 s later.

--- a/jobs/scheduler/src/withdrawn-room.ts
+++ b/jobs/scheduler/src/withdrawn-room.ts
@@ -1,5 +1,4 @@
 import type { Isolation } from './isolation.ts'
-import { canPlace } from './placement.ts'
 import { Room } from './room.ts'
 import type { Run } from './run.ts'
 import type { PlacementOpts, TaskPlacer } from './task-placer.ts'
@@ -66,14 +65,15 @@
 
   /** Claims, for the tasks that no worker can take now, those that could if they were not drained. */
   private claimFor (steps: readonly TrackedStep[], workers: readonly TrackedWorker[], now: number): void {
-    const room = new Room(workers.filter(worker => worker.isUsable()))
+    const open = new Room(workers.filter(worker => worker.takesStarts(now)))
+    const others = new Room(workers.filter(worker => worker.isUsable() && !worker.takesStarts(now)))
     for (const step of steps) {
       const permitted = new Set(this.placer.permittedWorkers(step, workers, now))
-      const open = workers.some(worker => permitted.has(worker) && worker.takesStarts(now) && canPlace(step, worker))
-      const left = open ? [] : step.tasks.filter(task => isStartable(task, now))
-      const found = left.map(() => room.take(step, worker => permitted.has(worker)))
+      const mayTake = (worker: TrackedWorker): boolean => permitted.has(worker)
+      const left = step.tasks.filter(task => isStartable(task, now) && !open.promise(step, mayTake))
+      const found = left.map(() => others.take(step, mayTake))
       // A gang that fits only together with other workers must not keep these from being drained.
-      if (step.spec.gang && found.includes(undefined)) continue
+      if (step.spec.gang && (left.length < step.tasks.length || found.includes(undefined))) continue
       for (const worker of found) if (worker !== undefined) this.claimed.add(worker)
     }
   }
--- a/jobs/scheduler/test/withdrawn-room.test.ts
+++ b/jobs/scheduler/test/withdrawn-room.test.ts
@@ -74,3 +74,14 @@
   }
   assert.deepEqual(['w2', 'w3'].map(id => harness.scheduler.withdrawnRoom.isClaimed(harness.worker(id))), [true, false])
 })
+
+// An open worker had room for one of several tasks: none of the others claimed a worker that was being drained.
+test('tasks beyond the room on other workers claim those that are being drained', () => {
+  const harness = new SchedulerHarness()
+  harness.scheduler.setWorkers([worker('w1'), worker('w2'), worker('w3')], { unknownRunsUntil: harness.now + 4_000 })
+  for (const id of ['w2', 'w3']) harness.report(id)
+  harness.worker('w2').withdraw(harness.now)
+  harness.addJob({ steps: [step({ lasting: true, tasks: 2, perWorker: 1 })] }, { acceptedThisTerm: false })
+  harness.scheduler.placeReadyTasks()
+  assert.equal(harness.scheduler.withdrawnRoom.isClaimed(harness.worker('w2')), true)
+})
