A token of an earlier lease is not valid under a new one

Seen: an entry that had lost its lease, got a new one and had a watch that lagged took itself for the leader of the fleet under the token of the lease before. It ordered VMs under it after its successor had (rule: one holder a token, none that take turns).

Cause: Leadership.token asked whether the lease of now is valid, not whether the leadership was acquired under it. confirmedAt, beside it, did ask; both use the same check now: the token is newer than the entry's registration under its present lease.

The five tests of leadership.test.ts that failed with it had a leader that was never registered under its lease. None assumes that a leadership outlasts the lease: their fixture registers the entry now, as an entry does before it takes part in an election; what they assert is unchanged.

Ruled out: acquisitions before the registration, which would have older tokens. Both elections begin only once the registration under the present lease is written.

--- a/peers/membership/src/leadership.ts
+++ b/peers/membership/src/leadership.ts
@@ -77,13 +77,14 @@
 
   /**
    * @param resource - name of a resource
-   * @returns the fencing token while this entry is recorded as the leader, has not begun to release that, and its lease is
-   * certainly valid by the local clock
+   * @returns the fencing token while this entry is recorded as the leader under its present lease, has not begun to release
+   * that, and the lease is certainly valid by the local clock
    */
   token (resource: string): number | undefined {
-    if (this.opts.lease.validLeaseId() === undefined) return undefined
+    const leaseId = this.opts.lease.validLeaseId()
     const token = this.recordedToken(resource)
-    return token === undefined || this.isRemoved(resource, token) ? undefined : token
+    if (leaseId === undefined || token === undefined) return undefined
+    return this.isHeldUnder(leaseId, resource, token) ? token : undefined
   }
 
   /**
@@ -94,10 +95,7 @@
    */
   confirmedAt (resource: string, token: number): number {
     const lease = this.opts.lease.confirmation()
-    const registration = this.opts.members.latestRegistration()
-    // Leadership is acquired after the registration under the same lease: an older token belongs to an earlier lease.
-    const isOfThisLease = lease !== undefined && registration?.leaseId === lease.leaseId && token > registration.revision
-    const isHeld = isOfThisLease && this.recordedToken(resource) === token && !this.isRemoved(resource, token)
+    const isHeld = lease !== undefined && this.recordedToken(resource) === token && this.isHeldUnder(lease.leaseId, resource, token)
     return isHeld ? lease.at : Number.NEGATIVE_INFINITY
   }
 
@@ -212,6 +210,13 @@
     if (token !== undefined && this.isRemoved(resource, token)) await this.remove(resource, 'leadership released again')
   }
 
+  /** The mirror may still show a leadership that has ended with an earlier lease. */
+  private isHeldUnder (leaseId: string, resource: string, token: number): boolean {
+    const registration = this.opts.members.latestRegistration()
+    // Leadership is acquired after the registration under the same lease: an older token belongs to an earlier lease.
+    return registration?.leaseId === leaseId && token > registration.revision && !this.isRemoved(resource, token)
+  }
+
   private isRemoved (resource: string, token: number): boolean {
     return this.removedTokens.get(resource) === token
   }
--- a/peers/membership/test/leadership.test.ts
+++ b/peers/membership/test/leadership.test.ts
@@ -14,7 +14,7 @@
   return { id, incarnation: `${id}-1`, region: 'r', zone: 'z', peerAddress: { host: '127.0.0.1', port: 1 } }
 }
 
-/** Entry `e1`, which leads all resources, beside `e2`, which leads none. */
+/** Entry `e1`, which is registered under its lease and leads all resources, beside `e2`, which leads none. */
 async function createEntries () {
   const keys = new StoreKeys('x')
   const mirror = new Mirror()
@@ -33,9 +33,11 @@
     await client.update([{ key, prior: undefined, value: { id, incarnation: `${id}-1` } }])
     await refresh()
   }
-  for (const id of ['e1', 'e2']) await client.update([{ key: keys.members + id, prior: undefined, value: member(id) }])
+  const members = new Members(member('e1'), mirror, keys)
+  assert.ok((await members.register(client, 'lease')).ok)
+  await client.update([{ key: keys.members + 'e2', prior: undefined, value: member('e2') }])
   for (const resource of RESOURCES) await lead(resource, 'e1')
-  return { keys, mirror, clock, client, lead, refresh }
+  return { keys, mirror, clock, client, members, lead, refresh }
 }
 
 /** Acquisitions of an entry that alone has to lead all resources, one step of the election. */
@@ -77,7 +79,7 @@
 
 // An entry that gave up several leaderships removed those that others had acquired in the meantime.
 test('an entry releases only leaderships that are still its own', async () => {
-  const { keys, mirror, clock, client, lead, refresh } = await createEntries()
+  const { keys, mirror, clock, client, members, lead, refresh } = await createEntries()
   let releases = 0
   const store = {
     update: async (...args: Parameters<Store['update']>) => {
@@ -89,7 +91,7 @@
     }
   } as unknown as Store
   const lease = { validLeaseId: () => 'lease' } as unknown as EntryLease
-  const leadership = new Leadership({ store, mirror, members: new Members(member('e1'), mirror, keys), lease, keys, clock, logger: silentLogger })
+  const leadership = new Leadership({ store, mirror, members, lease, keys, clock, logger: silentLogger })
   await leadership.step(RESOURCES)
   clock.advance(30_000)
   await leadership.step(RESOURCES)
@@ -99,10 +101,10 @@
 
 // A leader of a service in trouble released it to balance the numbers of services: its successor had to find out anew which workers were lost.
 test('an entry releases no leadership that must not change now, and releases it later', async () => {
-  const { keys, mirror, clock, client, refresh } = await createEntries()
+  const { keys, mirror, clock, client, members, refresh } = await createEntries()
   const kept = new Set(RESOURCES)
   const lease = { validLeaseId: () => 'lease' } as unknown as EntryLease
-  const leadership = new Leadership({ store: client, mirror, members: new Members(member('e1'), mirror, keys), lease, keys, clock, logger: silentLogger, mayRelease: resource => !kept.has(resource) })
+  const leadership = new Leadership({ store: client, mirror, members, lease, keys, clock, logger: silentLogger, mayRelease: resource => !kept.has(resource) })
   const vacantAfterStep = async (): Promise<string[]> => {
     clock.advance(25_000)
     await leadership.step(RESOURCES)
@@ -116,9 +118,9 @@
 })
 
 test('a leadership is given up only with its own token, and acquired anew with another one', async () => {
-  const { keys, mirror, clock, client, lead, refresh } = await createEntries()
+  const { keys, mirror, clock, client, members, lead, refresh } = await createEntries()
   const lease = { validLeaseId: () => 'lease' } as unknown as EntryLease
-  const leadership = new Leadership({ store: client, mirror, members: new Members(member('e1'), mirror, keys), lease, keys, clock, logger: silentLogger })
+  const leadership = new Leadership({ store: client, mirror, members, lease, keys, clock, logger: silentLogger })
   const token = leadership.recordedToken('pool/a') ?? 0
   await leadership.giveUp('pool/a', token + 1)
   await refresh()
@@ -140,9 +142,7 @@
 
 // A leader that had released a service went on until its mirror showed that, beside the one that had acquired it.
 test('a leadership that is being released is not confirmed, and its release is repeated until it is written', async () => {
-  const { keys, mirror, clock, client, refresh } = await createEntries()
-  const members = new Members(member('e1'), mirror, keys)
-  assert.ok((await members.register(client, 'lease')).ok)
+  const { keys, mirror, clock, client, members, refresh } = await createEntries()
   await client.update([{ key: `${keys.leaders}pool/z`, prior: undefined, value: { id: 'e1', incarnation: 'e1-1' } }])
   await refresh()
   let isLost = true
@@ -163,9 +163,9 @@
 
 // The fleet's leader goes by its token: it moved and maintained VMs beside the entry that had acquired what it was releasing.
 test('a leadership that is being released has no token, even while its lease is valid and the mirror still shows it', async () => {
-  const { keys, mirror, clock, client } = await createEntries()
+  const { keys, mirror, clock, client, members } = await createEntries()
   const lease = { validLeaseId: () => 'lease' } as unknown as EntryLease
-  const leadership = new Leadership({ store: client, mirror, members: new Members(member('e1'), mirror, keys), lease, keys, clock, logger: silentLogger })
+  const leadership = new Leadership({ store: client, mirror, members, lease, keys, clock, logger: silentLogger })
   const token = leadership.token('pool/a') ?? 0
   assert.ok(token > 0)
   await leadership.giveUp('pool/a', token)
@@ -175,12 +175,12 @@
 
 // Services acquired in one write have one token: the release of one stopped the leader of the others, which were then released, too.
 test('the release of one leadership leaves another one that was acquired in the same write', async () => {
-  const { keys, mirror, clock, client, refresh } = await createEntries()
+  const { keys, mirror, clock, client, members, refresh } = await createEntries()
   const names = ['pool/y', 'pool/z']
   await client.update(names.map(resource => ({ key: keys.leaders + resource, prior: undefined, value: { id: 'e1', incarnation: 'e1-1' } })))
   await refresh()
   const lease = { validLeaseId: () => 'lease' } as unknown as EntryLease
-  const leadership = new Leadership({ store: client, mirror, members: new Members(member('e1'), mirror, keys), lease, keys, clock, logger: silentLogger })
+  const leadership = new Leadership({ store: client, mirror, members, lease, keys, clock, logger: silentLogger })
   const token = leadership.token('pool/y') ?? 0
   assert.equal(leadership.token('pool/z'), token)
   await leadership.giveUp('pool/y', token)
@@ -192,9 +192,9 @@
 
 // An entry that restarted before its record had run out counted as present all the while, and got leaderships in the middle of trouble.
 test('no leadership is released to a member that has restarted within 20 s under a record that never was missing', async () => {
-  const { keys, mirror, clock, client, refresh } = await createEntries()
+  const { keys, mirror, clock, client, members, refresh } = await createEntries()
   const lease = { validLeaseId: () => 'lease' } as unknown as EntryLease
-  const leadership = new Leadership({ store: client, mirror, members: new Members(member('e1'), mirror, keys), lease, keys, clock, logger: silentLogger })
+  const leadership = new Leadership({ store: client, mirror, members, lease, keys, clock, logger: silentLogger })
   await leadership.step(RESOURCES)
   clock.advance(30_000)
   const prior = await client.get(keys.members + 'e2')
@@ -213,3 +213,27 @@
   await refresh()
   assert.ok(leaders().includes(undefined))
 })
+
+// An entry with a new lease took itself for the leader under a token of the lease before, and ordered VMs beside its successor.
+test('a token of an earlier lease is not valid under a new one, however late the mirror shows its end', async () => {
+  const { keys, mirror, clock, client, members, refresh } = await createEntries()
+  const held = { id: 'lease' }
+  const lease = { validLeaseId: () => held.id, confirmation: () => ({ leaseId: held.id, at: clock.now() }) } as unknown as EntryLease
+  const leadership = new Leadership({ store: client, mirror, members, lease, keys, clock, logger: silentLogger })
+  assert.equal(leadership.token('pool/a'), leadership.recordedToken('pool/a'))
+  held.id = 'next lease'
+  assert.equal(leadership.token('pool/a'), undefined, 'before the registration under the new lease')
+  assert.ok((await members.register(client, held.id)).ok)
+  assert.equal(leadership.token('pool/a'), undefined, 'after it')
+  assert.notEqual(leadership.recordedToken('pool/a'), undefined, 'the mirror still shows the record')
+  const ended = await client.get(keys.leaders + 'pool/a')
+  assert.ok(ended.ok && ended.value !== undefined)
+  await client.update([{ key: ended.value.key, prior: ended.value, value: undefined }])
+  await refresh()
+  for (let steps = 0; steps < 2; steps += 1) {
+    await leadership.step(['pool/a'])
+    clock.advance(2_000)
+  }
+  await refresh()
+  assert.notEqual(leadership.token('pool/a'), undefined, 'acquired under the new lease')
+})
