A worker whose machine's clock was set back is used again after its restart

Seen: after an incarnation had ended, a registration of the next one with an earlier birth was ignored for as long as it stayed listed, so that the worker got nothing for the rest of the term (born-earlier: not started within 60 s).

Cause: incarnations under an id were ordered by `born`, the worker's clock. Now a registration has the revision of its latest change in the store, and that order goes first: an older one is never the next incarnation, whatever its birth, nor does it undo a newer one of the same incarnation. A newer one with a later birth is the next one, as before. A newer one whose birth is earlier, or whose incarnation this term has tracked before, may also be a late write of an incarnation that is over: it takes over only once the tracked one has ended or its leases have expired. Until then polls tell, as the worker's response names its birth.

Ruled out: trusting the revision alone (trial): the test of a late write fails then, as that ends the incarnation that runs on, whose task would run twice, and so does the one of an earlier birth. Without the look at older revisions (trial) that of a list that lags behind the record fails.

The test says which revisions its registrations have, with the same assertion; the other tests have none, where the births decide as before.

--- a/jobs/entry/src/site-view.ts
+++ b/jobs/entry/src/site-view.ts
@@ -107,7 +107,7 @@
     const decoded: typeof this.decodedWorkers = new Map()
     for (const [key, { text, revision }] of this.workers.texts) {
       const previous = this.decodedWorkers.get(key)
-      const registration = previous?.revision === revision ? previous.registration : this.storeLayout.decodeWorker(key, text)
+      const registration = previous?.revision === revision ? previous.registration : this.decodeWorker(key, { text, revision })
       decoded.set(key, { revision, registration })
       if (registration === undefined) {
         this.logUnreadable(key, revision)
@@ -121,6 +121,11 @@
     this.workersByService = byService
   }
 
+  private decodeWorker (key: string, { text, revision }: { text: string, revision: number }): WorkerRegistration | undefined {
+    const registration = this.storeLayout.decodeWorker(key, text)
+    return registration === undefined ? undefined : { ...registration, revision }
+  }
+
   private logUnreadable (key: string, revision: number): void {
     if (this.loggedRevisions.get(key) === revision) return
     this.loggedRevisions.set(key, revision)
--- a/jobs/entry/test/site-view.test.ts
+++ b/jobs/entry/test/site-view.test.ts
@@ -44,3 +44,13 @@
   assert.equal(view.workersOf('s')?.length, 2)
   assert.equal(logged.length, odd.length)
 })
+
+// Incarnations under one id were told apart by the workers' clocks only.
+test('a registration tells the revision of its latest change, also if that changed nothing else', () => {
+  const view = new SiteView(layout, recordingLogger([]))
+  const key = `${layout.workerPrefix}w1`
+  for (const revision of [3, 7]) {
+    view.workers.apply({ revision, changed: [{ key, value: JSON.stringify(registration), createRevision: 3, modRevision: revision }], deleted: [] })
+    assert.deepEqual(view.workersOf('s')?.map(worker => worker.revision), [revision])
+  }
+})
--- a/jobs/model/src/worker.ts
+++ b/jobs/model/src/worker.ts
@@ -6,6 +6,8 @@
   readonly id: string
   /** Unix milliseconds of the worker's start; together with the id it identifies the incarnation. {@link UNKNOWN_BORN} if it does not say. */
   readonly born: number
+  /** Revision of the registration's latest change in the store; undefined if it is not known. */
+  readonly revision?: number | undefined
   readonly service: string
   readonly host: string
   readonly port: number
@@ -37,6 +39,15 @@
   return a.born === b.born || a.born === UNKNOWN_BORN || b.born === UNKNOWN_BORN
 }
 
+/**
+ * @param a - a registration
+ * @param b - another one under the same id
+ * @returns a negative number if `a` was written before `b`, 0 if that is not known; one without a revision was written before one with
+ */
+export function compareRevisions (a: WorkerRegistration, b: WorkerRegistration): number {
+  return (a.revision ?? 0) - (b.revision ?? 0)
+}
+
 /** Outcomes of a run. */
 export const runOutcomes = { done: 'done', failed: 'failed', stopped: 'stopped', lapsed: 'lapsed', broken: 'broken', alone: 'alone' } as const
 
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -1,9 +1,10 @@
 import type { Clock } from '@wisteriaslip/core.result'
-import { incarnationKey, mayBeSameIncarnation, parseTaskName, UNKNOWN_BORN, type ActiveRun, type EndedRun, type Job, type JobLimits, type Resources, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
+import { parseTaskName, type ActiveRun, type EndedRun, type Job, type JobLimits, type Resources, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
 import { SETTLE_MS } from './crash.ts'
 import { CrashTracker } from './crash-tracker.ts'
 import { collectDueStops } from './due-stops.ts'
 import { DemandEstimator } from './demand-estimator.ts'
+import { chooseRegistration, Incarnations, isOfTracked } from './incarnations.ts'
 import { Isolation } from './isolation.ts'
 import { JobTable } from './job-table.ts'
 import type { QueueLookup } from './step-priority.ts'
@@ -77,8 +78,7 @@
   private readonly opts: SchedulerOpts
   private readonly runsToStop = new Set<Run>()
   private losses: WorkerLoss[] = []
-  /** Incarnations that are over because their ids have responded as others; their registrations may still be listed. */
-  private readonly replacedIncarnations = new Set<string>()
+  private readonly incarnations = new Incarnations()
   /** Until this time of the injected clock, newly tracked workers may execute commands of earlier leaders. */
   private unknownRunsUntil = Number.NEGATIVE_INFINITY
   private readonly durationEstimator = new DurationEstimator()
@@ -159,8 +159,7 @@
     const reported = { ...registration, born }
     if (this.workers.get(registration.id) === worker) this.trackIncarnation(reported)
     this.endIncarnation(worker)
-    this.replacedIncarnations.add(worker.incarnation())
-    this.replacedIncarnations.delete(incarnationKey(reported))
+    this.incarnations.replace(worker.registration, reported)
     const next = this.workers.get(registration.id)
     if (next !== undefined && next !== worker) next.deregistered = true
   }
@@ -379,15 +378,14 @@
   }
 
   private registerWorker (registration: WorkerRegistration): void {
-    if (this.replacedIncarnations.has(incarnationKey(registration))) return
+    if (this.incarnations.isReplaced(registration)) return
     const existing = this.workers.get(registration.id)
-    if (existing !== undefined && !existing.ended && mayBeSameIncarnation(existing.registration, registration)) {
-      if (registration.born !== UNKNOWN_BORN || existing.registration.born === UNKNOWN_BORN) existing.registration = registration
+    if (existing !== undefined && isOfTracked(registration, existing)) {
+      existing.registration = chooseRegistration(registration, existing.registration)
       existing.deregistered = false
       return
     }
-    if (existing !== undefined && (registration.born < existing.registration.born || (existing.ended && registration.born === existing.registration.born))) return
-    this.trackIncarnation(registration)
+    if (existing === undefined || this.incarnations.isNext(registration, existing, this.leasesKnownAt())) this.trackIncarnation(registration)
   }
 
   /** Tracks an incarnation and ends the one that is tracked under its id. */
@@ -398,6 +396,7 @@
     const lateStartsUntil = unresolvedRuns.length === 0 ? 0 : this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
     const worker = new TrackedWorker(registration, { unknownRunsUntil: this.unknownRunsUntil, lateStartsUntil, previous: existing })
     this.workers.set(registration.id, worker)
+    this.incarnations.add(registration)
     for (const run of unresolvedRuns) this.carryOverRun(run, worker)
   }
 
--- a/jobs/scheduler/test/born-earlier.test.ts
+++ b/jobs/scheduler/test/born-earlier.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { job, SchedulerHarness, step, worker } from './harness.ts'
+import { job, running, SchedulerHarness, step, worker } from './harness.ts'
 
 const PASS_MS = 100
 
@@ -8,13 +8,13 @@
 for (const registeredThroughout of [true, false]) {
   test(`a worker that has restarted after its machine's clock was set back gets tasks, its end having been seen first (${registeredThroughout ? 'registered throughout' : 'its registration had expired'})`, () => {
     const harness = new SchedulerHarness()
-    const registrations = [worker('w1', { born: 9_000 })]
+    const registrations = [worker('w1', { born: 9_000, revision: 20 })]
     const [before] = harness.addWorkers(...registrations)
     assert.ok(before !== undefined)
     harness.scheduler.endIncarnation(before, { planned: true })
     if (!registeredThroughout) harness.scheduler.setWorkers([], { unknownRunsUntil: 0 })
     harness.scheduler.tick()
-    const restarted = [worker('w1', { born: 8_000 })]
+    const restarted = [worker('w1', { born: 8_000, revision: 30 })]
     harness.addJob(job({ steps: [step({ lasting: true })] }))
     const handedInAt = harness.now
     let startedAt: number | undefined
@@ -29,3 +29,70 @@
     assert.ok(startedAt !== undefined, 'not started within 60 s')
   })
 }
+
+const TASK = '00000000000000aa.0.0.0'
+
+/** A worker whose machine's clock was set back before its restart has got a start. */
+function startOnRestarted () {
+  const harness = new SchedulerHarness()
+  const [before] = harness.addWorkers(worker('w1', { born: 9_000, revision: 20 }))
+  assert.ok(before !== undefined)
+  harness.scheduler.endIncarnation(before)
+  harness.addWorkers(worker('w1', { born: 8_000, revision: 30 }))
+  harness.addJob(job({ steps: [step({ lasting: true })] }))
+  assert.equal(harness.startReadyTasks().length, 1)
+  return { harness, tracked: harness.worker('w1') }
+}
+
+// The registration of the incarnation before, later by its clock, ended the one that runs on.
+for (const { name, revision } of [{ name: 'a list that lags', revision: 20 }, { name: 'a late write', revision: 40 }]) {
+  test(`${name} with the incarnation before, born later by its clock, does not end the one that runs on`, () => {
+    const { harness, tracked } = startOnRestarted()
+    harness.now += 1_000
+    harness.report('w1', { running: [running(TASK, 1)] })
+    harness.scheduler.setWorkers([worker('w1', { born: 9_000, revision }), worker('w2')], { unknownRunsUntil: 0 })
+    harness.report('w2')
+    assert.equal(harness.worker('w1'), tracked)
+    assert.equal(tracked.ended, false)
+    assert.deepEqual(harness.startReadyTasks(), [])
+  })
+}
+
+// A list that lagged behind the record of the term ended the incarnation that ran on.
+test('an older registration of an incarnation that the term has not seen, born later by its clock, does not end the one that runs on', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1', { born: 8_000, revision: 30 }))
+  const tracked = harness.worker('w1')
+  harness.scheduler.setWorkers([worker('w1', { born: 9_000, revision: 20 })], { unknownRunsUntil: 0 })
+  assert.equal(harness.worker('w1'), tracked)
+  assert.equal(tracked.ended, false)
+})
+
+// A late write of an incarnation from before the term must not end the one that runs on, silent or not.
+test('a newer registration with an earlier birth takes over only once the leases of the tracked incarnation have expired', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1', { born: 9_000, revision: 20 }))
+  harness.addJob(job({ steps: [step({ lasting: true })] }))
+  assert.equal(harness.startReadyTasks().length, 1)
+  const tracked = harness.worker('w1')
+  const listed = [worker('w1', { born: 8_000, revision: 30, host: 'h2' })]
+  tracked.markUnreachable(harness.now)
+  harness.now += 3_900
+  harness.scheduler.setWorkers(listed, { unknownRunsUntil: 0 })
+  assert.equal(harness.worker('w1'), tracked)
+  assert.equal(tracked.ended, false)
+  harness.now += 300
+  harness.scheduler.setWorkers(listed, { unknownRunsUntil: 0 })
+  assert.equal(tracked.ended, true)
+  assert.equal(harness.worker('w1').registration.host, 'h2')
+  harness.report('w1')
+  assert.equal(harness.worker('w1').takesStarts(harness.now), true)
+})
+
+// An older registration of the same incarnation undid the newer one.
+test('a registration with an older revision does not undo that a worker is draining', () => {
+  const harness = new SchedulerHarness()
+  harness.addWorkers(worker('w1', { draining: true, revision: 30 }))
+  harness.scheduler.setWorkers([worker('w1', { revision: 20 })], { unknownRunsUntil: 0 })
+  assert.equal(harness.worker('w1').registration.draining, true)
+})
