A pool without a VM gets one from a pool that is one above its share

A wave drains the one VM that alpha has left, so that alpha has a supply of 0 and a share of 1 ("pools lack VMs" from 9.3 s to the end at 20.9 s: alpha required 3, supply 0, share 1; beta required 3, supply 3, share 2). beta keeps an empty VM all the time. alpha's long-running tasks of the lost VM have no place, and the drain of the other one does not end.

Cause: a pool that gets less than it requires keeps one VM beyond its share as a margin (SHARE_MARGIN_VMS). If it is one above its share and the other pool one below, nothing moves as long as the backlog lasts, even if the other pool has no VM at all, and shareVms has given it its first one before all others.

Change: a pool that lacks the first VM of its share also gets those that other pools keep as their margin. Nothing else changes: the margin still holds towards pools that have a VM.

Evidence: the new test of pool-autoscaler.test.ts fails before (no move) and passes after.

--- a/jobs/fleet/src/pool-autoscaler.ts
+++ b/jobs/fleet/src/pool-autoscaler.ts
@@ -19,7 +19,10 @@
 const MAX_SURPLUS_CPU_SHARE = 0.5
 /** A VM beyond the requirement of its pool is drained if at most this share of its processors is in use. */
 const MAX_LITTLE_USED_CPU_SHARE = 0.3
-/** VMs that a pool keeps beyond its share when it has to give some to others, so that small changes move none. */
+/**
+ * VMs that a pool keeps beyond its share when it has to give some to others, so that small changes move none. Pools that lack
+ * the VMs without which they could not work get these, too.
+ */
 const SHARE_MARGIN_VMS = 1
 /** A VM that has been up for this long without a usable worker does not count as capacity. */
 const WORKER_START_TIMEOUT_MS = 2_000
@@ -69,6 +72,8 @@
 interface SharedPool extends Pool {
   /** Number of VMs that it should have: what it requires, or less when all pools together require more than exist. */
   readonly share: number
+  /** Number of VMs of its share without which it could not work at all. */
+  readonly firstVms: number
 }
 
 /**
@@ -111,14 +116,16 @@
     const pools = withShares(evaluated, standbyVms.length)
     this.lastNeeds = new Map(pools.map(({ name, required, supply, share }) => [name, { required, supply, share, wantedCores: Math.round((loads.get(name)?.wantedCpu ?? 0) / 1_000) }]))
     const idle = pools.flatMap(pool => this.idleVms(pool, reservedVms, now))
-    const surplus = pools.flatMap(pool => this.surplusVms(pool, reservedVms, now)).filter(vm => !idle.includes(vm))
+    const surplus = pools.flatMap(pool => this.surplusVms(pool, SHARE_MARGIN_VMS, reservedVms, now)).filter(vm => !idle.includes(vm))
+    const margin = pools.flatMap(pool => this.surplusVms(pool, 0, reservedVms, now)).filter(vm => !idle.includes(vm) && !surplus.includes(vm))
     const shortfalls = pools.map(pool => ({ pool, shortfall: pool.share - pool.supply })).filter(each => each.shortfall > 0)
     // While VMs have yet to become free, a small pool loses more by waiting for one than a large pool.
     shortfalls.sort((a, b) => a.pool.supply - b.pool.supply)
     const moves: PlannedMove[] = []
     for (const { pool, shortfall } of shortfalls) {
       for (let count = 0; count < shortfall; count++) {
-        const vm = standbyVms.shift() ?? removeFromOtherPool(idle, pool.name) ?? removeFromOtherPool(surplus, pool.name)
+        const lacksFirstVms = pool.supply + count < pool.firstVms
+        const vm = standbyVms.shift() ?? removeFromOtherPool(idle, pool.name) ?? removeFromOtherPool(surplus, pool.name) ?? (lacksFirstVms ? removeFromOtherPool(margin, pool.name) : undefined)
         if (vm === undefined) break
         moves.push({ vm: vm.id, from: vm.pool, to: pool.name })
       }
@@ -189,9 +196,10 @@
 
   /**
    * VMs beyond what the pool should have, for pools with a shortfall: least processor use first. A pool that gets less
-   * than it requires gives busy VMs, too, once their runs have ended; others only VMs with little batch work.
+   * than it requires gives busy VMs, too, once their runs have ended, but keeps some VMs as its margin; others give only VMs
+   * with little batch work.
    */
-  private surplusVms (pool: SharedPool, reservedVms: ReadonlySet<string>, now: number): Vm[] {
+  private surplusVms (pool: SharedPool, margin: number, reservedVms: ReadonlySet<string>, now: number): Vm[] {
     const loadOf = (vm: Vm): WorkerLoad | undefined => pool.loads.get(vm.id)
     const isRationed = pool.share < pool.required
     const surplus = pool.up.filter(vm => {
@@ -200,7 +208,7 @@
       return isRationed || load.cpuShare <= MAX_SURPLUS_CPU_SHARE
     })
     surplus.sort((a, b) => (loadOf(a)?.cpuShare ?? 0) - (loadOf(b)?.cpuShare ?? 0))
-    return surplus.slice(0, Math.max(0, pool.supply - pool.share - (isRationed ? SHARE_MARGIN_VMS : 0)))
+    return surplus.slice(0, Math.max(0, pool.supply - pool.share - (isRationed ? margin : 0)))
   }
 
   /**
@@ -240,7 +248,10 @@
 function withShares (pools: readonly Pool[], standbyVms: number): SharedPool[] {
   const total = standbyVms + pools.reduce((sum, pool) => sum + pool.supply, 0)
   const shares = shareVms(pools, total)
-  return pools.map(pool => ({ ...pool, share: shares.get(pool.name) ?? pool.required }))
+  return pools.map(pool => {
+    const share = shares.get(pool.name) ?? pool.required
+    return { ...pool, share, firstVms: Math.min(share, 1) }
+  })
 }
 
 /** Number of VMs that running and waiting tasks of a service require. */
--- a/jobs/fleet/test/pool-autoscaler.test.ts
+++ b/jobs/fleet/test/pool-autoscaler.test.ts
@@ -114,6 +114,17 @@
   assert.deepEqual(autoscaler.plan(services, vms, new Map([['a', busy('a')], ['b', busy('b')]]), new Set()), [])
 })
 
+// The pool that was one VM above its share kept it as its margin, for as long as it had a backlog.
+test('a pool without a VM gets one from a pool that has a backlog and is one VM above its share, and keeps it', () => {
+  const autoscaler = new PoolAutoscaler({ now: () => 5_000 })
+  const busy = (...vms: string[]): ServiceLoad => load(6 * CPU, vms.map(vm => ({ vm, runs: 8, cpuShare: vm === 'a2' ? 0.8 : 1 })))
+  const plan = (vms: Vm[], a: ServiceLoad, b: ServiceLoad): Array<[string, string]> => autoscaler.plan(services, vms, new Map([['a', a], ['b', b]]), new Set()).map(move => [move.vm, move.to])
+  const before = ['a1', 'a2', 'a3'].map(id => vm(id, 'a'))
+  assert.deepEqual(plan(before, busy('a1', 'a2', 'a3'), load(0.1 * CPU, [])), [['a2', 'b']])
+  const after = [vm('a1', 'a'), vm('a2', 'b'), vm('a3', 'a')]
+  assert.deepEqual(plan(after, busy('a1', 'a3'), busy('a2')), [])
+})
+
 test('the tail of a peak: VMs that a pool no longer requires are drained although each still has some small tasks', () => {
   let now = 0
   const autoscaler = new PoolAutoscaler({ now: () => now })
