Soak: jobs that are left at the end are judged by the users' rule

Seen: the check called a job lost that was not completed at the end of a play and had nothing running, however full its service was. The users' rule does so only if that lasts for 3 s with capacity for a task twice over and under half of the service's capacity in use. It missed jobs, on the other hand, that had waited against the rule and began just before the end.

So the check reads the rule's condition from what workers ran, in the last 10 s, and goes beyond it in one point: while nothing but tasks that last runs in a service, room twice over for 3 s is enough. Capacity in use counts with or without workers that leave by their own word, whichever gives less. A job that is not known, has no answer, is cancelled or failed without cause, or has all its tasks done and is not shown as completed, is lost as before.

--- /dev/null
+++ b/testing/soak/src/check-completion.ts
@@ -0,0 +1,69 @@
+import type { SubmittedJob } from './callers.ts'
+import type { Violation } from './check.ts'
+import type { Seen } from './check-waits.ts'
+import type { RunRecord } from './run-log.ts'
+import { formatSeconds, longestPart, type Span } from './spans.ts'
+import { ROOM_FOR_RUNS, WorkerRoom } from './worker-room.ts'
+
+/** A job may have nothing running for this long, although its service has room for it. */
+const MAX_WAIT_MS = 3_000
+/** A job may wait while its service has at least this share of its cores in use. */
+const BUSY_SHARE = 0.5
+/** How far before the end of a play waits are looked for: traffic and faults ended longer ago. */
+const LOOK_BACK_MS = 10_000
+/** A job in any other state has nothing to wait for. */
+const OPEN_STATES: ReadonlyArray<string | undefined> = ['queued', 'running']
+
+/**
+ * Checks at the end of a play what became of accepted jobs. A job that lasts must run. Any other one must be completed, or have
+ * failed as often as it may. One that still has tasks to do must not have had nothing running for 3 s, with room for a task twice
+ * over and under half of the service's cores in use; nor with that room while nothing but tasks that last ran in the service: these
+ * may use over half of workers that a drain has withdrawn, and go on for ever.
+ * @param seen - what the play has shown
+ * @param attempts - how often a task is tried
+ * @returns all violations
+ */
+export function checkCompletion (seen: Seen, attempts: number): Violation[] {
+  const room = new WorkerRoom(seen)
+  const runsByTask = new Map<string, RunRecord[]>()
+  for (const run of seen.runs) runsByTask.set(run.task, [...runsByTask.get(run.task) ?? [], run])
+  return seen.jobs.filter(({ accepted, cancelled }) => accepted && !cancelled).flatMap(job => {
+    const tasks = Array.from({ length: job.tasks }, (_, index) => `${job.id}.0.0.${index}`)
+    return checkJob(job, tasks.map(task => ({ task, runs: runsByTask.get(task) ?? [] })), { seen, room, attempts })
+  })
+}
+
+interface TaskRuns { readonly task: string, readonly runs: readonly RunRecord[] }
+interface Context { readonly seen: Seen, readonly room: WorkerRoom, readonly attempts: number }
+
+function checkJob (job: SubmittedJob, tasks: readonly TaskRuns[], { seen, room, attempts }: Context): Violation[] {
+  const lost = ({ task, runs }: TaskRuns, details = ''): Violation => ({ rule: 'lost', task, runs, details: `its job is ${job.state ?? 'without an answer'}${details}` })
+  if (job.plan.runMs === 0) return tasks.filter(task => !isRunning(task)).map(task => lost(task))
+  const undone = tasks.filter(task => countEnded(task, 'done') === 0)
+  if (job.state === 'completed') return undone.map(task => lost(task))
+  if (job.state === 'failed') return tasks.some(task => countEnded(task, 'failed') >= attempts) ? [] : undone.map(task => lost(task))
+  const first = (undone[0] ?? tasks[0]) as TaskRuns
+  if (undone.length === 0 || !OPEN_STATES.includes(job.state)) return job.state !== 'none' && tasks.some(isRunning) ? [] : [lost(first)]
+  const wait = findWait(job, tasks, seen, room)
+  return wait === undefined ? [] : [lost(first, `, nothing of it runs from ${formatSeconds(wait.from)} to ${formatSeconds(wait.to)} in ${job.service}, with room on ${room.describe(job, wait.from)} and ${Math.round(room.usedShare(job.service, wait.from) * 100)}% of the cores in use`)]
+}
+
+/** @returns a time in which a job had nothing running although its service had room for it, if that was too long */
+function findWait (job: SubmittedJob, tasks: readonly TaskRuns[], { until }: Seen, room: WorkerRoom): Span | undefined {
+  const runs = tasks.flatMap(({ runs }) => runs)
+  const span = { from: Math.max(job.acceptedAt ?? 0, until - LOOK_BACK_MS), to: until }
+  const wait = longestPart(span, at => !runs.some(run => run.startedAt <= at && at < (run.endedAt ?? Infinity)) && mustStart(job, at, room))
+  return wait !== undefined && wait.to - wait.from >= MAX_WAIT_MS ? wait : undefined
+}
+
+function mustStart (job: SubmittedJob, at: number, room: WorkerRoom): boolean {
+  return room.runsThatFit(job, at) >= ROOM_FOR_RUNS && (room.usedShare(job.service, at) < BUSY_SHARE || !room.isServing(job.service, at))
+}
+
+function isRunning ({ runs }: TaskRuns): boolean {
+  return runs.some(run => run.endedAt === undefined)
+}
+
+function countEnded ({ runs }: TaskRuns, how: string): number {
+  return runs.filter(run => run.how === how).length
+}
--- a/testing/soak/src/check.ts
+++ b/testing/soak/src/check.ts
@@ -12,21 +12,18 @@
 /**
  * Checks what workers ran against what callers submitted.
  * @param runs - all runs
- * @param jobs - all jobs, with the states that callers saw last
- * @param opts - attempts that a task has; whether all jobs have had time to be completed
+ * @param jobs - all jobs
+ * @param attempts - how often a task is tried
  * @returns all violations, empty if every promise held
  */
-export function checkRuns (runs: readonly RunRecord[], jobs: readonly SubmittedJob[], opts: { attempts: number, checkCompletion: boolean }): Violation[] {
+export function checkRuns (runs: readonly RunRecord[], jobs: readonly SubmittedJob[], attempts: number): Violation[] {
   const jobsById = new Map(jobs.map(job => [job.id, job]))
   const runsByTask = new Map<string, RunRecord[]>()
   for (const run of runs) runsByTask.set(run.task, [...runsByTask.get(run.task) ?? [], run])
-  return [
-    ...[...runsByTask].flatMap(([task, ofTask]) => {
-      const job = jobsById.get(jobOf(task))
-      return [...checkOnce(task, ofTask), ...checkAttempts(task, ofTask, job, opts.attempts), ...checkOrigin(task, ofTask, job)]
-    }),
-    ...(opts.checkCompletion ? jobs : []).flatMap(job => checkCompleted(job, runsByTask, opts.attempts))
-  ]
+  return [...runsByTask].flatMap(([task, ofTask]) => {
+    const job = jobsById.get(jobOf(task))
+    return [...checkOnce(task, ofTask), ...checkAttempts(task, ofTask, job, attempts), ...checkOrigin(task, ofTask, job)]
+  })
 }
 
 function jobOf (task: string): string {
@@ -58,18 +55,3 @@
   if (job === undefined || runs.some(run => run.spec !== spec)) return [{ rule: 'unasked', task, runs, details: '' }]
   return job.refused && !job.accepted ? [{ rule: 'refused', task, runs, details: '' }] : []
 }
-
-/** A lasting job must run; any other one must be completed, have failed as often as it may, or be at work. */
-function checkCompleted (job: SubmittedJob, runsByTask: ReadonlyMap<string, RunRecord[]>, attempts: number): Violation[] {
-  if (!job.accepted || job.cancelled) return []
-  const tasks = Array.from({ length: job.tasks }, (_, index) => `${job.id}.0.0.${index}`)
-  const runsOf = (task: string): readonly RunRecord[] => runsByTask.get(task) ?? []
-  const countEnded = (task: string, how: string): number => runsOf(task).filter(run => run.how === how).length
-  const isRunning = (task: string): boolean => runsOf(task).some(run => run.endedAt === undefined)
-  const lost = (task: string): Violation => ({ rule: 'lost', task, runs: runsOf(task), details: `its job is ${job.state ?? 'without an answer'}` })
-  if (job.plan.runMs === 0) return tasks.filter(task => !isRunning(task)).map(lost)
-  const undone = tasks.filter(task => countEnded(task, 'done') === 0)
-  if (job.state === 'completed') return undone.map(lost)
-  if (job.state === 'failed') return tasks.some(task => countEnded(task, 'failed') >= attempts) ? [] : undone.map(lost)
-  return job.state !== 'none' && tasks.some(isRunning) ? [] : [lost(undone[0] ?? `${job.id}.0.0.0`)]
-}
--- a/testing/soak/src/index.ts
+++ b/testing/soak/src/index.ts
@@ -5,6 +5,7 @@
  */
 export { play, type PlayResult } from './play.ts'
 export { checkRuns, type Violation } from './check.ts'
+export { checkCompletion } from './check-completion.ts'
 export { checkWaits, type Seen } from './check-waits.ts'
 export { randomFaults } from './random-faults.ts'
 export { goneWithLeaders, replacedUnnoticed, type ReplacedOpts, type Scenario } from './scenario.ts'
--- a/testing/soak/src/main.ts
+++ b/testing/soak/src/main.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { parseArgs } from 'node:util'
+import type { SubmittedJob } from './callers.ts'
 import { play } from './play.ts'
 import { randomFaults } from './random-faults.ts'
 import { goneWithLeaders, replacedUnnoticed, type Scenario } from './scenario.ts'
@@ -41,7 +42,7 @@
   }
   const counts = new Map<string, number>()
   for (const { rule } of result.violations) counts.set(rule, (counts.get(rule) ?? 0) + 1)
-  const summary = `seed ${seed}: ${result.jobs.length} jobs, ${result.jobs.filter(({ accepted }) => accepted).length} accepted, ${result.runs.length} runs, calm for ${Math.round(result.calmMs / 1_000)} s, longest wait ${result.longestWaitMs} ms, held up ${result.heldUpMs} ms; ${counts.size === 0 ? 'none broken' : [...counts].map(([rule, count]) => `${rule} ${count}`).join(', ')}`
+  const summary = `seed ${seed}: ${result.jobs.length} jobs, ${result.jobs.filter(({ accepted }) => accepted).length} accepted, ${result.jobs.filter(isLeft).length} left, ${result.runs.length} runs, calm for ${Math.round(result.calmMs / 1_000)} s, longest wait ${result.longestWaitMs} ms, held up ${result.heldUpMs} ms; ${counts.size === 0 ? 'none broken' : [...counts].map(([rule, count]) => `${rule} ${count}`).join(', ')}`
   if (stop.signal.aborted) process.stdout.write(`seed ${seed} was stopped early\n`)
   process.stdout.write(`${summary}${counts.size === 0 ? '' : `; ${folder}`}\n`)
   if (counts.size === 0 && !values.keep) await rm(folder, { recursive: true })
@@ -49,6 +50,11 @@
   return counts.size === 0
 }
 
+/** @returns whether a job still has tasks to do, which may be allowed */
+function isLeft ({ accepted, cancelled, plan, state }: SubmittedJob): boolean {
+  return accepted && !cancelled && plan.runMs > 0 && state !== 'completed' && state !== 'failed'
+}
+
 function scenarioOf (seed: number): Scenario {
   const replaced = { calmMs: 8_000, cutMs: 12_000, finishMs: 20_000 }
   if (values.scenario === 'replaced') return replacedUnnoticed(replaced)
