A drain that cannot end gives way

Seen: a wave over all workers of a service withdrew them all, or its only one.

Cause: a wave chooses VMs by its own limit and schedule alone. With as many places as the service has VMs it drains all of them at once; with fewer, others are drained beside one that is slow, and slow ones stay. Nothing looks at what is left of the service, and nothing gives a drain back.

Now: of a service with several workers of which a wave would leave none open, one with long-running tasks is not chosen (keptOpen). A drain whose long-running tasks have become no fewer in its service for 6 s, with no VM on its way there, and that leaves at most one open worker, is given back for 8 s (DrainTurns), so that the other VMs get their turns. A VM without long-running tasks is never given back nor kept, as its drain ends; nor is one with a request that may take effect. The line `drain gave way`, its counter, and the reason GAVE_WAY say so.

Not mended: a VM with a maintenance request without a response goes on draining; a drain that leaves two or more workers open does as well.

--- /dev/null
+++ b/jobs/fleet/src/drain-turns.ts
@@ -0,0 +1,83 @@
+import type { FleetSnapshot } from './wave-schedule.ts'
+import { openWorkers, workersOf } from './service-workers.ts'
+
+/** A drain from which no long-running task has gone for this long gives way if it leaves its service at most one open worker. */
+export const GIVE_WAY_AFTER_MS = 6_000
+/** Longer than a drain lasts that gives way, so that each other VM of the service gets its turn. */
+const REST_MS = 8_000
+
+/** A VM that is being drained. */
+interface Drain {
+  readonly since: number
+  /** Fewest long-running tasks there since then. */
+  fewestLastingRuns: number
+}
+
+/** A drain that was given back. */
+export interface GivenBackDrain {
+  readonly vm: string
+  readonly pool: string
+  readonly lastingRuns: number
+}
+
+/**
+ * Gives back drains that cannot end, so that the workers of a service are drained in turns. A drain whose VM has no long-running
+ * task ends by itself, as its worker gets no new runs: it is never given back.
+ */
+export class DrainTurns {
+  private readonly drains = new Map<string, Drain>()
+  /** When a drain of each service last came closer to its end, or a VM was on its way to the service, by the injected clock. */
+  private readonly progressAt = new Map<string, number>()
+  private readonly restsUntil = new Map<string, number>()
+
+  /**
+   * @param now - time of the injected clock, in milliseconds
+   * @returns ids of the VMs that are not drained for now
+   */
+  resting (now: number): Set<string> {
+    for (const [vm, until] of this.restsUntil) if (now >= until) this.restsUntil.delete(vm)
+    return new Set(this.restsUntil.keys())
+  }
+
+  /**
+   * Follows the drains, and gives back those that have come no closer to their end for long.
+   * @param drained - ids of the VMs that are being drained and that no request may take down yet
+   * @param taken - ids of all VMs that are being drained
+   * @param fleet - the fleet
+   * @returns the drains that are given back from the next pass on
+   */
+  follow (drained: ReadonlySet<string>, taken: ReadonlySet<string>, fleet: FleetSnapshot): GivenBackDrain[] {
+    for (const vm of this.drains.keys()) if (!drained.has(vm)) this.drains.delete(vm)
+    for (const { pool, state } of fleet.vms.values()) if (state === 'moving' || state === 'maintenance') this.progressAt.set(pool, fleet.now)
+    for (const vm of drained) this.followDrain(vm, fleet)
+    const stuck = [...this.drains.keys()].flatMap(vm => this.isStuck(vm, taken, fleet) ? [this.describe(vm, fleet)] : [])
+    for (const { vm } of stuck) this.giveBack(vm, fleet.now)
+    return stuck
+  }
+
+  private followDrain (vm: string, { vms, load, now }: FleetSnapshot): void {
+    const { lastingRuns } = load(vm)
+    const drain = this.drains.get(vm)
+    if (drain === undefined) this.drains.set(vm, { since: now, fewestLastingRuns: lastingRuns })
+    else if (lastingRuns < drain.fewestLastingRuns) {
+      drain.fewestLastingRuns = lastingRuns
+      this.progressAt.set(vms.get(vm)?.pool ?? '', now)
+    }
+  }
+
+  private isStuck (vm: string, taken: ReadonlySet<string>, fleet: FleetSnapshot): boolean {
+    const pool = fleet.vms.get(vm)?.pool ?? ''
+    const since = Math.max(this.drains.get(vm)?.since ?? fleet.now, this.progressAt.get(pool) ?? Number.NEGATIVE_INFINITY)
+    if (fleet.now - since < GIVE_WAY_AFTER_MS || fleet.load(vm).lastingRuns === 0) return false
+    return openWorkers(workersOf(pool, fleet), taken).length <= 1
+  }
+
+  private describe (vm: string, fleet: FleetSnapshot): GivenBackDrain {
+    return { vm, pool: fleet.vms.get(vm)?.pool ?? '', lastingRuns: fleet.load(vm).lastingRuns }
+  }
+
+  private giveBack (vm: string, now: number): void {
+    this.drains.delete(vm)
+    this.restsUntil.set(vm, now + REST_MS)
+  }
+}
--- a/jobs/fleet/src/explain-wave.ts
+++ b/jobs/fleet/src/explain-wave.ts
@@ -13,6 +13,7 @@
   limit: 'LIMIT',
   schedule: 'SCHEDULE',
   draining: 'DRAINING',
+  gaveWay: 'GAVE_WAY',
   workerSilent: 'WORKER_SILENT'
 } as const
 
@@ -50,6 +51,7 @@
   if (fleet.down.has(vm) || context.plannedElsewhere) return waitReasons.otherWave
   if (listed.state === 'down') return waitReasons.vmDown
   if (listed.state !== 'up') return waitReasons.vmMoving
+  if (!context.planned && fleet.resting?.has(vm) === true) return waitReasons.gaveWay
   if (!context.planned) return limitReached ? waitReasons.limit : waitReasons.schedule
   if (drained) return waitReasons.limit
   return fleet.load(vm).runs > 0 ? waitReasons.draining : waitReasons.workerSilent
--- a/jobs/fleet/src/index.ts
+++ b/jobs/fleet/src/index.ts
@@ -7,6 +7,7 @@
 export { PoolAutoscaler, type PlannedMove } from './pool-autoscaler.ts'
 export { shareVms, type PoolRequest } from './vm-shares.ts'
 export { DownVms } from './down-vms.ts'
+export { DrainTurns } from './drain-turns.ts'
 export { waitReasons } from './explain-wave.ts'
 export { countDown, planWaves, type FleetSnapshot, type VmLoad } from './wave-schedule.ts'
 export { WaveTracker } from './wave-tracker.ts'
--- a/jobs/fleet/src/wave-log.ts
+++ b/jobs/fleet/src/wave-log.ts
@@ -2,6 +2,7 @@
 import type { Metrics } from '@wisteriaslip/core.metrics'
 import type { Clock, Result } from '@wisteriaslip/core.result'
 import type { FleetError, Wave } from '@wisteriaslip/jobs.model'
+import type { GivenBackDrain } from './drain-turns.ts'
 import type { WaveTracker } from './wave-tracker.ts'
 
 /** The progress of a wave is logged at most this often, and only when it has changed. */
@@ -99,6 +100,12 @@
     this.opts.logger.info({ wave, vm, missingMs }, 'VM of a wave is gone')
   }
 
+  /** @param drain - a drain that could not end, and is tried again later */
+  gaveWay (drain: GivenBackDrain): void {
+    this.opts.metrics.count('drains_given_back_total', {})
+    this.opts.logger.info({ ...drain, token: this.opts.token }, 'drain gave way')
+  }
+
   /**
    * Logs that a wave was reported to operators as completed.
    * @param tracker - its progress
--- a/jobs/fleet/src/wave-runner.ts
+++ b/jobs/fleet/src/wave-runner.ts
@@ -2,6 +2,7 @@
 import type { Vm, VmList, Wave } from '@wisteriaslip/jobs.model'
 import type { ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import { DownVms } from './down-vms.ts'
+import { DrainTurns } from './drain-turns.ts'
 import { areStillDrained, type DrainedVms } from './drained-vms.ts'
 import { countBy, explainWave, vmWaits, type VmWait, type WaveExplanation } from './explain-wave.ts'
 import type { FleetTermOpts, WaveRecord } from './ports.ts'
@@ -53,6 +54,7 @@
   private readonly records: WaveRecords
   private readonly down: DownVms
   private readonly presence = new VmPresence()
+  private readonly turns = new DrainTurns()
   private readonly active = new Map<number, ActiveWave>()
   private observation: FleetObservation = { list: { vms: [], unreadable: [], complete: false }, loads: new Map(), isLoadKnown: () => false }
   /** The fleet as of the latest observation. */
@@ -95,7 +97,15 @@
     this.findReturned(now)
     this.planned = planWaves(this.unfinished(), this.fleet)
     this.drained = new Set()
-    return new Set(this.planned.map(({ vm }) => vm))
+    const taken = new Set(this.planned.map(({ vm }) => vm))
+    this.followDrains(taken)
+    return taken
+  }
+
+  /** A VM that a request may take down goes on draining. */
+  private followDrains (taken: ReadonlySet<string>): void {
+    const drained = this.planned.filter(({ wave, vm }) => this.fleet.vms.get(vm)?.state === 'up' && wave.stateOf(vm, this.fleet.now)?.phase === 'waiting')
+    for (const drain of this.turns.follow(new Set(drained.map(({ vm }) => vm)), taken, this.fleet)) this.log.gaveWay(drain)
   }
 
   /**
@@ -203,6 +213,7 @@
       down: this.down,
       load: vm => loads.get(vm) ?? IDLE,
       drained: this.drained,
+      resting: this.turns.resting(now),
       now
     }
     const expected = new Set(this.unfinished().flatMap(({ wave }) => wave.vms))
--- a/jobs/fleet/src/wave-schedule.ts
+++ b/jobs/fleet/src/wave-schedule.ts
@@ -1,5 +1,6 @@
 import type { Vm } from '@wisteriaslip/jobs.model'
 import type { DownVms } from './down-vms.ts'
+import { openWorkers, workersOf } from './service-workers.ts'
 import type { WaveTracker } from './wave-tracker.ts'
 
 /** Maintenance is spread over this share of the wave's duration. */
@@ -17,6 +18,8 @@
   readonly runs: number
   /** Number of runs of long-running tasks. */
   readonly lastingRuns: number
+  /** Whether its worker responds; undefined if none is known. */
+  readonly usable?: boolean
 }
 
 /** The fleet as the schedule sees it. */
@@ -27,6 +30,8 @@
   readonly load: (vm: string) => VmLoad
   /** Ids of the VMs that were found drained in the previous pass. */
   readonly drained: ReadonlySet<string>
+  /** Ids of the VMs whose drains have given way for now; none by default. */
+  readonly resting?: ReadonlySet<string>
   /** Time of the injected clock, in milliseconds. */
   readonly now: number
 }
@@ -152,8 +157,11 @@
   const waiting = wave.inPhase('waiting').filter(vm => !taken.has(vm))
   const returning = waiting.filter(vm => fleet.down.has(vm))
   const up = waiting.filter(vm => !fleet.down.has(vm) && fleet.vms.get(vm)?.state === 'up').map(vm => toCandidate(vm, wave, fleet))
-  const candidates = up.filter(({ id }) => wave.mayRequest(id, fleet.now)).sort(byReadiness)
-  const refused = up.filter(each => !candidates.includes(each) && each.isReady && each.plannedMs <= DRAIN_PATIENCE_MS)
+  const requestable = up.filter(({ id }) => wave.mayRequest(id, fleet.now)).sort(byReadiness)
+  const refused = up.filter(each => !requestable.includes(each) && each.isReady && each.plannedMs <= DRAIN_PATIENCE_MS)
+  const drainable = requestable.filter(({ id }) => fleet.resting?.has(id) !== true)
+  const kept = keptOpen(drainable, fleet, new Set([...taken, ...refused.map(({ id }) => id)]))
+  const candidates = drainable.filter(({ id }) => !kept.has(id))
   const slow = candidates.filter(isSlow)
   const others = candidates.filter(each => !isSlow(each))
   const ready = others.filter(({ isReady }) => isReady).length
@@ -166,6 +174,23 @@
   return [...new Set([...returning.slice(0, cap), ...chosen])]
 }
 
+/**
+ * Returns one VM of each service with several workers of which no other would stay open: long-running tasks could move nowhere, and
+ * short ones would wait for the end of drains that may not end. VMs without long-running tasks need not be kept, as their drains end.
+ */
+function keptOpen (candidates: readonly Candidate[], fleet: FleetSnapshot, taken: ReadonlySet<string>): Set<string> {
+  const byId = new Map(candidates.map(each => [each.id, each]))
+  const pools = new Set(candidates.flatMap(({ id }) => fleet.vms.get(id)?.pool ?? []))
+  return new Set([...pools].flatMap(pool => {
+    const workers = workersOf(pool, fleet)
+    const open = openWorkers(workers, taken)
+    if (workers.length < 2 || open.some(vm => !byId.has(vm))) return []
+    const keepable = open.flatMap(vm => byId.get(vm) ?? []).filter(({ lastingRuns, isReady }) => lastingRuns > 0 && !isReady)
+    keepable.sort((a, b) => a.plannedMs - b.plannedMs || b.lastingRuns - a.lastingRuns)
+    return keepable.slice(0, 1).map(({ id }) => id)
+  }))
+}
+
 /** Number of VMs that are missing for other waves: down, or being drained for waves that end earlier. */
 function countOthers (wave: WaveTracker, fleet: FleetSnapshot, taken: ReadonlySet<string>): number {
   const down = [...fleet.down.ids()].filter(vm => wave.stateOf(vm, fleet.now)?.phase !== 'begun')
--- a/jobs/fleet/test/explain-wave.test.ts
+++ b/jobs/fleet/test/explain-wave.test.ts
@@ -13,24 +13,27 @@
   readonly runs?: number
   /** Whether another wave has taken the VM down. */
   readonly isDown?: boolean
+  /** Whether its drain has given way. */
+  readonly rests?: boolean
   readonly context?: Partial<Omit<WaitContext, 'fleet'>>
   readonly mark?: (wave: WaveTracker) => void
 }
 
 /** Returns what the VM of a wave waits for. By default it is up, idle and not planned, and the limit is not reached. */
 function waitsFor (situation: Situation): string | undefined {
-  const { state, runs, context, mark, isDown } = { state: 'up' as const, runs: 0, ...situation }
+  const { state, runs, context, mark, isDown, rests } = { state: 'up' as const, runs: 0, ...situation }
   const wave = new WaveTracker({ number: 1, vms: [VM], cap: 1, durationMs: 10_000, createRevision: 1, revision: 1 }, { now: NOW })
   mark?.(wave)
   const down = new DownVms(2_000)
   if (isDown === true) down.add(VM, NOW)
   const vm: Vm | undefined = state === undefined ? undefined : { id: VM, pool: 'p', state, zone: 'z', rack: 'r', labels: [], capacity: { cpu: 1, memMb: 1, accelerators: 0 }, worker: '' }
-  const fleet: FleetSnapshot = { vms: new Map(vm === undefined ? [] : [[VM, vm]]), down, load: () => ({ runs, lastingRuns: 0 }), drained: new Set(), now: NOW }
+  const fleet: FleetSnapshot = { vms: new Map(vm === undefined ? [] : [[VM, vm]]), down, load: () => ({ runs, lastingRuns: 0 }), drained: new Set(), resting: new Set(rests === true ? [VM] : []), now: NOW }
   return vmWaits(wave, VM, { fleet, unreadable: new Set(), planned: false, plannedElsewhere: false, drained: false, limitReached: false, ...context })
 }
 
 const cases: ReadonlyArray<[string, string | undefined, Situation]> = [
   ['has its turn later', waitReasons.schedule, {}],
+  ['has given way', waitReasons.gaveWay, { rests: true }],
   ['is not planned while the limit is reached', waitReasons.limit, { context: { limitReached: true } }],
   ['is drained and not requested', waitReasons.limit, { context: { planned: true, drained: true } }],
   ['is planned and has runs', waitReasons.draining, { runs: 2, context: { planned: true } }],
--- a/testing/simulation/src/play-day.ts
+++ b/testing/simulation/src/play-day.ts
@@ -14,6 +14,10 @@
   /** The longest time that was calm from its beginning after which a task had no run although there was room. */
   readonly slowestRecoveryMs: number
   readonly calmMs: number
+  /** The longest time that a task which ends by itself waited for its first run, or waits still, in milliseconds. */
+  readonly longestStartMs: number
+  /** Number of VMs whose maintenance has begun, by wave. */
+  readonly maintained: ReadonlyMap<number, number>
 }
 
 /**
@@ -28,7 +32,7 @@
     new DayPlayer(site).schedule(day)
     await site.process.run(day.endMs)
     const { lost, longestWaitMs, slowestRecoveryMs, calmMs } = site.watch
-    return { lost, violations: site.violations(), longestWaitMs, slowestRecoveryMs, calmMs }
+    return { lost, violations: site.violations(), longestWaitMs, slowestRecoveryMs, calmMs, longestStartMs: site.longestStartMs(), maintained: site.fleet.maintained() }
   } finally {
     site.close()
   }
--- a/testing/simulation/src/pressing-days.ts
+++ b/testing/simulation/src/pressing-days.ts
@@ -39,6 +39,34 @@
   return { seed, entries, pools: [{ name: alpha, vms }, { name: beta, vms: 2 }, { name: 'spare', vms: 0, standby: true }], events: events.sort((a, b) => a.atMs - b.atMs), endMs: lostAt + CALM_MS }
 }
 
+/** A scenario of {@link drawWholeDrainDay}. */
+export interface WholeDrainDay extends Day {
+  /** Number of VMs in the wave. */
+  readonly drained: number
+  /** Whether the long-running tasks fit on the service's other VMs while one of them is drained. */
+  readonly fits: boolean
+}
+
+/**
+ * Draws a calm scenario with a wave over all VMs of a service, whose long-running tasks fit on one VM less or fill all of them. Tasks
+ * that end by themselves come all the while, and always fit beside these.
+ * @param seed - the same seed draws the same scenario
+ * @returns the scenario
+ */
+export function drawWholeDrainDay (seed: number): WholeDrainDay {
+  const dice = new Dice(seed)
+  const [alpha, beta] = services
+  const vms = dice.from(1, 3)
+  const fits = vms > 1 && dice.chance(0.5)
+  const waveAt = FIRST_FAULT_MS + dice.from(0, 2_000)
+  const events: DayEvent[] = [
+    { kind: 'submit', atMs: 1_500, jobs: [jobId({ service: alpha, tasks: fits ? 3 * (vms - 1) : 3 * vms, cpu: dice.from(2_200, 2_500), runMs: Infinity }, 1), jobId({ service: beta, tasks: 2, cpu: dice.from(5_000, 6_000), runMs: Infinity }, 2)] },
+    { kind: 'wave', atMs: waveAt, vms: Array.from({ length: vms }, (_, number) => number), durationMs: dice.from(8_000, 20_000), cap: dice.from(1, vms) },
+    ...Array.from({ length: 16 }, (_, number): DayEvent => ({ kind: 'submit', atMs: waveAt - 1_000 + number * 1_500, jobs: [jobId({ service: alpha, tasks: 2, cpu: dice.from(50, 100), runMs: dice.from(300, 700) }, 3 + number)] }))
+  ]
+  return { seed, entries: 3, pools: [{ name: alpha, vms }, { name: beta, vms: 2 }, { name: 'spare', vms: 0, standby: true }], events: events.sort((a, b) => a.atMs - b.atMs), endMs: waveAt + 40_000, drained: vms, fits }
+}
+
 /**
  * Draws a scenario in which workers are lost for good around the ends of two leaders of their service, one after the other,
  * and their VMs are no longer listed.
--- a/testing/simulation/src/run-history.ts
+++ b/testing/simulation/src/run-history.ts
@@ -51,6 +51,11 @@
     for (const run of this.of(worker)) if (run.endedAt === Infinity) Object.assign(run, { endedAt: this.now(), how: 'crashed' })
   }
 
+  /** @returns when the first run of a task began; undefined if it has had none */
+  firstStartOf (task: string): number | undefined {
+    return this.runs.find(run => run.task === task)?.startedAt
+  }
+
   /** @returns descriptions of all runs of a task */
   runsOf (task: string): string[] {
     return this.runs.filter(run => run.task === task).map(describe)
--- a/testing/simulation/src/simulation.ts
+++ b/testing/simulation/src/simulation.ts
@@ -100,6 +100,14 @@
     return [...this.fleet.history.violations(), ...this.fleet.violations]
   }
 
+  /** @returns the longest time in milliseconds that a task which ends by itself waited for its first run, or waits still */
+  longestStartMs (): number {
+    const waits = this.accepted.filter(job => !job.lasting && job.cancelledAt === undefined).flatMap(job => Array.from({ length: job.tasks }, (_, index) => {
+      return (this.fleet.history.firstStartOf(`${job.id}.0.0.${index}`) ?? this.process.now()) - job.acceptedAt
+    }))
+    return Math.max(0, ...waits)
+  }
+
   /** Restores the timers and random numbers of the process. */
   close (): void {
     for (const entry of this.entries) entry.kill()
--- a/testing/simulation/src/virtual-fleet.ts
+++ b/testing/simulation/src/virtual-fleet.ts
@@ -117,6 +117,11 @@
     return this.vms.flatMap(vm => vm.incarnation !== undefined && vm.isSound() && this.registrations.isRegistered(vm) ? [vm.incarnation] : [])
   }
 
+  /** @returns number of VMs whose maintenance has begun, by wave */
+  maintained (): Map<number, number> {
+    return new Map([...this.begun].map(([wave, vms]) => [wave, vms.size]))
+  }
+
   /** @returns whether exactly those workers are registered that are up */
   isSettled (): boolean {
     return this.registrations.isSettled(this.vms)
