A drain that leaves a worker open waits longer before it gives way

Cause: one bound for two cases. A service with an open worker starts what comes, and the drain waits for room there, which comes when runs end; it gave way after 6 s, shortly before.

Now 6 s if the drain leaves no worker open, 12 s if it leaves one, which only gives the other VMs their turns.

--- a/jobs/fleet/src/drain-turns.ts
+++ b/jobs/fleet/src/drain-turns.ts
@@ -1,9 +1,14 @@
 import type { FleetSnapshot } from './wave-schedule.ts'
 import { openWorkers, workersOf } from './service-workers.ts'
 
-/** A drain from which no long-running task has gone for this long gives way if it leaves its service at most one open worker. */
-export const GIVE_WAY_AFTER_MS = 6_000
-/** Longer than a drain lasts that gives way, so that each other VM of the service gets its turn. */
+/** A drain that leaves its service no open worker gives way when no long-running task has gone from there for this long. */
+const GIVE_WAY_AFTER_MS = 6_000
+/**
+ * One that leaves one open worker gives way to the other VMs of its service after this: the room for which it waits mostly comes
+ * before, when runs end.
+ */
+const TURN_MS = 12_000
+/** Longer than a drain that leaves no open worker lasts, so that the tasks that have waited meanwhile can be done. */
 const REST_MS = 8_000
 
 /** A VM that is being drained. */
@@ -68,8 +73,8 @@
   private isStuck (vm: string, taken: ReadonlySet<string>, fleet: FleetSnapshot): boolean {
     const pool = fleet.vms.get(vm)?.pool ?? ''
     const since = Math.max(this.drains.get(vm)?.since ?? fleet.now, this.progressAt.get(pool) ?? Number.NEGATIVE_INFINITY)
-    if (fleet.now - since < GIVE_WAY_AFTER_MS || fleet.load(vm).lastingRuns === 0) return false
-    return openWorkers(workersOf(pool, fleet), taken).length <= 1
+    if (fleet.load(vm).lastingRuns === 0) return false
+    return fleet.now - since >= patienceMs(openWorkers(workersOf(pool, fleet), taken).length)
   }
 
   private describe (vm: string, fleet: FleetSnapshot): GivenBackDrain {
@@ -81,3 +86,8 @@
     this.restsUntil.set(vm, now + REST_MS)
   }
 }
+
+function patienceMs (openWorkers: number): number {
+  if (openWorkers === 0) return GIVE_WAY_AFTER_MS
+  return openWorkers === 1 ? TURN_MS : Number.POSITIVE_INFINITY
+}
--- a/jobs/fleet/test/drain-turns.test.ts
+++ b/jobs/fleet/test/drain-turns.test.ts
@@ -4,8 +4,9 @@
 import type { Vm } from '@wisteriaslip/jobs.model'
 
 const STEP_MS = 200
-/** A drain gives way after this, and is tried again after the same once more and 2 s. */
+/** A drain gives way after this if it leaves no open worker, or one, and is tried again after 8 s. */
 const GIVE_WAY_MS = 6_000
+const TURN_MS = 12_000
 
 /** A service `a` with VMs whose workers respond, waves over them, and the turns of their drains. */
 class DrainedService {
@@ -108,11 +109,20 @@
 test('drains that cannot end take turns', () => {
   const service = new DrainedService({ v1: 2, v2: 2 })
   service.declare(['v1', 'v2'], 1)
-  const passes = service.passFor(40_000)
+  const passes = service.passFor(5 * TURN_MS)
   assert.ok(passes.every(vms => vms.length < 2))
   assert.deepEqual(service.gaveWay.slice(0, 4), ['v2', 'v1', 'v2', 'v1'])
 })
 
+// A drain that leaves a worker open was given back after 6 s, while it waited for runs there to end: waves took longer.
+test('a drain that leaves a worker open waits longer for room there', () => {
+  const service = new DrainedService({ v1: 2, v2: 2 })
+  service.declare(['v1'], 1)
+  assert.ok(service.passFor(TURN_MS).every(vms => vms.includes('v1')))
+  service.pass()
+  assert.deepEqual(service.pass(), [])
+})
+
 // Guards against: a drain that is given back just before it ends.
 test('a drain goes on while long-running tasks move away or only runs that end are left', () => {
   const service = new DrainedService({ v1: 4, v2: 5 })
