A worker that has ended stays recorded while its next incarnation may carry out a start

Seen: a task ran twice. A leader had sent a start to a worker that crashed, got no response, learned from lists that the incarnation had ended, and kept the start, as the next incarnation under the id may carry it out. Then it was killed. Its successor started the task elsewhere, half a second after the next incarnation, whose registration was late, had begun it.

Cause: the record of a term leaves out workers that have ended, so that the successor does not ask this one before it starts tasks of earlier jobs. Now one that has ended is named until its last start is settled.

Not covered: a successor that proves by lists that a worker has ended does not know of starts that the leader before may have sent there just before; read, not seen.

--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -7,7 +7,7 @@
 import { WORKER_LEASE_MS } from './worker-session.ts'
 
 /**
- * Interval at which workers that are gone (ended, or no longer tracked) are removed from the record; a new worker is
+ * Interval at which workers that are gone (ended without starts that may still be carried out, or no longer tracked) are removed from the record; a new worker is
  * written immediately.
  */
 const UPDATE_INTERVAL_MS = 1_000
@@ -132,6 +132,7 @@
   }
 }
 
+/** Returns the workers that the next leader must ask. The next incarnation of one that has ended may still carry out its starts. */
 function liveWorkers (scheduler: Scheduler): WorkerRegistration[] {
-  return [...scheduler.workers.values()].filter(worker => !worker.ended).map(worker => worker.registration)
+  return [...scheduler.workers.values()].filter(worker => !worker.ended || worker.runs.size > 0).map(worker => worker.registration)
 }
--- a/jobs/service/test/term-record-writer.test.ts
+++ b/jobs/service/test/term-record-writer.test.ts
@@ -5,6 +5,7 @@
 import { Metrics } from '@wisteriaslip/core.metrics'
 import type { Queue, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import { Scheduler } from '@wisteriaslip/jobs.scheduler'
+import { plainStep } from '@wisteriaslip/testing.jobs'
 import { JobKeys, JobRecords, type TermRecord } from '@wisteriaslip/jobs.store'
 import type { Change, Store, StoreError, Versioned } from '@wisteriaslip/store.client'
 import { TermRecordWriter } from '../src/term-record-writer.ts'
@@ -97,3 +98,22 @@
   assert.deepEqual(store.stored.value, newer)
   assert.equal(writer.contains(worker('w3')), false)
 })
+
+// The next leader started a task again that the worker's next incarnation carried out late: the record no longer named the worker.
+test('a worker that has ended is recorded for as long as its next incarnation may carry out a start', async () => {
+  const { store, writer, scheduler, register } = await startTerm()
+  const [w1] = [...scheduler.workers.values()]
+  assert.ok(w1 !== undefined)
+  scheduler.applyReport(w1, { clockMs: 1, born: 1, running: [], ended: [], moreEnded: false }, { sentAt: 10_000, receivedAt: 10_000 })
+  scheduler.addJob({ id: '00000000000000aa', queue: 'q', service: 's', payload: '', steps: [plainStep({ demand: { cpu: 1, memMb: 1, accelerators: 0 } })], acceptedAt: 0, acceptedUnder: 0 }, { acceptedThisTerm: true })
+  const [run] = scheduler.placeReadyTasks()
+  assert.ok(run !== undefined)
+  scheduler.handleStartResponse(run, { kind: 'unknown', message: '' })
+  scheduler.endIncarnation(w1)
+  register('w2')
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.workers(), ['w1', 'w2'])
+  scheduler.releaseRuns(w1, 'vm-replaced')
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.workers(), ['w2'])
+})
--- a/testing/jobs/test/service-liveness.model.test.ts
+++ b/testing/jobs/test/service-liveness.model.test.ts
@@ -43,7 +43,9 @@
   // A leader that took over learned from a worker's response that it had restarted, and took that for proof that nothing ran there.
   { seed: 4, faults: [faultOf('reborn', 5_588, 848, 1, 4), faultOf('store-down', 3_274, 4_172)], changes: [{ atMs: 1_004, overlapMs: 685, entry: 1 }, { atMs: 6_253, overlapMs: 8, entry: 0 }] },
   // A job was given up after two crashes of its workers for reasons of their own.
-  { seed: 114_810_782, faults: [faultOf('reborn', 4_844, 109, 0, 2), faultOf('replaced', 11_999, 100, 1, 2)], changes: [] }
+  { seed: 114_810_782, faults: [faultOf('reborn', 4_844, 109, 0, 2), faultOf('replaced', 11_999, 100, 1, 2)], changes: [] },
+  // A start without a response, kept because the next incarnation may carry it out, was not known to the successor of its leader.
+  { seed: 403, faults: [faultOf('orders', 4_672, 500), faultOf('job', 5_020, 100), faultOf('reborn', 4_922, 60, 7, 2), faultOf('reborn', 5_072, 383, 3, 3), faultOf('late-registrations', 5_072, 1_774)], changes: [{ atMs: 6_579, overlapMs: 0, entry: 1 }] }
 ]
 
 function faultOf (kind: Fault['kind'], atMs: number, forMs: number, first = 0, count = 1): Fault {
