--- a/testing/simulation/test/regained-lease.model.test.ts
+++ b/testing/simulation/test/regained-lease.model.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import { drawRegainDay, playDay } from '@wisteriaslip/testing.simulation'
 
-const SEEDS = [5, 8, 9, 12, 14, 17]
+const SEEDS = [5, 8, 9, 12, 14, 17, 23, 59]
 
 const violations: string[] = []
 for (const seed of SEEDS) violations.push(...(await playDay(drawRegainDay(seed))).violations)
