A drain that cannot end gives way however many workers it leaves open

Seen: three workers, one of them drained by a wave; two long-running tasks fill the memory of two, and one of another job is on each. Found in review.

Cause: drains gave way only if they left at most one open worker. But open workers need not fit what waits.

Now 6 s if it leaves none, 12 s otherwise, since any drain of the service came closer to its end. So a large service whose tasks move one by one, as far as they may, gives nothing back.

Changed test: 'a drain goes on if its service has two more open workers' wanted such a drain to go on for 30 s without progress, which is the fault. It now wants two drains to go on for as long as tasks of one of them move, one each 12 s. The turns read the plan themselves, so that the test plays the product's choice of what may give way; without it a VM with a request counts as given back, which the test notices now.

--- a/jobs/fleet/src/drain-turns.ts
+++ b/jobs/fleet/src/drain-turns.ts
@@ -1,11 +1,11 @@
-import type { FleetSnapshot } from './wave-schedule.ts'
+import type { FleetSnapshot, PlannedMaintenance } from './wave-schedule.ts'
 import { openWorkers, workersOf } from './service-workers.ts'
 
 /** A drain that leaves its service no open worker gives way when no long-running task has gone from there for this long. */
 const GIVE_WAY_AFTER_MS = 6_000
 /**
- * One that leaves one open worker gives way to the other VMs of its service after this: the room for which it waits mostly comes
- * before, when runs end.
+ * One that leaves open workers gives way after this: the room for which it waits mostly comes before, when runs end. But these
+ * workers may not fit the tasks that wait.
  */
 const TURN_MS = 12_000
 /** Longer than a drain that leaves no open worker lasts, so that the tasks that have waited meanwhile can be done. */
@@ -45,13 +45,15 @@
   }
 
   /**
-   * Follows the drains, and gives back those that have come no closer to their end for long.
-   * @param drained - ids of the VMs that are being drained and that no request may take down yet
-   * @param taken - ids of all VMs that are being drained
+   * Follows the drains, and gives back those that have come no closer to their end for long. A VM that a request may take down goes
+   * on draining.
+   * @param planned - the maintenance that is planned
    * @param fleet - the fleet
    * @returns the drains that are given back from the next pass on
    */
-  follow (drained: ReadonlySet<string>, taken: ReadonlySet<string>, fleet: FleetSnapshot): GivenBackDrain[] {
+  follow (planned: readonly PlannedMaintenance[], fleet: FleetSnapshot): GivenBackDrain[] {
+    const taken = new Set(planned.map(({ vm }) => vm))
+    const drained = new Set(planned.filter(({ wave, vm }) => fleet.vms.get(vm)?.state === 'up' && wave.stateOf(vm, fleet.now)?.phase === 'waiting').map(({ vm }) => vm))
     for (const vm of this.drains.keys()) if (!drained.has(vm)) this.drains.delete(vm)
     for (const { pool, state } of fleet.vms.values()) if (state === 'moving' || state === 'maintenance') this.progressAt.set(pool, fleet.now)
     for (const vm of drained) this.followDrain(vm, fleet)
@@ -88,6 +90,5 @@
 }
 
 function patienceMs (openWorkers: number): number {
-  if (openWorkers === 0) return GIVE_WAY_AFTER_MS
-  return openWorkers === 1 ? TURN_MS : Number.POSITIVE_INFINITY
+  return openWorkers === 0 ? GIVE_WAY_AFTER_MS : TURN_MS
 }
--- a/jobs/fleet/src/wave-runner.ts
+++ b/jobs/fleet/src/wave-runner.ts
@@ -97,15 +97,8 @@
     this.findReturned(now)
     this.planned = planWaves(this.unfinished(), this.fleet)
     this.drained = new Set()
-    const taken = new Set(this.planned.map(({ vm }) => vm))
-    this.followDrains(taken)
-    return taken
-  }
-
-  /** A VM that a request may take down goes on draining. */
-  private followDrains (taken: ReadonlySet<string>): void {
-    const drained = this.planned.filter(({ wave, vm }) => this.fleet.vms.get(vm)?.state === 'up' && wave.stateOf(vm, this.fleet.now)?.phase === 'waiting')
-    for (const drain of this.turns.follow(new Set(drained.map(({ vm }) => vm)), taken, this.fleet)) this.log.gaveWay(drain)
+    for (const drain of this.turns.follow(this.planned, this.fleet)) this.log.gaveWay(drain)
+    return new Set(this.planned.map(({ vm }) => vm))
   }
 
   /**
