A VM that stays away from its service keeps no drain from giving way

Seen: the drain of an only worker that could not end went on for 120 s, as another VM of its service stayed listed as in maintenance, or as moving. Found in review.

Cause: a VM on its way counts as progress in each pass, without a bound.

Now for 10 s, more than a move or a maintenance and the start of a worker take.

Evidence: two cases of drain-turns.test.ts fail without the change and pass with it. Ruled out: no wait for such VMs at all, as then a drain is given back just before room for its tasks arrives.

--- a/jobs/fleet/src/drain-turns.ts
+++ b/jobs/fleet/src/drain-turns.ts
@@ -8,6 +8,8 @@
  * workers may not fit the tasks that wait.
  */
 const TURN_MS = 12_000
+/** A VM that arrives in its service or returns to it takes less; one that is away for longer is not waited for. */
+const MAX_ARRIVAL_MS = 10_000
 /** Longer than a drain that leaves no open worker lasts, so that the tasks that have waited meanwhile can be done. */
 const REST_MS = 8_000
 
@@ -33,6 +35,8 @@
   private readonly drains = new Map<string, Drain>()
   /** When a drain of each service last came closer to its end, or a VM was on its way to the service, by the injected clock. */
   private readonly progressAt = new Map<string, number>()
+  /** Since when each VM that is on its way to a service, or in maintenance, has been so, by the injected clock. */
+  private readonly awaySince = new Map<string, number>()
   private readonly restsUntil = new Map<string, number>()
 
   /**
@@ -55,13 +59,25 @@
     const taken = new Set(planned.map(({ vm }) => vm))
     const drained = new Set(planned.filter(({ wave, vm }) => fleet.vms.get(vm)?.state === 'up' && wave.stateOf(vm, fleet.now)?.phase === 'waiting').map(({ vm }) => vm))
     for (const vm of this.drains.keys()) if (!drained.has(vm)) this.drains.delete(vm)
-    for (const { pool, state } of fleet.vms.values()) if (state === 'moving' || state === 'maintenance') this.progressAt.set(pool, fleet.now)
+    this.followArrivals(fleet)
     for (const vm of drained) this.followDrain(vm, fleet)
     const stuck = [...this.drains.keys()].flatMap(vm => this.isStuck(vm, taken, fleet) ? [this.describe(vm, fleet)] : [])
     for (const { vm } of stuck) this.giveBack(vm, fleet.now)
     return stuck
   }
 
+  /** A VM that arrives may have room for the tasks that keep a drain from its end. */
+  private followArrivals ({ vms, now }: FleetSnapshot): void {
+    const isAway = (vm: string): boolean => ['moving', 'maintenance'].includes(vms.get(vm)?.state ?? '')
+    for (const vm of this.awaySince.keys()) if (!isAway(vm)) this.awaySince.delete(vm)
+    for (const { id, pool } of vms.values()) {
+      if (!isAway(id)) continue
+      const since = this.awaySince.get(id) ?? now
+      this.awaySince.set(id, since)
+      if (now - since < MAX_ARRIVAL_MS) this.progressAt.set(pool, now)
+    }
+  }
+
   private followDrain (vm: string, { vms, load, now }: FleetSnapshot): void {
     const { lastingRuns } = load(vm)
     const drain = this.drains.get(vm)
--- a/jobs/fleet/test/drain-turns.test.ts
+++ b/jobs/fleet/test/drain-turns.test.ts
@@ -161,6 +161,17 @@
   assert.deepEqual(service.pass(), [])
 })
 
+// A VM of the service that stayed in maintenance, or on its way, kept a drain that could not end for good.
+for (const state of ['maintenance', 'moving'] as const) {
+  test(`the drain of an only worker gives way although another VM of its service stays listed as ${state}`, () => {
+    const service = new DrainedService({ v1: 2, v2: 0 })
+    service.states.set('v2', state)
+    service.declare(['v1'], 1)
+    service.passFor(120_000)
+    assert.ok(service.gaveWay.length > 0)
+  })
+}
+
 // Guards against: a VM that takes tasks while a request without a response may yet take it down.
 test('a VM with a request that may take effect does not give way', () => {
   const service = new DrainedService({ v1: 2 })
