--- a/jobs/fleet/test/drain-turns.test.ts
+++ b/jobs/fleet/test/drain-turns.test.ts
@@ -181,3 +181,20 @@
   assert.ok(service.passFor(20_000).every(vms => vms.includes('v1')))
   assert.deepEqual(service.gaveWay, [])
 })
+
+// A drained VM that the platform refuses again and again keeps the other one of its service from being drained.
+test('the other VM of a service is drained while the platform refuses an empty one', () => {
+  const service = new DrainedService({ v1: 0, v2: 2 })
+  const wave = service.declare(['v1', 'v2'], 2)
+  let longest = 0
+  let since: number | undefined
+  for (let passes = 0; passes < 600; passes++) {
+    const taken = service.pass()
+    if (taken.includes('v1')) service.drained.add('v1')
+    else service.drained.delete('v1')
+    if (taken.includes('v1') && wave.mayRequest('v1', service.now)) wave.markRefused('v1', 'busy', service.now)
+    since = taken.includes('v2') ? since ?? service.now : undefined
+    if (since !== undefined) longest = Math.max(longest, service.now - since)
+  }
+  assert.ok(longest >= 6_000, `${longest} ms`)
+})
--- a/testing/soak/test/check-completion.test.ts
+++ b/testing/soak/test/check-completion.test.ts
@@ -129,3 +129,16 @@
   assert.deepEqual(check({ runs: [use('w1', 4_000)] }, lasting), ['lost'])
   assert.deepEqual(check({ runs: [own()] }, lasting), [])
 })
+
+// The users' rule: a job is not known, has no answer, or is shown as failed or cancelled without cause, whether it runs or not.
+test('a job that is shown wrongly, or not at all, is lost although a run of it goes on or all have ended', () => {
+  const lasting = { plan: { ...plan, runMs: 0 } }
+  const ended = own({ startedAt: 30_000, endedAt: 32_000, how: 'done' })
+  const broken: string[] = []
+  for (const state of ['none', undefined, 'failed', 'cancelled', 'completed']) {
+    if (check({ runs: [own()] }, { ...lasting, state }).length === 0) broken.push(`a lasting job at work, ${state}`)
+    if (check({ runs: [own()] }, { state }).length === 0) broken.push(`a job at work, ${state}`)
+    if (state !== 'completed' && check({ runs: [ended] }, { state }).length === 0) broken.push(`a job that is done, ${state}`)
+  }
+  assert.deepEqual(broken, [])
+})
