--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -7,8 +7,8 @@
 import { WORKER_LEASE_MS } from './worker-session.ts'
 
 /**
- * Interval at which workers that are gone (ended without starts that may still be carried out, or no longer tracked) are removed from the record; a new worker is
- * written immediately.
+ * Interval at which workers that are gone (ended without starts that may still be carried out, or no longer tracked) are removed
+ * from the record; a new worker is written immediately.
  */
 const UPDATE_INTERVAL_MS = 1_000
 const WRITE_RETRY_MS = 100
