A leader that takes over waits no longer for a silent worker than the one before would have

Seen: with two changes of leader some 5 s apart, tasks of earlier jobs have no run for over 10 s, although there is room for them (users' rule: 9 s). In a model of a service one worker is cut off and stays registered.

Cause: a new term waits 5.7 s for each worker of the record that does not respond, until all leases of earlier terms have expired there, and each successor begins that wait anew, whatever its predecessors have waited. So does the successor of a term in which all leases of a silent worker had expired.

Now the term's record says, for workers that hold no lease of the term (silent since it began, or silent until their leases had expired), for how long runs may still be in progress there: a duration from the write on, computed from the time for which the leadership was confirmed, written each second while it changes and at the end of the term. The successor waits for no longer. Such a worker gets no lease and no start before the record has been written without it; a write with an unknown outcome counts as one that lists it.

Cost: a worker that was silent and comes back while nobody reaches the store gets no lease; runs that it still has end by those that it holds.

--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -4,6 +4,7 @@
 import { CrashTracker } from './crash-tracker.ts'
 import { collectDueStops } from './due-stops.ts'
 import { DemandEstimator } from './demand-estimator.ts'
+import { EarlierRuns } from './earlier-runs.ts'
 import { chooseRegistration, Incarnations, isOfTracked } from './incarnations.ts'
 import { Isolation } from './isolation.ts'
 import { JobTable } from './job-table.ts'
@@ -79,8 +80,7 @@
   private readonly runsToStop = new Set<Run>()
   private losses: WorkerLoss[] = []
   private readonly incarnations = new Incarnations()
-  /** Until this time of the injected clock, newly tracked workers may execute commands of earlier leaders. */
-  private unknownRunsUntil = Number.NEGATIVE_INFINITY
+  private readonly earlierRuns = new EarlierRuns()
   private readonly durationEstimator = new DurationEstimator()
   private readonly demandEstimator: DemandEstimator
   private readonly placer: TaskPlacer
@@ -119,13 +119,21 @@
    */
   setWorkers (registrations: readonly WorkerRegistration[], opts: { unknownRunsUntil: number }): void {
     const registeredIds = new Set(registrations.map(registration => registration.id))
-    this.unknownRunsUntil = opts.unknownRunsUntil
+    this.earlierRuns.until = opts.unknownRunsUntil
     for (const registration of registrations) this.registerWorker(registration)
     for (const worker of this.workers.values()) {
       if (!registeredIds.has(worker.registration.id)) worker.deregistered = true
     }
   }
 
+  /**
+   * Takes over, before the first workers, what earlier leaders knew of runs that may be in progress.
+   * @param unknownRunsMs - for how long that may be so, in milliseconds from now on, by incarnation
+   */
+  takeOver (unknownRunsMs: Readonly<Record<string, number>>): void {
+    this.earlierRuns.takeOver(unknownRunsMs, this.opts.clock.now())
+  }
+
   /**
    * Ends an incarnation of a worker: the runs that have certainly begun there are over and released. Other starts are kept,
    * confirmed or not: the next incarnation under the same id may have executed them, or may do so still.
@@ -197,7 +205,7 @@
     const unknownJobs = new Set<string>()
     const orphans: OrphanedRun[] = []
     worker.recordClock(report.clockMs, opts.receivedAt)
-    if (!worker.fenced) worker.assumePreviousLeases({ clockMs: report.clockMs, sentAt: opts.sentAt }, { longestLeaseMs: this.opts.limits.longestLeaseMs, earlierLeadersUntil: this.unknownRunsUntil })
+    if (!worker.fenced) worker.assumePreviousLeases({ clockMs: report.clockMs, sentAt: opts.sentAt }, { longestLeaseMs: this.opts.limits.longestLeaseMs, earlierLeadersUntil: this.earlierRuns.until })
     worker.markReachable(opts.receivedAt)
     for (const run of worker.runs.values()) run.outlivedStart ||= opts.sentAt - run.startedAt >= SETTLE_MS
     this.applyEndedRuns(worker, report.ended, unknownJobs)
@@ -394,7 +402,7 @@
     if (existing !== undefined) this.endIncarnation(existing)
     const unresolvedRuns = [...existing?.runs.values() ?? []]
     const lateStartsUntil = unresolvedRuns.length === 0 ? 0 : this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
-    const worker = new TrackedWorker(registration, { unknownRunsUntil: this.unknownRunsUntil, lateStartsUntil, previous: existing })
+    const worker = new TrackedWorker(registration, { unknownRunsUntil: this.earlierRuns.untilAt(registration), lateStartsUntil, previous: existing })
     this.workers.set(registration.id, worker)
     this.incarnations.add(registration)
     for (const run of unresolvedRuns) this.carryOverRun(run, worker)
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -32,6 +32,8 @@
   hasUntrackedRuns = false
   /** The worker is no longer registered. */
   deregistered = false
+  /** It may be granted leases: the term's record does not tell the next leader that it holds none. */
+  mayGetLeases = true
   /** The incarnation has ended: nothing runs there. */
   ended = false
   /**
@@ -188,6 +190,17 @@
     return now < this.unknownRunsUntil || (this.hasUnlistedCompletions && !this.haveLeasesExpired(now))
   }
 
+  /**
+   * @param now - time of the injected clock for which it is known which leases it holds
+   * @returns for how long runs may still be in progress there, in milliseconds, if this term has granted it no lease, or none that
+   * has not expired; undefined if it responds, or holds a lease, or may hold one
+   */
+  unknownRunsMs (now: number): number | undefined {
+    if (this.ended || this.reachable || this.runs.size > 0 || this.pendingCompletions.size > 0) return undefined
+    if (this.lastResponseAt !== undefined) return this.haveLeasesExpired(now) ? 0 : undefined
+    return Math.max(0, Math.ceil(this.unknownRunsUntil - now))
+  }
+
   /**
    * @param now - time of the injected clock
    * @returns whether starts may be sent to the worker
@@ -206,7 +219,7 @@
 
   /** @returns whether starts may be sent to the worker unless it is withdrawn or in cooldown */
   isUsable (): boolean {
-    return this.fenced && this.reachable && !this.hasUntrackedRuns && !this.ended && !this.deregistered && !this.registration.draining
+    return this.fenced && this.reachable && this.mayGetLeases && !this.hasUntrackedRuns && !this.ended && !this.deregistered && !this.registration.draining
   }
 
   /**
--- a/jobs/service/src/takeover-monitor.ts
+++ b/jobs/service/src/takeover-monitor.ts
@@ -35,7 +35,7 @@
     if (this.waitingSince === undefined) this.waitingSince = this.lastReportAt = now
     if (now - this.lastReportAt < REPORT_INTERVAL_MS) return
     this.lastReportAt = now
-    const workers = scheduler.workersWithUnknownRuns().map(({ registration: { id, vm }, deregistered, reachable }) => ({ id, vm, deregistered, reachable }))
+    const workers = scheduler.workersWithUnknownRuns().map(({ registration: { id, vm }, deregistered, reachable, unknownRunsUntil }) => ({ id, vm, deregistered, reachable, leftMs: Math.round(unknownRunsUntil - now) }))
     logger.info({ service, token, forMs: Math.round(now - this.waitingSince), workers }, 'tasks of earlier jobs wait: runs of some workers are unknown')
   }
 }
--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -8,7 +8,8 @@
 
 /**
  * Interval at which workers that are gone (ended without starts that may still be carried out, or no longer tracked) are removed
- * from the record; a new worker is written immediately.
+ * from the record, and for how long silent ones may still execute runs is written. A new worker is written immediately, and so is one
+ * that responds again. A worker that is silent for less at the beginning of a term is not written as one that holds no lease.
  */
 const UPDATE_INTERVAL_MS = 1_000
 const WRITE_RETRY_MS = 100
@@ -23,6 +24,9 @@
   private record: Versioned<TermRecord> | undefined
   /** Workers that the durable record certainly contains. */
   private readonly recordedWorkers = new Set<string>()
+  /** Workers that the durable record certainly doesn't list as ones without a lease. */
+  private readonly leasable = new Set<string>()
+  private startedAt = 0
   /** First of the writes that have failed since the last successful one. */
   private failure: { readonly since: number, readonly code: string } | undefined
 
@@ -40,6 +44,7 @@
     const written = await records.startTerm(service, before => this.nextRecord(before), guard)
     if (!written.ok) return written
     this.setRecord(written.value)
+    this.startedAt = this.opts.clock.now()
     return { ok: true, value: written.value.value }
   }
 
@@ -51,7 +56,15 @@
     return this.recordedWorkers.has(incarnationKey(worker))
   }
 
-  /** Requests an immediate update, for a worker that is missing from the record. */
+  /**
+   * @param worker - registration of the worker
+   * @returns whether the durable record lets the next leader expect that this incarnation of the worker holds a lease
+   */
+  allowsLeases (worker: WorkerRegistration): boolean {
+    return this.leasable.has(incarnationKey(worker))
+  }
+
+  /** Requests an immediate update, for a worker that is missing from the record, or that it lists as one without a lease. */
   wake (): void {
     this.wakeup.wake()
   }
@@ -71,7 +84,7 @@
   }
 
   /**
-   * Writes the current workers if they differ from the record.
+   * Writes the current workers if they differ from the record. Those that are written as ones without a lease may get none from then on.
    * @param scheduler - source of the current workers
    * @returns whether the record is up to date
    */
@@ -79,8 +92,10 @@
     if (this.record === undefined) return false
     if (this.isCurrent(scheduler)) return true
     const workers = liveWorkers(scheduler)
+    const unknownRunsMs = this.unknownRunsMs(scheduler)
     this.forgetAllBut(workers)
-    const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers }, this.opts.guard)
+    this.forbidLeases(unknownRunsMs, scheduler)
+    const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers, unknownRunsMs }, this.opts.guard)
     this.recordOutcome(written.ok ? undefined : written.error, workers)
     if (written.ok) this.setRecord(written.value)
     else if (written.error.kind === 'conflict') await this.readRecord(this.record.value.number)
@@ -101,10 +116,34 @@
     }
   }
 
+  /** Without a response, a write may tell the next leader, now or later, that these workers hold no lease. */
+  private forbidLeases (unknownRunsMs: Readonly<Record<string, number>>, scheduler: Scheduler): void {
+    for (const incarnation of Object.keys(unknownRunsMs)) this.leasable.delete(incarnation)
+    for (const worker of scheduler.workers.values()) if (worker.incarnation() in unknownRunsMs) worker.mayGetLeases = false
+  }
+
   private setRecord (record: Versioned<TermRecord>): void {
     this.record = record
     this.recordedWorkers.clear()
-    for (const worker of record.value.workers) this.recordedWorkers.add(incarnationKey(worker))
+    this.leasable.clear()
+    for (const worker of record.value.workers) {
+      const incarnation = incarnationKey(worker)
+      this.recordedWorkers.add(incarnation)
+      if (record.value.unknownRunsMs?.[incarnation] === undefined) this.leasable.add(incarnation)
+    }
+  }
+
+  /** Returns the workers without a lease. Early in a term most workers have not responded yet, and would have to be written again at once. */
+  private unknownRunsMs (scheduler: Scheduler): Record<string, number> {
+    const leasesKnownAt = scheduler.leasesKnownAt()
+    const isEarly = this.opts.clock.now() - this.startedAt < UPDATE_INTERVAL_MS
+    const found: Record<string, number> = {}
+    for (const worker of scheduler.workers.values()) {
+      const ms = worker.unknownRunsMs(leasesKnownAt)
+      const isListed = this.contains(worker.registration) && !this.allowsLeases(worker.registration)
+      if (ms !== undefined && (isListed || !isEarly)) found[worker.incarnation()] = ms
+    }
+    return found
   }
 
   /** Logs when writes begin to fail, when they fail for another reason, and when they succeed again. */
@@ -122,13 +161,19 @@
 
   private nextRecord (before: TermRecord | undefined): TermRecord {
     const maxEarlierLeaseMs = before === undefined ? 0 : before.leaseMs ?? this.opts.limits.longestLeaseMs
-    return { number: (before?.number ?? -1) + 1, leaseMs: Math.max(maxEarlierLeaseMs, WORKER_LEASE_MS), workers: before?.workers ?? [] }
+    return { number: (before?.number ?? -1) + 1, leaseMs: Math.max(maxEarlierLeaseMs, WORKER_LEASE_MS), workers: before?.workers ?? [], unknownRunsMs: before?.unknownRunsMs ?? {} }
   }
 
   private isCurrent (scheduler: Scheduler): boolean {
     if (this.failure !== undefined) return false
     const workers = liveWorkers(scheduler)
-    return workers.length === this.recordedWorkers.size && workers.every(worker => this.contains(worker))
+    return workers.length === this.recordedWorkers.size && workers.every(worker => this.contains(worker)) && this.areWaitsCurrent(scheduler)
+  }
+
+  private areWaitsCurrent (scheduler: Scheduler): boolean {
+    const recorded = this.record?.value.unknownRunsMs ?? {}
+    const current = this.unknownRunsMs(scheduler)
+    return Object.keys(recorded).length === Object.keys(current).length && Object.entries(current).every(([incarnation, ms]) => recorded[incarnation] === ms)
   }
 }
 
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -81,7 +81,7 @@
         writer.run(termAbort.signal),
         requestWatcher.run(termAbort.signal),
         this.runSchedulingLoop(termAbort.signal),
-        this.recordWriter.run(scheduler, () => this.wakeup.wake(), termAbort.signal),
+        this.recordWriter.run(scheduler, () => this.onTermRecordWritten(), termAbort.signal),
         this.detectLostWorkers(scheduler, termAbort.signal),
         this.runPeriodically(JOB_EXPIRY_INTERVAL_MS, termAbort.signal, async () => await removeExpiredJobs(scheduler, writer, this.opts))
       ], termAbort.abort)
@@ -221,6 +221,7 @@
       if (all.cancelled.has(id)) scheduler.table.cancel(id)
     }
     this.unknownRunsUntil = clock.now() + LEADERSHIP_OVERLAP_MS + maxEarlierLeaseMs
+    scheduler.takeOver(term.unknownRunsMs ?? {})
     scheduler.setWorkers(term.workers, { unknownRunsUntil: this.unknownRunsUntil })
     this.updateWorkers(scheduler)
     const { store, records } = this.opts
@@ -322,8 +323,8 @@
   }
 
   /**
-   * A worker gets no lease before the term's record contains it: the next leader must know which workers to poll. A pass
-   * opens no more sessions than starts would be sent, as the first poll needs a connection.
+   * A worker gets no lease before the term's record contains it as one that may hold leases: the next leader must know which
+   * workers to poll. A pass opens no more sessions than starts would be sent, as the first poll needs a connection.
    */
   private openSessions (scheduler: Scheduler, signal: AbortSignal): void {
     for (const worker of this.sessions.keys()) {
@@ -333,8 +334,10 @@
     }
     let sessionsToOpen = Math.max(MIN_SESSIONS_PER_PASS, this.startWindow.free())
     for (const worker of scheduler.workers.values()) {
-      if (worker.ended || this.sessions.has(worker)) continue
-      if (!this.recordWriter.contains(worker.registration)) {
+      if (worker.ended) continue
+      if (this.sessions.has(worker)) {
+        if (worker.reachable && !worker.mayGetLeases) this.recordWriter.wake()
+      } else if (!this.recordWriter.contains(worker.registration)) {
         this.recordWriter.wake()
       } else if (sessionsToOpen > 0) {
         sessionsToOpen -= 1
@@ -344,7 +347,17 @@
     if (sessionsToOpen === 0) this.wakeup.wake()
   }
 
+  private onTermRecordWritten (): void {
+    for (const [worker, session] of this.sessions) {
+      if (worker.mayGetLeases || !this.recordWriter.allowsLeases(worker.registration)) continue
+      worker.mayGetLeases = true
+      session.pollNow()
+    }
+    this.wakeup.wake()
+  }
+
   private openSession (worker: TrackedWorker, scheduler: Scheduler, signal: AbortSignal): void {
+    worker.mayGetLeases = this.recordWriter.allowsLeases(worker.registration)
     const session = new WorkerSession(worker, scheduler, this.opts, {
       onChange: () => this.wakeup.wake(),
       onNewerLeader: () => this.onNewerLeader({ worker: worker.registration.id }),
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -236,7 +236,7 @@
 
   private canExtendLease (now: number): boolean {
     const { worker } = this
-    if (!this.events.mayAct() || !worker.hasClock() || !worker.reachable || worker.lastResponseAt === undefined) return false
+    if (!this.events.mayAct() || !worker.mayGetLeases || !worker.hasClock() || !worker.reachable || worker.lastResponseAt === undefined) return false
     return now - worker.lastResponseAt < MAX_RESPONSE_AGE_FOR_LEASE_MS
   }
 
--- a/jobs/service/test/term-record-writer.test.ts
+++ b/jobs/service/test/term-record-writer.test.ts
@@ -39,6 +39,10 @@
     return NO_RESPONSE
   }
 
+  unknownRunsMs (): TermRecord['unknownRunsMs'] {
+    return (this.stored?.value as TermRecord).unknownRunsMs
+  }
+
   workers (): string[] {
     return (this.stored?.value as TermRecord).workers.map(worker => worker.id)
   }
@@ -48,21 +52,22 @@
   return { id, born: 1, service: 's', host: '', port: 0, zone: '', vm: '', draining: false, capacity: { cpu: 1, memMb: 1, accelerators: 0 }, labels: [], rack: '' }
 }
 
-/** A term whose record names w1 and w2. */
-async function startTerm () {
-  const clock = { now: () => 10_000 }
+/** A term whose record names w1 and w2, and that knows of no earlier runs by default. */
+async function startTerm ({ unknownRunsUntil = 0 } = {}) {
+  const time = { now: 10_000, confirmedAt: Infinity }
+  const clock = { now: () => time.now }
   const store = new OneDocumentStore()
   const opts = { service: 's', token: 1, guard: { key: 'leader', createRevision: 1 }, records: new JobRecords(store as unknown as Store, new JobKeys('w')), limits, clock, logger: silentLogger, metrics: new Metrics() } as unknown as ServiceTermOpts
   const writer = new TermRecordWriter(opts)
-  const scheduler = new Scheduler({ clock, wallClock: () => 10_000, limits, queue: () => queue, term: 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: 6_000 })
+  const scheduler = new Scheduler({ clock, wallClock: () => 10_000, limits, queue: () => queue, term: 0, leadershipConfirmedAt: () => time.confirmedAt, maxEarlierLeaseMs: 6_000 })
   const register = (...ids: string[]): void => {
-    scheduler.setWorkers(ids.map(worker), { unknownRunsUntil: 0 })
+    scheduler.setWorkers(ids.map(worker), { unknownRunsUntil })
     scheduler.tick()
   }
   await writer.startTerm()
   register('w1', 'w2')
   assert.equal(await writer.writeIfChanged(scheduler), true)
-  return { store, writer, scheduler, register }
+  return { store, writer, scheduler, register, time }
 }
 
 // A worker that registered again counted as recorded, although a write without a response had removed it from the record.
@@ -117,3 +122,62 @@
   assert.equal(await writer.writeIfChanged(scheduler), true)
   assert.deepEqual(store.workers(), ['w2'])
 })
+
+/** Lets the term have gone on for a while in which w2 has responded and w1 has not. */
+async function startTermWithSilentWorker () {
+  const term = await startTerm({ unknownRunsUntil: 15_700 })
+  const [w1, w2] = [...term.scheduler.workers.values()]
+  assert.ok(w1 !== undefined && w2 !== undefined)
+  term.time.now = 12_000
+  term.scheduler.applyReport(w2, { clockMs: 1, born: 1, running: [], ended: [], moreEnded: false }, { sentAt: 12_000, receivedAt: 12_000 })
+  return { ...term, w1, w2 }
+}
+
+// The next leader waited the whole time for a worker that had been silent for all of this term.
+test('the record says for how long runs may still be in progress on a silent worker, and grants it nothing while it does', async () => {
+  const { store, writer, scheduler, time, w1, w2 } = await startTermWithSilentWorker()
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.unknownRunsMs(), { 'w1/1': 3_700 })
+  assert.deepEqual([writer.allowsLeases(w1.registration), w1.mayGetLeases], [false, false])
+  assert.deepEqual([writer.allowsLeases(w2.registration), w2.mayGetLeases], [true, true])
+  time.now = 30_000
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.unknownRunsMs(), { 'w1/1': 0 })
+  scheduler.applyReport(w1, { clockMs: 1, born: 1, running: [], ended: [], moreEnded: false }, { sentAt: 30_000, receivedAt: 30_000 })
+  assert.equal(writer.allowsLeases(w1.registration), false)
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.unknownRunsMs(), {})
+  assert.equal(writer.allowsLeases(w1.registration), true)
+})
+
+// A write without a response may have told the next leader that the worker holds no lease.
+test('a worker whose silence a write with an unknown outcome records gets no lease before it is recorded anew', async () => {
+  for (const fault of ['loseResponse', 'loseCall'] as const) {
+    const { store, writer, scheduler, w1 } = await startTermWithSilentWorker()
+    assert.equal(writer.allowsLeases(w1.registration), true)
+    store[fault] = true
+    assert.equal(await writer.writeIfChanged(scheduler), false)
+    assert.deepEqual([writer.allowsLeases(w1.registration), w1.mayGetLeases], [false, false], fault)
+    scheduler.applyReport(w1, { clockMs: 1, born: 1, running: [], ended: [], moreEnded: false }, { sentAt: 12_000, receivedAt: 12_000 })
+    for (let tries = 0; tries < 3 && !await writer.writeIfChanged(scheduler); tries++) continue
+    assert.deepEqual(store.unknownRunsMs(), {}, fault)
+    assert.equal(writer.allowsLeases(w1.registration), true, fault)
+  }
+})
+
+// Time that nothing confirms the leadership for is no time in which certainly nobody has granted anything.
+test('a silence counts only for as long as the leadership was confirmed', async () => {
+  const { store, writer, scheduler, time } = await startTermWithSilentWorker()
+  time.confirmedAt = 11_000
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.unknownRunsMs(), { 'w1/1': 4_700 })
+})
+
+// Each worker that has not been asked yet would have had to be recorded twice, and got its first tasks later.
+test('early in a term no worker is recorded as silent', async () => {
+  const { store, writer, scheduler, time, register } = await startTerm({ unknownRunsUntil: 15_700 })
+  time.now = 10_500
+  register('w1', 'w2', 'w3')
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.unknownRunsMs(), {})
+})
--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -124,3 +124,27 @@
   await new Promise(resolve => setTimeout(resolve, 10))
   assert.ok(logged.includes('worker command failed unexpectedly'), String(logged))
 })
+
+// A lease that the record does not know of would let the next leader start the runs there a second time.
+test('a worker that is recorded as one without a lease is polled, and gets none', async t => {
+  const harness = new SchedulerHarness()
+  const [tracked] = harness.addWorkers(worker('w1'))
+  assert.ok(tracked !== undefined)
+  tracked.mayGetLeases = false
+  const granted: boolean[] = []
+  const abortController = new AbortController()
+  const workerClient = {
+    poll: async (_endpoint: unknown, { leaseUntilMs }: { leaseUntilMs: number | undefined }) => {
+      granted.push(leaseUntilMs !== undefined)
+      harness.now += 10
+      if (granted.length === 2) tracked.mayGetLeases = true
+      if (granted.length === 3) abortController.abort()
+      return ok({ clockMs: harness.now, born: worker('w1').born, running: [], ended: [], moreEnded: false })
+    },
+    closeConnections: () => {}
+  }
+  const opts = { service: 's', token: 1, clock: { now: () => harness.now }, workerClient, logger: silentLogger, metrics: new Metrics() } as unknown as ServiceTermOpts
+  const session = new WorkerSession(tracked, harness.scheduler, opts, { onChange: () => {}, onNewerLeader: () => {}, mayAct: () => true, lagMs: () => 0, loadJobs: async () => {} })
+  await session.run(abortController.signal)
+  assert.deepEqual(granted, [false, false, true])
+})
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -16,6 +16,11 @@
   /** Longest lease given to workers in this or an earlier term, in milliseconds. */
   readonly leaseMs?: number | undefined
   readonly workers: readonly WorkerRegistration[]
+  /**
+   * Workers that hold no lease of this term, by {@link incarnationKey}: for how long after this was written runs of earlier terms
+   * may still be in progress there at most, in milliseconds. They get no lease while they are listed here.
+   */
+  readonly unknownRunsMs?: Readonly<Record<string, number>> | undefined
 }
 
 /** All job records of a service. `revision` is that of the requests; progress is read separately. */
--- a/testing/jobs/test/faulty-service.ts
+++ b/testing/jobs/test/faulty-service.ts
@@ -19,6 +19,9 @@
 const STORE_DELAY_MS = 2
 const VM_LIST_TIMEOUT_MS = 1_000
 const FAULTY_STORE_CALLS_PERCENT = 40
+/** A wait for tasks ends by then. */
+const MAX_WAIT_MS = 30_000
+const WAIT_STEP_MS = 20
 /** Interval at which the fleet's leader repeats which VMs are to be drained. */
 const WITHDRAWAL_INTERVAL_MS = 300
 const queue: Queue = { name: 'q', host: 'h', pathPrefix: '/q/', service: 's', priority: 0, attempts: 3, stretch: 2, objectiveMs: 600, timeoutMs: 3_000, needsPermit: false }
@@ -40,7 +43,8 @@
  */
 export const drainKinds = ['drain', 'drain-forgotten'] as const
 
-type FaultKind = typeof faultKinds[number] | typeof drainKinds[number]
+/** `unreachable`: cut off from all leaders, and still registered. */
+type FaultKind = typeof faultKinds[number] | typeof drainKinds[number] | 'unreachable'
 
 /** A fault of a scenario: on machines from `first` on, if it concerns machines. */
 export interface Fault {
@@ -114,13 +118,29 @@
   }
 
   /** Plays a scenario until `calmMs` after its last fault. */
-  async play ({ faults, changes, losses = [] }: Scenario, calmMs: number): Promise<void> {
+  async play (scenario: Scenario, calmMs: number): Promise<void> {
+    await this.schedule(scenario)
+    while (this.process.now() < this.calmAt + calmMs) await this.process.run(this.calmAt + calmMs)
+  }
+
+  /**
+   * Plays a scenario until all changes of leader are over and all long-running tasks run that have been handed in.
+   * @returns how long after `fromMs` they do, in milliseconds
+   */
+  async playUntilAllRun (scenario: Scenario, fromMs: number): Promise<number> {
+    await this.schedule(scenario)
+    const lastChangeAt = Math.max(fromMs, ...scenario.changes.map(({ atMs }) => atMs))
+    await this.process.run(lastChangeAt)
+    while (this.waitingTasks().length > 0 && this.process.now() < lastChangeAt + MAX_WAIT_MS) await this.process.run(this.process.now() + WAIT_STEP_MS)
+    return this.process.now() - fromMs
+  }
+
+  private async schedule ({ faults, changes, losses = [] }: Scenario): Promise<void> {
     for (const [id, { atOnce }] of Object.entries(JOBS)) if (atOnce === true) this.submit(id)
     await this.elect({ atMs: 0, entry: 0, overlapMs: 0 })
     for (const fault of faults) this.at(fault.atMs, () => this.begin(fault))
     for (const { atMs, vm, listedAs } of losses) this.at(atMs, () => this.workers.crash(vm, { sameId: false, listedAs }))
     for (const change of changes) this.at(change.atMs, () => this.process.deliver(() => { this.elections = this.elections.then(async () => await this.elect(change)).catch(assert.ifError) }))
-    while (this.process.now() < this.calmAt + calmMs) await this.process.run(this.calmAt + calmMs)
   }
 
   /** @returns long-running tasks that run nowhere, of jobs that have been handed in, although a worker has room for them */
@@ -168,6 +188,7 @@
   private setActive (kind: Fault['kind'], change: number, vms: readonly string[]): void {
     this.active.set(kind, (this.active.get(kind) ?? 0) + change)
     if (kind === 'dark') for (const vm of vms) this.workers.setDark(vm, change > 0)
+    if (kind === 'unreachable') for (const vm of vms) this.workers.setUnreachable(vm, change > 0)
     if (kind === 'lost-registrations') for (const vm of vms) this.workers.setRegistered(vm, change < 0)
     if (kind === 'orders') this.workers.calls.faultyOrdersPercent = this.isActive(kind) ? 60 : 0
     if (kind === 'orders' && change < 0) this.at(Math.max(this.process.now(), this.workers.calls.lastLateOrderAt), () => {})
--- a/testing/jobs/test/faulty-workers.ts
+++ b/testing/jobs/test/faulty-workers.ts
@@ -77,6 +77,11 @@
     else this.register(machine.incarnation)
   }
 
+  /** Cuts a machine off from all leaders, or ends that; its worker stays registered. */
+  setUnreachable (vm: string, unreachable: boolean): void {
+    this.machine(vm).dark = unreachable
+  }
+
   /** Lets the registration of a machine's worker expire, or come back, although the worker is well. */
   setRegistered (vm: string, registered: boolean): void {
     const { incarnation, dark } = this.machine(vm)
