Turns of drains go on under the next leader of the fleet

Seen: with a fleet leader that ends each 5 s, tasks that end by themselves waited 43.3 s for the only worker of their service, which a wave drained and could not empty (each 6 s: 38.3 s), instead of 12 s at most. Next leaders also drained at once what had just been given back.

Cause: for how long a drain has come no closer to its end, and which VMs rest, was known to one leader only (DrainTurns). Nothing durable told it: the wave's record had no times of single drains.

Fix: the wave's record carries both as durations. Time only goes on, so that a duration that was true when it was written is a lower bound for the successor, and no clocks of two machines are compared. The fewest long-running tasks of a drain go with it, so that progress after the last record is noticed. The successor also goes on with the drain that has begun: otherwise the same VM could go first in each term. A service that does not respond for a pass no longer counts as one without long-running tasks, which let each drain wait anew.

A write whose outcome is not known can cost the next record one pass, as with any other. Records without the field are read as before, an unreadable field as none; earlier versions leave it out.

Not carried on: since when a VM is on its way to a service (10 s in each term anew), and a VM that is listed as away for good while leaders change each 5 s.

--- a/jobs/entry/src/wave-record-store.ts
+++ b/jobs/entry/src/wave-record-store.ts
@@ -3,6 +3,14 @@
 import { toVersioned, type Guard, type Store, type Versioned } from '@wisteriaslip/store.client'
 import { z } from 'zod'
 
+const durationSchema = z.number().nonnegative()
+
+/** Turns of drains: without them, or if they cannot be read, drains take their turns anew. */
+const turnsSchema = z.object({
+  drains: z.array(z.object({ vm: z.string(), waitedMs: durationSchema, lastingRuns: z.number().nonnegative() })),
+  rests: z.array(z.object({ vm: z.string(), restedMs: durationSchema }))
+}).optional().catch(undefined)
+
 /** Stored form of a record; those of older versions lack the fields that are optional or have defaults. */
 const recordSchema = z.object({
   createRevision: z.number().optional(),
@@ -12,6 +20,7 @@
   gone: z.array(z.string()).default([]),
   completed: z.boolean(),
   reported: z.boolean().default(true),
+  turns: turnsSchema,
   elapsedMs: z.number().nonnegative(),
   at: z.number()
 })
@@ -69,6 +78,6 @@
 function decodeRecord (stored: unknown): WaveRecord | undefined {
   const record = recordSchema.safeParse(stored)
   if (!record.success) return undefined
-  const { createRevision, revision, ...rest } = record.data
-  return { ...rest, createRevision, revision }
+  const { createRevision, revision, turns, ...rest } = record.data
+  return { ...rest, ...turns === undefined ? {} : { turns }, createRevision, revision }
 }
--- a/jobs/entry/test/wave-record-store.test.ts
+++ b/jobs/entry/test/wave-record-store.test.ts
@@ -25,3 +25,12 @@
   const records = await createRecords({ 1: { begun: ['v1'], completed: true, elapsedMs: 10, at: 20 } }).read()
   assert.deepEqual(records?.get(1), { createRevision: undefined, revision: undefined, begun: ['v1'], requested: [], gone: [], completed: true, reported: true, elapsedMs: 10, at: 20 })
 })
+
+// Guards against: a wave that begins anew, or a term that fails, because of what is only said about the turns of its drains.
+test('the turns of drains are read, and a record with turns that cannot be read is read without them', async () => {
+  const turns = { drains: [{ vm: 'v3', waitedMs: 4_000, lastingRuns: 2 }], rests: [{ vm: 'v4', restedMs: 0 }] }
+  assert.deepEqual((await createRecords({ 1: { ...record, turns } }).read())?.get(1), { ...record, turns })
+  for (const odd of [null, 'noise', [], { drains: [] }, { ...turns, rests: [{ vm: 'v4', restedMs: -1 }] }, { ...turns, drains: [{ vm: 1 }] }]) {
+    assert.deepEqual((await createRecords({ 1: { ...record, turns: odd } }).read())?.get(1), record)
+  }
+})
--- a/jobs/fleet/src/drain-turns.ts
+++ b/jobs/fleet/src/drain-turns.ts
@@ -1,3 +1,4 @@
+import type { TurnTimes } from './ports.ts'
 import type { FleetSnapshot, PlannedMaintenance } from './wave-schedule.ts'
 import { openWorkers, workersOf } from './service-workers.ts'
 
@@ -12,12 +13,16 @@
 const MAX_ARRIVAL_MS = 10_000
 /** Longer than a drain that leaves no open worker lasts, so that the tasks that have waited meanwhile can be done. */
 const REST_MS = 8_000
+/** The next leader is told of drains that have waited for this long. */
+const MIN_TOLD_MS = 1_000
 
 /** A VM that is being drained. */
 interface Drain {
   readonly since: number
+  /** Pool of the VM; undefined before the first pass. */
+  readonly pool: string | undefined
   /** Fewest long-running tasks there since then. */
-  fewestLastingRuns: number
+  readonly fewestLastingRuns: number
 }
 
 /** A drain that was given back. */
@@ -48,6 +53,32 @@
     return new Set(this.restsUntil.keys())
   }
 
+  /**
+   * @param now - time of the injected clock, in milliseconds
+   * @returns what the next leader has to know
+   */
+  times (now: number): TurnTimes {
+    const told = [...this.drains].filter(([, drain]) => drain.fewestLastingRuns > 0 && this.waitedMs(drain, now) >= MIN_TOLD_MS)
+    return {
+      drains: told.map(([vm, drain]) => ({ vm, waitedMs: Math.floor(this.waitedMs(drain, now)), lastingRuns: drain.fewestLastingRuns })),
+      rests: [...this.restsUntil].filter(([, until]) => now < until).map(([vm, until]) => ({ vm, restedMs: Math.floor(REST_MS - (until - now)) }))
+    }
+  }
+
+  /**
+   * Continues the turns of an earlier leader. What this one knows itself stays.
+   * @param times - what the earlier leader has recorded
+   * @param now - time of the injected clock, in milliseconds
+   */
+  resume ({ drains, rests }: TurnTimes, now: number): void {
+    for (const { vm, waitedMs, lastingRuns } of drains) {
+      if (!this.drains.has(vm)) this.drains.set(vm, { since: now - waitedMs, pool: undefined, fewestLastingRuns: lastingRuns })
+    }
+    for (const { vm, restedMs } of rests) {
+      if (!this.restsUntil.has(vm)) this.restsUntil.set(vm, now + Math.max(0, REST_MS - restedMs))
+    }
+  }
+
   /**
    * Follows the drains, and gives back those that have come no closer to their end for long. A VM that a request may take down goes
    * on draining.
@@ -79,20 +110,25 @@
   }
 
   private followDrain (vm: string, { vms, load, now }: FleetSnapshot): void {
-    const { lastingRuns } = load(vm)
-    const drain = this.drains.get(vm)
-    if (drain === undefined) this.drains.set(vm, { since: now, fewestLastingRuns: lastingRuns })
-    else if (lastingRuns < drain.fewestLastingRuns) {
-      drain.fewestLastingRuns = lastingRuns
-      this.progressAt.set(vms.get(vm)?.pool ?? '', now)
-    }
+    const { lastingRuns, usable } = load(vm)
+    // What runs on a worker that is not known, as its service has not responded, is not known either.
+    if (usable === undefined) return
+    const pool = vms.get(vm)?.pool ?? ''
+    const { since, fewestLastingRuns } = this.drains.get(vm) ?? { since: now, fewestLastingRuns: lastingRuns }
+    this.drains.set(vm, { since, pool, fewestLastingRuns: Math.min(fewestLastingRuns, lastingRuns) })
+    if (lastingRuns < fewestLastingRuns) this.progressAt.set(pool, now)
   }
 
   private isStuck (vm: string, taken: ReadonlySet<string>, fleet: FleetSnapshot): boolean {
+    const drain = this.drains.get(vm)
+    if (drain === undefined || fleet.load(vm).lastingRuns === 0) return false
     const pool = fleet.vms.get(vm)?.pool ?? ''
-    const since = Math.max(this.drains.get(vm)?.since ?? fleet.now, this.progressAt.get(pool) ?? Number.NEGATIVE_INFINITY)
-    if (fleet.load(vm).lastingRuns === 0) return false
-    return fleet.now - since >= patienceMs(openWorkers(workersOf(pool, fleet), taken).length)
+    return this.waitedMs(drain, fleet.now) >= patienceMs(openWorkers(workersOf(pool, fleet), taken).length)
+  }
+
+  /** Milliseconds for which neither this drain nor another one of its service has come closer to its end. */
+  private waitedMs ({ since, pool }: Drain, now: number): number {
+    return now - Math.max(since, this.progressAt.get(pool ?? '') ?? Number.NEGATIVE_INFINITY)
   }
 
   private describe (vm: string, fleet: FleetSnapshot): GivenBackDrain {
--- a/jobs/fleet/src/index.ts
+++ b/jobs/fleet/src/index.ts
@@ -3,7 +3,7 @@
  * @module
  */
 export { FleetTerm } from './term.ts'
-export type { FleetTermOpts, ServiceLeaderClient, WaveRecord, WaveRecordStore } from './ports.ts'
+export type { FleetTermOpts, ServiceLeaderClient, TurnTimes, WaveRecord, WaveRecordStore } from './ports.ts'
 export { PoolAutoscaler, type PlannedMove } from './pool-autoscaler.ts'
 export { shareVms, type PoolRequest } from './vm-shares.ts'
 export { DownVms } from './down-vms.ts'
--- a/jobs/fleet/src/ports.ts
+++ b/jobs/fleet/src/ports.ts
@@ -14,6 +14,14 @@
   withdraw (service: string, vms: readonly string[], fleetToken: number): Promise<WithdrawReply | undefined>
 }
 
+/** How far the turns of a wave's drains are. Time only goes on, so that these durations are lower bounds for the next leader. */
+export interface TurnTimes {
+  /** Drains of VMs with long-running tasks that come no closer to their ends: for how long, and the fewest such tasks there. */
+  readonly drains: ReadonlyArray<{ readonly vm: string, readonly waitedMs: number, readonly lastingRuns: number }>
+  /** VMs whose drains were given back, and the milliseconds since then. */
+  readonly rests: ReadonlyArray<{ readonly vm: string, readonly restedMs: number }>
+}
+
 /** Progress of a wave that the next leader resumes from. */
 export interface WaveRecord {
   /** Revisions of the wave's document that the record is about, see {@link Wave}; undefined in records of older versions. */
@@ -28,6 +36,8 @@
   readonly completed: boolean
   /** Whether the completion has been reported to operators. */
   readonly reported: boolean
+  /** Turns of its drains, at most some seconds before; undefined if none waits or rests, and in records of older versions. */
+  readonly turns?: TurnTimes | undefined
   /** Milliseconds since the wave was first seen, as of `at`. */
   readonly elapsedMs: number
   /** Unix time of this record in milliseconds. */
--- a/jobs/fleet/src/wave-records.ts
+++ b/jobs/fleet/src/wave-records.ts
@@ -61,6 +61,18 @@
     return await this.writes
   }
 
+  /**
+   * Writes the turns of drains, if nothing else has changed; otherwise they go with that. Whether requests are recorded is as certain
+   * afterwards as before, also without a response.
+   * @param changes - records by number of the wave
+   */
+  async saveTurns (changes: ReadonlyMap<number, WaveRecord>): Promise<void> {
+    this.pendingWrites += 1
+    const written = this.writes.then(async () => { await this.writeTurns(changes) })
+    this.writes = written.then(() => true).finally(() => { this.pendingWrites -= 1 })
+    await written
+  }
+
   /** @returns whether records are being written */
   isBusy (): boolean {
     return this.pendingWrites > 0
@@ -75,10 +87,17 @@
     return this.isCertain && this.about(wave)?.requested.includes(vm) === true
   }
 
+  private async writeTurns (changes: ReadonlyMap<number, WaveRecord>): Promise<void> {
+    const { stored } = this
+    if (stored === undefined || !this.isCertain || !isProgressStored(changes, stored)) return
+    if ([...changes].every(([number, { turns }]) => JSON.stringify(turns) === JSON.stringify(stored.get(number)?.turns))) return
+    const records = new Map([...stored, ...changes])
+    if (await this.store.write(records).catch(() => false)) this.stored = records
+  }
+
   private async write (changes: ReadonlyMap<number, WaveRecord>): Promise<boolean> {
     const stored = this.stored ?? new Map<number, WaveRecord>()
-    const isStored = [...changes].every(([number, record]) => progressKey(record) === progressKey(stored.get(number)))
-    if (isStored && this.isCertain) return true
+    if (this.isCertain && isProgressStored(changes, stored)) return true
     const records = new Map([...stored, ...changes])
     this.isCertain = false
     this.isCertain = await this.store.write(records).catch(() => false)
@@ -99,6 +118,10 @@
   return kept === before.size || kept === wave.vms.length
 }
 
+function isProgressStored (changes: ReadonlyMap<number, WaveRecord>, stored: ReadonlyMap<number, WaveRecord>): boolean {
+  return [...changes].every(([number, record]) => progressKey(record) === progressKey(stored.get(number)))
+}
+
 function progressKey (record: WaveRecord | undefined): string {
   if (record === undefined) return ''
   const { createRevision, revision, begun, requested, gone, completed, reported } = record
--- a/jobs/fleet/src/wave-runner.ts
+++ b/jobs/fleet/src/wave-runner.ts
@@ -5,7 +5,8 @@
 import { DrainTurns } from './drain-turns.ts'
 import { areStillDrained, type DrainedVms } from './drained-vms.ts'
 import { countBy, explainWave, vmWaits, type VmWait, type WaveExplanation } from './explain-wave.ts'
-import type { FleetTermOpts, WaveRecord } from './ports.ts'
+import type { FleetTermOpts, TurnTimes, WaveRecord } from './ports.ts'
+import { TurnRecorder } from './turn-recorder.ts'
 import type { VmPhase } from './vm-phases.ts'
 import { VmPresence } from './vm-presence.ts'
 import { WaveLog } from './wave-log.ts'
@@ -55,6 +56,7 @@
   private readonly down: DownVms
   private readonly presence = new VmPresence()
   private readonly turns = new DrainTurns()
+  private readonly turnRecorder: TurnRecorder
   private readonly active = new Map<number, ActiveWave>()
   private observation: FleetObservation = { list: { vms: [], unreadable: [], complete: false }, loads: new Map(), isLoadKnown: () => false }
   /** The fleet as of the latest observation. */
@@ -70,6 +72,7 @@
     this.opts = opts
     this.log = new WaveLog(opts)
     this.records = new WaveRecords(opts.waveRecords)
+    this.turnRecorder = new TurnRecorder({ turns: this.turns, records: this.records, clock: opts.clock })
     this.down = new DownVms(opts.maintenanceMs)
     this.fleet = { vms: new Map(), down: this.down, load: () => IDLE, drained: this.drained, now: opts.clock.now() }
   }
@@ -165,6 +168,7 @@
   settle (): void {
     for (const wave of this.unfinished()) wave.releaseHeldBack(this.fleet.now, this.opts.clock.now())
     this.publish()
+    this.turnRecorder.record(() => this.toRecords()).catch(error => this.opts.logger.error({ err: error }, 'failed to record the turns of drains'))
     const uncompleted = [...this.active.values()].filter(({ reporter, tracker }) => reporter.reported() !== 'completed' || !tracker.isDone())
     this.log.progress(uncompleted.map(({ tracker }) => tracker), wave => countBy(this.waitsOf(wave).map(({ waitsFor }) => waitsFor)))
   }
@@ -249,10 +253,17 @@
     const tracker = new WaveTracker(wave, { now, begun: begunVms(record, wave), requested: record.requested, gone: record.gone, elapsedMs: record.elapsedMs + sinceMs })
     // Whether the maintenance of these is over is not known until the list describes them.
     for (const vm of tracker.inPhase('begun')) this.down.suspect(vm, now)
+    if (record.turns !== undefined) this.resumeTurns(tracker, record.turns, now)
     const isReported = record.reported && record.completed && record.revision === wave.revision && tracker.isDone()
     return { tracker, reporter: new WaveReporter(this.opts, isReported ? 'completed' : undefined) }
   }
 
+  /** Other VMs of a service do not go before one whose drain has begun. */
+  private resumeTurns (tracker: WaveTracker, times: TurnTimes, now: number): void {
+    this.turns.resume(times, now)
+    tracker.markPlanned(times.drains.map(({ vm }) => vm), now)
+  }
+
   /** A VM that was gone and is seen again has to be maintained. */
   private findReturned (now: number): void {
     for (const { tracker } of this.active.values()) {
@@ -329,12 +340,17 @@
   }
 
   private async record (): Promise<boolean> {
-    return await this.records.save(new Map([...this.active].map(([number, wave]) => [number, this.toRecord(wave)])))
+    return await this.records.save(this.toRecords())
+  }
+
+  private toRecords (): Map<number, WaveRecord> {
+    return new Map([...this.active].map(([number, wave]) => [number, this.toRecord(wave)]))
   }
 
   private toRecord ({ tracker, reporter }: ActiveWave): WaveRecord {
     const { createRevision, revision } = tracker.wave
     const now = this.opts.clock.now()
+    const turns = this.turnRecorder.of(tracker)
     return {
       createRevision,
       revision,
@@ -343,6 +359,7 @@
       gone: tracker.inPhase('gone'),
       completed: tracker.isDone(),
       reported: tracker.isDone() && reporter.reported() === 'completed',
+      ...turns === undefined ? {} : { turns },
       elapsedMs: tracker.elapsedMs(now),
       at: this.opts.wallClock()
     }
