Gateway test: wait until the target has read the request before draining

A full test run beside a load of 20 to 30 on 8 cores failed once in "completes requests in progress and rejects new ones while draining": 503 instead of 200. The test slept for 50 ms and took its first request for begun; one that the gateway receives later is refused, as it should be.

The target now answers when the test tells it to. The test waits until the target has read the request; the new request is refused, as shutting down, while the first one certainly is in progress, and only then is that one answered.

Before: beside six busy processes on one core failed three times of three, 503 for 200 after 540 to 640 ms; trial with requests handled 60 or 100 ms late: failed each time, the same way; 0 and 30 ms late: passed. After: passed three times of three beside the same load, and 60 to 3,000 ms late. That the first failure had this cause is by reading: it left no code of the refusal.

Mutations: new requests not rejected, and requests in progress not counted, fail the test.

--- a/routing/gateway/test/gateway.test.ts
+++ b/routing/gateway/test/gateway.test.ts
@@ -17,7 +17,8 @@
   { kind: 'tenant', name: 'everyone' },
   { kind: 'pool', name: 'p', labels: { p: '1' }, selector: { p: '1' }, budget: { maxUnavailable: 1 } },
   { kind: 'workload', name: 'read', match: { pathPrefix: '/read' }, poolSelector: { p: '1' }, class: 'normal', idempotent: true, deadlineMs: 2_000, maxRunMs: 600 },
-  { kind: 'workload', name: 'write', match: { pathPrefix: '/write' }, poolSelector: { p: '1' }, class: 'normal', idempotent: false, deadlineMs: 2_000, maxRunMs: 600 }
+  { kind: 'workload', name: 'write', match: { pathPrefix: '/write' }, poolSelector: { p: '1' }, class: 'normal', idempotent: false, deadlineMs: 2_000, maxRunMs: 600 },
+  { kind: 'workload', name: 'held', match: { pathPrefix: '/held' }, poolSelector: { p: '1' }, class: 'normal', idempotent: false, deadlineMs: 60_000, maxRunMs: 50_000 }
 ]
 
 interface Harness {
@@ -106,6 +107,23 @@
   return { executor, port: await listen(t, executor.server) }
 }
 
+/** A target that has read a request when `begun` resolves, and answers once it is released: a test knows that the request is in progress meanwhile. */
+async function startHeldTarget (t: TestContext): Promise<{ port: number, starts: () => number, begun: Promise<void>, release: () => void }> {
+  let starts = 0
+  let begin = (): void => {}
+  let release = (): void => {}
+  const begun = new Promise<void>(resolve => { begin = resolve })
+  const released = new Promise<void>(resolve => { release = resolve })
+  const server = createServer((req, res) => {
+    req.resume().once('end', () => {
+      starts += 1
+      begin()
+      released.then(() => res.end('done')).catch(assert.ifError)
+    })
+  })
+  return { port: await listen(t, server), starts: () => starts, begun, release }
+}
+
 test('does not send a non-idempotent request over an idle connection that became unresponsive', async t => {
   const { executor: target, port } = await startExecutor(t)
   const harness = await startGateway(t, { t1: port })
@@ -242,17 +260,22 @@
   assert.equal(target.starts.length, 0)
 })
 
+// Guards against a verdict that hangs on load: the request was taken for begun after 50 ms, and refused if it came later.
 test('completes requests in progress and rejects new ones while draining', async t => {
-  const { port } = await startExecutor(t)
-  const harness = await startGateway(t, { t1: port })
-  const requestInProgress = harness.call('/write?ms=200')
-  await sleep(50)
+  const target = await startHeldTarget(t)
+  const harness = await startGateway(t, { t1: target.port })
+  const requestInProgress = harness.call('/held')
+  await Promise.race([target.begun, requestInProgress])
   harness.gateway.startDraining()
   harness.gateway.rejectNewRequests()
-  const refused = await harness.call('/write')
+  const refused = await harness.call('/held')
   assert.equal(refused.outcome, 'not-run')
+  assert.equal((JSON.parse(refused.body) as { code: string }).code, 'SHUTTING_DOWN')
+  assert.equal(harness.gateway.requestsInFlight(), 1)
+  target.release()
   assert.equal((await requestInProgress).status, 200)
   assert.equal(harness.gateway.requestsInFlight(), 0)
+  assert.equal(target.starts(), 1)
 })
 
 // A request that crashes its target must not be passed on to target after target.
