Gateway test: a caller disconnects while its request is in progress

The test of a caller that disconnects slept for 80 ms and took the request for begun.

The target now holds the request, and the caller leaves once it has been read; the target answers only after the gateway has seen the connection close.

--- a/routing/gateway/test/gateway.test.ts
+++ b/routing/gateway/test/gateway.test.ts
@@ -26,6 +26,8 @@
   readonly port: number
   readonly gateway: Gateway
   readonly pool: PoolRuntime
+  /** Resolves when the first connection of a caller has closed, which the gateway knows by then. */
+  readonly disconnected: Promise<void>
   call (path: string, opts?: { headers?: Record<string, string>, body?: string }): Promise<{ status: number, outcome: string | undefined, body: string }>
 }
 
@@ -84,6 +86,7 @@
     limits: { bodyBytes: 1_000, callerTimeoutMs: 300 }
   })
   const server = createServer((req, res) => { gateway.handle(req, res).catch(assert.ifError) })
+  const disconnected = new Promise<void>(resolve => server.once('connection', socket => socket.once('close', () => resolve())))
   const port = await listen(t, server)
   const renewTimer = setInterval(() => { renew(); pool.queue.dispatch() }, 20)
   const agent = new Agent()
@@ -93,7 +96,7 @@
     await agent.destroy()
   })
   const url = `http://127.0.0.1:${port}`
-  return { url, port, gateway, pool, call: async (path, opts = {}) => await call(agent, `${url}${path}`, opts) }
+  return { url, port, gateway, pool, disconnected, call: async (path, opts = {}) => await call(agent, `${url}${path}`, opts) }
 }
 
 async function call (agent: Agent, url: string, opts: { headers?: Record<string, string>, body?: string }) {
@@ -201,18 +204,21 @@
   assert.equal(harness.pool.slots.totals().busy, 0)
 })
 
+// Guards against a pass without a request in progress: the caller disconnected after 80 ms, whether the request had begun or not.
 test('does not cancel a non-idempotent request when the caller disconnects', async t => {
-  const { executor: target, port } = await startExecutor(t)
-  const harness = await startGateway(t, { t1: port })
+  const target = await startHeldTarget(t)
+  const harness = await startGateway(t, { t1: target.port })
   const headers = { 'idempotency-key': 'k1' }
   const abort = new AbortController()
-  const abandonedCall = request(`${harness.url}/write?ms=200`, { method: 'POST', body: '', headers, signal: abort.signal })
-  await sleep(80)
+  const abandonedCall = request(`${harness.url}/held`, { method: 'POST', body: '', headers, signal: abort.signal })
+  await Promise.race([target.begun, abandonedCall])
   abort.abort()
   await assert.rejects(abandonedCall)
-  const retry = await harness.call('/write?ms=200', { headers })
-  assert.equal(retry.status, 200)
-  assert.equal(target.starts.length, 1)
+  await harness.disconnected
+  const retry = harness.call('/held', { headers })
+  target.release()
+  assert.equal((await retry).status, 200)
+  assert.equal(target.starts(), 1)
 })
 
 test('rejects invalid requests with an error code, without sending them to a target', async t => {
