Contested service: leaders that are held up around a change of leader

No model played a leader whose passes take 50 to 500 ms beside a change of leader. Entries of the contested service are now parts of the virtual process, and a new kind of scenario holds them up for 50 to 500 ms each time, from time to time and whenever they read a response of a worker (which takes four turns then), while one or two leaders lose their leadership and workers crash, are cut off or go dark around that. All that an entry does waits meanwhile, renewals of its lease too.

--- a/testing/jobs/test/contested-service.ts
+++ b/testing/jobs/test/contested-service.ts
@@ -44,6 +44,8 @@
   | { readonly kind: 'throws', readonly atMs: number, readonly call: ThrowingCall }
   /** The mirror of an entry shows no leader for a while. */
   | { readonly kind: 'flap', readonly atMs: number, readonly forMs: number, readonly entry: number }
+  /** The process of an entry is held up again and again, for up to `byMs` each time. */
+  | { readonly kind: 'held-up', readonly atMs: number, readonly forMs: number, readonly entry: number, readonly byMs: number }
   /** Messages between entries and workers may be late by up to `byMs`, and replies may come after the sender gave up. */
   | { readonly kind: 'slow', readonly atMs: number, readonly forMs: number, readonly byMs: number }
 
@@ -66,6 +68,7 @@
   private readonly store: StoreClient
   private readonly draw: Draw
   private readonly random = Math.random
+  private readonly mayHoldUp: boolean
   private readonly submitted = new Set<string>()
   private leader: { readonly entry: ModelEntry, readonly token: number, readonly lease: number } | undefined
   private lastElected = -1
@@ -73,7 +76,8 @@
   private storesDown = 0
   private slowness: number[] = []
 
-  constructor ({ seed, machines }: Contest, logger: Logger = silentLogger) {
+  constructor ({ seed, machines, troubles }: Contest, logger: Logger = silentLogger) {
+    this.mayHoldUp = troubles.some(({ kind }) => kind === 'held-up')
     const random = seededRandom(seed)
     this.draw = below => Math.floor(random() * below)
     Math.random = random
@@ -91,8 +95,8 @@
     this.submit('permitted')
     this.publish()
     this.every(ELECTION_MS, () => this.deliver(async () => await this.elect()))
-    this.every(LEASE_RENEWAL_MS, () => { for (const entry of this.entries) entry.renewLease() })
-    for (const [number, entry] of this.entries.entries()) this.process.outsideAfter(number * 300, () => this.every(RECONCILE_MS, () => this.process.deliver(() => entry.reconcile())))
+    this.every(LEASE_RENEWAL_MS, () => { for (const entry of this.entries) entry.within(() => entry.renewLease()) })
+    for (const [number, entry] of this.entries.entries()) this.process.outsideAfter(number * 300, () => this.every(RECONCILE_MS, () => entry.part.deliver(() => entry.reconcile())))
     for (const trouble of troubles) this.at(trouble.atMs, () => this.begin(trouble))
     while (this.process.now() < this.calmAt + calmMs && this.process.now() < MAX_PLAY_MS) await this.process.run(this.calmAt + calmMs)
   }
@@ -129,6 +133,7 @@
       lateReplyMs: () => this.drawSlowness(),
       giveUp: async token => await this.giveUp(token),
       onTerm: () => { this.calmAt = Math.max(this.calmAt, this.process.now()) },
+      mayHoldUp: this.mayHoldUp,
       logger
     }
   }
@@ -167,7 +172,7 @@
       if (this.leader !== undefined) this.leader.entry.lease.endsAt = this.process.now()
     } else if (trouble.kind === 'store-down') {
       this.storesDown += 1
-      for (const entry of this.entries) entry.loseStore()
+      for (const entry of this.entries) entry.within(() => entry.loseStore())
       until(() => { this.storesDown -= 1 })
     } else if (trouble.kind === 'crash') {
       this.at(this.process.now() + trouble.forMs, () => {})
@@ -179,8 +184,11 @@
       for (const name of ['steady', 'short']) this.process.deliver(() => this.submit(`${name}${this.submitted.size}`))
     } else if (trouble.kind === 'flap') {
       const entry = this.entry(trouble.entry)
-      this.process.deliver(() => entry.mirror(undefined))
+      entry.part.deliver(() => entry.mirror(undefined))
       until(() => this.mirror(entry))
+    } else if (trouble.kind === 'held-up') {
+      this.entry(trouble.entry).holdUpUntil(this.process.now() + trouble.forMs, trouble.byMs)
+      until(() => {})
     } else if (trouble.kind === 'throws') {
       for (const { ports } of this.entries) ports.arm(trouble.call)
     } else {
@@ -192,7 +200,7 @@
   private isolate (entry: ModelEntry): void {
     entry.isolated = true
     entry.outdated = true
-    entry.loseStore()
+    entry.within(() => entry.loseStore())
   }
 
   private rejoin (entry: ModelEntry): void {
@@ -203,7 +211,7 @@
 
   /** Lets an entry learn who leads, unless it is out of reach then. */
   private mirror (entry: ModelEntry): void {
-    this.process.outsideAfter(20 + this.draw(400), () => this.process.deliver(() => {
+    this.process.outsideAfter(20 + this.draw(400), () => entry.part.deliver(() => {
       if (entry.isolated) return
       entry.outdated = false
       entry.mirror(this.leader?.entry === entry ? this.leader.token : undefined)
@@ -250,7 +258,7 @@
     this.lastElected = next.number === ENTRIES - 1 ? -1 : next.number
     this.leader = { entry: next.entry, token: acquired.value, lease: next.entry.lease.number }
     this.calmAt = Math.max(this.calmAt, this.process.now())
-    next.entry.lead(acquired.value)
+    next.entry.within(() => next.entry.lead(acquired.value))
   }
 
   private submit (id: string): void {
@@ -258,7 +266,10 @@
     const { tasks, cpu, runMs, needsPermit } = jobOf(id)
     const step = plainStep({ tasks, demand: { cpu, memMb: 100, accelerators: 0 }, lasting: runMs === Infinity, mayMiss: 1 })
     const job: Job = { id, queue: needsPermit === true ? 'p' : 'q', service: 's', payload: '', steps: [step], acceptedAt: this.process.now(), acceptedUnder: 0 }
-    this.records.accept(job).then(() => this.leader?.entry.term()?.push(job), assert.ifError)
+    this.records.accept(job).then(() => {
+      const entry = this.leader?.entry
+      entry?.within(() => entry.term()?.push(job))
+    }, assert.ifError)
   }
 
   private entry (number: number): ModelEntry {
--- a/testing/jobs/test/contests.ts
+++ b/testing/jobs/test/contests.ts
@@ -51,6 +51,16 @@
 export const sameToken: fc.Arbitrary<Contest> = fc.record({ seed: fc.nat(), machines: fc.integer({ min: 2, max: MAX_MACHINES }), atMs, afterMs: fc.integer({ min: 5, max: 500 }), forMs: fc.integer({ min: 50, max: 1_000 }), byMs: fc.integer({ min: 500, max: 3_500 }), more: fc.array(some, { maxLength: 3 }) })
   .map(({ seed, machines, atMs, afterMs, forMs, byMs, more }) => inTime({ seed, machines, troubles: [{ kind: 'slow', atMs: atMs - 100, forMs: 1_000, byMs }, { kind: 'jobs', atMs }, { kind: 'flap', atMs: atMs + afterMs, forMs, entry: 0 }, ...more] }))
 
+/** One or two leaders lose their leadership while their successors, and others, are held up again and again, and workers are lost or cut off around that. */
+export const heldUpLeaders: fc.Arbitrary<Contest> = fc.record({ seed: fc.nat(), machines: fc.integer({ min: 2, max: MAX_MACHINES }), atMs: fc.integer({ min: 3_000, max: 6_000 }), again: fc.option(fc.integer({ min: 500, max: 4_000 })), isCutOff: fc.boolean(), held: fc.array(fc.record({ beforeMs: fc.integer({ min: -1_000, max: 2_000 }), forMs: fc.integer({ min: 1_000, max: 7_000 }), byMs: fc.oneof(fc.integer({ min: 50, max: 500 }), fc.constant(500)) }), { minLength: 1, maxLength: ENTRIES }), lost: fc.array(fc.record({ trouble: fc.oneof(crash, crash, dark, cut), beforeMs: fc.integer({ min: -2_000, max: 2_000 }) }), { minLength: 1, maxLength: 3 }), more: fc.array(some, { maxLength: 2 }) })
+  .map(({ seed, machines, atMs, again, isCutOff, held, lost, more }) => {
+    const first: Trouble = isCutOff ? { kind: 'isolated', atMs, forMs: 3_000, entry: 0 } : { kind: 'revoked', atMs }
+    const second: Trouble[] = again === null ? [] : [{ kind: 'revoked', atMs: atMs + again }]
+    const heldUp = held.map(({ beforeMs, ...each }, number): Trouble => ({ kind: 'held-up', atMs: atMs - beforeMs, entry: (number + 1) % ENTRIES, ...each }))
+    const losses = lost.map(({ trouble, beforeMs }): Trouble => ({ ...trouble, atMs: atMs - beforeMs }))
+    return inTime({ seed, machines, troubles: [first, ...second, ...heldUp, ...losses, ...more] })
+  })
+
 /** Leaves out what concerns machines that there are not, and ends in time what lasts. */
 function inTime ({ seed, machines, troubles }: Contest): Contest {
   const present = troubles.filter(trouble => !('vm' in trouble) || trouble.vm < machines)
--- a/testing/jobs/test/model-entry.ts
+++ b/testing/jobs/test/model-entry.ts
@@ -5,7 +5,7 @@
 import { ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { StoreClient, type Driver, type DriverError } from '@wisteriaslip/store.client'
-import type { VirtualProcess } from '@wisteriaslip/testing.jobs'
+import type { VirtualPart, VirtualProcess } from '@wisteriaslip/testing.jobs'
 import type { MemoryDriver } from '@wisteriaslip/testing.stand-ins'
 import { TermRunner } from '../../../jobs/entry/src/term-runner.ts'
 import { LONGEST_LEASE_MS, type Draw, type LinkCut, type WorkerLink } from '@wisteriaslip/testing.simulation'
@@ -19,6 +19,11 @@
 export const LEASE_RENEWAL_MS = 500
 /** The entry counts on its lease for this long after it sent the last renewal that succeeded. */
 
+/** How long a process is held up at least each time, and the longest time in between. */
+const HELD_UP_MS = { least: 50, gap: 200 }
+/** Turns of the loop in which a process that is held up reads a response: its connection, its head and its body. */
+const RESPONSE_TURNS = 4
+
 /** What an entry finds around it. */
 export interface Surroundings {
   readonly process: VirtualProcess
@@ -34,12 +39,16 @@
   readonly giveUp: (token: number) => Promise<void>
   /** Called when an entry begins a term. */
   readonly onTerm: () => void
+  /** Whether entries may be held up: then all that an entry does, renewals of its lease too, waits meanwhile. */
+  readonly mayHoldUp: boolean
   readonly logger: Logger
 }
 
 /** An entry with its lease, its mirror of who leads, and its terms, which it runs as a real one does. */
 export class ModelEntry {
   readonly ports: ThrowingPorts
+  /** Its process. */
+  readonly part: VirtualPart
   /** Cut from the store, from its peers and from the list of VMs. */
   isolated = false
   /** It was cut off, and has not heard from its peers since who leads: they confirm nothing before. */
@@ -59,18 +68,66 @@
   private storeOutage = new AbortController()
   /** Leases with which it became a leader, by token. */
   private readonly leaseOf = new Map<number, number>()
+  /** It is held up again and again until then, and for how long at most each time. */
+  private heldUp = { untilMs: 0, byMs: 0 }
+  private frozenUntil = 0
   /** The lease as the entry knows it. */
   private known: { readonly number: number, readonly confirmedAt: number }
 
   constructor (around: Surroundings) {
     this.around = around
     this.ports = new ThrowingPorts()
+    this.part = around.process.createPart()
     this.store = new StoreClient(this.reachableDriver(), { readsPerSecond: 1e6, writesPerSecond: 1e6, metrics: new Metrics(), clock: around.process })
     this.lease = { number: 0, endsAt: around.process.now() + LEASE_TTL_MS }
     this.known = { number: 0, confirmedAt: around.process.now() }
     this.runner = new TermRunner((_resource, token) => this.createTerm(token), { logger: around.logger, signal: this.stopped.signal, giveUp: async (_resource, token) => await around.giveUp(token) })
   }
 
+  /**
+   * Does something in the process of this entry.
+   * @param callback - called at once, or, if entries may be held up, as soon as this one is not
+   */
+  within (callback: () => void): void {
+    if (this.around.mayHoldUp) this.part.deliver(callback)
+    else callback()
+  }
+
+  /**
+   * Holds up its process again and again: from time to time, and whenever it reads a response of a worker.
+   * @param untilMs - when that ends
+   * @param byMs - for how long at most each time, in milliseconds
+   */
+  holdUpUntil (untilMs: number, byMs: number): void {
+    this.heldUp = { untilMs, byMs }
+    this.holdUpFromTimeToTime()
+  }
+
+  private holdUpFromTimeToTime (): void {
+    const { process, draw } = this.around
+    this.holdUp()
+    if (process.now() < this.heldUp.untilMs) process.outsideAfter(this.frozenUntil - process.now() + 1 + draw(HELD_UP_MS.gap), () => this.holdUpFromTimeToTime())
+  }
+
+  private holdUp (): void {
+    const { process, draw } = this.around
+    const { untilMs, byMs } = this.heldUp
+    const now = process.now()
+    if (now >= untilMs) return
+    this.frozenUntil = Math.max(this.frozenUntil, Math.min(untilMs, now + HELD_UP_MS.least + draw(byMs - HELD_UP_MS.least + 1)))
+    this.part.freeze()
+    process.outsideAfter(this.frozenUntil - now, () => { if (process.now() >= this.frozenUntil) this.part.thaw() })
+  }
+
+  /** Handles a response of a worker, which a process that is held up reads in several turns of its loop. */
+  private receive (callback: () => void, turns = RESPONSE_TURNS): void {
+    this.part.deliver(() => {
+      if (turns <= 1 || this.around.process.now() >= this.heldUp.untilMs) return callback()
+      this.holdUp()
+      this.receive(callback, turns - 1)
+    })
+  }
+
   /** @returns whether its calls to the store arrive */
   reachesStore (): boolean {
     return !this.isolated && this.around.isStoreUp()
@@ -131,7 +188,7 @@
     const { process, queue, logger } = this.around
     this.around.onTerm()
     const { ports, store } = this
-    const link: WorkerLink = { up: true, cutFrom: vm => this.cuts.get(vm), latenessMs: this.around.latenessMs, lateReplyMs: this.around.lateReplyMs }
+    const link: WorkerLink = { up: true, deliver: callback => this.receive(callback), cutFrom: vm => this.cuts.get(vm), latenessMs: this.around.latenessMs, lateReplyMs: this.around.lateReplyMs }
     const opts: ConstructorParameters<typeof ServiceTerm>[0] = {
       service: 's',
       token,
@@ -176,7 +233,7 @@
 
   private async wait (ms: number): Promise<void> {
     const { process } = this.around
-    await new Promise<void>(resolve => process.outsideAfter(ms, () => process.deliver(resolve)))
+    await new Promise<void>(resolve => process.outsideAfter(ms, () => this.part.deliver(resolve)))
   }
 
   /** The store as this entry reaches it. */
@@ -191,7 +248,7 @@
       if (!this.reachesStore()) return lost.error
       const untilOutage = linkAbort(signal)
       this.storeOutage.signal.addEventListener('abort', () => untilOutage.abort(), { once: true })
-      return await driver.watch(prefix, fromRevision, onBatch, untilOutage.signal).finally(() => untilOutage.release())
+      return await driver.watch(prefix, fromRevision, batch => this.within(() => { if (!untilOutage.signal.aborted) onBatch(batch) }), untilOutage.signal).finally(() => untilOutage.release())
     }
     const methods: Partial<Driver> = { range: async (key, opts) => await call(async () => await driver.range(key, opts)), txn: async txn => await call(async () => await driver.txn(txn)), watch }
     return Object.assign(Object.create(driver) as Driver, methods)
