Soak proxy test: the first of two chunks has arrived before the second is sent

The test of an address that two chunks share sent the second one 30 ms after the first. If a busy server reads both at once, they are one chunk and the test passes without its subject: without that pause (trial) a proxy that keeps no part of an address for the next chunk passed.

It now waits until the server has the first chunk, without the part of the address. That proxy fails it.

--- a/testing/soak/test/fault-proxy.test.ts
+++ b/testing/soak/test/fault-proxy.test.ts
@@ -71,7 +71,7 @@
 test('an address that two chunks share is replaced', async t => {
   const { client, received } = await setUp(t, { requests: { from: '127.20.11.', to: '127.20.12.' } })
   client.write('a 127.20')
-  await new Promise(resolve => setTimeout(resolve, 30))
+  await waitUntil('the first chunk arrives, without the part that may go on', () => received() === 'a ')
   client.write('.11.5 b')
   await waitUntil('both chunks arrive', () => received() === 'a 127.20.12.5 b')
 })
