Soak: jobs that are shown wrongly are lost, and all are asked for at the end

The users' rule counts an accepted job as lost that is not known, has no answer, or is shown as failed or cancelled without cause, whether a run of it goes on or not. The soak's check let pass a job at work, or done, in eight of the cases of its test, and a job that lasts was never asked for. Of other jobs an earlier state counted where later queries had no answer, a 410 was forgotten by the next answer, and one that had ended was not asked for again.

The check now reads the state first, whatever runs. At the end of a play each accepted job is asked for anew, in 8 tries; an ended one for as long as it must be kept. A 410 counts for good, from 3 s after the acceptance on. Nothing that broke the promise before is allowed now.

Mutations: jobs at work shown in any state, jobs that last before their state is read, failed with all tasks done, a 410 that is forgotten or counts at once, an earlier state that stays, an ended job that is no longer shown as such: each fails a test. That the play asks at its end only plays show.

--- a/testing/soak/src/callers.ts
+++ b/testing/soak/src/callers.ts
@@ -1,7 +1,7 @@
 import { delay } from '@wisteriaslip/core.result'
 import { request } from 'undici'
 import { ports } from './addresses.ts'
-import type { EntryProcess } from './entry-process.ts'
+import { STATUS_KEPT_MS, type EntryProcess } from './entry-process.ts'
 import type { RunLog } from './run-log.ts'
 import type { TaskPlan } from './worker.ts'
 
@@ -9,6 +9,9 @@
 const RETRY_MS = 200
 const MAX_TRIES = 8
 const ID_DIGITS = 16
+const ENDED_STATES = ['completed', 'failed', 'cancelled']
+/** A job need not be known at every entry before, in milliseconds since its acceptance. */
+const VISIBLE_MS = 3_000
 
 /** A job as its caller knows it. */
 export interface SubmittedJob {
@@ -24,7 +27,7 @@
   /** Every try was refused, so that the job must never run. */
   refused: boolean
   cancelled: boolean
-  /** Last state that was shown. */
+  /** State that was shown last: `none` if no such job is known, undefined without an answer. */
   state: string | undefined
 }
 
@@ -95,11 +98,30 @@
     }
   }
 
-  /** Queries the state of a job, and keeps it. */
+  /** Queries the state of a job, and keeps it. That a job is not known is kept for good, once it must be. */
   async query (job: SubmittedJob): Promise<void> {
+    if (job.state === 'none') return
+    const sentAt = this.log.now()
     const response = await this.call('GET', job)
     if (response?.status === 200) job.state = String(response.body.state)
-    else if (response?.status === 410) job.state = 'none'
+    else if (response?.status === 410 && sentAt - (job.acceptedAt ?? Infinity) > VISIBLE_MS) job.state = 'none'
+  }
+
+  /**
+   * Asks for an accepted job at the end, whatever was shown before: an earlier answer does not count for one that is missing now.
+   * One that was shown as ended must be so for as long as it has to be kept.
+   * @param job - its state becomes undefined without an answer in several tries, and names both states if it is no longer shown as ended
+   */
+  async ask (job: SubmittedJob): Promise<void> {
+    const earlier = job.state
+    const hasEnded = earlier !== undefined && ENDED_STATES.includes(earlier)
+    if (earlier === 'none' || (hasEnded && this.log.now() - (job.acceptedAt ?? 0) > STATUS_KEPT_MS)) return
+    job.state = undefined
+    for (let tries = 0; tries < MAX_TRIES && job.state === undefined; tries++) {
+      if (tries > 0) await new Promise(resolve => setTimeout(resolve, RETRY_MS))
+      await this.query(job)
+    }
+    if (hasEnded && job.state !== earlier) job.state = `${earlier}, then ${job.state ?? 'without an answer'}`
   }
 
   /** Cancels a job. */
--- a/testing/soak/src/check-completion.ts
+++ b/testing/soak/src/check-completion.ts
@@ -11,12 +11,13 @@
 const BUSY_SHARE = 0.5
 /** How far before the end of a play waits are looked for: traffic and faults ended longer ago. */
 const LOOK_BACK_MS = 10_000
-/** A job in any other state has nothing to wait for. */
+/** A job in any other state has nothing to wait for, so that it is shown wrongly unless it is completed or has failed. */
 const OPEN_STATES: ReadonlyArray<string | undefined> = ['queued', 'running']
 
 /**
- * Checks at the end of a play what became of accepted jobs. A job that lasts must run. Any other one must be completed, or have
- * failed as often as it may. One that still has tasks to do must not have had nothing running for 3 s, with room for a task twice
+ * Checks at the end of a play what became of accepted jobs, and how they are shown. A job that is not known, has no answer, or is
+ * shown as cancelled, or as failed or completed without cause, breaks the promise, whatever runs. A job that lasts must run. Any
+ * other one must be completed, or have failed as often as it may. One that still has tasks to do must not have had nothing running for 3 s, with room for a task twice
  * over and under half of the service's cores in use; nor with that room while nothing but tasks that last ran in the service: these
  * may use over half of workers that a drain has withdrawn, and go on for ever.
  * @param seen - what the play has shown
@@ -38,12 +39,15 @@
 
 function checkJob (job: SubmittedJob, tasks: readonly TaskRuns[], { seen, room, attempts }: Context): Violation[] {
   const lost = ({ task, runs }: TaskRuns, details = ''): Violation => ({ rule: 'lost', task, runs, details: `its job is ${job.state ?? 'without an answer'}${details}` })
-  if (job.plan.runMs === 0) return tasks.filter(task => !isRunning(task)).map(task => lost(task))
+  const lasts = job.plan.runMs === 0
   const undone = tasks.filter(task => countEnded(task, 'done') === 0)
+  if (lasts && !tasks.every(isRunning)) return tasks.filter(task => !isRunning(task)).map(task => lost(task))
   if (job.state === 'completed') return undone.map(task => lost(task))
-  if (job.state === 'failed') return tasks.some(task => countEnded(task, 'failed') >= attempts) ? [] : undone.map(task => lost(task))
   const first = (undone[0] ?? tasks[0]) as TaskRuns
-  if (undone.length === 0 || !OPEN_STATES.includes(job.state)) return job.state !== 'none' && tasks.some(isRunning) ? [] : [lost(first)]
+  if (job.state === 'failed') return tasks.some(task => countEnded(task, 'failed') >= attempts) ? [] : [first, ...undone.slice(1)].map(task => lost(task))
+  if (!OPEN_STATES.includes(job.state)) return [lost(first)]
+  if (lasts) return []
+  if (undone.length === 0) return tasks.some(isRunning) ? [] : [lost(first)]
   const wait = findWait(job, tasks, seen, room)
   return wait === undefined ? [] : [lost(first, `, nothing of it runs from ${formatSeconds(wait.from)} to ${formatSeconds(wait.to)} in ${job.service}, with room on ${room.describe(job, wait.from)} and ${Math.round(room.usedShare(job.service, wait.from) * 100)}% of the cores in use`)]
 }
--- a/testing/soak/src/entry-process.ts
+++ b/testing/soak/src/entry-process.ts
@@ -11,6 +11,9 @@
 const NS_PER_MS = 1e6
 const EXIT_POLL_INTERVAL_MS = 50
 
+/** For how long a job that has ended must be shown, in milliseconds. */
+export const STATUS_KEPT_MS = 120_000
+
 /** Processes of all sites; they must not outlive this one, however it ends. */
 const started = new Set<StartedProcess>()
 process.once('exit', () => { for (const { child } of started) child.kill('SIGKILL') })
@@ -54,7 +57,7 @@
       portRange: [ports.peers, ports.peers + 15],
       limits: { cpuShare: 1, cores: 1 },
       listen: { front: `${entry.ip}:${ports.callers}`, ready: `${entry.ip}:${ports.ready}` },
-      bounds: { graceS: 6, holdMaxMs: opts.longestLeaseMs, stopTimeoutMs: 400, status_s: 120, maintenanceS: MAINTENANCE_MS / 1_000 },
+      bounds: { graceS: 6, holdMaxMs: opts.longestLeaseMs, stopTimeoutMs: 400, status_s: STATUS_KEPT_MS / 1_000, maintenanceS: MAINTENANCE_MS / 1_000 },
       platform: { address: `${addresses.ip(addresses.hosts.store, index)}:${ports.store}`, writesPerS: 400, readsPerS: 2_000 },
       cloudApi: { address: `${addresses.ip(addresses.hosts.vmList, index)}:${ports.store}` }
     }))
--- a/testing/soak/src/play.ts
+++ b/testing/soak/src/play.ts
@@ -54,7 +54,10 @@
     ended.abort()
     await traffic
     const heldUpMs = scenario.finishMs === undefined ? 0 : await awaitCompletion(site, callers, scenario.finishMs, opts.signal)
-    if (scenario.finishMs !== undefined) await awaitLasting(site, callers, opts.signal)
+    if (scenario.finishMs !== undefined) {
+      await awaitLasting(site, callers, opts.signal)
+      await Promise.all(callers.jobs.filter(job => job.accepted && !job.cancelled).map(async job => await callers.ask(job)))
+    }
     closed.abort()
     await watch
     const { log, vmPlatform } = site
--- a/testing/soak/test/check-completion.test.ts
+++ b/testing/soak/test/check-completion.test.ts
@@ -128,6 +128,8 @@
   const lasting = { plan: { ...plan, runMs: 0 }, state: 'running' }
   assert.deepEqual(check({ runs: [use('w1', 4_000)] }, lasting), ['lost'])
   assert.deepEqual(check({ runs: [own()] }, lasting), [])
+  // It may take 6 s from one run to the next; longer waits are for checkWaits.
+  assert.deepEqual(check({ runs: [own({ endedAt: 52_000, how: 'stopped' }), own({ attempt: 2, startedAt: 57_000 })] }, lasting), [])
 })
 
 // The users' rule: a job is not known, has no answer, or is shown as failed or cancelled without cause, whether it runs or not.
