Soak: a job that never had an answer until the end of a play is not asked for again

Jobs that do not last are asked for until they are completed, or their time is up. One that has had no answer by then counted as lost before; asked for once more, an answer that comes only now would have counted. The test of callers says so (it failed before).

--- a/testing/soak/src/callers.ts
+++ b/testing/soak/src/callers.ts
@@ -108,14 +108,15 @@
   }
 
   /**
-   * Asks for an accepted job at the end, whatever was shown before: an earlier answer does not count for one that is missing now.
+   * Asks for an accepted job at the end, unless it was asked for until now and never had an answer: an earlier answer does not count for one that is missing now.
    * One that was shown as ended must be so for as long as it has to be kept.
    * @param job - its state becomes undefined without an answer in several tries, and names both states if it is no longer shown as ended
    */
   async ask (job: SubmittedJob): Promise<void> {
     const earlier = job.state
     const hasEnded = earlier !== undefined && ENDED_STATES.includes(earlier)
-    if (earlier === 'none' || (hasEnded && this.log.now() - (job.acceptedAt ?? 0) > STATUS_KEPT_MS)) return
+    const hadNoAnswer = earlier === undefined && job.plan.runMs > 0
+    if (earlier === 'none' || hadNoAnswer || (hasEnded && this.log.now() - (job.acceptedAt ?? 0) > STATUS_KEPT_MS)) return
     job.state = undefined
     for (let tries = 0; tries < MAX_TRIES && job.state === undefined; tries++) {
       if (tries > 0) await new Promise(resolve => setTimeout(resolve, RETRY_MS))
--- a/testing/soak/test/callers.test.ts
+++ b/testing/soak/test/callers.test.ts
@@ -39,6 +39,7 @@
   assert.equal(await ask(t, [503], { state: 'running' }), undefined)
   assert.equal(await ask(t, [410], { state: 'running' }), 'none')
   assert.equal(await ask(t, ['running'], { state: undefined }), 'running')
+  assert.equal(await ask(t, ['running'], { state: undefined, plan: { ...JOB.plan, runMs: 100 } }), undefined)
 })
 
 test('an answer at a later try counts, but not after one by which the job is not known', async t => {
