Only workers that were asked in vain for a while are recorded as silent, and for a time that has an end

A worker that had not been asked yet was listed as one without a lease in the very write that first named it, if the term had begun more than a second before. Cause: the condition was the age of the term. Now it is the time since the worker was first polled.

Only durations with an end are recorded, and others are not heeded.

--- a/jobs/scheduler/src/earlier-runs.ts
+++ b/jobs/scheduler/src/earlier-runs.ts
@@ -7,12 +7,12 @@
   private readonly knownUntil = new Map<string, number>()
 
   /**
-   * Takes over what earlier leaders knew.
+   * Takes over what earlier leaders knew, as far as it can be read.
    * @param unknownRunsMs - for how long from `now` on incarnations may still execute such runs at most, in milliseconds, by {@link incarnationKey}
    * @param now - time of the injected clock
    */
   takeOver (unknownRunsMs: Readonly<Record<string, number>>, now: number): void {
-    for (const [incarnation, ms] of Object.entries(unknownRunsMs)) this.knownUntil.set(incarnation, now + ms)
+    for (const [incarnation, ms] of Object.entries(unknownRunsMs)) if (Number.isFinite(ms) && ms >= 0) this.knownUntil.set(incarnation, now + ms)
   }
 
   /**
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -59,6 +59,8 @@
   expiredRuns: readonly Run[] = []
   /** Until when `expiredRuns` are kept, by the injected clock. */
   expiredRunsUntil = 0
+  /** When the first poll of this term was sent, by the injected clock; undefined before. */
+  polledSince: number | undefined
   /** Time of the last response to a poll, by the injected clock. */
   lastResponseAt: number | undefined
   /**
--- a/jobs/scheduler/test/earlier-runs.test.ts
+++ b/jobs/scheduler/test/earlier-runs.test.ts
@@ -73,3 +73,26 @@
   harness.worker('w2').mayGetLeases = true
   assert.deepEqual(harness.startReadyTasks().map(run => run.worker.registration.id), ['w2'])
 })
+
+// A duration that could not be read was taken for none.
+test('a duration that cannot be read does not shorten the wait', () => {
+  const { born } = worker('w1')
+  for (const odd of [null, -1, 'noise', Number.NaN]) assert.equal(takeOver({ [`w1/${born}`]: odd as number }).scheduler.mayHaveUnknownRuns(), true, String(odd))
+})
+
+// A worker that has listed some of its completions only holds a lease of this term; the rest of the first wait says nothing about it.
+test('a worker that has responded, but not listed all of its completions, counts as one with a lease until that has expired', () => {
+  const harness = new SchedulerHarness({ term: 1 })
+  harness.scheduler.setWorkers([worker('w1')], { unknownRunsUntil: harness.now + 1_000 })
+  const w1 = harness.worker('w1')
+  harness.scheduler.applyReport(w1, { clockMs: 1_000, born: worker('w1').born, running: [], ended: [], moreEnded: true }, { sentAt: harness.now, receivedAt: harness.now })
+  w1.extendLease(harness.now, 4_000)
+  w1.endLeaseCall(harness.now)
+  w1.markUnreachable(harness.now)
+  harness.now += 500
+  assert.equal(w1.unknownRunsMs(harness.now), undefined)
+  harness.now += 2_000
+  assert.equal(w1.unknownRunsMs(harness.now), undefined)
+  harness.now += 2_500
+  assert.equal(w1.unknownRunsMs(harness.now), 0)
+})
--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -1,6 +1,6 @@
 import { delay, Wakeup, type Result } from '@wisteriaslip/core.result'
 import { incarnationKey, type WorkerRegistration } from '@wisteriaslip/jobs.model'
-import type { Scheduler } from '@wisteriaslip/jobs.scheduler'
+import type { Scheduler, TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import type { TermRecord } from '@wisteriaslip/jobs.store'
 import type { StoreError, Versioned } from '@wisteriaslip/store.client'
 import type { ServiceTermOpts } from './ports.ts'
@@ -9,9 +9,11 @@
 /**
  * Interval at which workers that are gone (ended without starts that may still be carried out, or no longer tracked) are removed
  * from the record, and for how long silent ones may still execute runs is written. A new worker is written immediately, and so is one
- * that responds again. A worker that is silent for less at the beginning of a term is not written as one that holds no lease.
+ * that responds again.
  */
 const UPDATE_INTERVAL_MS = 1_000
+/** A worker that has not responded in the term is silent once polls have failed for this long. */
+const MIN_SILENCE_MS = 900
 const WRITE_RETRY_MS = 100
 
 /**
@@ -26,7 +28,6 @@
   private readonly recordedWorkers = new Set<string>()
   /** Workers that the durable record certainly doesn't list as ones without a lease. */
   private readonly leasable = new Set<string>()
-  private startedAt = 0
   /** First of the writes that have failed since the last successful one. */
   private failure: { readonly since: number, readonly code: string } | undefined
 
@@ -44,7 +45,6 @@
     const written = await records.startTerm(service, before => this.nextRecord(before), guard)
     if (!written.ok) return written
     this.setRecord(written.value)
-    this.startedAt = this.opts.clock.now()
     return { ok: true, value: written.value.value }
   }
 
@@ -133,19 +133,23 @@
     }
   }
 
-  /** Returns the workers without a lease. Early in a term most workers have not responded yet, and would have to be written again at once. */
+  /** Returns the workers without a lease. One that has not been asked yet would have to be written again at once. */
   private unknownRunsMs (scheduler: Scheduler): Record<string, number> {
     const leasesKnownAt = scheduler.leasesKnownAt()
-    const isEarly = this.opts.clock.now() - this.startedAt < UPDATE_INTERVAL_MS
     const found: Record<string, number> = {}
     for (const worker of scheduler.workers.values()) {
       const ms = worker.unknownRunsMs(leasesKnownAt)
       const isListed = this.contains(worker.registration) && !this.allowsLeases(worker.registration)
-      if (ms !== undefined && (isListed || !isEarly)) found[worker.incarnation()] = ms
+      if (ms !== undefined && Number.isFinite(ms) && (isListed || this.isSilent(worker))) found[worker.incarnation()] = ms
     }
     return found
   }
 
+  /** Returns whether the worker has responded in this term, and does not now, or has been asked in vain for a while. */
+  private isSilent ({ lastResponseAt, polledSince }: TrackedWorker): boolean {
+    return lastResponseAt !== undefined || (polledSince !== undefined && this.opts.clock.now() - polledSince >= MIN_SILENCE_MS)
+  }
+
   /** Logs when writes begin to fail, when they fail for another reason, and when they succeed again. */
   private recordOutcome (error: StoreError | undefined, workers: readonly WorkerRegistration[]): void {
     const { service, token, clock, logger, metrics } = this.opts
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -160,6 +160,7 @@
   private async poll (signal: AbortSignal): Promise<void> {
     const { worker } = this
     const sentAt = this.opts.clock.now()
+    worker.polledSince ??= sentAt
     const waitMs = worker.fenced && worker.reachable && !this.pollAtOnce ? this.pollWaitMs() : 0
     this.pollAtOnce = false
     this.currentPollWaits = waitMs > 0
--- a/jobs/service/test/term-record-writer.test.ts
+++ b/jobs/service/test/term-record-writer.test.ts
@@ -128,6 +128,7 @@
   const term = await startTerm({ unknownRunsUntil: 15_700 })
   const [w1, w2] = [...term.scheduler.workers.values()]
   assert.ok(w1 !== undefined && w2 !== undefined)
+  w1.polledSince = 10_000
   term.time.now = 12_000
   term.scheduler.applyReport(w2, { clockMs: 1, born: 1, running: [], ended: [], moreEnded: false }, { sentAt: 12_000, receivedAt: 12_000 })
   return { ...term, w1, w2 }
@@ -173,11 +174,28 @@
   assert.deepEqual(store.unknownRunsMs(), { 'w1/1': 4_700 })
 })
 
-// Each worker that has not been asked yet would have had to be recorded twice, and got its first tasks later.
-test('early in a term no worker is recorded as silent', async () => {
+// Each worker that had not been asked yet had to be recorded a second time, and got its first tasks later.
+test('a worker is recorded as silent once it has been asked for a while', async () => {
   const { store, writer, scheduler, time, register } = await startTerm({ unknownRunsUntil: 15_700 })
-  time.now = 10_500
+  time.now = 13_000
   register('w1', 'w2', 'w3')
   assert.equal(await writer.writeIfChanged(scheduler), true)
   assert.deepEqual(store.unknownRunsMs(), {})
+  const w3 = [...scheduler.workers.values()].at(-1)
+  assert.ok(w3 !== undefined)
+  w3.polledSince = 13_000
+  time.now = 13_500
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.unknownRunsMs(), {})
+  time.now = 14_000
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.unknownRunsMs(), { 'w3/1': 1_700 })
+})
+
+// A duration without an end was stored as null, which the next leader took for none: tasks ran twice.
+test('nothing is recorded of a silent worker when the leadership is not confirmed at all', async () => {
+  const { store, writer, scheduler, time } = await startTermWithSilentWorker()
+  time.confirmedAt = Number.NEGATIVE_INFINITY
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.unknownRunsMs(), {})
 })
