A worker that may hold a longer lease than usual is awaited anew

Found in the review: a start that was meant for the incarnation before gives the next one the longest lease (10 s). With two changes of leader the second wait used to cover that; since successors take over waits, it did not.

Now the record says which incarnations may hold such a lease, as far as the term knows it from their responses, and their rest of a wait is not handed on until they have responded.

--- a/jobs/scheduler/src/earlier-runs.ts
+++ b/jobs/scheduler/src/earlier-runs.ts
@@ -5,6 +5,7 @@
   /** The time for workers of which nothing else is known. */
   until = Number.NEGATIVE_INFINITY
   private readonly knownUntil = new Map<string, number>()
+  private longLeases: ReadonlySet<string> = new Set()
 
   /**
    * Takes over what earlier leaders knew, as far as it can be read.
@@ -15,6 +16,22 @@
     for (const [incarnation, ms] of Object.entries(unknownRunsMs)) if (Number.isFinite(ms) && ms >= 0) this.knownUntil.set(incarnation, now + ms)
   }
 
+  /**
+   * Takes over which workers may hold the longest lease there is.
+   * @param incarnations - these workers, by {@link incarnationKey}
+   */
+  takeOverLongLeases (incarnations: readonly string[]): void {
+    this.longLeases = new Set(incarnations)
+  }
+
+  /**
+   * @param registration - registration of a worker
+   * @returns whether this incarnation may hold the longest lease there is
+   */
+  mayHoldLongLease (registration: WorkerRegistration): boolean {
+    return this.longLeases.has(incarnationKey(registration))
+  }
+
   /**
    * @param registration - registration of a worker
    * @returns until when this incarnation may execute such runs
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -80,7 +80,8 @@
   private readonly runsToStop = new Set<Run>()
   private losses: WorkerLoss[] = []
   private readonly incarnations = new Incarnations()
-  private readonly earlierRuns = new EarlierRuns()
+  /** What is known of runs of earlier leaders; to be filled before the first workers are set. */
+  readonly earlierRuns = new EarlierRuns()
   private readonly durationEstimator = new DurationEstimator()
   private readonly demandEstimator: DemandEstimator
   private readonly placer: TaskPlacer
@@ -126,14 +127,6 @@
     }
   }
 
-  /**
-   * Takes over, before the first workers, what earlier leaders knew of runs that may be in progress.
-   * @param unknownRunsMs - for how long that may be so, in milliseconds from now on, by incarnation
-   */
-  takeOver (unknownRunsMs: Readonly<Record<string, number>>): void {
-    this.earlierRuns.takeOver(unknownRunsMs, this.opts.clock.now())
-  }
-
   /**
    * Ends an incarnation of a worker: the runs that have certainly begun there are over and released. Other starts are kept,
    * confirmed or not: the next incarnation under the same id may have executed them, or may do so still.
@@ -402,7 +395,7 @@
     if (existing !== undefined) this.endIncarnation(existing)
     const unresolvedRuns = [...existing?.runs.values() ?? []]
     const lateStartsUntil = unresolvedRuns.length === 0 ? 0 : this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
-    const worker = new TrackedWorker(registration, { unknownRunsUntil: this.earlierRuns.untilAt(registration), lateStartsUntil, previous: existing })
+    const worker = new TrackedWorker(registration, { unknownRunsUntil: this.earlierRuns.untilAt(registration), lateStartsUntil, previous: existing, inheritsLongLease: this.earlierRuns.mayHoldLongLease(registration) })
     this.workers.set(registration.id, worker)
     this.incarnations.add(registration)
     for (const run of unresolvedRuns) this.carryOverRun(run, worker)
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -72,6 +72,8 @@
   private readonly lateStartsUntil: number
   /** Another incarnation under this id was tracked before: commands that were meant for it may have been executed here. */
   readonly restarted: boolean
+  /** The record of an earlier term says that it may hold the longest lease there is. */
+  private readonly inheritsLongLease: boolean
   /** That incarnation, until a report of this one has been applied completely. */
   private previous: TrackedWorker | undefined
   /** When a report first showed the worker without runs, by the injected clock; undefined while there is no such report. */
@@ -91,11 +93,12 @@
   private lasting = 0
   private readonly runsByStep = new Map<TrackedStep, number>()
 
-  constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number, lateStartsUntil?: number, previous?: TrackedWorker | undefined }) {
+  constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number, lateStartsUntil?: number, previous?: TrackedWorker | undefined, inheritsLongLease?: boolean }) {
     this.registration = registration
     this.unknownRunsUntil = opts.unknownRunsUntil
     this.lateStartsUntil = opts.lateStartsUntil ?? 0
     this.previous = opts.previous
+    this.inheritsLongLease = opts.inheritsLongLease === true
     this.restarted = opts.previous !== undefined
   }
 
@@ -200,7 +203,7 @@
   unknownRunsMs (now: number): number | undefined {
     if (this.ended || this.reachable || this.runs.size > 0 || this.pendingCompletions.size > 0) return undefined
     if (this.lastResponseAt !== undefined) return this.haveLeasesExpired(now) ? 0 : undefined
-    return Math.max(0, Math.ceil(this.unknownRunsUntil - now))
+    return this.inheritsLongLease ? undefined : Math.max(0, Math.ceil(this.unknownRunsUntil - now))
   }
 
   /**
@@ -352,10 +355,22 @@
    */
   assumePreviousLeases (firstReport: { clockMs: number, sentAt: number }, opts: { longestLeaseMs: number, earlierLeadersUntil: number }): void {
     const bornAt = firstReport.sentAt - (firstReport.clockMs + CLOCK_ROUNDING_MS) / MIN_CLOCK_RATE
+    if (this.inheritsLongLease) this.assumeEarlierLease(opts.longestLeaseMs)
     if (this.previous === undefined) return
     if (bornAt < opts.earlierLeadersUntil || this.previous.mayGrantLeaseAfter(bornAt)) this.assumeEarlierLease(opts.longestLeaseMs)
   }
 
+  /**
+   * @param now - time of the injected clock for which it is known which leases it holds
+   * @param usualMs - length of the leases that each successor allows for, in milliseconds
+   * @returns whether it may hold a lease that is longer than that, as a command for an earlier incarnation may have granted it
+   */
+  mayHoldLongLease (now: number, usualMs: number): boolean {
+    if (this.ended) return false
+    if (this.lastResponseAt === undefined) return this.inheritsLongLease
+    return this.clockMs + (now - this.clockReadAt) * MIN_CLOCK_RATE + usualMs < this.unknownLeaseUntilMs
+  }
+
   /** Notes that a report was applied completely. */
   markFenced (): void {
     this.fenced = true
--- a/jobs/scheduler/test/earlier-runs.test.ts
+++ b/jobs/scheduler/test/earlier-runs.test.ts
@@ -5,7 +5,7 @@
 /** A leader that has taken over w1 and w2, of which w2 has responded. */
 function takeOver (unknownRunsMs: Record<string, number> = {}): SchedulerHarness {
   const harness = new SchedulerHarness({ term: 1 })
-  harness.scheduler.takeOver(unknownRunsMs)
+  harness.scheduler.earlierRuns.takeOver(unknownRunsMs, harness.now)
   harness.scheduler.setWorkers([worker('w1'), worker('w2')], { unknownRunsUntil: harness.now + 5_700 })
   harness.report('w2')
   return harness
--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -95,7 +95,7 @@
     const unknownRunsMs = this.unknownRunsMs(scheduler)
     this.forgetAllBut(workers)
     this.forbidLeases(unknownRunsMs, scheduler)
-    const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers, unknownRunsMs }, this.opts.guard)
+    const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers, unknownRunsMs, longLeases: longLeases(scheduler) }, this.opts.guard)
     this.recordOutcome(written.ok ? undefined : written.error, workers)
     if (written.ok) this.setRecord(written.value)
     else if (written.error.kind === 'conflict') await this.readRecord(this.record.value.number)
@@ -165,13 +165,19 @@
 
   private nextRecord (before: TermRecord | undefined): TermRecord {
     const maxEarlierLeaseMs = before === undefined ? 0 : before.leaseMs ?? this.opts.limits.longestLeaseMs
-    return { number: (before?.number ?? -1) + 1, leaseMs: Math.max(maxEarlierLeaseMs, WORKER_LEASE_MS), workers: before?.workers ?? [], unknownRunsMs: before?.unknownRunsMs ?? {} }
+    return { number: (before?.number ?? -1) + 1, leaseMs: Math.max(maxEarlierLeaseMs, WORKER_LEASE_MS), workers: before?.workers ?? [], unknownRunsMs: before?.unknownRunsMs ?? {}, longLeases: before?.longLeases ?? [] }
   }
 
   private isCurrent (scheduler: Scheduler): boolean {
     if (this.failure !== undefined) return false
     const workers = liveWorkers(scheduler)
-    return workers.length === this.recordedWorkers.size && workers.every(worker => this.contains(worker)) && this.areWaitsCurrent(scheduler)
+    return workers.length === this.recordedWorkers.size && workers.every(worker => this.contains(worker)) && this.areWaitsCurrent(scheduler) && this.areLongLeasesCurrent(scheduler)
+  }
+
+  private areLongLeasesCurrent (scheduler: Scheduler): boolean {
+    const recorded = new Set(this.record?.value.longLeases)
+    const current = longLeases(scheduler)
+    return recorded.size === current.length && current.every(incarnation => recorded.has(incarnation))
   }
 
   private areWaitsCurrent (scheduler: Scheduler): boolean {
@@ -181,6 +187,12 @@
   }
 }
 
+/** Returns the workers that may hold a longer lease than the next leader allows for. */
+function longLeases (scheduler: Scheduler): string[] {
+  const leasesKnownAt = scheduler.leasesKnownAt()
+  return [...scheduler.workers.values()].filter(worker => worker.mayHoldLongLease(leasesKnownAt, WORKER_LEASE_MS)).map(worker => worker.incarnation())
+}
+
 /** Returns the workers that the next leader must ask. The next incarnation of one that has ended may still carry out its starts. */
 function liveWorkers (scheduler: Scheduler): WorkerRegistration[] {
   return [...scheduler.workers.values()].filter(worker => !worker.ended || worker.runs.size > 0).map(worker => worker.registration)
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -224,7 +224,8 @@
     }
     this.unknownRunsUntil = clock.now() + LEADERSHIP_OVERLAP_MS + maxEarlierLeaseMs
     this.earlierCallsEndAt = clock.now() + LEADERSHIP_OVERLAP_MS + COMMAND_TIMEOUT_MS * CLOCK_DRIFT_FACTOR
-    scheduler.takeOver(term.unknownRunsMs ?? {})
+    scheduler.earlierRuns.takeOver(term.unknownRunsMs ?? {}, clock.now())
+    scheduler.earlierRuns.takeOverLongLeases(term.longLeases ?? [])
     scheduler.setWorkers(term.workers, { unknownRunsUntil: this.unknownRunsUntil })
     this.updateWorkers(scheduler)
     const { store, records } = this.opts
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -21,6 +21,11 @@
    * may still be in progress there at most, in milliseconds. They get no lease while they are listed here.
    */
   readonly unknownRunsMs?: Readonly<Record<string, number>> | undefined
+  /**
+   * Workers that may hold the longest lease there is, by {@link incarnationKey}: a start for an earlier incarnation may have granted it. What a
+   * term has waited for these is no bound for the next one.
+   */
+  readonly longLeases?: readonly string[] | undefined
 }
 
 /** All job records of a service. `revision` is that of the requests; progress is read separately. */
