Term record: leases that each successor allows for are not named as longer ones

Leases of 4.2 s, which a term allows for at workers with runs of earlier leaders, counted as longer than the usual 4.0 s for the first 0.2 s of a term. A record written then named all these workers, and a successor within the next second would have waited anew, and allowed for 10 s, at each. The bound is now what a successor allows for (4.0 s x 1.05). The test of the record says so (it failed before).

--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -4,7 +4,7 @@
 import type { TermRecord } from '@wisteriaslip/jobs.store'
 import type { StoreError, Versioned } from '@wisteriaslip/store.client'
 import type { ServiceTermOpts } from './ports.ts'
-import { WORKER_LEASE_MS } from './worker-session.ts'
+import { CLOCK_DRIFT_FACTOR, WORKER_LEASE_MS } from './worker-session.ts'
 
 /**
  * Interval at which workers that are gone (ended without starts that may still be carried out, or no longer tracked) are removed
@@ -14,6 +14,8 @@
 const UPDATE_INTERVAL_MS = 1_000
 /** A worker that has not responded in the term is silent once polls have failed for this long. */
 const MIN_SILENCE_MS = 900
+/** What a successor allows for: the clock of a worker may be slow. */
+const MAX_USUAL_LEASE_MS = WORKER_LEASE_MS * CLOCK_DRIFT_FACTOR
 const WRITE_RETRY_MS = 100
 
 /**
@@ -190,7 +192,7 @@
 /** Returns the workers that may hold a longer lease than the next leader allows for. */
 function longLeases (scheduler: Scheduler): string[] {
   const leasesKnownAt = scheduler.leasesKnownAt()
-  return [...scheduler.workers.values()].filter(worker => worker.mayHoldLongLease(leasesKnownAt, WORKER_LEASE_MS)).map(worker => worker.incarnation())
+  return [...scheduler.workers.values()].filter(worker => worker.mayHoldLongLease(leasesKnownAt, MAX_USUAL_LEASE_MS)).map(worker => worker.incarnation())
 }
 
 /** Returns the workers that the next leader must ask. The next incarnation of one that has ended may still carry out its starts. */
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -16,7 +16,7 @@
 import { UnservedMonitor } from './unserved-monitor.ts'
 import { WaitMonitor } from './wait-monitor.ts'
 import { endOldWithdrawals, FleetTokens, withdrawWorkers } from './withdrawals.ts'
-import { COMMAND_TIMEOUT_MS, WorkerSession } from './worker-session.ts'
+import { CLOCK_DRIFT_FACTOR, COMMAND_TIMEOUT_MS, WorkerSession } from './worker-session.ts'
 
 const RECORD_READ_RETRY_MS = 100
 const MAX_SCHEDULING_INTERVAL_MS = 100
@@ -27,8 +27,6 @@
 const MIN_SESSIONS_PER_PASS = 2
 const SESSION_RETRY_MS = 500
 const JOB_EXPIRY_INTERVAL_MS = 5_000
-/** Leases given by earlier leaders may last longer by this factor, because worker clocks may run slow. */
-const CLOCK_DRIFT_FACTOR = 1.05
 const LOST_WORKER_CHECK_INTERVAL_MS = 60
 const MAX_FLUSH_ATTEMPTS = 3
 /** The permit service takes a while to decide, and accepts one call at a time from each entry. */
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -22,7 +22,7 @@
 export const COMMAND_TIMEOUT_MS = 800
 const POLL_RETRY_MS = 150
 /** The clock of a worker may be slow, by less than this factor. */
-const CLOCK_DRIFT_FACTOR = 1.05
+export const CLOCK_DRIFT_FACTOR = 1.05
 /** The lease of a worker that has not responded for this long is not extended until it responds. */
 const MAX_RESPONSE_AGE_FOR_LEASE_MS = 3_000
 /** After a poll that returned completions, the next poll is delayed by at most this long until they are durable. */
--- a/jobs/service/test/term-record-writer.test.ts
+++ b/jobs/service/test/term-record-writer.test.ts
@@ -43,6 +43,10 @@
     return (this.stored?.value as TermRecord).unknownRunsMs
   }
 
+  longLeases (): TermRecord['longLeases'] {
+    return (this.stored?.value as TermRecord).longLeases
+  }
+
   workers (): string[] {
     return (this.stored?.value as TermRecord).workers.map(worker => worker.id)
   }
@@ -199,3 +203,18 @@
   assert.equal(await writer.writeIfChanged(scheduler), true)
   assert.deepEqual(store.unknownRunsMs(), {})
 })
+
+// Leases that each successor allows for counted as longer ones, so that it waited anew, and allowed for 10 s, at every worker with runs.
+test('the record names a worker that may hold the longest lease until no more than the usual one is left, and none with a usual lease', async () => {
+  const { store, writer, scheduler, time } = await startTerm()
+  const [w1, w2] = [...scheduler.workers.values()]
+  assert.ok(w1 !== undefined && w2 !== undefined)
+  for (const each of [w1, w2]) scheduler.applyReport(each, { clockMs: 1, born: 1, running: [], ended: [], moreEnded: false }, { sentAt: 10_000, receivedAt: 10_000 })
+  w1.assumeEarlierLease(6_000)
+  w2.assumeEarlierLease(4_200)
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.longLeases(), ['w1/1'])
+  time.now = 11_900
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.longLeases(), [])
+})
