--- a/jobs/fleet/src/drain-turns.ts
+++ b/jobs/fleet/src/drain-turns.ts
@@ -1,4 +1,3 @@
-import { FruitlessDrains } from './fruitless-drains.ts'
 import type { TurnTimes } from './ports.ts'
 import type { FleetSnapshot, PlannedMaintenance } from './wave-schedule.ts'
 import { openWorkers, workersOf } from './service-workers.ts'
@@ -44,7 +43,6 @@
   /** Since when each VM that is on its way to a service, or in maintenance, has been so, by the injected clock. */
   private readonly awaySince = new Map<string, number>()
   private readonly restsUntil = new Map<string, number>()
-  private readonly fruitless = new FruitlessDrains()
 
   /**
    * @param now - time of the injected clock, in milliseconds
@@ -52,7 +50,7 @@
    */
   resting (now: number): Set<string> {
     for (const [vm, until] of this.restsUntil) if (now >= until) this.restsUntil.delete(vm)
-    return new Set([...this.restsUntil.keys(), ...this.fruitless.resting()])
+    return new Set(this.restsUntil.keys())
   }
 
   /**
@@ -94,9 +92,8 @@
     for (const vm of this.drains.keys()) if (!drained.has(vm)) this.drains.delete(vm)
     this.followArrivals(fleet)
     for (const vm of drained) this.followDrain(vm, fleet)
-    this.fruitless.follow(drained, taken, fleet)
     const stuck = [...this.drains.keys()].flatMap(vm => this.isStuck(vm, taken, fleet) ? [this.describe(vm, fleet)] : [])
-    for (const { vm } of stuck) this.giveBack(vm, fleet)
+    for (const { vm } of stuck) this.giveBack(vm, fleet.now)
     return stuck
   }
 
@@ -138,10 +135,9 @@
     return { vm, pool: fleet.vms.get(vm)?.pool ?? '', lastingRuns: fleet.load(vm).lastingRuns }
   }
 
-  private giveBack (vm: string, fleet: FleetSnapshot): void {
-    this.fruitless.giveBack(vm, fleet)
+  private giveBack (vm: string, now: number): void {
     this.drains.delete(vm)
-    this.restsUntil.set(vm, fleet.now + REST_MS)
+    this.restsUntil.set(vm, now + REST_MS)
   }
 }
 
