Term record: for how long a worker may hold a longer lease than usual, and only for workers that have restarted

A name had no end: a worker that responded was allowed 10 s anew in each term, and one that stayed silent was awaited anew for ever.

Now a term names those for which it has found that a command for an earlier incarnation may have granted a lease, and says for how long that may hold at most; a successor allows for the rest.

Not covered: a leader that is lost within some 300 ms of the restart (KNOWN-RED.txt, with what was tried).

--- a/jobs/scheduler/src/earlier-runs.ts
+++ b/jobs/scheduler/src/earlier-runs.ts
@@ -5,7 +5,7 @@
   /** The time for workers of which nothing else is known. */
   until = Number.NEGATIVE_INFINITY
   private readonly knownUntil = new Map<string, number>()
-  private longLeases: ReadonlySet<string> = new Set()
+  private readonly longLeasesUntil = new Map<string, number>()
 
   /**
    * Takes over what earlier leaders knew, as far as it can be read.
@@ -17,19 +17,20 @@
   }
 
   /**
-   * Takes over which workers may hold the longest lease there is.
-   * @param incarnations - these workers, by {@link incarnationKey}
+   * Takes over which workers may hold a lease that a command for an earlier incarnation has granted, as far as that can be read.
+   * @param longLeasesMs - for how long from `now` on, in milliseconds, by {@link incarnationKey}
+   * @param now - time of the injected clock
    */
-  takeOverLongLeases (incarnations: readonly string[]): void {
-    this.longLeases = new Set(incarnations)
+  takeOverLongLeases (longLeasesMs: Readonly<Record<string, number>>, now: number): void {
+    for (const [incarnation, ms] of Object.entries(longLeasesMs)) if (Number.isFinite(ms)) this.longLeasesUntil.set(incarnation, now + ms)
   }
 
   /**
    * @param registration - registration of a worker
-   * @returns whether this incarnation may hold the longest lease there is
+   * @returns until when this incarnation may hold such a lease, undefined if nothing says that it does
    */
-  mayHoldLongLease (registration: WorkerRegistration): boolean {
-    return this.longLeases.has(incarnationKey(registration))
+  longLeaseUntil (registration: WorkerRegistration): number | undefined {
+    return this.longLeasesUntil.get(incarnationKey(registration))
   }
 
   /**
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -72,8 +72,8 @@
   private readonly lateStartsUntil: number
   /** Another incarnation under this id was tracked before: commands that were meant for it may have been executed here. */
   readonly restarted: boolean
-  /** The record of an earlier term says that it may hold the longest lease there is. */
-  private readonly inheritsLongLease: boolean
+  /** Until this time of the injected clock, it may hold a lease that a command for an earlier incarnation has granted, up to the longest there is. */
+  private longLeaseUntil: number
   /** That incarnation, until a report of this one has been applied completely. */
   private previous: TrackedWorker | undefined
   /** When a report first showed the worker without runs, by the injected clock; undefined while there is no such report. */
@@ -93,12 +93,12 @@
   private lasting = 0
   private readonly runsByStep = new Map<TrackedStep, number>()
 
-  constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number, lateStartsUntil?: number, previous?: TrackedWorker | undefined, inheritsLongLease?: boolean }) {
+  constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number, lateStartsUntil?: number, previous?: TrackedWorker | undefined, longLeaseUntil?: number }) {
     this.registration = registration
     this.unknownRunsUntil = opts.unknownRunsUntil
     this.lateStartsUntil = opts.lateStartsUntil ?? 0
     this.previous = opts.previous
-    this.inheritsLongLease = opts.inheritsLongLease === true
+    this.longLeaseUntil = opts.longLeaseUntil ?? Number.NEGATIVE_INFINITY
     this.restarted = opts.previous !== undefined
   }
 
@@ -203,7 +203,7 @@
   unknownRunsMs (now: number): number | undefined {
     if (this.ended || this.reachable || this.runs.size > 0 || this.pendingCompletions.size > 0) return undefined
     if (this.lastResponseAt !== undefined) return this.haveLeasesExpired(now) ? 0 : undefined
-    return this.inheritsLongLease ? undefined : Math.max(0, Math.ceil(this.unknownRunsUntil - now))
+    return now < this.longLeaseUntil ? undefined : Math.max(0, Math.ceil(this.unknownRunsUntil - now))
   }
 
   /**
@@ -355,20 +355,22 @@
    */
   assumePreviousLeases (firstReport: { clockMs: number, sentAt: number }, opts: { longestLeaseMs: number, earlierLeadersUntil: number }): void {
     const bornAt = firstReport.sentAt - (firstReport.clockMs + CLOCK_ROUNDING_MS) / MIN_CLOCK_RATE
-    if (this.inheritsLongLease) this.assumeEarlierLease(opts.longestLeaseMs)
+    if (this.longLeaseUntil > this.clockReadAt) this.assumeEarlierLease(Math.min(opts.longestLeaseMs, Math.ceil((this.longLeaseUntil - this.clockReadAt) / MIN_CLOCK_RATE)))
     if (this.previous === undefined) return
-    if (bornAt < opts.earlierLeadersUntil || this.previous.mayGrantLeaseAfter(bornAt)) this.assumeEarlierLease(opts.longestLeaseMs)
+    if (bornAt >= opts.earlierLeadersUntil && !this.previous.mayGrantLeaseAfter(bornAt)) return
+    this.assumeEarlierLease(opts.longestLeaseMs)
+    this.longLeaseUntil = this.clockReadAt + opts.longestLeaseMs / MIN_CLOCK_RATE
   }
 
   /**
-   * @param now - time of the injected clock for which it is known which leases it holds
+   * @param now - time of the injected clock
    * @param usualMs - length of the leases that each successor allows for, in milliseconds
-   * @returns whether it may hold a lease that is longer than that, as a command for an earlier incarnation may have granted it
+   * @returns for how long it may hold a lease that a command for an earlier incarnation has granted, in milliseconds; undefined if that is
+   * no longer than usual
    */
-  mayHoldLongLease (now: number, usualMs: number): boolean {
-    if (this.ended) return false
-    if (this.lastResponseAt === undefined) return this.inheritsLongLease
-    return this.clockMs + (now - this.clockReadAt) * MIN_CLOCK_RATE + usualMs < this.unknownLeaseUntilMs
+  longLeaseMs (now: number, usualMs: number): number | undefined {
+    const leftMs = this.longLeaseUntil - now
+    return !this.ended && leftMs > usualMs ? Math.ceil(leftMs) : undefined
   }
 
   /** Notes that a report was applied completely. */
--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -97,7 +97,7 @@
     const unknownRunsMs = this.unknownRunsMs(scheduler)
     this.forgetAllBut(workers)
     this.forbidLeases(unknownRunsMs, scheduler)
-    const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers, unknownRunsMs, longLeases: longLeases(scheduler) }, this.opts.guard)
+    const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers, unknownRunsMs, longLeasesMs: this.longLeasesMs(scheduler) }, this.opts.guard)
     this.recordOutcome(written.ok ? undefined : written.error, workers)
     if (written.ok) this.setRecord(written.value)
     else if (written.error.kind === 'conflict') await this.readRecord(this.record.value.number)
@@ -167,7 +167,7 @@
 
   private nextRecord (before: TermRecord | undefined): TermRecord {
     const maxEarlierLeaseMs = before === undefined ? 0 : before.leaseMs ?? this.opts.limits.longestLeaseMs
-    return { number: (before?.number ?? -1) + 1, leaseMs: Math.max(maxEarlierLeaseMs, WORKER_LEASE_MS), workers: before?.workers ?? [], unknownRunsMs: before?.unknownRunsMs ?? {}, longLeases: before?.longLeases ?? [] }
+    return { number: (before?.number ?? -1) + 1, leaseMs: Math.max(maxEarlierLeaseMs, WORKER_LEASE_MS), workers: before?.workers ?? [], unknownRunsMs: before?.unknownRunsMs ?? {}, longLeasesMs: before?.longLeasesMs ?? {} }
   }
 
   private isCurrent (scheduler: Scheduler): boolean {
@@ -176,10 +176,22 @@
     return workers.length === this.recordedWorkers.size && workers.every(worker => this.contains(worker)) && this.areWaitsCurrent(scheduler) && this.areLongLeasesCurrent(scheduler)
   }
 
+  /** Durations that were written before are still true: only the workers count. */
   private areLongLeasesCurrent (scheduler: Scheduler): boolean {
-    const recorded = new Set(this.record?.value.longLeases)
-    const current = longLeases(scheduler)
-    return recorded.size === current.length && current.every(incarnation => recorded.has(incarnation))
+    const recorded = this.record?.value.longLeasesMs ?? {}
+    const current = Object.keys(this.longLeasesMs(scheduler))
+    return Object.keys(recorded).length === current.length && current.every(incarnation => recorded[incarnation] !== undefined)
+  }
+
+  /** Returns the workers that may hold a longer lease than the next leader allows for. */
+  private longLeasesMs (scheduler: Scheduler): Record<string, number> {
+    const now = this.opts.clock.now()
+    const found: Record<string, number> = {}
+    for (const worker of scheduler.workers.values()) {
+      const ms = worker.longLeaseMs(now, MAX_USUAL_LEASE_MS)
+      if (ms !== undefined) found[worker.incarnation()] = ms
+    }
+    return found
   }
 
   private areWaitsCurrent (scheduler: Scheduler): boolean {
@@ -189,12 +201,6 @@
   }
 }
 
-/** Returns the workers that may hold a longer lease than the next leader allows for. */
-function longLeases (scheduler: Scheduler): string[] {
-  const leasesKnownAt = scheduler.leasesKnownAt()
-  return [...scheduler.workers.values()].filter(worker => worker.mayHoldLongLease(leasesKnownAt, MAX_USUAL_LEASE_MS)).map(worker => worker.incarnation())
-}
-
 /** Returns the workers that the next leader must ask. The next incarnation of one that has ended may still carry out its starts. */
 function liveWorkers (scheduler: Scheduler): WorkerRegistration[] {
   return [...scheduler.workers.values()].filter(worker => !worker.ended || worker.runs.size > 0).map(worker => worker.registration)
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -223,7 +223,7 @@
     this.unknownRunsUntil = clock.now() + LEADERSHIP_OVERLAP_MS + maxEarlierLeaseMs
     this.earlierCallsEndAt = clock.now() + LEADERSHIP_OVERLAP_MS + COMMAND_TIMEOUT_MS * CLOCK_DRIFT_FACTOR
     scheduler.earlierRuns.takeOver(term.unknownRunsMs ?? {}, clock.now())
-    scheduler.earlierRuns.takeOverLongLeases(term.longLeases ?? [])
+    scheduler.earlierRuns.takeOverLongLeases(term.longLeasesMs ?? {}, clock.now())
     scheduler.setWorkers(term.workers, { unknownRunsUntil: this.unknownRunsUntil })
     this.updateWorkers(scheduler)
     const { store, records } = this.opts
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -22,10 +22,10 @@
    */
   readonly unknownRunsMs?: Readonly<Record<string, number>> | undefined
   /**
-   * Workers that may hold the longest lease there is, by {@link incarnationKey}: a start for an earlier incarnation may have granted it. What a
-   * term has waited for these is no bound for the next one.
+   * Workers that may hold a longer lease than a successor allows for, as a start for an earlier incarnation may have granted it: for how long
+   * after this was written at most, in milliseconds, by {@link incarnationKey}. What a term has waited for these is no bound for the next one.
    */
-  readonly longLeases?: readonly string[] | undefined
+  readonly longLeasesMs?: Readonly<Record<string, number>> | undefined
 }
 
 /** All job records of a service. `revision` is that of the requests; progress is read separately. */
