Lists prove the loss of a worker of an earlier term as before

It kept a task from being started a second time when a replaced leader still acts and starts it on the next incarnation of a lost worker.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -75,20 +75,13 @@
 export class LostWorkerDetector {
   private readonly scheduler: Scheduler
   private readonly clock: Clock
-  private readonly earlierCallsEndAt: number
   private readonly suspects = new Map<TrackedWorker, SuspectedLoss>()
   /** Ids of the VMs that some list has shown, or that proved to be gone: these can prove to be gone. */
   private readonly listedVms = new Set<string>()
 
-  /**
-   * @param scheduler - scheduler of the term
-   * @param clock - the injected clock
-   * @param opts - `earlierCallsEndAt`: when the last calls of earlier leaders have ended, by the injected clock
-   */
-  constructor (scheduler: Scheduler, clock: Clock, { earlierCallsEndAt = Number.NEGATIVE_INFINITY } = {}) {
+  constructor (scheduler: Scheduler, clock: Clock) {
     this.scheduler = scheduler
     this.clock = clock
-    this.earlierCallsEndAt = earlierCallsEndAt
   }
 
   /** @returns whether a list of VMs is due, because some worker has been unresponsive; the caller requests it at once */
@@ -128,7 +121,7 @@
       if (this.proofNeeded(worker) !== proof || requestedAt - since < VM_LIST_CHECK_AFTER_MS) continue
       const vmId = worker.registration.vm
       const vm = byId.get(vmId)
-      suspect.confirmations = provesLoss(proof, vm, worker) && !this.mayGetEarlierStarts(worker, vm, requestedAt) ? suspect.confirmations + 1 : 0
+      suspect.confirmations = provesLoss(proof, vm, worker) ? suspect.confirmations + 1 : 0
       const isExpected = this.listedVms.has(vmId) || (proof === 'ended' && worker.deregistered && vmId !== '' && showsOthers)
       const isAbsent = coverage.complete && !shown.has(vmId) && isExpected
       const isVacant = isAbsent || (coverage.complete && vm !== undefined && vm.worker === '')
@@ -161,14 +154,6 @@
     return [...this.scheduler.workers.values()].some(({ registration, fenced, reachable, ended }) => fenced && reachable && !ended && byId.get(registration.vm)?.worker === registration.id)
   }
 
-  /**
-   * Returns whether an earlier leader may still start a run on the next incarnation under the id of a worker that has not responded in this
-   * term: it would not be known here.
-   */
-  private mayGetEarlierStarts (worker: TrackedWorker, vm: Vm | undefined, requestedAt: number): boolean {
-    return !worker.fenced && requestedAt < this.earlierCallsEndAt && vm !== undefined && !hasOtherWorker(vm, worker)
-  }
-
   private endIncarnation (worker: TrackedWorker, opts: { planned: boolean, offSince: number | undefined }): void {
     this.scheduler.endIncarnation(worker, { planned: opts.planned })
     if (opts.offSince !== undefined) this.scheduler.releaseOverRuns(worker, opts.offSince)
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -16,7 +16,7 @@
 import { UnservedMonitor } from './unserved-monitor.ts'
 import { WaitMonitor } from './wait-monitor.ts'
 import { endOldWithdrawals, FleetTokens, withdrawWorkers } from './withdrawals.ts'
-import { CLOCK_DRIFT_FACTOR, COMMAND_TIMEOUT_MS, WorkerSession } from './worker-session.ts'
+import { CLOCK_DRIFT_FACTOR, WorkerSession } from './worker-session.ts'
 
 const RECORD_READ_RETRY_MS = 100
 const MAX_SCHEDULING_INTERVAL_MS = 100
@@ -51,8 +51,6 @@
   private readonly inProgress = new Set<Promise<void>>()
   private components: { scheduler: Scheduler, writer: ProgressWriter, requestWatcher: RequestWatcher } | undefined
   private unknownRunsUntil = 0
-  /** When the last commands of earlier leaders have ended, by the injected clock. */
-  private earlierCallsEndAt = 0
   /** The registry's list of workers that was last passed to the scheduler. */
   private lastRegistrations: readonly WorkerRegistration[] | undefined
 
@@ -221,7 +219,6 @@
       if (all.cancelled.has(id)) scheduler.table.cancel(id)
     }
     this.unknownRunsUntil = clock.now() + LEADERSHIP_OVERLAP_MS + maxEarlierLeaseMs
-    this.earlierCallsEndAt = clock.now() + LEADERSHIP_OVERLAP_MS + COMMAND_TIMEOUT_MS * CLOCK_DRIFT_FACTOR
     scheduler.earlierRuns.takeOver(term.unknownRunsMs ?? {}, clock.now())
     scheduler.earlierRuns.takeOverLongLeases(term.longLeasesMs ?? {}, clock.now())
     scheduler.setWorkers(term.workers, { unknownRunsUntil: this.unknownRunsUntil })
@@ -382,7 +379,7 @@
    * to expire.
    */
   private async detectLostWorkers (scheduler: Scheduler, signal: AbortSignal): Promise<void> {
-    const detector = new LostWorkerDetector(scheduler, this.opts.clock, { earlierCallsEndAt: this.earlierCallsEndAt })
+    const detector = new LostWorkerDetector(scheduler, this.opts.clock)
     await this.runPeriodically(LOST_WORKER_CHECK_INTERVAL_MS, signal, async () => {
       if (!detector.needsVmList()) return
       const requestedAt = this.opts.clock.now()
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -18,8 +18,7 @@
 const POLL_GAP_PER_LAG = 4
 const MAX_LAG_POLL_GAP_MS = 600
 const POLL_TIMEOUT_MARGIN_MS = 700
-/** After this a command is given up, and its connection closed. */
-export const COMMAND_TIMEOUT_MS = 800
+const COMMAND_TIMEOUT_MS = 800
 const POLL_RETRY_MS = 150
 /** The clock of a worker may be slow, by less than this factor. */
 export const CLOCK_DRIFT_FACTOR = 1.05
