Starts and leases are sent only on connections on which the worker's incarnation has responded

Workers were back under their ids and cut off soon afterwards; the first run went on for 10.07 s while a successor, which reckons with leases of 4 s, started the task again.

Cause: a start was addressed by the worker's id, which the next incarnation has, too, and the client opened a new connection for it without a word. The next incarnation carried it out; the lease that it names is a time of another clock, and is cut to the longest one (10 s). Nobody can tell a successor whose leader is lost before it has seen the restart.

The client gives channels now: one connection each, never opened again, so that what is sent reaches the incarnation that has accepted it, or none. A session has one channel for polls and one for commands. The first call on a channel is a poll without a lease; only once this incarnation has responded (by its birth, else by its clock, read between sending and receiving) does the channel carry starts, or polls that grant a lease. A call that is aborted ends its channel. A worker without such a channel for commands takes no starts, so that its place goes to another one.

The stand-ins' connections break as sockets do.

Changed tests: restarted-worker (testing/jobs) asked that the next incarnation had started tasks, to show that they are not repeated; it asks now that it has started none before it is known.

--- a/cli/jobs/src/run-jobs.ts
+++ b/cli/jobs/src/run-jobs.ts
@@ -54,7 +54,7 @@
   server.prependListener('request', (_req, res) => entry.trackRequest(res))
   await listen(server, jobs.listen)
   await entry.run(opts.signal, [server])
-  await workers.close()
+  workers.close()
 }
 
 function toLimits (settings: Settings): JobLimits {
--- a/jobs/http/src/worker-client.ts
+++ b/jobs/http/src/worker-client.ts
@@ -1,60 +1,86 @@
+import { SingleConnection } from '@wisteriaslip/core.connection'
 import { err, ok, untilAborted, type Result } from '@wisteriaslip/core.result'
-import type { StartCommand, WorkerClient, WorkerError, WorkerReport, WorkerEndpoint } from '@wisteriaslip/jobs.model'
-import { Agent, request } from 'undici'
+import type { StartCommand, WorkerChannel, WorkerClient, WorkerError, WorkerReport, WorkerEndpoint } from '@wisteriaslip/jobs.model'
+import { request } from 'undici'
 import { clockSchema, refusalSchema, reportSchema, workerPaths } from './wire-format.ts'
 
-const MAX_CONNECTIONS_PER_WORKER = 4
+const CONNECT_TIMEOUT_MS = 2_000
+const IDLE_CONNECTION_TIMEOUT_MS = 60_000
 
 /** Client of workers that implement the product's own interface, JSON over HTTP. */
 export class HttpWorkerClient implements WorkerClient {
-  private readonly agent = new Agent({ connections: MAX_CONNECTIONS_PER_WORKER, pipelining: 1 })
+  private readonly channels = new Set<HttpWorkerChannel>()
 
-  async start (endpoint: WorkerEndpoint, command: StartCommand, signal: AbortSignal): Promise<Result<number, WorkerError>> {
-    return await this.sendCommand(endpoint, workerPaths.start, command, signal)
+  connect (endpoint: WorkerEndpoint): WorkerChannel {
+    const channel = new HttpWorkerChannel(endpoint)
+    this.channels.add(channel)
+    channel.ended.addEventListener('abort', () => this.channels.delete(channel), { once: true })
+    return channel
   }
 
-  async stop (endpoint: WorkerEndpoint, command: { task: string, attempt: number }, signal: AbortSignal): Promise<Result<number, WorkerError>> {
-    return await this.sendCommand(endpoint, workerPaths.stop, command, signal)
+  /** Closes all connections. */
+  close (): void {
+    for (const channel of this.channels) channel.close()
+  }
+}
+
+class HttpWorkerChannel implements WorkerChannel {
+  readonly endpoint: WorkerEndpoint
+  private readonly connection: SingleConnection
+
+  constructor (endpoint: WorkerEndpoint) {
+    this.endpoint = endpoint
+    this.connection = new SingleConnection(`http://${endpoint.host}:${endpoint.port}`, { connectTimeoutMs: CONNECT_TIMEOUT_MS, idleTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS })
+  }
+
+  get ended (): AbortSignal {
+    return this.connection.ended
   }
 
-  async setSpeed (endpoint: WorkerEndpoint, command: { task: string, attempt: number, percent: number }, signal: AbortSignal): Promise<Result<number, WorkerError>> {
-    return await this.sendCommand(endpoint, workerPaths.setSpeed, command, signal)
+  async start (command: StartCommand, signal: AbortSignal): Promise<Result<number, WorkerError>> {
+    return await this.sendCommand(workerPaths.start, command, signal)
   }
 
-  async poll (endpoint: WorkerEndpoint, opts: { leaseUntilMs?: number | undefined, seenSeq: number, waitMs: number }, signal: AbortSignal): Promise<Result<WorkerReport, WorkerError>> {
-    const response = await this.post(endpoint, workerPaths.poll, opts, signal)
+  async stop (command: { task: string, attempt: number }, signal: AbortSignal): Promise<Result<number, WorkerError>> {
+    return await this.sendCommand(workerPaths.stop, command, signal)
+  }
+
+  async setSpeed (command: { task: string, attempt: number, percent: number }, signal: AbortSignal): Promise<Result<number, WorkerError>> {
+    return await this.sendCommand(workerPaths.setSpeed, command, signal)
+  }
+
+  async poll (opts: { leaseUntilMs?: number | undefined, seenSeq: number, waitMs: number }, signal: AbortSignal): Promise<Result<WorkerReport, WorkerError>> {
+    const response = await this.post(workerPaths.poll, opts, signal)
     if (!response.ok) return response
     const report = reportSchema.safeParse(response.value)
     return report.success ? ok({ ...report.data, born: report.data.born }) : err({ kind: 'unknown', message: 'invalid report' })
   }
 
-  /** Does nothing: the shared agent closes idle connections itself. */
-  closeConnections (): void {}
-
-  /** Closes all connections. */
-  async close (): Promise<void> {
-    await this.agent.destroy()
+  close (): void {
+    this.connection.end()
   }
 
-  private async sendCommand (endpoint: WorkerEndpoint, path: string, command: object, signal: AbortSignal): Promise<Result<number, WorkerError>> {
-    const response = await this.post(endpoint, path, command, signal)
+  private async sendCommand (path: string, command: object, signal: AbortSignal): Promise<Result<number, WorkerError>> {
+    const response = await this.post(path, command, signal)
     if (!response.ok) return response
     const parsed = clockSchema.safeParse(response.value)
     return parsed.success ? ok(parsed.data.clockMs) : err({ kind: 'unknown', message: 'invalid response' })
   }
 
-  private async post (endpoint: WorkerEndpoint, path: string, body: object, signal: AbortSignal): Promise<Result<unknown, WorkerError>> {
+  private async post (path: string, body: object, signal: AbortSignal): Promise<Result<unknown, WorkerError>> {
+    const { endpoint: { host, port, id, token }, connection } = this
+    if (connection.ended.aborted) return err({ kind: 'refused', reason: 'not-sent' })
     try {
-      const res = await untilAborted(signal, request(`http://${endpoint.host}:${endpoint.port}${path}`, {
+      const res = await untilAborted(signal, request(`http://${host}:${port}${path}`, {
         method: 'POST',
-        dispatcher: this.agent,
+        dispatcher: connection.dispatcher,
         headers: { 'content-type': 'application/json' },
-        body: JSON.stringify({ ...body, worker: endpoint.id, token: endpoint.token }),
-        signal
+        body: JSON.stringify({ ...body, worker: id, token })
       }))
-      const responseBody = await res.body.json()
+      const responseBody = await untilAborted(signal, res.body.json())
       return res.statusCode === 200 ? ok(responseBody) : err(toError(res.statusCode, responseBody))
     } catch (error) {
+      connection.end()
       return err({ kind: 'unknown', message: String(error) })
     }
   }
--- a/jobs/http/src/worker-server.ts
+++ b/jobs/http/src/worker-server.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Result } from '@wisteriaslip/core.result'
-import type { WorkerClient, WorkerError } from '@wisteriaslip/jobs.model'
+import type { AddressedWorkerCalls, WorkerError } from '@wisteriaslip/jobs.model'
 import { commandSchemas, readJson, sendJson, workerPaths } from './wire-format.ts'
 
 /**
@@ -8,13 +8,13 @@
  * @param worker - executes the commands; the endpoint names the worker that each is meant for
  * @returns the server, which does not listen yet
  */
-export function createWorkerServer (worker: WorkerClient): Server {
+export function createWorkerServer (worker: AddressedWorkerCalls): Server {
   return createServer((req, res) => {
     handleRequest(req, res, worker).catch(error => sendJson(res, 500, { code: 'INTERNAL', message: String(error), hint: 'See the worker\'s log.' }))
   })
 }
 
-async function handleRequest (req: IncomingMessage, res: ServerResponse, worker: WorkerClient): Promise<void> {
+async function handleRequest (req: IncomingMessage, res: ServerResponse, worker: AddressedWorkerCalls): Promise<void> {
   const disconnected = new AbortController()
   res.once('close', () => disconnected.abort())
   const body = await readJson(req)
--- a/jobs/model/src/index.ts
+++ b/jobs/model/src/index.ts
@@ -3,7 +3,7 @@
  * @module
  */
 export { isFinal, jobStates, parseTaskName, whyTooLarge, type Job, type JobConfig, type JobRequest, type JobState, type Queue, type Resources, type Schedule, type Service, type Step, type TaskName } from './job.ts'
-export { compareRevisions, incarnationKey, mayBeSameIncarnation, runOutcomes, UNKNOWN_BORN, type ActiveRun, type EndedRun, type PermitClient, type RunOutcome, type StartCommand, type WorkerClient, type WorkerEndpoint, type WorkerError, type WorkerRegistration, type WorkerReport } from './worker.ts'
+export { compareRevisions, incarnationKey, mayBeSameIncarnation, runOutcomes, UNKNOWN_BORN, type ActiveRun, type AddressedWorkerCalls, type EndedRun, type PermitClient, type RunOutcome, type StartCommand, type WorkerCalls, type WorkerChannel, type WorkerClient, type WorkerEndpoint, type WorkerError, type WorkerRegistration, type WorkerReport } from './worker.ts'
 export { vmStates, type FleetClient, type FleetError, type Vm, type VmList, type Wave, type WaveSpec } from './fleet.ts'
 export type { JobLimits } from './limits.ts'
 export type { StoreLayout } from './store-layout.ts'
--- a/jobs/model/src/worker.ts
+++ b/jobs/model/src/worker.ts
@@ -113,30 +113,52 @@
   readonly token: number
 }
 
-/** Client for workers. Calls are not retried. */
-export interface WorkerClient {
+/** What a worker is told and asked. */
+export interface WorkerCalls {
   /**
    * Starts a run.
    * @returns reading of the worker's clock in milliseconds
    */
-  start (endpoint: WorkerEndpoint, command: StartCommand, signal: AbortSignal): Promise<Result<number, WorkerError>>
+  start (command: StartCommand, signal: AbortSignal): Promise<Result<number, WorkerError>>
   /**
    * Stops a run.
    * @returns reading of the worker's clock in milliseconds
    */
-  stop (endpoint: WorkerEndpoint, command: { task: string, attempt: number }, signal: AbortSignal): Promise<Result<number, WorkerError>>
+  stop (command: { task: string, attempt: number }, signal: AbortSignal): Promise<Result<number, WorkerError>>
   /**
    * Long-polls a worker: renews its lease if `leaseUntilMs` is given, lets it discard completions up to `seenSeq`, and
    * waits up to `waitMs` milliseconds for a run to end.
    */
-  poll (endpoint: WorkerEndpoint, opts: { leaseUntilMs?: number | undefined, seenSeq: number, waitMs: number }, signal: AbortSignal): Promise<Result<WorkerReport, WorkerError>>
+  poll (opts: { leaseUntilMs?: number | undefined, seenSeq: number, waitMs: number }, signal: AbortSignal): Promise<Result<WorkerReport, WorkerError>>
   /**
    * Sets the speed of a run, in percent of full speed.
    * @returns reading of the worker's clock in milliseconds
    */
-  setSpeed (endpoint: WorkerEndpoint, command: { task: string, attempt: number, percent: number }, signal: AbortSignal): Promise<Result<number, WorkerError>>
-  /** Closes the connections to a worker. */
-  closeConnections (endpoint: { host: string, port: number }): void
+  setSpeed (command: { task: string, attempt: number, percent: number }, signal: AbortSignal): Promise<Result<number, WorkerError>>
+}
+
+/** The same calls, each with the worker that it is meant for. */
+export type AddressedWorkerCalls = { [Name in keyof WorkerCalls]: (endpoint: WorkerEndpoint, ...args: Parameters<WorkerCalls[Name]>) => ReturnType<WorkerCalls[Name]> }
+
+/**
+ * One connection to a worker, opened by the first call and never again: all calls reach the incarnation that has accepted it, or
+ * none. Which one that is only a response tells. Calls are sent in turn and not retried. A call that is aborted ends the channel.
+ */
+export interface WorkerChannel extends WorkerCalls {
+  readonly endpoint: WorkerEndpoint
+  /** Aborts once the connection has ended, or could not be opened; later calls are not sent. */
+  readonly ended: AbortSignal
+  /** Ends the connection, with the calls in progress. */
+  close (): void
+}
+
+/** Client for workers. */
+export interface WorkerClient {
+  /**
+   * @param endpoint - the worker, and the caller's fencing token
+   * @returns a channel to whichever incarnation accepts the connection
+   */
+  connect (endpoint: WorkerEndpoint): WorkerChannel
 }
 
 /** Client for permits: on which workers the policy of a queue allows a step to run. */
--- a/jobs/scheduler/src/left-out.ts
+++ b/jobs/scheduler/src/left-out.ts
@@ -5,7 +5,7 @@
 import type { TrackedWorker } from './tracked-worker.ts'
 
 /** Reason why a worker gets no starts at all. */
-export type UnavailableReason = 'LIFE_ENDED' | 'NOT_MET' | 'NO_ANSWER' | 'LEASE_NOT_RECORDED' | 'HAS_UNTRACKED_RUNS' | 'NOT_REGISTERED' | 'DRAINING' | 'BEING_EMPTIED' | 'RESTS' | 'NO_CLOCK'
+export type UnavailableReason = 'LIFE_ENDED' | 'NOT_MET' | 'NO_ANSWER' | 'NO_COMMAND_CHANNEL' | 'LEASE_NOT_RECORDED' | 'HAS_UNTRACKED_RUNS' | 'NOT_REGISTERED' | 'DRAINING' | 'BEING_EMPTIED' | 'RESTS' | 'NO_CLOCK'
 
 /** Reason why a worker with free capacity for a task doesn't get it. */
 export type LeftOutReason = UnavailableReason | 'CLAIMED' | 'NO_LABEL' | 'PER_WORKER' | 'REFUSED_BY_POLICY' | 'NO_PERMIT' | 'CLOSED_BY_ISOLATED_RUN' | 'RESERVED_FOR_ANOTHER'
@@ -19,6 +19,7 @@
   if (worker.ended) return 'LIFE_ENDED'
   if (!worker.fenced) return 'NOT_MET'
   if (!worker.reachable) return 'NO_ANSWER'
+  if (!worker.takesCommands) return 'NO_COMMAND_CHANNEL'
   if (!worker.mayGetLeases) return 'LEASE_NOT_RECORDED'
   if (worker.hasUntrackedRuns) return 'HAS_UNTRACKED_RUNS'
   if (worker.deregistered) return 'NOT_REGISTERED'
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -53,6 +53,8 @@
   highestCompletionSeq = 0
   /** The last poll succeeded. */
   reachable = false
+  /** Commands reach it: there is a connection on which this incarnation has responded. */
+  takesCommands = true
   /** When polls began to fail, by the injected clock; undefined while the worker responds, or has never responded. */
   unreachableSince: number | undefined
   /** Runs that were released when the lease expired: it is not known yet whether the worker has crashed. */
@@ -224,7 +226,7 @@
 
   /** @returns whether starts may be sent to the worker unless it is withdrawn or in cooldown */
   isUsable (): boolean {
-    return this.fenced && this.reachable && this.mayGetLeases && !this.hasUntrackedRuns && !this.ended && !this.deregistered && !this.registration.draining
+    return this.fenced && this.reachable && this.takesCommands && this.mayGetLeases && !this.hasUntrackedRuns && !this.ended && !this.deregistered && !this.registration.draining
   }
 
   /**
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -1,6 +1,7 @@
 import { delay, linkAbort, Wakeup, withTimeout, type LinkedAbort, type Result } from '@wisteriaslip/core.result'
-import type { StartCommand, WorkerEndpoint, WorkerError } from '@wisteriaslip/jobs.model'
+import { UNKNOWN_BORN, type StartCommand, type WorkerChannel, type WorkerEndpoint, type WorkerError, type WorkerReport } from '@wisteriaslip/jobs.model'
 import { chooseBackfillSpeeds, SETTLE_MS, type OrphanedRun, type Run, type Scheduler, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
+import { CommandChannel } from './command-channel.ts'
 import type { ServiceTermOpts } from './ports.ts'
 
 /** Duration of a worker's lease. It outlasts a change of leader; the tasks of a lost worker are freed when it expires. */
@@ -41,13 +42,19 @@
   loadJobs (jobs: readonly string[]): Promise<void>
 }
 
-/** Communication with one incarnation of a worker: renews its lease, applies its reports and sends commands. */
+/**
+ * Communication with one incarnation of a worker: renews its lease, applies its reports and sends commands. Starts, and polls that
+ * grant a lease, are sent on channels on which this incarnation has responded: its id, and its address, are also those of the next.
+ */
 export class WorkerSession {
   readonly worker: TrackedWorker
   private readonly opts: ServiceTermOpts
   private readonly scheduler: Scheduler
   private readonly events: SessionEvents
   private readonly recorded = new Wakeup()
+  private readonly commands: CommandChannel
+  /** The channel for polls, and whether this incarnation has responded on it. */
+  private polls: { readonly channel: WorkerChannel, identified: boolean } | undefined
   private currentPoll: LinkedAbort | undefined
   private readonly starts = new Set<LinkedAbort>()
   /** The poll in progress waits for a completion. */
@@ -63,6 +70,14 @@
     this.scheduler = scheduler
     this.opts = opts
     this.events = events
+    worker.takesCommands = false
+    this.commands = new CommandChannel({
+      connect: () => this.connect(),
+      identify: async (channel, signal) => await this.identify(channel, signal),
+      mayOpen: () => worker.reachable && !this.hasEnded(),
+      onChange: isOpen => this.noteCommandChannel(isOpen),
+      onError: this.logUnexpected
+    })
   }
 
   /**
@@ -70,14 +85,56 @@
    * @param signal - ends the loop and cancels calls
    */
   async run (signal: AbortSignal): Promise<void> {
-    while (!signal.aborted && !this.hasEnded()) await this.poll(signal)
-    if (!signal.aborted) this.opts.workerClient.closeConnections(this.worker.registration)
+    try {
+      while (!signal.aborted && !this.hasEnded()) await this.poll(signal)
+    } finally {
+      this.closeChannels()
+    }
   }
 
   /** Ends the calls in progress, so that no later incarnation gets a start: this one has ended, or is no longer tracked. */
   end (): void {
     for (const start of this.starts) start.abort()
     this.currentPoll?.abort()
+    this.closeChannels()
+  }
+
+  private closeChannels (): void {
+    this.commands.close()
+    this.polls?.channel.close()
+  }
+
+  private noteCommandChannel (isOpen: boolean): void {
+    const { worker } = this
+    worker.takesCommands = isOpen
+    if (isOpen) this.events.onChange()
+    else if (!this.hasEnded()) this.opts.logger.info({ worker: worker.registration.id, born: worker.registration.born }, 'connection for commands to worker ended')
+  }
+
+  /** Polls on a new channel, without a lease, and returns whether this incarnation has responded. */
+  private async identify (channel: WorkerChannel, signal: AbortSignal): Promise<boolean> {
+    const sentAt = this.opts.clock.now()
+    const response = await withTimeout(POLL_TIMEOUT_MARGIN_MS, signal, async inner => await channel.poll({ seenSeq: 0, waitMs: 0 }, inner))
+    if (signal.aborted || this.hasEnded()) return false
+    if (!response.ok) {
+      this.handleError(response.error, { command: 'look', task: '', endpoint: channel.endpoint })
+      return false
+    }
+    if (this.endIfRestarted(response.value)) return false
+    const { born } = this.worker.registration
+    if (response.value.born !== undefined && born !== UNKNOWN_BORN) return true
+    return this.worker.isOwnClock({ clockMs: response.value.clockMs, sentAt })
+  }
+
+  /** Returns whether another incarnation has responded, which is tracked from now on. */
+  private endIfRestarted ({ born }: WorkerReport): boolean {
+    const { worker } = this
+    if (born === undefined || worker.registration.born === UNKNOWN_BORN || born === worker.registration.born) return false
+    this.opts.logger.info({ worker: worker.registration.id, born }, 'worker restarted')
+    this.scheduler.replaceIncarnation(worker, born)
+    this.end()
+    this.events.onChange()
+    return true
   }
 
   /** Replaces the poll in progress by one that does not wait for a completion. */
@@ -99,14 +156,19 @@
    */
   async start (run: Run, permit: string, signal: AbortSignal): Promise<void> {
     const { task, attempt } = run
+    const channel = this.commands.current()
+    if (channel === undefined) {
+      this.scheduler.handleStartResponse(run, { kind: 'refused', reason: 'not-sent' })
+      this.events.onChange()
+      return
+    }
     const leaseUntilMs = this.worker.extendLease(this.opts.clock.now(), WORKER_LEASE_MS)
     const command = { task: task.name, attempt, payload: task.step.job.job.payload, leaseUntilMs, checkpoint: task.checkpoint, permit }
     const sentAt = this.opts.clock.now()
     if (run.isolation !== undefined) this.pollOnceSettled(signal, { unless: () => run.phase === 'running' }).catch(this.logUnexpected)
-    const endpoint = this.endpoint()
-    const response = await this.sendStart(endpoint, command, signal).finally(() => this.worker.endLeaseCall(this.opts.clock.now()))
+    const response = await this.sendStart(channel, command, signal).finally(() => this.worker.endLeaseCall(this.opts.clock.now()))
     this.opts.metrics.observe('worker_start_us', { service: this.opts.service }, this.opts.clock.now() - sentAt)
-    if (!response.ok) this.handleError(response.error, { command: 'start', task: task.name, endpoint })
+    if (!response.ok) this.handleError(response.error, { command: 'start', task: task.name, endpoint: channel.endpoint })
     else if (this.worker.isOwnClock({ clockMs: response.value, sentAt })) this.worker.recordClock(response.value, this.opts.clock.now())
     else this.checkIncarnation(task.name)
     this.scheduler.handleStartResponse(run, response.ok ? undefined : response.error, response.ok ? { clockMs: response.value, sentAt } : undefined)
@@ -114,11 +176,11 @@
     else if (run.isolation !== undefined) this.pollOnceSettled(signal).catch(this.logUnexpected)
   }
 
-  private async sendStart (endpoint: WorkerEndpoint, command: StartCommand, signal: AbortSignal): Promise<Result<number, WorkerError>> {
+  private async sendStart (channel: WorkerChannel, command: StartCommand, signal: AbortSignal): Promise<Result<number, WorkerError>> {
     const start = linkAbort(signal, COMMAND_TIMEOUT_MS)
     this.starts.add(start)
     try {
-      return await this.opts.workerClient.start(endpoint, command, start.signal)
+      return await channel.start(command, start.signal)
     } finally {
       this.starts.delete(start)
       start.release()
@@ -150,47 +212,54 @@
   }
 
   private async sendStop (task: string, attempt: number, signal: AbortSignal): Promise<boolean> {
-    const endpoint = this.endpoint()
-    const response = await withTimeout(COMMAND_TIMEOUT_MS, signal, async inner => await this.opts.workerClient.stop(endpoint, { task, attempt }, inner))
-    if (!response.ok) this.handleError(response.error, { command: 'stop', task, endpoint })
+    const response = await this.command(signal, async (channel, inner) => await channel.stop({ task, attempt }, inner))
+    if (!response.ok) this.handleError(response.error, { command: 'stop', task, endpoint: response.endpoint })
     return response.ok
   }
 
+  /** Sends a command once there is a channel for it. */
+  private async command (signal: AbortSignal, send: (channel: WorkerChannel, signal: AbortSignal) => Promise<Result<number, WorkerError>>): Promise<{ ok: true } | { ok: false, error: WorkerError, endpoint: WorkerEndpoint }> {
+    return await withTimeout(COMMAND_TIMEOUT_MS, signal, async inner => {
+      const channel = await this.commands.whenOpen(inner)
+      if (channel === undefined) return { ok: false, error: { kind: 'refused', reason: 'not-sent' }, endpoint: this.endpoint() }
+      const response = await send(channel, inner)
+      return response.ok ? { ok: true } : { ok: false, error: response.error, endpoint: channel.endpoint }
+    })
+  }
+
   private async poll (signal: AbortSignal): Promise<void> {
     const { worker } = this
     const sentAt = this.opts.clock.now()
     worker.polledSince ??= sentAt
-    const waitMs = worker.fenced && worker.reachable && !this.pollAtOnce ? this.pollWaitMs() : 0
+    const polls = this.pollChannel()
+    const { channel, identified } = polls
+    const waitMs = identified && worker.fenced && worker.reachable && !this.pollAtOnce ? this.pollWaitMs() : 0
     this.pollAtOnce = false
     this.currentPollWaits = waitMs > 0
-    const leaseUntilMs = this.canExtendLease(sentAt) ? worker.extendLease(sentAt, WORKER_LEASE_MS) : undefined
+    const leaseUntilMs = identified && this.canExtendLease(sentAt) ? worker.extendLease(sentAt, WORKER_LEASE_MS) : undefined
     const currentPoll = linkAbort(signal)
     this.currentPoll = currentPoll
     // Another incarnation numbers its completions anew: while the worker may have restarted, none is acknowledged.
-    const seenSeq = worker.reachable ? worker.seenSeq() : 0
-    const endpoint = this.endpoint()
-    const response = await withTimeout(waitMs + POLL_TIMEOUT_MARGIN_MS, currentPoll.signal, async inner => await this.opts.workerClient.poll(endpoint, { leaseUntilMs, seenSeq, waitMs }, inner))
+    const seenSeq = identified && worker.reachable ? worker.seenSeq() : 0
+    const response = await withTimeout(waitMs + POLL_TIMEOUT_MARGIN_MS, currentPoll.signal, async inner => await channel.poll({ leaseUntilMs, seenSeq, waitMs }, inner))
       .finally(() => { if (leaseUntilMs !== undefined) worker.endLeaseCall(this.opts.clock.now()) })
     currentPoll.release()
     const wasEndedEarly = currentPoll.signal.aborted && !response.ok
     if (signal.aborted || wasEndedEarly || this.hasEnded()) return
     if (!response.ok) {
-      this.markPollFailed(response.error, endpoint)
+      this.markPollFailed(response.error, channel.endpoint)
       await delay(POLL_RETRY_MS, signal)
       return
     }
     const report = response.value
-    if (report.born !== undefined && worker.registration.born !== 0 && report.born !== worker.registration.born) {
-      this.opts.logger.info({ worker: worker.registration.id, born: report.born }, 'worker restarted')
-      this.scheduler.replaceIncarnation(worker, report.born)
-      this.events.onChange()
-      return
-    }
+    if (this.endIfRestarted(report)) return
+    polls.identified = true
     const wasFenced = worker.fenced
     if (!wasFenced) this.opts.logger.info({ worker: worker.registration.id, running: report.running.length, ended: report.ended.length, born: report.born, listed: worker.registration.born }, 'first response from worker in this term')
     const receivedAt = this.opts.clock.now()
     const reportResult = this.scheduler.applyReport(worker, report, { sentAt, receivedAt })
     if (reportResult.unknownJobs.length > 0) await this.events.loadJobs(reportResult.unknownJobs)
+    this.commands.keepOpen(signal)
     this.stopOrphans(reportResult.orphans, signal)
     this.adjustSpeeds(signal)
     if (report.ended.length > 0 || !wasFenced || waitMs === 0) this.events.onChange()
@@ -215,7 +284,7 @@
 
   private async sendSpeed (run: Run, percent: number, signal: AbortSignal): Promise<void> {
     const command = { task: run.task.name, attempt: run.attempt, percent }
-    const response = await withTimeout(COMMAND_TIMEOUT_MS, signal, async inner => await this.opts.workerClient.setSpeed(this.endpoint(), command, inner))
+    const response = await this.command(signal, async (channel, inner) => await channel.setSpeed(command, inner))
     if (!response.ok) run.speedPercent = Number.NaN
   }
 
@@ -260,6 +329,19 @@
     return registration.host === host && registration.port === port
   }
 
+  /** Returns the channel for polls: a new one if there is none, or the worker is registered at another address. */
+  private pollChannel (): { readonly channel: WorkerChannel, identified: boolean } {
+    const { polls } = this
+    if (polls !== undefined && !polls.channel.ended.aborted && this.isRegisteredAt(polls.channel.endpoint)) return polls
+    polls?.channel.close()
+    this.polls = { channel: this.connect(), identified: false }
+    return this.polls
+  }
+
+  private connect (): WorkerChannel {
+    return this.opts.workerClient.connect(this.endpoint())
+  }
+
   private hasEnded (): boolean {
     return this.worker.ended || this.scheduler.workers.get(this.worker.registration.id) !== this.worker
   }
--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -2,7 +2,7 @@
 import { recordingLogger, silentLogger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { Intake, type LeaderClient } from '@wisteriaslip/jobs.intake'
-import type { JobLimits, JobRequest, PermitClient, Queue, Step, Vm, WorkerClient, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import type { JobLimits, JobRequest, PermitClient, Queue, Step, Vm, WorkerChannel, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import { ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { StoreClient, type Driver, type DriverError, type DriverTxn } from '@wisteriaslip/store.client'
@@ -136,7 +136,7 @@
       leadershipConfirmedAt: () => link.up ? systemClock.now() : link.confirmedAt,
       store: this.createStoreClient(driver),
       records: this.createRecords(driver),
-      workerClient: disconnectable<WorkerClient>(this.workers, id => reachesWorkers && !lostWorkers.has(id), async () => err({ kind: 'unknown', message: 'disconnected' })),
+      workerClient: { connect: endpoint => disconnectableChannel(this.workers.connect(endpoint), () => reachesWorkers && !lostWorkers.has(endpoint.id)) },
       permitClient: this.permitClient,
       registeredWorkers: () => this.workers.registrations(),
       vms: async () => {
@@ -244,15 +244,22 @@
   return err({ kind: 'lost', message: 'disconnected' })
 }
 
-/** Wraps a client: calls to what is not reached, a worker's id in their first argument, return the result of `onDisconnected`. */
-function disconnectable<T extends object> (client: T, reaches: (id: string) => boolean, onDisconnected: () => Promise<unknown>): T {
+/** Wraps a channel: while the worker is not reached, calls get no response and break it. */
+function disconnectableChannel (channel: WorkerChannel, reaches: () => boolean): WorkerChannel {
+  return disconnectable(channel, name => reaches() || name === 'close', async () => {
+    channel.close()
+    return err({ kind: 'unknown', message: 'disconnected' })
+  })
+}
+
+/** Wraps a client: while a method is not reached, its calls return the result of `onDisconnected`. */
+function disconnectable<T extends object> (client: T, reaches: (method: string | symbol) => boolean, onDisconnected: () => Promise<unknown>): T {
   return new Proxy(client, {
     get: (object, name) => {
       const member = Reflect.get(object, name) as unknown
       if (typeof member !== 'function') return member
       return (...args: unknown[]): unknown => {
-        const id = (args[0] as { id?: string } | undefined)?.id ?? ''
-        if (!reaches(id) && name !== 'closeConnections') return onDisconnected()
+        if (!reaches(name)) return onDisconnected()
         return (member as (...args: unknown[]) => unknown).apply(object, args)
       }
     }
--- a/testing/jobs/src/memory-workers.ts
+++ b/testing/jobs/src/memory-workers.ts
@@ -1,5 +1,6 @@
 import { err, ok, delay, type Result } from '@wisteriaslip/core.result'
-import type { EndedRun, RunOutcome, Resources, ActiveRun, StartCommand, WorkerClient, WorkerRegistration, WorkerError, WorkerReport, WorkerEndpoint } from '@wisteriaslip/jobs.model'
+import type { EndedRun, RunOutcome, Resources, ActiveRun, AddressedWorkerCalls, StartCommand, WorkerChannel, WorkerClient, WorkerRegistration, WorkerError, WorkerReport, WorkerEndpoint } from '@wisteriaslip/jobs.model'
+import { StandInChannel } from './stand-in-channel.ts'
 
 /** Fault of a start: the command or its response is lost, or the command is executed late and without a response. */
 export type StartFault = 'fine' | 'lose-command' | 'lose-response' | 'late'
@@ -61,7 +62,7 @@
 }
 
 /** In-memory workers. They record every run, so that tests can check what ran and when. */
-export class InMemoryWorkers implements WorkerClient {
+export class InMemoryWorkers implements WorkerClient, AddressedWorkerCalls {
   /** Faults of the next starts, in order; later starts have none. */
   readonly startFaults: StartFault[] = []
   /** All runs that have started, in order. */
@@ -172,7 +173,20 @@
     return ok({ clockMs: this.clockOf(worker), born: worker.registration.born, running, ended: worker.ended.slice(0, this.maxListedEnds), moreEnded: worker.ended.length > this.maxListedEnds })
   }
 
-  closeConnections (): void {}
+  connect (endpoint: WorkerEndpoint): WorkerChannel {
+    return new StandInChannel<MemoryWorker>(endpoint, {
+      start: async (channel, command) => this.breaks(channel) ?? await this.start(endpoint, command),
+      stop: async (channel, command) => this.breaks(channel) ?? await this.stop(endpoint, command),
+      poll: async (channel, opts, signal) => this.breaks(channel) ?? await this.poll(endpoint, opts, signal),
+      setSpeed: async channel => this.breaks(channel) ?? await this.setSpeed()
+    })
+  }
+
+  /** Returns the error of a call on a channel that another incarnation has accepted. */
+  private breaks (channel: StandInChannel<MemoryWorker>): Result<never, WorkerError> | undefined {
+    const worker = this.workers.get(channel.endpoint.id)
+    return worker === undefined || channel.reaches(worker) ? undefined : noReply('connection reset')
+  }
 
   private startRun (endpoint: WorkerEndpoint, command: StartCommand): Result<number, WorkerError> {
     const worker = this.admit(endpoint)
--- a/testing/jobs/src/virtual-workers.ts
+++ b/testing/jobs/src/virtual-workers.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from '@wisteriaslip/core.result'
-import type { EndedRun, StartCommand, WorkerClient, WorkerEndpoint, WorkerError, WorkerRegistration, WorkerReport } from '@wisteriaslip/jobs.model'
+import type { AddressedWorkerCalls, EndedRun, StartCommand, WorkerChannel, WorkerClient, WorkerEndpoint, WorkerError, WorkerRegistration, WorkerReport } from '@wisteriaslip/jobs.model'
+import { StandInChannel } from './stand-in-channel.ts'
 import type { VirtualProcess } from './virtual-process.ts'
 
 const NETWORK_DELAY_MS = 1
@@ -32,7 +33,7 @@
 }
 
 /** Workers on a virtual clock, outside of the process under test, whose calls to them cost it processor time. */
-export class VirtualWorkers implements WorkerClient {
+export class VirtualWorkers implements WorkerClient, AddressedWorkerCalls {
   readonly stats: WorkerStats = { started: 0, done: 0, lapsed: 0, repeated: 0 }
   /** When each task was first started. */
   readonly startedAt = new Map<string, number>()
@@ -99,7 +100,14 @@
     return ok(this.process.now())
   }
 
-  closeConnections (): void {}
+  connect (endpoint: WorkerEndpoint): WorkerChannel {
+    return new StandInChannel(endpoint, {
+      start: async (_channel, ...args) => await this.start(endpoint, ...args),
+      stop: async (_channel, ...args) => await this.stop(endpoint, ...args),
+      poll: async (_channel, ...args) => await this.poll(endpoint, ...args),
+      setSpeed: async () => await this.setSpeed()
+    })
+  }
 
   /** Ends the runs of workers whose lease has expired. Call it at regular intervals. */
   expireLeases (): void {
--- a/testing/jobs/test/model-entry.ts
+++ b/testing/jobs/test/model-entry.ts
@@ -189,6 +189,7 @@
     this.around.onTerm()
     const { ports, store } = this
     const link: WorkerLink = { up: true, deliver: callback => this.receive(callback), cutFrom: vm => this.cuts.get(vm), latenessMs: this.around.latenessMs, lateReplyMs: this.around.lateReplyMs }
+    const workers = this.around.workerClient(link)
     const opts: ConstructorParameters<typeof ServiceTerm>[0] = {
       service: 's',
       token,
@@ -196,7 +197,7 @@
       leadershipConfirmedAt: () => this.confirmedAt(token),
       store: ports.wrap('store', store),
       records: ports.wrap('records', new JobRecords(store, new JobKeys('w'))),
-      workerClient: ports.wrap('worker', this.around.workerClient(link)),
+      workerClient: { connect: endpoint => ports.wrap('worker', workers.connect(endpoint)) },
       permitClient: ports.wrap('permits', this.permitClient()),
       registeredWorkers: () => {
         ports.check('registeredWorkers')
--- a/testing/jobs/test/restarted-worker.test.ts
+++ b/testing/jobs/test/restarted-worker.test.ts
@@ -19,7 +19,7 @@
   return runs.flatMap(run => runs.filter(other => other !== run && other.task === run.task && other.startedAt >= run.startedAt && (other.startedAt < (run.endedAt ?? Infinity) || run.how === 'done')).map(other => `${run.task}: ${run.worker} ${run.attempt}, ${other.worker} ${other.attempt}`))
 }
 
-// Starts that a restarted worker had confirmed were repeated elsewhere, while they ran or after they were done.
+// Starts that were meant for the incarnation before began on the next one, and were repeated elsewhere, while they ran or after they were done.
 for (const runMs of [30, 700]) {
   test(`tasks started at a worker that has restarted unnoticed run once (${runMs} ms)`, async () => {
     await withSite(async site => {
@@ -33,7 +33,7 @@
         await site.intake.submit(site.request(jobId(number), [plainStep({ estimateMs: 0 })]))
         await delay(SUBMIT_INTERVAL_MS, NEVER_ABORTED)
       }
-      assert.ok(site.workers.recordedRuns.filter(run => run.worker === busy).length > 1, 'the next incarnation has started tasks')
+      assert.equal(site.workers.recordedRuns.filter(run => run.worker === busy).length, 1, 'the next incarnation gets no start before it is known')
       for (let number = 0; number <= JOBS; number++) await untilState(site, jobId(number), 'completed')
       assert.deepEqual(duplicates(site.workers.recordedRuns), [])
     })
--- a/testing/simulation/src/virtual-fleet.ts
+++ b/testing/simulation/src/virtual-fleet.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from '@wisteriaslip/core.result'
-import type { FleetClient, FleetError, Resources, Vm, VmList, WorkerClient } from '@wisteriaslip/jobs.model'
+import type { FleetClient, FleetError, Resources, Vm, VmList, WorkerChannel, WorkerClient } from '@wisteriaslip/jobs.model'
 import type { VirtualProcess } from '@wisteriaslip/testing.jobs'
 import type { Draw } from './draw.ts'
 import type { EntryLink } from './entry-link.ts'
@@ -83,14 +83,7 @@
    */
   workerClient (link: EntryLink): WorkerClient {
     const client = this.workerCalls.client({ up: true, deliver: link.deliver, cutFrom: vm => link.vmCuts.get(vm), latenessMs: () => this.opts.draw(link.maxLatenessMs + 1) })
-    const never = async <T>(): Promise<T> => await new Promise<T>(() => {})
-    return {
-      start: async (...args) => link.alive ? await client.start(...args) : await never(),
-      stop: async (...args) => link.alive ? await client.stop(...args) : await never(),
-      poll: async (...args) => link.alive ? await client.poll(...args) : await never(),
-      setSpeed: async (...args) => link.alive ? await client.setSpeed(...args) : await never(),
-      closeConnections: () => {}
-    }
+    return { connect: endpoint => whileAlive(client.connect(endpoint), link) }
   }
 
   /**
@@ -287,3 +280,17 @@
     return backMs === undefined && this.opts.draw(2) === 0 ? 'absent' : 'down'
   }
 }
+
+/** Wraps a channel of an entry, whose calls never return once its process has been killed. */
+function whileAlive (channel: WorkerChannel, link: EntryLink): WorkerChannel {
+  const never = async <T>(): Promise<T> => await new Promise<T>(() => {})
+  return {
+    endpoint: channel.endpoint,
+    ended: channel.ended,
+    close: () => channel.close(),
+    start: async (...args) => link.alive ? await channel.start(...args) : await never(),
+    stop: async (...args) => link.alive ? await channel.stop(...args) : await never(),
+    poll: async (...args) => link.alive ? await channel.poll(...args) : await never(),
+    setSpeed: async (...args) => link.alive ? await channel.setSpeed(...args) : await never()
+  }
+}
--- a/testing/simulation/src/worker-calls.ts
+++ b/testing/simulation/src/worker-calls.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from '@wisteriaslip/core.result'
-import type { WorkerClient, WorkerEndpoint, WorkerError, WorkerReport } from '@wisteriaslip/jobs.model'
-import type { VirtualProcess } from '@wisteriaslip/testing.jobs'
+import type { WorkerClient, WorkerError, WorkerReport } from '@wisteriaslip/jobs.model'
+import { StandInChannel, type ChannelCalls, type VirtualProcess } from '@wisteriaslip/testing.jobs'
 import type { Draw } from './draw.ts'
 import type { Incarnation, WorkerLink, WorkerMachine } from './worker-machine.ts'
 import type { WorkerRuns } from './worker-runs.ts'
@@ -12,6 +12,8 @@
 /** What happens to an order: it is not carried out, or late, or its response is lost. */
 type OrderFault = 'none' | 'never' | 'late' | 'response-lost'
 
+const connectionReset: Result<never, WorkerError> = err({ kind: 'unknown', message: 'read ECONNRESET' })
+
 type Respond<T> = (response: Result<T, WorkerError>) => void
 
 /** Options of {@link WorkerCalls}. */
@@ -48,17 +50,17 @@
    */
   client (link: WorkerLink): WorkerClient {
     const { runs } = this.opts
-    return {
-      start: async (endpoint, command, signal) => await this.call(link, endpoint, signal, (worker, respond) => { if (!this.lostCommands.has('start')) respond(runs.start(worker, command)) }),
-      stop: async (endpoint, command, signal) => await this.call(link, endpoint, signal, (worker, respond) => { if (!this.lostCommands.has('stop')) respond(runs.stop(worker, command)) }),
-      poll: async (endpoint, opts, signal) => await this.call<WorkerReport>(link, endpoint, signal, (worker, respond) => runs.poll(worker, opts, respond)),
-      setSpeed: async (endpoint, _command, signal) => await this.call(link, endpoint, signal, (worker, respond) => respond(ok(runs.clockOf(worker)))),
-      closeConnections: () => {}
+    const calls: ChannelCalls<Incarnation> = {
+      start: async (channel, command, signal) => await this.call(link, channel, signal, (worker, respond) => { if (!this.lostCommands.has('start')) respond(runs.start(worker, command)) }),
+      stop: async (channel, command, signal) => await this.call(link, channel, signal, (worker, respond) => { if (!this.lostCommands.has('stop')) respond(runs.stop(worker, command)) }),
+      poll: async (channel, opts, signal) => await this.call<WorkerReport>(link, channel, signal, (worker, respond) => runs.poll(worker, opts, respond)),
+      setSpeed: async (channel, _command, signal) => await this.call(link, channel, signal, (worker, respond) => respond(ok(runs.clockOf(worker))))
     }
+    return { connect: endpoint => new StandInChannel(endpoint, calls) }
   }
 
-  private async call<T> (link: WorkerLink, endpoint: WorkerEndpoint, signal: AbortSignal, carryOut: (worker: Incarnation, respond: Respond<T>) => void): Promise<Result<T, WorkerError>> {
-    if (signal.aborted) return err({ kind: 'refused', reason: 'not-sent' })
+  private async call<T> (link: WorkerLink, channel: StandInChannel<Incarnation>, signal: AbortSignal, carryOut: (worker: Incarnation, respond: Respond<T>) => void): Promise<Result<T, WorkerError>> {
+    const { endpoint } = channel
     const machine = this.opts.machineAt(endpoint.host)
     const fault = this.drawOrderFault()
     const deliver = link.deliver ?? (callback => this.process.deliver(callback))
@@ -74,7 +76,7 @@
         if (lateMs === 0) giveUp()
         else this.process.outsideAfter(lateMs, () => deliver(giveUp))
       }, { once: true })
-      const reset = (): void => deliver(() => end(err({ kind: 'unknown', message: 'read ECONNRESET' })))
+      const reset = (): void => deliver(() => end(connectionReset))
       const arriveBack = (response: Result<T, WorkerError>): void => {
         const cut = link.cutFrom?.(machine.vm)
         if (cut === 'reset') return reset()
@@ -86,7 +88,11 @@
       }
       const arrive = (answer: Respond<T>): void => {
         const { incarnation } = machine
-        if (incarnation === undefined) return machine.refusesConnections ? answer(err({ kind: 'refused', reason: 'not-sent' })) : undefined
+        if (incarnation === undefined) {
+          if (machine.refusesConnections) answer(channel.peer === undefined ? err({ kind: 'refused', reason: 'not-sent' }) : connectionReset)
+          return
+        }
+        if (!channel.reaches(incarnation)) return answer(connectionReset)
         if (machine.postponed !== undefined) {
           machine.postponed.push(() => arriveLate(answer))
           return
--- a/testing/simulation/test/lost-watch.test.ts
+++ b/testing/simulation/test/lost-watch.test.ts
@@ -27,7 +27,7 @@
   const vm = fleet.find('vm0')
   const client = fleet.workerClient(new EntryLink('a', callback => process.deliver(callback)))
   const endpoint = { id: vm.incarnation?.registration.id ?? '', host: 'vm0', port: 1, token: 1 }
-  client.start(endpoint, { task, attempt: 1, payload: '', leaseUntilMs: process.now() + 4_000, checkpoint: '', permit: '' }, signal).catch(assert.ifError)
+  client.connect(endpoint).start({ task, attempt: 1, payload: '', leaseUntilMs: process.now() + 4_000, checkpoint: '', permit: '' }, signal).catch(assert.ifError)
   await process.run(process.now() + 100)
 }
 
--- a/testing/simulation/test/virtual-fleet.test.ts
+++ b/testing/simulation/test/virtual-fleet.test.ts
@@ -33,7 +33,7 @@
 
 async function start (vm: VirtualVm, token = 1) {
   const endpoint = { id: vm.incarnation?.registration.id ?? '', host: vm.vm, port: 1, token }
-  return await until(100, fleet.workerClient(link).start(endpoint, { task: 'j.0.0.0', attempt: 1, payload: '', leaseUntilMs: 5_000, checkpoint: '', permit: '' }, signal))
+  return await until(100, fleet.workerClient(link).connect(endpoint).start({ task: 'j.0.0.0', attempt: 1, payload: '', leaseUntilMs: 5_000, checkpoint: '', permit: '' }, signal))
 }
 
 function registered (): string[] {
