Stand-ins of workers: connections end with the incarnation that has accepted them

Cause: when a worker's process died on a machine that refuses connections, only polls that waited there were answered with a reset; idle channels stayed open until their next use. An order that was carried out late as the first call of its channel, and a call that was late by more than a restart, reached whichever incarnation was there by then, as did late starts of the workers in memory.

Now an incarnation keeps the connections that it has accepted and resets them when it dies, after the delay of the network, unless the way is cut; a connection is accepted before a call that is late arrives on it.

--- a/testing/jobs/src/memory-workers.ts
+++ b/testing/jobs/src/memory-workers.ts
@@ -136,7 +136,8 @@
     const fault = this.startFaults.shift() ?? 'fine'
     if (fault === 'lose-command') return noReply('command lost')
     if (fault === 'late') {
-      setTimeout(() => { this.startRun(endpoint, command) }, LATE_START_DELAY_MS)
+      const called = this.workers.get(endpoint.id)
+      setTimeout(() => { if (this.workers.get(endpoint.id) === called) this.startRun(endpoint, command) }, LATE_START_DELAY_MS)
       return noReply('no response')
     }
     const started = this.startRun(endpoint, command)
--- a/testing/jobs/src/stand-in-channel.ts
+++ b/testing/jobs/src/stand-in-channel.ts
@@ -9,6 +9,8 @@
   readonly endpoint: WorkerEndpoint
   /** The incarnation that has accepted the connection; undefined before the first call has arrived. */
   peer: Peer | undefined
+  /** The other side has ended the connection. */
+  wasReset = false
   private readonly calls: ChannelCalls<Peer>
   private readonly ending = new AbortController()
 
@@ -29,6 +31,13 @@
     if (!this.ending.signal.aborted) this.ending.abort()
   }
 
+  /** Ends the connection as the other side does. */
+  reset (): void {
+    if (this.ending.signal.aborted) return
+    this.wasReset = true
+    this.ending.abort()
+  }
+
   /**
    * Notes which incarnation a call has arrived at.
    * @param peer - the one that is there now
--- a/testing/jobs/test/faulty-workers.ts
+++ b/testing/jobs/test/faulty-workers.ts
@@ -58,7 +58,7 @@
     machine.incarnation = undefined
     machine.listedAs = opts.listedAs ?? this.drawListing(opts)
     machine.refusesConnections = this.draw(2) === 0
-    if (machine.refusesConnections) for (const answer of [...incarnation.waitingPolls]) answer(true)
+    if (machine.refusesConnections) this.calls.resetConnections(incarnation)
     this.deregisterLater(incarnation)
     if (opts.backMs !== undefined) this.process.outsideAfter(opts.backMs, () => this.boot(vm, opts.sameId ? incarnation.registration.id : undefined))
   }
--- a/testing/simulation/src/virtual-fleet.ts
+++ b/testing/simulation/src/virtual-fleet.ts
@@ -242,7 +242,7 @@
     vm.refusesConnections = this.opts.draw(2) === 0
     if (incarnation !== undefined) {
       this.runs.crash(incarnation)
-      if (vm.refusesConnections) for (const answer of [...incarnation.waitingPolls]) answer(true)
+      if (vm.refusesConnections) this.workerCalls.resetConnections(incarnation)
     }
     Object.assign(vm, { incarnation: undefined, state, listedAs, draining: false, mute: false, postponed: undefined })
     this.noteChange()
--- a/testing/simulation/src/worker-calls.ts
+++ b/testing/simulation/src/worker-calls.ts
@@ -2,6 +2,7 @@
 import type { WorkerClient, WorkerError, WorkerReport } from '@wisteriaslip/jobs.model'
 import { StandInChannel, type ChannelCalls, type VirtualProcess } from '@wisteriaslip/testing.jobs'
 import type { Draw } from './draw.ts'
+import type { LinkCut } from './entry-link.ts'
 import type { Incarnation, WorkerLink, WorkerMachine } from './worker-machine.ts'
 import type { WorkerRuns } from './worker-runs.ts'
 
@@ -63,7 +64,7 @@
     const { endpoint } = channel
     const machine = this.opts.machineAt(endpoint.host)
     const fault = this.drawOrderFault()
-    const deliver = link.deliver ?? (callback => this.process.deliver(callback))
+    const deliver = (callback: () => void): void => this.deliver(link, callback)
     let endedAt = Infinity
     return await new Promise(resolve => {
       const end = (response: Result<T, WorkerError>): void => {
@@ -72,6 +73,7 @@
       }
       const giveUp = (): void => end(err({ kind: 'unknown', message: 'aborted' }))
       signal.addEventListener('abort', () => {
+        if (channel.wasReset) return end(connectionReset)
         const lateMs = link.lateReplyMs?.() ?? 0
         if (lateMs === 0) giveUp()
         else this.process.outsideAfter(lateMs, () => deliver(giveUp))
@@ -92,7 +94,7 @@
           if (machine.refusesConnections) answer(channel.peer === undefined ? err({ kind: 'refused', reason: 'not-sent' }) : connectionReset)
           return
         }
-        if (!channel.reaches(incarnation)) return answer(connectionReset)
+        if (!this.accept(incarnation, { link, channel, machine })) return answer(connectionReset)
         if (machine.postponed !== undefined) {
           machine.postponed.push(() => arriveLate(answer))
           return
@@ -105,17 +107,51 @@
       // A call ends with its connection: an incarnation that begins later never gets the order.
       const arriveLate = (answer: Respond<T>): void => { if (machine.incarnation !== undefined && machine.incarnation.bornAt <= endedAt) arrive(answer) }
       const lateMs = link.latenessMs?.() ?? 0
-      this.process.outsideAfter(1 + this.opts.draw(MAX_NETWORK_DELAY_MS) + lateMs, () => {
+      const passes = (cut: LinkCut | undefined): boolean => link.up && !machine.dark && cut !== 'silent' && cut !== 'reset'
+      const open = (): void => { if (machine.incarnation !== undefined && passes(link.cutFrom?.(machine.vm))) this.accept(machine.incarnation, { link, channel, machine }) }
+      const delayMs = 1 + this.opts.draw(MAX_NETWORK_DELAY_MS)
+      // The connection is accepted before a call that is late arrives on it.
+      if (lateMs > 0) this.process.outsideAfter(delayMs, open)
+      this.process.outsideAfter(delayMs + lateMs, () => {
         const cut = link.cutFrom?.(machine.vm)
         if (cut === 'reset') return reset()
-        if (!link.up || machine.dark || fault === 'never' || cut === 'silent') return
-        if (fault === 'late') this.process.outsideAfter(this.drawLateness(), () => arriveLate(() => {}))
-        else if (lateMs > 0) arriveLate(respond)
+        if (!passes(cut) || fault === 'never') return
+        if (fault === 'late') {
+          open()
+          this.process.outsideAfter(this.drawLateness(), () => { if (channel.peer !== undefined) arriveLate(() => {}) })
+        } else if (lateMs > 0) arriveLate(respond)
         else arrive(fault === 'response-lost' ? () => {} : respond)
       })
     })
   }
 
+  /**
+   * Ends the connections that an incarnation has accepted, as its machine does when the process has died: their callers hear of
+   * it unless they are cut off.
+   * @param incarnation - the one whose process has died
+   */
+  resetConnections (incarnation: Incarnation): void {
+    for (const reset of [...incarnation.connections]) reset()
+  }
+
+  /** Returns whether a call that arrives at an incarnation reaches it: it has accepted the connection, or does so now. */
+  private accept (incarnation: Incarnation, { link, channel, machine }: { readonly link: WorkerLink, readonly channel: StandInChannel<Incarnation>, readonly machine: WorkerMachine }): boolean {
+    if (channel.peer === undefined && !channel.ended.aborted) {
+      const reset = (): void => this.process.outsideAfter(this.drawDelay(link), () => {
+        const cut = link.cutFrom?.(machine.vm)
+        if (cut === 'reset' || (link.up && !machine.dark && !machine.mute && cut === undefined)) this.deliver(link, () => channel.reset())
+      })
+      incarnation.connections.add(reset)
+      channel.ended.addEventListener('abort', () => incarnation.connections.delete(reset), { once: true })
+    }
+    return channel.reaches(incarnation)
+  }
+
+  private deliver (link: WorkerLink, callback: () => void): void {
+    if (link.deliver === undefined) this.process.deliver(callback)
+    else link.deliver(callback)
+  }
+
   private drawDelay (link: WorkerLink): number {
     return 1 + this.opts.draw(MAX_NETWORK_DELAY_MS) + (link.latenessMs?.() ?? 0)
   }
--- a/testing/simulation/src/worker-machine.ts
+++ b/testing/simulation/src/worker-machine.ts
@@ -22,7 +22,9 @@
   readonly clockRate: number
   readonly runs = new Map<string, { attempt: number, startedAt: number, cpu: number, memMb?: number }>()
   readonly blockedAttempts = new Map<string, number>()
-  readonly waitingPolls = new Set<(crashed?: true) => void>()
+  readonly waitingPolls = new Set<() => void>()
+  /** The connections that it has accepted and that are open: each resets one. */
+  readonly connections = new Set<() => void>()
   ended: EndedRun[] = []
   token = 0
   leaseUntilMs = 0
--- a/testing/simulation/src/worker-runs.ts
+++ b/testing/simulation/src/worker-runs.ts
@@ -69,10 +69,10 @@
     if (opts.leaseUntilMs !== undefined) this.extendLease(worker, opts.leaseUntilMs)
     this.history.note(worker, worker.ended.filter(({ seq }) => seq <= opts.seenSeq))
     worker.ended = worker.ended.filter(({ seq }) => seq > opts.seenSeq)
-    const answer = (crashed?: true): void => {
-      if (!worker.waitingPolls.delete(answer) || (!worker.alive && crashed === undefined)) return
+    const answer = (): void => {
+      if (!worker.waitingPolls.delete(answer) || !worker.alive) return
       const running = [...worker.runs].map(([task, { attempt, startedAt }]) => ({ task, attempt, checkpoint: '', percent: this.process.now() - startedAt >= SERVING_AFTER_MS ? 100 : 0, load: 0 }))
-      respond(crashed ? err({ kind: 'unknown', message: 'connection reset' }) : ok({ clockMs: this.clockOf(worker), born: worker.registration.born, running, ended: worker.ended.slice(0, MAX_LISTED_ENDS), moreEnded: worker.ended.length > MAX_LISTED_ENDS }))
+      respond(ok({ clockMs: this.clockOf(worker), born: worker.registration.born, running, ended: worker.ended.slice(0, MAX_LISTED_ENDS), moreEnded: worker.ended.length > MAX_LISTED_ENDS }))
     }
     worker.waitingPolls.add(answer)
     if (worker.ended.length > 0 || opts.waitMs === 0) answer()
