Stand-ins of workers: calls leave no listeners on the signal of their channel

Cause: calls listen for the end of their channel, which outlives them, and did not stop listening: some 100 warnings of a possible leak in one run of service-liveness. Several starts in progress at once listen by right, so that the signal of the stand-in has no limit of listeners.

--- a/testing/jobs/src/stand-in-channel.ts
+++ b/testing/jobs/src/stand-in-channel.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { err, onAbort, type Result } from '@wisteriaslip/core.result'
 import type { WorkerCalls, WorkerChannel, WorkerEndpoint, WorkerError } from '@wisteriaslip/jobs.model'
 
@@ -21,6 +22,7 @@
   constructor (endpoint: WorkerEndpoint, calls: ChannelCalls<Peer>) {
     this.endpoint = endpoint
     this.calls = calls
+    setMaxListeners(0, this.ending.signal)
   }
 
   get ended (): AbortSignal {
--- a/testing/jobs/src/virtual-workers.ts
+++ b/testing/jobs/src/virtual-workers.ts
@@ -120,9 +120,11 @@
   private async call<T> (endpoint: WorkerEndpoint, signal: AbortSignal, handle: (worker: VirtualWorker, respond: (response: Result<T, WorkerError>) => void) => void): Promise<Result<T, WorkerError>> {
     this.process.work(this.opts.costs.sendMs)
     return await new Promise(resolve => {
-      signal.addEventListener('abort', () => resolve(err({ kind: 'unknown', message: 'call aborted' })), { once: true })
+      const giveUp = (): void => resolve(err({ kind: 'unknown', message: 'call aborted' }))
+      signal.addEventListener('abort', giveUp, { once: true })
       const respond = (response: Result<T, WorkerError>): void => this.process.outsideAfter(NETWORK_DELAY_MS, () => this.process.deliver(() => {
         this.process.work(this.opts.costs.readMs)
+        signal.removeEventListener('abort', giveUp)
         resolve(response)
       }))
       this.process.outsideAfter(NETWORK_DELAY_MS, () => {
--- a/testing/simulation/src/worker-calls.ts
+++ b/testing/simulation/src/worker-calls.ts
@@ -69,15 +69,17 @@
     return await new Promise(resolve => {
       const end = (response: Result<T, WorkerError>): void => {
         endedAt = Math.min(endedAt, this.process.now())
+        signal.removeEventListener('abort', onAborted)
         resolve(response)
       }
       const giveUp = (): void => end(err({ kind: 'unknown', message: 'aborted' }))
-      signal.addEventListener('abort', () => {
+      const onAborted = (): void => {
         if (channel.wasReset) return end(connectionReset)
         const lateMs = link.lateReplyMs?.() ?? 0
         if (lateMs === 0) giveUp()
         else this.process.outsideAfter(lateMs, () => deliver(giveUp))
-      }, { once: true })
+      }
+      signal.addEventListener('abort', onAborted, { once: true })
       const reset = (): void => deliver(() => end(connectionReset))
       const arriveBack = (response: Result<T, WorkerError>): void => {
         const cut = link.cutFrom?.(machine.vm)
