Calls for callers leave a part of the store budget to the entry's own

Cause: an entry's reads and writes share one budget each (60 and 30 a second by default). While a service has no leader at work, each query of a job's state goes to the store, up to three reads, and callers that ask again at once take every token. A term reads three records to begin, and all three calls must get a token in the same try: it did not begin for as long as callers went on. Submissions did the same to the writes of leaders.

Both tests fail without it, and with reads or writes alone left as they were.

Calls for callers now leave a quarter of a burst. The sustained rate is as before; a burst of submissions is shorter by a quarter (45 writes instead of 60, 12 jobs in each).

--- a/jobs/store/src/batch-writer.ts
+++ b/jobs/store/src/batch-writer.ts
@@ -16,8 +16,8 @@
 }
 
 /**
- * Writes independent changes of different keys in batches. After a conflict or a rejected write each change is written on its
- * own, so that only the conflicting or rejected changes fail.
+ * Writes independent changes of different keys, each for a request of a caller, in batches. After a conflict or a rejected
+ * write each change is written on its own, so that only the conflicting or rejected changes fail.
  */
 export class BatchWriter {
   private readonly store: Store
@@ -61,13 +61,13 @@
   }
 
   private async commit (batch: readonly PendingWrite[]): Promise<void> {
-    const written = await this.store.update(batch.map(each => each.change))
+    const written = await this.store.update(batch.map(each => each.change), { forCaller: true })
     const canSplit = !written.ok && (written.error.kind === 'conflict' || written.error.kind === 'rejected')
     if (!canSplit || batch.length === 1) {
       for (const each of batch) each.settle(written)
       return
     }
-    await Promise.all(batch.map(async each => { each.settle(await this.store.update([each.change])) }))
+    await Promise.all(batch.map(async each => { each.settle(await this.store.update([each.change], { forCaller: true })) }))
   }
 }
 
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -97,7 +97,7 @@
   }
 
   /**
-   * Derives the state of a job from its records, for when the service's leader is unavailable.
+   * Derives the state of a job from its records, for callers when the service's leader is unavailable.
    * @param service - service of the job
    * @param id - id of the job
    * @returns state of the job, undefined if it is not stored
@@ -105,11 +105,11 @@
   async state (service: string, id: string): Promise<Result<JobState | undefined, StoreError>> {
     const progress = await this.progressState(service, id)
     if (!progress.ok || (progress.value !== undefined && isFinal(progress.value))) return progress
-    const cancelled = await this.store.get(this.keys.cancellation(service, id))
+    const cancelled = await this.store.get(this.keys.cancellation(service, id), { forCaller: true })
     if (!cancelled.ok) return cancelled
     if (cancelled.value !== undefined) return await this.stateOfCancelled(service, id)
     if (progress.value !== undefined) return progress
-    const job = await this.store.get(this.keys.job(service, id))
+    const job = await this.store.get(this.keys.job(service, id), { forCaller: true })
     if (!job.ok) return job
     return ok(job.value === undefined ? undefined : 'queued')
   }
@@ -122,7 +122,7 @@
   }
 
   private async progressState (service: string, id: string): Promise<Result<JobState | undefined, StoreError>> {
-    const doc = await this.store.get(this.keys.progress(service, id))
+    const doc = await this.store.get(this.keys.progress(service, id), { forCaller: true })
     if (!doc.ok) return doc
     if (doc.value === undefined) return ok(undefined)
     return ok((doc.value.value as JobProgress).outcome ?? 'running')
--- a/jobs/store/test/records.test.ts
+++ b/jobs/store/test/records.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { Metrics } from '@wisteriaslip/core.metrics'
+import type { Job } from '@wisteriaslip/jobs.model'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { StoreClient, type Store } from '@wisteriaslip/store.client'
+import { plainStep } from '@wisteriaslip/testing.jobs'
 import { ManualClock, MemoryDriver } from '@wisteriaslip/testing.stand-ins'
 
 const KEYS = new JobKeys('w')
@@ -37,3 +39,26 @@
   })
   assert.deepEqual(await records.state('s', 'j'), { ok: true, value: 'cancelled' })
 })
+
+// A new leader could not load the records of its service while callers asked for states: all jobs waited until they stopped asking.
+test('a leader reads and writes the records of its service however many jobs callers query, submit and cancel', async () => {
+  const clock = new ManualClock()
+  const client = new StoreClient(new MemoryDriver(), { readsPerSecond: 60, writesPerSecond: 30, metrics: new Metrics(), clock })
+  const records = new JobRecords(client, KEYS)
+  const job: Job = { id: 'j', queue: 'q', service: 's', attempts: 1, payload: '', steps: [plainStep()], acceptedAt: 0, acceptedUnder: 1 }
+  const refusedOf = async (calls: number, call: (id: string) => Promise<boolean>): Promise<number> => {
+    const answers = await Promise.all(Array.from({ length: calls }, async (_, number) => await call(`j${number}`)))
+    return answers.filter(succeeded => !succeeded).length
+  }
+  while ((await records.state('s', 'j')).ok);
+  assert.ok((await records.readAll('s')).ok)
+  await client.update([{ key: PROGRESS, prior: undefined, value: { outcome: 'completed' } }])
+  clock.advance(2_000)
+  while ((await records.state('s', 'j')).ok);
+  assert.ok((await records.readAll('s')).ok)
+  assert.ok((await records.job('s', 'j')).ok)
+  assert.ok(await refusedOf(2_000, async id => (await records.accept({ ...job, id })).kind === 'stored') > 0)
+  assert.ok((await records.startTerm('s', () => ({ number: 1, workers: [] }), { key: 'leader', modRevision: 0 })).ok)
+  assert.ok(await refusedOf(2_000, async id => (await records.cancel('s', id)).ok) > 0)
+  assert.ok((await records.startTerm('s', () => ({ number: 2, workers: [] }), { key: 'leader', modRevision: 0 })).ok)
+})
--- a/store/client/src/call-budget.ts
+++ b/store/client/src/call-budget.ts
@@ -1,6 +1,8 @@
 import type { Clock } from '@wisteriaslip/core.result'
 
 const BURST_SECONDS = 2
+/** Share of a burst that is kept from calls for callers, of which there may be any number. */
+const RESERVED_SHARE = 0.25
 
 /** Token bucket that limits the rate of one kind of call. */
 export class CallBudget {
@@ -22,14 +24,17 @@
 
   /**
    * Takes one token, if one is available.
+   * @param opts - `forCaller`: a part of the tokens is left to other calls
    * @returns whether the call may be made
    */
-  tryTake (): boolean {
+  tryTake ({ forCaller = false }: { forCaller?: boolean | undefined } = {}): boolean {
     const now = this.clock.now()
     const refill = (now - this.refilledAt) / 1_000 * this.perSecond
-    this.tokens = Math.min(this.perSecond * BURST_SECONDS, this.tokens + refill)
+    const burst = this.perSecond * BURST_SECONDS
+    this.tokens = Math.min(burst, this.tokens + refill)
     this.refilledAt = now
-    if (this.tokens < 1) return false
+    const reserved = forCaller ? Math.max(0, Math.min(burst * RESERVED_SHARE, burst - 1)) : 0
+    if (this.tokens < 1 + reserved) return false
     this.tokens -= 1
     return true
   }
--- a/store/client/src/client.ts
+++ b/store/client/src/client.ts
@@ -5,7 +5,7 @@
 import { CallBudget } from './call-budget.ts'
 import { decodeEnvelope, encodeEnvelope, MAX_WRITE_IDS } from './envelope.ts'
 import { toStoreError, type DriverError, type StoreError } from './errors.ts'
-import type { Change, DocumentList, Driver, DriverTxn, Guard, RangeOpts, RawKeyValue, Store, Versioned, WatchBatch } from './types.ts'
+import type { CallOpts, Change, DocumentList, Driver, DriverTxn, Guard, RangeOpts, RawKeyValue, Store, Versioned, WatchBatch } from './types.ts'
 
 const CALL_TIMEOUT_MS = 800
 const MAX_ATTEMPTS = 4
@@ -55,7 +55,7 @@
     return this.breaker.isClosed()
   }
 
-  async get (key: string, opts: { signal?: AbortSignal } = {}): Promise<Result<Versioned | undefined, StoreError>> {
+  async get (key: string, opts: CallOpts = {}): Promise<Result<Versioned | undefined, StoreError>> {
     const range = await this.read(key, opts)
     if (!range.ok) return range
     const kv = range.value.kvs[0]
@@ -75,14 +75,14 @@
     return ok({ revision: range.value.revision, count: range.value.count, docs, undecodable })
   }
 
-  async update (changes: readonly Change[], opts: { guards?: readonly Guard[], signal?: AbortSignal } = {}): Promise<Result<number, StoreError>> {
+  async update (changes: readonly Change[], opts: CallOpts & { guards?: readonly Guard[] } = {}): Promise<Result<number, StoreError>> {
     const writeId = this.newId()
     const txn = toTxn(changes, opts.guards ?? [], writeId)
     let replyLost = false
     let lastError: StoreError = unavailable('no attempt was made', false)
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       if (attempt > 0 && !await this.waitBeforeRetry(attempt, opts.signal)) break
-      const response = await this.call('write', opts.signal, signal => this.driver.txn(txn, signal))
+      const response = await this.call('write', opts.signal, signal => this.driver.txn(txn, signal), opts)
       if (response.ok && response.value.succeeded) return ok(response.value.revision)
       if (response.ok) return replyLost ? await this.resolveLostWrite(changes, writeId, opts.signal) : err(conflict())
       lastError = response.error
@@ -125,11 +125,11 @@
     return err(conflict())
   }
 
-  private async read (key: string, opts: RangeOpts) {
+  private async read (key: string, { forCaller, ...opts }: RangeOpts & CallOpts) {
     let lastError: StoreError = unavailable('no attempt was made', false)
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       if (attempt > 0 && !await this.waitBeforeRetry(attempt, opts.signal)) break
-      const response = await this.call('read', opts.signal, (signal, onProgress) => this.driver.range(key, { ...opts, signal, onProgress }))
+      const response = await this.call('read', opts.signal, (signal, onProgress) => this.driver.range(key, { ...opts, signal, onProgress }), { forCaller })
       if (response.ok) return response
       lastError = response.error
       if (lastError.kind !== 'unavailable') break
@@ -143,9 +143,9 @@
     return await delay(ms, signal ?? new AbortController().signal)
   }
 
-  private async call<T> (kind: CallKind, signal: AbortSignal | undefined, run: (signal: AbortSignal, onProgress: () => void) => Promise<Result<T, DriverError>>, opts: { evenWhileOpen?: boolean } = {}): Promise<Result<T, StoreError>> {
+  private async call<T> (kind: CallKind, signal: AbortSignal | undefined, run: (signal: AbortSignal, onProgress: () => void) => Promise<Result<T, DriverError>>, opts: { evenWhileOpen?: boolean, forCaller?: boolean | undefined } = {}): Promise<Result<T, StoreError>> {
     if (opts.evenWhileOpen !== true && !this.breaker.allowCall()) return err(unavailable('circuit breaker is open', false))
-    if (!this.takeFromBudget(kind)) return err(overBudget(kind))
+    if (!this.takeFromBudget(kind, opts)) return err(overBudget(kind))
     this.opts.metrics.count('store_calls_total', { kind })
     const response = await withTimeout(this.opts.callTimeoutMs ?? CALL_TIMEOUT_MS, signal, run)
     if (response.ok) {
@@ -157,9 +157,9 @@
     return err(toStoreError(response.error, { write: kind === 'write' }))
   }
 
-  private takeFromBudget (kind: CallKind): boolean {
-    if (kind === 'read') return this.reads.tryTake()
-    if (kind === 'write') return this.writes.tryTake()
+  private takeFromBudget (kind: CallKind, opts: { forCaller?: boolean | undefined }): boolean {
+    if (kind === 'read') return this.reads.tryTake(opts)
+    if (kind === 'write') return this.writes.tryTake(opts)
     return true
   }
 }
--- a/store/client/src/index.ts
+++ b/store/client/src/index.ts
@@ -2,7 +2,7 @@
  * Client of the platform's key-value service, independent of the protocol that a driver implements.
  * @module
  */
-export type { Change, Driver, DriverTxn, Guard, KeyRange, RangeOpts, RawKeyValue, Store, Versioned, WatchBatch, WatchOpts } from './types.ts'
+export type { CallOpts, Change, Driver, DriverTxn, Guard, KeyRange, RangeOpts, RawKeyValue, Store, Versioned, WatchBatch, WatchOpts } from './types.ts'
 export type { DriverError, StoreError } from './errors.ts'
 export { StoreClient, type StoreClientOpts } from './client.ts'
 export { toVersioned, decodeEnvelope, encodeEnvelope } from './envelope.ts'
--- a/store/client/src/types.ts
+++ b/store/client/src/types.ts
@@ -87,6 +87,13 @@
   readonly leaseId?: string
 }
 
+/** Options of a call of {@link Store}. */
+export interface CallOpts {
+  readonly signal?: AbortSignal | undefined
+  /** The call is made for a caller's request: it leaves a part of the budget to the entry's own calls. */
+  readonly forCaller?: boolean | undefined
+}
+
 /** Documents whose keys start with a prefix, read at one revision. */
 export interface DocumentList {
   readonly revision: number
@@ -100,14 +107,14 @@
 /** The key-value service with retries, call budgets, a circuit breaker and resolution of lost replies. */
 export interface Store {
   /** @returns the document, or undefined when the key is absent */
-  get (key: string, opts?: { signal?: AbortSignal }): Promise<Result<Versioned | undefined, StoreError>>
+  get (key: string, opts?: CallOpts): Promise<Result<Versioned | undefined, StoreError>>
   /** @returns all documents whose keys start with the prefix, read at one revision */
   list (prefix: string, opts?: { minModRevision?: number, signal?: AbortSignal }): Promise<Result<DocumentList, StoreError>>
   /**
    * Applies all changes or none, if no key changed since its `prior` version and all guards hold.
    * @returns the revision of the write; a `conflict` error when a key or guard does not match
    */
-  update (changes: readonly Change[], opts?: { guards?: readonly Guard[], signal?: AbortSignal }): Promise<Result<number, StoreError>>
+  update (changes: readonly Change[], opts?: CallOpts & { guards?: readonly Guard[] }): Promise<Result<number, StoreError>>
   grantLease (ttlMs: number, signal: AbortSignal): Promise<Result<string, StoreError>>
   keepAlive (leaseId: string, signal: AbortSignal): Promise<Result<void, StoreError>>
   revokeLease (leaseId: string, signal: AbortSignal): Promise<Result<void, StoreError>>
--- a/store/client/test/client.test.ts
+++ b/store/client/test/client.test.ts
@@ -111,3 +111,24 @@
   clock.advance(1_000)
   assert.ok((await store.get('a')).ok)
 })
+
+// Whatever callers ask for took the whole budget: the entry's own calls were rejected for as long as they went on.
+test('calls for callers leave a part of the budget to all others', async () => {
+  const clock = new ManualClock()
+  const store = client(new MemoryDriver(), { readsPerSecond: 60, writesPerSecond: 30, clock })
+  for (let second = 0; second < 3; second++) {
+    for (let number = 0; number < 200; number++) {
+      await store.get('a', { forCaller: true })
+      await store.update([{ key: `caller-${second}-${number}`, prior: undefined, value: 1 }], { forCaller: true })
+    }
+    assert.equal((await store.get('a', { forCaller: true })).ok, false)
+    const own = await Promise.all(Array.from({ length: 10 }, async (_, number) => [await store.get('a'), await store.list('a'), await store.update([{ key: `own-${second}-${number}`, prior: undefined, value: 1 }])]))
+    assert.ok(own.flat().every(({ ok }) => ok))
+    clock.advance(1_000)
+  }
+})
+
+test('a small budget is not kept from callers', async () => {
+  const store = client(new MemoryDriver(), { readsPerSecond: 0.5, clock: new ManualClock() })
+  assert.ok((await store.get('a', { forCaller: true })).ok)
+})
