No longer lease is assumed of a worker that has restarted, and its former incarnation's starts are over with that

A leader assumed that a call for the incarnation before, a waiting poll, say, had given the next one the longest lease, told its successor so, and kept starts without a response reserved at the next incarnation for up to 20 s.

Cause: what calls could do that reached the next incarnation. They no longer do: they are bound to connections. So the lease of a worker is what its leaders have granted it, at most 4 s, and a start that was sent on a connection of an incarnation is over with it, whether it had a response or not. What was there to allow for that goes: assumePreviousLeases, longLeaseMs, longLeasesMs in the record of a term. Starts that were not sent on such a connection are carried over as before.

A record of an earlier version that names longer leases is read without them: while entries are upgraded one by one, those still can be granted.

--- a/jobs/scheduler/src/run.ts
+++ b/jobs/scheduler/src/run.ts
@@ -30,6 +30,8 @@
    * this incarnation's clock. Another incarnation under the same id may have executed a start that was confirmed otherwise.
    */
   begunHere: boolean
+  /** The start was sent on a connection of this incarnation of the worker, so that no other one can execute it. */
+  sentHere: boolean
   /**
    * The worker has responded to a poll that was sent once the run would have settled, or was reported by a worker that had it from
    * an earlier leader: the start has not crashed it, unless the command is executed later.
@@ -75,6 +77,7 @@
     startCallEndedAt: undefined,
     carriedTo: undefined,
     begunHere: false,
+    sentHere: false,
     outlivedStart: false,
     confirmedAt: undefined,
     stopReason: undefined,
@@ -100,6 +103,7 @@
     ...run,
     worker,
     begunHere: false,
+    sentHere: false,
     outlivedStart: true,
     stopSentAt: undefined,
     stopAcknowledgedAt: undefined,
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -128,7 +128,7 @@
   }
 
   /**
-   * Ends an incarnation of a worker: the runs that have certainly begun there are over and released. Other starts are kept,
+   * Ends an incarnation of a worker: the runs that have certainly begun there, or nowhere, are over and released. Other starts are kept,
    * confirmed or not: the next incarnation under the same id may have executed them, or may do so still.
    * @param worker - the incarnation that has ended
    * @param opts - `planned`: its VM was moved or maintained
@@ -142,7 +142,7 @@
     worker.expiredRuns = []
     worker.unknownRunsUntil = this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
     for (const run of [...worker.runs.values()]) {
-      if (run.begunHere) this.releaseRun(run, releaseCauses.incarnationEnded)
+      if (run.begunHere || run.sentHere) this.releaseRun(run, releaseCauses.incarnationEnded)
     }
     const removable = worker.deregistered && worker.runs.size === 0
     if (removable && this.workers.get(worker.registration.id) === worker) this.workers.delete(worker.registration.id)
@@ -198,7 +198,6 @@
     const unknownJobs = new Set<string>()
     const orphans: OrphanedRun[] = []
     worker.recordClock(report.clockMs, opts.receivedAt)
-    if (!worker.fenced) worker.assumePreviousLeases({ clockMs: report.clockMs, sentAt: opts.sentAt }, { longestLeaseMs: this.opts.limits.longestLeaseMs, earlierLeadersUntil: this.earlierRuns.until })
     worker.markReachable(opts.receivedAt)
     for (const run of worker.runs.values()) run.outlivedStart ||= opts.sentAt - run.startedAt >= SETTLE_MS
     this.applyEndedRuns(worker, report.ended, unknownJobs)
@@ -395,7 +394,7 @@
     if (existing !== undefined) this.endIncarnation(existing)
     const unresolvedRuns = [...existing?.runs.values() ?? []]
     const lateStartsUntil = unresolvedRuns.length === 0 ? 0 : this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
-    const worker = new TrackedWorker(registration, { unknownRunsUntil: this.earlierRuns.untilAt(registration), lateStartsUntil, previous: existing, longLeaseUntil: this.earlierRuns.longLeaseUntil(registration) })
+    const worker = new TrackedWorker(registration, { unknownRunsUntil: this.earlierRuns.untilAt(registration), lateStartsUntil })
     this.workers.set(registration.id, worker)
     this.incarnations.add(registration)
     for (const run of unresolvedRuns) this.carryOverRun(run, worker)
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -72,12 +72,6 @@
   unknownRunsUntil: number
   /** Until this time of the injected clock, starts that were sent to the previous incarnation may still arrive. */
   private readonly lateStartsUntil: number
-  /** Another incarnation under this id was tracked before: commands that were meant for it may have been executed here. */
-  readonly restarted: boolean
-  /** Until this time of the injected clock, it may hold a lease that a command for an earlier incarnation has granted, up to the longest there is. */
-  private longLeaseUntil: number
-  /** That incarnation, until a report of this one has been applied completely. */
-  private previous: TrackedWorker | undefined
   /** When a report first showed the worker without runs, by the injected clock; undefined while there is no such report. */
   emptySince: number | undefined
   private clockMs = 0
@@ -86,22 +80,16 @@
   private leaseUntilMs = Number.NEGATIVE_INFINITY
   /** Expiry of leases that may have been granted without its knowledge. */
   private unknownLeaseUntilMs = Number.NEGATIVE_INFINITY
-  /** Calls that grant a lease and have not ended. */
-  private leaseCalls = 0
-  private lastLeaseCallEndedAt = Number.NEGATIVE_INFINITY
   private cpu = 0
   private memMb = 0
   private accelerators = 0
   private lasting = 0
   private readonly runsByStep = new Map<TrackedStep, number>()
 
-  constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number, lateStartsUntil?: number, previous?: TrackedWorker | undefined, longLeaseUntil?: number }) {
+  constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number, lateStartsUntil?: number }) {
     this.registration = registration
     this.unknownRunsUntil = opts.unknownRunsUntil
     this.lateStartsUntil = opts.lateStartsUntil ?? 0
-    this.previous = opts.previous
-    this.longLeaseUntil = opts.longLeaseUntil ?? Number.NEGATIVE_INFINITY
-    this.restarted = opts.previous !== undefined
   }
 
   /** @returns a text that identifies the incarnation */
@@ -205,7 +193,7 @@
   unknownRunsMs (now: number): number | undefined {
     if (this.ended || this.reachable || this.runs.size > 0 || this.pendingCompletions.size > 0) return undefined
     if (this.lastResponseAt !== undefined) return this.haveLeasesExpired(now) ? 0 : undefined
-    return now < this.longLeaseUntil ? undefined : Math.max(0, Math.ceil(this.unknownRunsUntil - now))
+    return Math.max(0, Math.ceil(this.unknownRunsUntil - now))
   }
 
   /**
@@ -328,7 +316,7 @@
   }
 
   /**
-   * Extends the lease that a call is about to grant. Never shortens it. The caller reports the end of the call.
+   * Extends the lease that a call is about to grant. Never shortens it.
    * @param now - time of the injected clock
    * @param leaseMs - length of the lease in milliseconds
    * @returns expiry of the lease on the worker's clock, in milliseconds
@@ -336,53 +324,12 @@
   extendLease (now: number, leaseMs: number): number {
     const until = Math.round(this.clockAt(now) + leaseMs)
     this.leaseUntilMs = Math.max(this.leaseUntilMs, until)
-    this.leaseCalls += 1
     return this.leaseUntilMs
   }
 
-  /**
-   * Notes that a call that grants a lease has ended, with a response or without one. Its connection is closed with it.
-   * @param now - time of the injected clock
-   */
-  endLeaseCall (now: number): void {
-    this.leaseCalls -= 1
-    this.lastLeaseCallEndedAt = now
-  }
-
-  /**
-   * Allows for leases that commands for earlier incarnations may have granted here: those that had not ended when this one
-   * began. They name a time of another clock, so that the worker cuts them to the longest lease.
-   * @param firstReport - clock of the first report, and when its poll was sent, by the injected clock: the clock was read later
-   * @param opts - longest lease in milliseconds; until when earlier leaders may send commands, by the injected clock
-   */
-  assumePreviousLeases (firstReport: { clockMs: number, sentAt: number }, opts: { longestLeaseMs: number, earlierLeadersUntil: number }): void {
-    const bornAt = firstReport.sentAt - (firstReport.clockMs + CLOCK_ROUNDING_MS) / MIN_CLOCK_RATE
-    if (this.longLeaseUntil > this.clockReadAt) this.assumeEarlierLease(Math.min(opts.longestLeaseMs, Math.ceil((this.longLeaseUntil - this.clockReadAt) / MIN_CLOCK_RATE)))
-    if (this.previous === undefined) return
-    if (bornAt >= opts.earlierLeadersUntil && !this.previous.mayGrantLeaseAfter(bornAt)) return
-    this.assumeEarlierLease(opts.longestLeaseMs)
-    this.longLeaseUntil = this.clockReadAt + opts.longestLeaseMs / MIN_CLOCK_RATE
-  }
-
-  /**
-   * @param now - time of the injected clock
-   * @param usualMs - length of the leases that each successor allows for, in milliseconds
-   * @returns for how long it may hold a lease that a command for an earlier incarnation has granted, in milliseconds; undefined if that is
-   * no longer than usual
-   */
-  longLeaseMs (now: number, usualMs: number): number | undefined {
-    const leftMs = this.longLeaseUntil - now
-    return !this.ended && leftMs > usualMs ? Math.ceil(leftMs) : undefined
-  }
-
   /** Notes that a report was applied completely. */
   markFenced (): void {
     this.fenced = true
-    this.previous = undefined
-  }
-
-  private mayGrantLeaseAfter (time: number): boolean {
-    return this.leaseCalls > 0 || this.lastLeaseCallEndedAt >= time || this.previous?.mayGrantLeaseAfter(time) === true
   }
 
   /**
--- a/jobs/scheduler/test/runs-model.ts
+++ b/jobs/scheduler/test/runs-model.ts
@@ -272,6 +272,7 @@
   private sendStart (run: Run, fault: number): void {
     const { now } = this.site
     if (!this.commands.has(run.worker)) return this.scheduler.handleStartResponse(run, { kind: 'refused', reason: 'not-sent' })
+    run.sentHere = !this.site.opts.reopensConnections
     const modelWorker = this.reach(run.worker, this.commands)
     const command = { task: run.task.name, attempt: run.attempt, until: run.worker.extendLease(now, LEASE_MS), token: this.token, lasting: run.task.step.spec.lasting, cpu: run.task.step.spec.demand.cpu, capacityWhenSent: modelWorker?.registration.capacity.cpu ?? Infinity }
     const noResponse: WorkerError = { kind: 'unknown', message: 'no response' }
--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -4,7 +4,7 @@
 import type { TermRecord } from '@wisteriaslip/jobs.store'
 import type { StoreError, Versioned } from '@wisteriaslip/store.client'
 import type { ServiceTermOpts } from './ports.ts'
-import { CLOCK_DRIFT_FACTOR, WORKER_LEASE_MS } from './worker-session.ts'
+import { WORKER_LEASE_MS } from './worker-session.ts'
 
 /**
  * Interval at which workers that are gone (ended without starts that may still be carried out, or no longer tracked) are removed
@@ -14,8 +14,6 @@
 const UPDATE_INTERVAL_MS = 1_000
 /** A worker that has not responded in the term is silent once polls have failed for this long. */
 const MIN_SILENCE_MS = 900
-/** What a successor allows for: the clock of a worker may be slow. */
-const MAX_USUAL_LEASE_MS = WORKER_LEASE_MS * CLOCK_DRIFT_FACTOR
 const WRITE_RETRY_MS = 100
 
 /**
@@ -97,7 +95,7 @@
     const unknownRunsMs = this.unknownRunsMs(scheduler)
     this.forgetAllBut(workers)
     this.forbidLeases(unknownRunsMs, scheduler)
-    const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers, unknownRunsMs, longLeasesMs: this.longLeasesMs(scheduler) }, this.opts.guard)
+    const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers, unknownRunsMs }, this.opts.guard)
     this.recordOutcome(written.ok ? undefined : written.error, workers)
     if (written.ok) this.setRecord(written.value)
     else if (written.error.kind === 'conflict') await this.readRecord(this.record.value.number)
@@ -167,31 +165,13 @@
 
   private nextRecord (before: TermRecord | undefined): TermRecord {
     const maxEarlierLeaseMs = before === undefined ? 0 : before.leaseMs ?? this.opts.limits.longestLeaseMs
-    return { number: (before?.number ?? -1) + 1, leaseMs: Math.max(maxEarlierLeaseMs, WORKER_LEASE_MS), workers: before?.workers ?? [], unknownRunsMs: before?.unknownRunsMs ?? {}, longLeasesMs: before?.longLeasesMs ?? {} }
+    return { number: (before?.number ?? -1) + 1, leaseMs: Math.max(maxEarlierLeaseMs, WORKER_LEASE_MS), workers: before?.workers ?? [], unknownRunsMs: before?.unknownRunsMs ?? {} }
   }
 
   private isCurrent (scheduler: Scheduler): boolean {
     if (this.failure !== undefined) return false
     const workers = liveWorkers(scheduler)
-    return workers.length === this.recordedWorkers.size && workers.every(worker => this.contains(worker)) && this.areWaitsCurrent(scheduler) && this.areLongLeasesCurrent(scheduler)
-  }
-
-  /** Durations that were written before are still true: only the workers count. */
-  private areLongLeasesCurrent (scheduler: Scheduler): boolean {
-    const recorded = this.record?.value.longLeasesMs ?? {}
-    const current = Object.keys(this.longLeasesMs(scheduler))
-    return Object.keys(recorded).length === current.length && current.every(incarnation => recorded[incarnation] !== undefined)
-  }
-
-  /** Returns the workers that may hold a longer lease than the next leader allows for. */
-  private longLeasesMs (scheduler: Scheduler): Record<string, number> {
-    const now = this.opts.clock.now()
-    const found: Record<string, number> = {}
-    for (const worker of scheduler.workers.values()) {
-      const ms = worker.longLeaseMs(now, MAX_USUAL_LEASE_MS)
-      if (ms !== undefined) found[worker.incarnation()] = ms
-    }
-    return found
+    return workers.length === this.recordedWorkers.size && workers.every(worker => this.contains(worker)) && this.areWaitsCurrent(scheduler)
   }
 
   private areWaitsCurrent (scheduler: Scheduler): boolean {
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -220,7 +220,6 @@
     }
     this.unknownRunsUntil = clock.now() + LEADERSHIP_OVERLAP_MS + maxEarlierLeaseMs
     scheduler.earlierRuns.takeOver(term.unknownRunsMs ?? {}, clock.now())
-    scheduler.earlierRuns.takeOverLongLeases(term.longLeasesMs ?? {}, clock.now())
     scheduler.setWorkers(term.workers, { unknownRunsUntil: this.unknownRunsUntil })
     this.updateWorkers(scheduler)
     const { store, records } = this.opts
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -165,8 +165,9 @@
     const leaseUntilMs = this.worker.extendLease(this.opts.clock.now(), WORKER_LEASE_MS)
     const command = { task: task.name, attempt, payload: task.step.job.job.payload, leaseUntilMs, checkpoint: task.checkpoint, permit }
     const sentAt = this.opts.clock.now()
+    run.sentHere = true
     if (run.isolation !== undefined) this.pollOnceSettled(signal, { unless: () => run.phase === 'running' }).catch(this.logUnexpected)
-    const response = await this.sendStart(channel, command, signal).finally(() => this.worker.endLeaseCall(this.opts.clock.now()))
+    const response = await this.sendStart(channel, command, signal)
     this.opts.metrics.observe('worker_start_us', { service: this.opts.service }, this.opts.clock.now() - sentAt)
     if (!response.ok) this.handleError(response.error, { command: 'start', task: task.name, endpoint: channel.endpoint })
     else if (this.worker.isOwnClock({ clockMs: response.value, sentAt })) this.worker.recordClock(response.value, this.opts.clock.now())
@@ -242,7 +243,6 @@
     // Another incarnation numbers its completions anew: while the worker may have restarted, none is acknowledged.
     const seenSeq = identified && worker.reachable ? worker.seenSeq() : 0
     const response = await withTimeout(waitMs + POLL_TIMEOUT_MARGIN_MS, currentPoll.signal, async inner => await channel.poll({ leaseUntilMs, seenSeq, waitMs }, inner))
-      .finally(() => { if (leaseUntilMs !== undefined) worker.endLeaseCall(this.opts.clock.now()) })
     currentPoll.release()
     const wasEndedEarly = currentPoll.signal.aborted && !response.ok
     if (signal.aborted || wasEndedEarly || this.hasEnded()) return
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -21,11 +21,6 @@
    * may still be in progress there at most, in milliseconds. They get no lease while they are listed here.
    */
   readonly unknownRunsMs?: Readonly<Record<string, number>> | undefined
-  /**
-   * Workers that may hold a longer lease than a successor allows for, as a start for an earlier incarnation may have granted it: for how long
-   * after this was written at most, in milliseconds, by {@link incarnationKey}. What a term has waited for these is no bound for the next one.
-   */
-  readonly longLeasesMs?: Readonly<Record<string, number>> | undefined
 }
 
 /** All job records of a service. `revision` is that of the requests; progress is read separately. */
