--- a/testing/jobs/test/faulty-service.ts
+++ b/testing/jobs/test/faulty-service.ts
@@ -25,8 +25,15 @@
 /** Interval at which the fleet's leader repeats which VMs are to be drained. */
 const WITHDRAWAL_INTERVAL_MS = 300
 const queue: Queue = { name: 'q', host: 'h', pathPrefix: '/q/', service: 's', priority: 0, attempts: 3, stretch: 2, objectiveMs: 600, timeoutMs: 3_000, needsPermit: false }
-/** Number of tasks, and cpu and duration of each, by job; those without `atOnce` are handed in when a fault says so. */
-const JOBS: Readonly<Record<string, { tasks: number, cpu: number, runMs: number, atOnce?: boolean }>> = {
+/** Number of tasks of a job, and cpu and duration of each. */
+interface Work {
+  readonly tasks: number
+  readonly cpu: number
+  readonly runMs: number
+}
+
+/** By job; those without `atOnce` are handed in when a fault says so. */
+const JOBS: Readonly<Record<string, Work & { readonly atOnce?: boolean }>> = {
   many: { tasks: 20, cpu: 1_000, runMs: Infinity, atOnce: true },
   several: { tasks: 4, cpu: 2_500, runMs: Infinity, atOnce: true },
   large: { tasks: 3, cpu: 4_750, runMs: Infinity },
@@ -70,12 +77,19 @@
   readonly listedAs: WorkerMachine['listedAs']
 }
 
+/** A job that is handed in at a time. */
+export interface Arrival extends Work {
+  readonly atMs: number
+  readonly id: string
+}
+
 /** A scenario; `seed` decides what it leaves open. */
 export interface Scenario {
   readonly seed: number
   readonly faults: readonly Fault[]
   readonly changes: readonly Change[]
   readonly losses?: readonly Loss[]
+  readonly arrivals?: readonly Arrival[]
 }
 
 interface Leader {
@@ -99,6 +113,7 @@
   private readonly random = Math.random
   private readonly active = new Map<FaultKind, number>()
   private storeOutage = new AbortController()
+  private readonly jobs = new Map<string, Work>(Object.entries(JOBS))
   private readonly submitted = new Set<string>()
   private readonly terms: Leader[] = []
   /** VMs that the fleet's leader wants drained; undefined while it says nothing. */
@@ -113,7 +128,7 @@
     this.logger = logger
     Math.random = random
     this.process.install()
-    this.workers = new FaultyWorkers(this.process, { machines: MACHINES, draw: this.draw, demandOf: task => jobOf(task.split('.')[0]) })
+    this.workers = new FaultyWorkers(this.process, { machines: MACHINES, draw: this.draw, demandOf: task => this.jobOf(task.split('.')[0]) })
     this.workers.onRegistrations = () => { for (const leader of this.terms) this.publish(leader) }
   }
 
@@ -135,18 +150,20 @@
     return this.process.now() - fromMs
   }
 
-  private async schedule ({ faults, changes, losses = [] }: Scenario): Promise<void> {
+  private async schedule ({ faults, changes, losses = [], arrivals = [] }: Scenario): Promise<void> {
+    for (const { id, tasks, cpu, runMs } of arrivals) this.jobs.set(id, { tasks, cpu, runMs })
     for (const [id, { atOnce }] of Object.entries(JOBS)) if (atOnce === true) this.submit(id)
     await this.elect({ atMs: 0, entry: 0, overlapMs: 0 })
     for (const fault of faults) this.at(fault.atMs, () => this.begin(fault))
     for (const { atMs, vm, listedAs } of losses) this.at(atMs, () => this.workers.crash(vm, { sameId: false, listedAs }))
+    for (const { atMs, id } of arrivals) this.at(atMs, () => this.process.deliver(() => this.submit(id)))
     for (const change of changes) this.at(change.atMs, () => this.process.deliver(() => { this.elections = this.elections.then(async () => await this.elect(change)).catch(assert.ifError) }))
   }
 
   /** @returns long-running tasks that run nowhere, of jobs that have been handed in, although a worker has room for them */
   waitingTasks (): string[] {
     const reachable = this.workers.reachable()
-    const jobs = [...this.submitted].map(id => ({ id, ...jobOf(id) })).filter(({ runMs }) => runMs === Infinity)
+    const jobs = [...this.submitted].map(id => ({ id, ...this.jobOf(id) })).filter(({ runMs }) => runMs === Infinity)
     const tasks = jobs.flatMap(({ id, cpu, tasks }) => Array.from({ length: tasks }, (_, index) => ({ name: `${id}.0.0.${index}`, cpu })))
     return tasks.filter(({ name, cpu }) => !reachable.some(({ runs }) => runs.has(name)) && reachable.some(worker => worker.freeCpu() >= cpu)).map(({ name }) => name)
   }
@@ -167,6 +184,10 @@
     this.process.outsideAfter(atMs - this.process.now(), callback)
   }
 
+  private jobOf (id: string | undefined): Work {
+    return this.jobs.get(id ?? '') ?? { tasks: 0, cpu: 0, runMs: 0 }
+  }
+
   private isActive (kind: Fault['kind']): boolean {
     return (this.active.get(kind) ?? 0) > 0
   }
@@ -224,7 +245,7 @@
   private submit (id: string): void {
     if (this.submitted.has(id)) return
     this.submitted.add(id)
-    const { tasks, cpu, runMs } = jobOf(id)
+    const { tasks, cpu, runMs } = this.jobOf(id)
     const step = plainStep({ tasks, demand: { cpu, memMb: 100, accelerators: 0 }, lasting: runMs === Infinity, mayMiss: 1 })
     const job: Job = { id, queue: 'q', service: 's', payload: '', steps: [step], acceptedAt: this.process.now(), acceptedUnder: 0 }
     new JobRecords(this.storeClient(this.driver), new JobKeys('w')).accept(job).then(() => this.terms.at(-1)?.term.push(job), assert.ifError)
@@ -333,7 +354,3 @@
     return Object.assign(Object.create(this.driver) as Driver, methods)
   }
 }
-
-function jobOf (id: string | undefined): { tasks: number, cpu: number, runMs: number } {
-  return JOBS[id ?? ''] ?? { tasks: 0, cpu: 0, runMs: 0 }
-}
