A run that an earlier leader may be stopping does not count as at work

Cause, by reading: a worker that has acknowledged a stop lists the run with its last percent until it has ended (at most stopMs). Its leader knows that it is stopping; a successor adopted the run from the report, took it for serving, and stopped another task of the step for a drain as soon as it was asked to, which is within the first second of its term.

A run adopted from a report counts as away until a report on the worker's clock lists it longer than a stop takes after that one. Polls fence the worker, so that no later stop of an earlier leader is taken. Costs: a drain of long-running tasks begins one poll (some 1 s) later after a change of leader.

Ruled out, by reading: tasks whose worker has not responded in the term, with percent below 100, without a run, on a worker whose poll has failed, and carried over to the next incarnation all count as away already; 'slow' leaves long-running tasks out; isolation stops none.

--- a/jobs/scheduler/src/run.ts
+++ b/jobs/scheduler/src/run.ts
@@ -47,6 +47,11 @@
   percent: number
   /** Start of the run on the worker's clock; the local clock only shows when the leader learned of it. */
   startedWorkerClockMs: number | undefined
+  /**
+   * An earlier leader may have stopped the run: a worker lists it as before until it has ended. False once a report still lists it
+   * after such a stop would have been carried out, and for runs that this leader has started.
+   */
+  mayBeStopping: boolean
   /** When `percent` last increased, on the worker's clock. */
   progressedWorkerClockMs: number
   load: number
@@ -85,6 +90,7 @@
     stopAcknowledgedAt: undefined,
     percent: 0,
     startedWorkerClockMs: undefined,
+    mayBeStopping: false,
     progressedWorkerClockMs: 0,
     load: 0,
     foundSlow: false,
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -488,6 +488,7 @@
     run.phase = 'running'
     run.outlivedStart = true
     run.speedPercent = Number.NaN
+    run.mayBeStopping = true
     this.updateRun(run, running, clockMs)
     const hasOtherRuns = task.runs.some(other => other !== run && other.stopReason === undefined)
     if (task.done || task.step.job.isFinished()) this.requestStop(run, 'not needed')
@@ -500,6 +501,8 @@
     run.confirmedAt ??= now
     run.task.step.job.begun = true
     run.startedWorkerClockMs ??= clockMs
+    // The worker takes no stops of earlier leaders since the report that showed the run.
+    run.mayBeStopping &&= clockMs - run.startedWorkerClockMs <= this.opts.limits.stopMs
     if (running.percent > run.percent || !run.begunHere) run.progressedWorkerClockMs = clockMs
     run.begunHere = true
     run.percent = running.percent
--- a/jobs/scheduler/test/step-order.test.ts
+++ b/jobs/scheduler/test/step-order.test.ts
@@ -41,7 +41,7 @@
         const best = chooseWorker(added, workers)
         if (best === undefined) break
         chosen.push(best.registration.id)
-        best.add({ task, worker: best, attempt: 1, phase: 'running', startedAt: 0, startCallEndedAt: 0, carriedTo: undefined, begunHere: true, sentHere: true, outlivedStart: false, confirmedAt: 0, stopReason: undefined, stopSentAt: undefined, stopAcknowledgedAt: undefined, percent: 0, startedWorkerClockMs: 0, progressedWorkerClockMs: 0, load: 0, foundSlow: false, isolation: undefined, speedPercent: 100 })
+        best.add({ task, worker: best, attempt: 1, phase: 'running', startedAt: 0, startCallEndedAt: 0, carriedTo: undefined, begunHere: true, sentHere: true, outlivedStart: false, confirmedAt: 0, stopReason: undefined, stopSentAt: undefined, stopAcknowledgedAt: undefined, percent: 0, startedWorkerClockMs: 0, mayBeStopping: false, progressedWorkerClockMs: 0, load: 0, foundSlow: false, isolation: undefined, speedPercent: 100 })
       }
       return chosen
     })
