A connection for commands that ends in the moment in which it is identified is replaced

Cause: between the check that the connection is open and its use some continuations of promises pass. One that ended meanwhile was used for good, so that the worker took no starts until its session ended, or was replaced only after the next poll; a session that ended meanwhile left it open. Found by review.

--- a/jobs/service/src/command-channel.ts
+++ b/jobs/service/src/command-channel.ts
@@ -66,7 +66,7 @@
     this.opening = opening
     this.openUntil(opening.signal, signal).catch(this.opts.onError).finally(() => {
       opening.release()
-      this.opening = undefined
+      if (this.opening === opening) this.opening = undefined
     })
   }
 
@@ -82,7 +82,7 @@
   private async openUntil (openingSignal: AbortSignal, signal: AbortSignal): Promise<void> {
     while (!openingSignal.aborted && this.opts.mayOpen()) {
       const channel = await this.openOnce(openingSignal)
-      if (channel !== undefined) return this.use(channel, signal)
+      if (channel !== undefined && this.use(channel, signal)) return
       await delay(OPEN_RETRY_MS, openingSignal)
     }
   }
@@ -98,11 +98,18 @@
     return isIdentified ? channel : undefined
   }
 
-  private use (channel: WorkerChannel, signal: AbortSignal): void {
+  /** Returns false if the channel has ended meanwhile. */
+  private use (channel: WorkerChannel, signal: AbortSignal): boolean {
+    if (this.closed || signal.aborted || channel.ended.aborted) {
+      channel.close()
+      return false
+    }
     this.channel = channel
+    this.opening = undefined
     channel.ended.addEventListener('abort', () => this.lose(channel, signal), { once: true })
     this.opts.onChange(true)
     this.endWaits()
+    return true
   }
 
   private lose (channel: WorkerChannel, signal: AbortSignal): void {
