Workers with the product's own interface keep idle connections for 90 s

Node's servers close idle connections after 5 s: a leader's connection for commands to an idle worker would end, and be opened and identified by a poll again, every 5 s.

--- a/jobs/http/src/worker-server.ts
+++ b/jobs/http/src/worker-server.ts
@@ -3,15 +3,20 @@
 import type { AddressedWorkerCalls, WorkerError } from '@wisteriaslip/jobs.model'
 import { commandSchemas, readJson, sendJson, workerPaths } from './wire-format.ts'
 
+/** Callers keep a connection for commands, which may be idle for long. */
+const KEEP_ALIVE_MS = 90_000
+
 /**
  * Creates the HTTP server of a worker, or of several workers that share an address.
  * @param worker - executes the commands; the endpoint names the worker that each is meant for
  * @returns the server, which does not listen yet
  */
 export function createWorkerServer (worker: AddressedWorkerCalls): Server {
-  return createServer((req, res) => {
+  const server = createServer((req, res) => {
     handleRequest(req, res, worker).catch(error => sendJson(res, 500, { code: 'INTERNAL', message: String(error), hint: 'See the worker\'s log.' }))
   })
+  server.keepAliveTimeout = KEEP_ALIVE_MS
+  return server
 }
 
 async function handleRequest (req: IncomingMessage, res: ServerResponse, worker: AddressedWorkerCalls): Promise<void> {
