Worker session: a test that births, where they are known, are all that identifies a channel

Cause: a mutation that demands the clock of the incarnation as well, although births agree, was noticed by no test. Evidence: the new test fails with it (18 passed, 1 failed) and passes without (19 passed).

--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -246,6 +246,13 @@
   await ended
 })
 
+// Told by its clock, a worker whose clock falls behind would get no starts for as long as it does.
+test('an incarnation is told by its birth, also if its clock has fallen behind', async t => {
+  const harness: SessionHarness = new SessionHarness({ poll: async (channel, opts, signal) => opts.waitMs > 0 ? await untilAborted(signal) : harness.report(undefined, harness.harness.now - (channel === 1 ? 500 : 0)) })
+  await harness.open(t)
+  assert.equal(harness.tracked.takesCommands, true)
+})
+
 test('a worker that does not say when it was born is told by its clock, however late its response is', async t => {
   for (const { clockMs, lateMs, isOwn } of [{ clockMs: 0, lateMs: 0, isOwn: true }, { clockMs: 0, lateMs: 300, isOwn: true }, { clockMs: -500, lateMs: 0, isOwn: false }]) {
     const harness: SessionHarness = new SessionHarness({
