Calls wait for their turn before they are sent: one that is aborted meanwhile leaves the connection to the others

Cause: calls waited in the queue of the connection's client, which ends the connection for a call that is aborted, sent or not. A start or stop that had waited for 800 ms behind others took the connection from under the one that had been sent: that run was left with an unknown outcome, and the worker without a connection for commands until it was identified again.

Now a connection has one request at a time, and the others wait for their turn outside of the client. The product's own client tells starts that were not sent from unanswered ones, too.

--- a/jobs/http/src/worker-client.ts
+++ b/jobs/http/src/worker-client.ts
@@ -68,8 +68,13 @@
   }
 
   private async post (path: string, body: object, signal: AbortSignal): Promise<Result<unknown, WorkerError>> {
+    const { connection } = this
+    const response = await connection.inTurn(signal, async () => await this.send(path, body, signal))
+    return response ?? err({ kind: 'refused', reason: 'not-sent' })
+  }
+
+  private async send (path: string, body: object, signal: AbortSignal): Promise<Result<unknown, WorkerError>> {
     const { endpoint: { host, port, id, token }, connection } = this
-    if (connection.ended.aborted) return err({ kind: 'refused', reason: 'not-sent' })
     try {
       const res = await untilAborted(signal, request(`http://${host}:${port}${path}`, {
         method: 'POST',
--- a/jobs/model/src/worker.ts
+++ b/jobs/model/src/worker.ts
@@ -142,7 +142,8 @@
 
 /**
  * One connection to a worker, opened by the first call and never again: all calls reach the incarnation that has accepted it, or
- * none. Which one that is only a response tells. Calls are sent in turn and not retried. A call that is aborted ends the channel.
+ * none. Which one that is only a response tells. Calls are sent in turn and not retried. A call that is aborted
+ * once it has been sent ends the channel.
  */
 export interface WorkerChannel extends WorkerCalls {
   readonly endpoint: WorkerEndpoint
