Tests: starts are over with their incarnation, and polls follow a worker's address

Three mutations were not noticed (review): an incarnation's end that keeps starts sent on its connections, a session that doesn't mark them, and polls that stay on the connection to a former address. A run that is carried over is none that was sent so, which needs no line.

--- a/jobs/scheduler/src/run.ts
+++ b/jobs/scheduler/src/run.ts
@@ -109,7 +109,6 @@
     ...run,
     worker,
     begunHere: false,
-    sentHere: false,
     outlivedStart: true,
     stopSentAt: undefined,
     stopAcknowledgedAt: undefined,
--- a/jobs/scheduler/test/restarted-worker.test.ts
+++ b/jobs/scheduler/test/restarted-worker.test.ts
@@ -115,6 +115,18 @@
   assert.equal(harness.startReadyTasks().length, 1)
 })
 
+// A start without a response was kept at the next incarnation, for up to twice the longest lease, although it cannot reach that one.
+test('a start that was sent on a connection of its incarnation is over with that, and is not carried over', () => {
+  for (const isSentHere of [true, false]) {
+    const { harness, run } = startAtNextIncarnation()
+    harness.scheduler.handleStartResponse(run, { kind: 'unknown', message: 'timeout' })
+    run.sentHere = isSentHere
+    registerNextIncarnation(harness)
+    assert.equal(run.task.runs.length, isSentHere ? 0 : 1)
+    assert.equal(harness.worker('w1').runs.size, isSentHere ? 0 : 1)
+  }
+})
+
 // A leader that took over didn't ask workers that had restarted meanwhile before it started their tasks elsewhere.
 test('after a takeover, a worker that has restarted may execute starts of earlier leaders until it has responded', () => {
   const harness = new SchedulerHarness({ term: 1 })
--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -222,8 +222,10 @@
   await harness.open(t)
   assert.deepEqual(harness.seen, ['0 poll', '1 poll', '0 poll with lease'])
   harness.harness.now += 500
-  await harness.session.start(harness.place(), '', t.signal)
+  const run = harness.place()
+  await harness.session.start(run, '', t.signal)
   assert.deepEqual(harness.seen.slice(3), ['1 start'])
+  assert.equal(run.sentHere, true, 'it is over with its incarnation')
 })
 
 test('a channel on which another incarnation has responded gets no start, and ends this one', async t => {
@@ -298,6 +300,22 @@
   assert.deepEqual(harness.seen.slice(3), ['2 poll', '2 poll with lease'])
 })
 
+test('a worker that is registered at another address is polled there, without a lease at first', async t => {
+  let respond = (): void => {}
+  const harness: SessionHarness = new SessionHarness({
+    poll: async (_channel, opts, signal) => {
+      if (opts.waitMs > 0) await Promise.race([new Promise<void>(resolve => { respond = resolve }), untilAborted(signal)])
+      return signal.aborted ? aborted : harness.report()
+    }
+  })
+  await harness.open(t)
+  harness.harness.scheduler.setWorkers([worker('w1', { port: 2 })], { unknownRunsUntil: 0 })
+  respond()
+  await settle()
+  assert.deepEqual(harness.seen.slice(3), ['2 poll', '2 poll with lease'])
+  assert.deepEqual([harness.channels[0]?.ended.aborted, harness.channels[2]?.endpoint.port], [true, 2])
+})
+
 test('channels end with the session', async t => {
   const harness = new SessionHarness()
   await harness.open(t)
