--- a/jobs/service/src/command-channel.ts
+++ b/jobs/service/src/command-channel.ts
@@ -115,6 +115,7 @@
   private lose (channel: WorkerChannel, signal: AbortSignal): void {
     if (this.channel !== channel) return
     this.channel = undefined
+    if (this.closed) return
     this.opts.onChange(false)
     this.keepOpen(signal)
   }
--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -316,9 +316,11 @@
   assert.deepEqual([harness.channels[0]?.ended.aborted, harness.channels[2]?.endpoint.port], [true, 2])
 })
 
-test('channels end with the session', async t => {
-  const harness = new SessionHarness()
+test('channels end with the session, which the log does not call a loss', async t => {
+  const logged: string[] = []
+  const harness = new SessionHarness({}, { logger: recordingLogger(logged) })
   await harness.open(t)
   harness.session.end()
   assert.ok(harness.channels.every(channel => channel.ended.aborted))
+  assert.deepEqual(logged.filter(line => line.includes('ended')), [])
 })
