--- a/testing/soak/src/faults.ts
+++ b/testing/soak/src/faults.ts
@@ -1,16 +1,12 @@
 import { delay } from '@wisteriaslip/core.result'
 import { drawCut, drawEntry, hold, indices, type Dice, type Event } from './dice.ts'
+import { killEntry, pauseEntry, stopEntry } from './entry-faults.ts'
 import type { FaultProxy } from './fault-proxy.ts'
 import { HOLD } from './scenario.ts'
 import type { SoakSite } from './site.ts'
 import { loseWorkers, loseWorkersAndLeader, removeVm, silenceVmPlatform } from './vm-faults.ts'
 
 const MAX_CUT_MS = 12_000
-const MAX_PAUSE_MS = 8_000
-const SHUTDOWN_MS = 7_000
-/** An entry that has started counts as disturbed until it is ready, at most for this time. */
-const MAX_READY_MS = 10_000
-const READY_POLL_INTERVAL_MS = 100
 
 /** All kinds of faults; those that are listed twice are drawn as often. */
 export const faultKinds: readonly Event[] = [cutFromStore, isolateLeader, isolateLeader, cutFromWorkers, cutFromWorkers, resetConnections, silenceConnections, cutOneWay, pauseEntry, pauseEntry, killEntry, stopEntry, storeDown, refuseAtStore, loseReplies, revokeLease, restartWorker, restartWorker, disconnectWorker, delayLinks, removeVm, loseWorkers, loseWorkersAndLeader, silenceVmPlatform, silenceVmPlatform]
@@ -63,29 +59,6 @@
   await hold(dice.some(site.allFrom(drawEntry(site, dice)), 0.7), { delayMs: dice.ms(900) }, dice.ms(MAX_CUT_MS), signal)
 }
 
-async function pauseEntry (site: SoakSite, dice: Dice, signal: AbortSignal): Promise<void> {
-  const entry = site.entries[drawEntry(site, dice)]
-  entry?.signal('SIGSTOP')
-  await delay(dice.ms(MAX_PAUSE_MS), signal)
-  entry?.signal('SIGCONT')
-}
-
-/** Restarts an entry, and waits until it is ready. */
-async function restartEntry (site: SoakSite, index: number, { graceMs, pauseMs }: { graceMs: number, pauseMs: number }, signal: AbortSignal): Promise<void> {
-  const entry = site.entries[index]
-  await entry?.restart(graceMs, pauseMs, signal)
-  const until = performance.now() + MAX_READY_MS
-  while (performance.now() < until && !signal.aborted && await entry?.isReady() === false) await delay(READY_POLL_INTERVAL_MS, signal)
-}
-
-async function killEntry (site: SoakSite, dice: Dice, signal: AbortSignal): Promise<void> {
-  await restartEntry(site, drawEntry(site, dice), { graceMs: 0, pauseMs: dice.ms(2_000) }, signal)
-}
-
-async function stopEntry (site: SoakSite, dice: Dice, signal: AbortSignal): Promise<void> {
-  await restartEntry(site, drawEntry(site, dice), { graceMs: SHUTDOWN_MS, pauseMs: dice.ms(1_000) }, signal)
-}
-
 async function storeDown (site: SoakSite, dice: Dice, signal: AbortSignal): Promise<void> {
   if (site.store.isDown()) return
   site.store.leasesExpireWhileDown = dice.chance(0.5)
