Soak: workers that return under their ids and are cut off (recut)

Tasks run for 12 to 20 s, the longest lease is 10 s. In three quarters of the rounds the connections of before become silent, as those of a VM that lost power, in the others they are closed. The checks are as they were.

--- a/testing/soak/src/main.ts
+++ b/testing/soak/src/main.ts
@@ -6,6 +6,7 @@
 import type { SubmittedJob } from './callers.ts'
 import { play } from './play.ts'
 import { randomFaults } from './random-faults.ts'
+import { recut } from './recut.ts'
 import { goneWithLeaders, replacedUnnoticed, type Scenario } from './scenario.ts'
 
 const { values } = parseArgs({
@@ -59,6 +60,7 @@
   const replaced = { calmMs: 8_000, cutMs: 12_000, finishMs: 20_000 }
   if (values.scenario === 'replaced') return replacedUnnoticed(replaced)
   if (values.scenario === 'gone') return goneWithLeaders()
+  if (values.scenario === 'recut') return recut(seed)
   if (values.scenario === 'majority') return replacedUnnoticed({ ...replaced, companions: 1 })
   return randomFaults(seed, { forMs: Number(values.seconds) * 1_000 })
 }
--- a/testing/soak/src/worker-host.ts
+++ b/testing/soak/src/worker-host.ts
@@ -91,9 +91,9 @@
 
   /**
    * Powers the VM on; unless its pool is on standby, a worker starts.
-   * @param opts - whether it has the id of the one before
+   * @param opts - whether it has the id of the one before; whether it registers with the next heartbeat instead of at once
    */
-  async start (opts: { sameId: boolean }): Promise<void> {
+  async start (opts: { sameId: boolean, registersLate?: boolean }): Promise<void> {
     const { index, longestLeaseMs, addresses, log, random } = this.opts
     if (this.gone) return
     if (this.pool.standby !== true) {
@@ -104,20 +104,20 @@
     }
     this.state = 'up'
     this.lease = undefined
-    this.renew()
+    if (opts.registersLate !== true) this.renew()
   }
 
   /**
    * Crashes the worker and starts another one, unless there is none.
-   * @param opts - pause before the start in milliseconds, whether the next worker has the same id
+   * @param opts - pause before the start in milliseconds, whether the next worker has the same id, whether it registers with the next heartbeat
    * @param signal - cuts the pause short
    */
-  async restart ({ pauseMs, sameId }: { pauseMs: number, sameId: boolean }, signal: AbortSignal): Promise<void> {
+  async restart ({ pauseMs, ...opts }: { pauseMs: number, sameId: boolean, registersLate?: boolean }, signal: AbortSignal): Promise<void> {
     if (this.worker === undefined) return
     this.state = 'down'
     this.end('crashed')
     await delay(pauseMs, signal)
-    await this.start({ sameId })
+    await this.start(opts)
   }
 
   /** Removes the VM for good, without a word. */
