Soak: workers return under their ids and are cut off, as a kind of the random faults

returnAndCutOff is drawn twice as often as most kinds, beside all others, and one in 20 jobs has tasks of 14 s, which outlast each lease (8 s was the longest).

--- a/testing/soak/src/faults.ts
+++ b/testing/soak/src/faults.ts
@@ -2,6 +2,7 @@
 import { drawCut, drawEntry, hold, indices, type Dice, type Event } from './dice.ts'
 import { killEntry, pauseEntry, stopEntry } from './entry-faults.ts'
 import type { FaultProxy } from './fault-proxy.ts'
+import { returnAndCutOff } from './recut.ts'
 import { HOLD } from './scenario.ts'
 import type { SoakSite } from './site.ts'
 import { loseWorkers, loseWorkersAndLeader, removeVm, silenceVmPlatform } from './vm-faults.ts'
@@ -9,7 +10,7 @@
 const MAX_CUT_MS = 12_000
 
 /** All kinds of faults; those that are listed twice are drawn as often. */
-export const faultKinds: readonly Event[] = [cutFromStore, isolateLeader, isolateLeader, cutFromWorkers, cutFromWorkers, resetConnections, silenceConnections, cutOneWay, pauseEntry, pauseEntry, killEntry, stopEntry, storeDown, refuseAtStore, loseReplies, revokeLease, restartWorker, restartWorker, disconnectWorker, delayLinks, removeVm, loseWorkers, loseWorkersAndLeader, silenceVmPlatform, silenceVmPlatform]
+export const faultKinds: readonly Event[] = [cutFromStore, isolateLeader, isolateLeader, cutFromWorkers, cutFromWorkers, resetConnections, silenceConnections, cutOneWay, pauseEntry, pauseEntry, killEntry, stopEntry, storeDown, refuseAtStore, loseReplies, revokeLease, restartWorker, restartWorker, disconnectWorker, delayLinks, removeVm, loseWorkers, loseWorkersAndLeader, returnAndCutOff, returnAndCutOff, silenceVmPlatform, silenceVmPlatform]
 
 function linksBetween (site: SoakSite, entry: number, peers: readonly number[]): FaultProxy[] {
   return peers.flatMap(peer => [site.toPeer(entry, peer), site.toPeer(peer, entry)])
--- a/testing/soak/src/random-faults.ts
+++ b/testing/soak/src/random-faults.ts
@@ -16,6 +16,9 @@
 /** Includes leases that must expire, and a change of leader. */
 const FINISH_MS = 25_000
 const SERVICES = ['work', 'index', 'report'] as const
+/** Shares of the jobs whose tasks are short, or no longer than most leases; the rest outlasts each lease. */
+const SHORT_SHARE = 0.8
+const NO_LONGER_SHARE = 0.95
 /** Most jobs are for one service for this long, then for another, so that VMs move. */
 const PEAK_MS = 7_000
 
@@ -94,9 +97,15 @@
       const peak = SERVICES[Math.floor((performance.now() - startedAt) / PEAK_MS) % SERVICES.length]
       return {
         ...peak !== undefined && random() < 0.7 ? { service: peak } : {},
-        plan: { cpu: random() < 0.8 ? 400 : 1_200, memMb: 100, runMs: random() < 0.8 ? 300 + Math.floor(random() * 2_700) : 8_000, failShare: 0.02 },
+        plan: { cpu: random() < 0.8 ? 400 : 1_200, memMb: 100, runMs: drawRunMs(random), failShare: 0.02 },
         tasks: 1 + Math.floor(random() * 3)
       }
     }
   }
 }
+
+function drawRunMs (random: () => number): number {
+  const kind = random()
+  if (kind < SHORT_SHARE) return 300 + Math.floor(random() * 2_700)
+  return kind < NO_LONGER_SHARE ? 8_000 : 14_000
+}
