--- a/testing/soak/src/recut.ts
+++ b/testing/soak/src/recut.ts
@@ -50,8 +50,6 @@
 /** Options of {@link recut}. */
 export interface RecutOpts {
   readonly rounds?: number
-  /** Mean time between two jobs in milliseconds. */
-  readonly everyMs?: number
   /** Times that are not drawn. */
   readonly times?: Partial<RecutTimes>
   /** Jobs must be completed after the last round; true by default. */
@@ -65,14 +63,14 @@
  * @param opts - number of rounds, and whether jobs must be completed
  * @returns the scenario
  */
-export function recut (seed: number, { rounds = 3, everyMs = 400, times = {}, mustFinish = true }: RecutOpts = {}): Scenario {
+export function recut (seed: number, { rounds = 3, times = {}, mustFinish = true }: RecutOpts = {}): Scenario {
   return {
     entries: 3,
     pools: [{ name: 'work', vms: VMS }],
     longestLeaseMs: 10_000,
     traffic: {
       // Several starts at once need new connections beside those of the former incarnation.
-      everyMs,
+      everyMs: 400,
       next: random => ({ plan: { cpu: 50, memMb: 25, runMs: 12_000 + Math.floor(random() * 8_000), failShare: 0 }, tasks: 4 + Math.floor(random() * 8) })
     },
     lastingJobs: [{ plan: LASTING, tasks: VMS, mayMiss: 1 }],
