--- a/testing/soak/src/check-completion.ts
+++ b/testing/soak/src/check-completion.ts
@@ -47,7 +47,7 @@
   if (job.state === 'failed') return tasks.some(task => countEnded(task, 'failed') >= attempts) ? [] : [first, ...undone.slice(1)].map(task => lost(task))
   if (!OPEN_STATES.includes(job.state)) return [lost(first)]
   if (lasts) return []
-  if (undone.length === 0) return tasks.some(isRunning) ? [] : [lost(first)]
+  if (undone.length === 0) return tasks.some(isRunning) ? [] : [{ ...lost(first), runs: tasks.flatMap(({ runs }) => runs) }]
   const wait = findWait(job, tasks, seen, room)
   return wait === undefined ? [] : [lost(first, `, nothing of it runs from ${formatSeconds(wait.from)} to ${formatSeconds(wait.to)} in ${job.service}, with room on ${room.describe(job, wait.from)} and ${Math.round(room.usedShare(job.service, wait.from) * 100)}% of the cores in use`)]
 }
