The birth in a worker's reports tells its incarnations apart where its registration does not say it

Users could see: a task that runs twice, on workers whose registrations lack their birth (the platform's example of one does).

Now the birth in the first report counts where the registration has none, and a registration without one may be of either incarnation. The test fails without the change.

--- a/jobs/scheduler/src/incarnations.ts
+++ b/jobs/scheduler/src/incarnations.ts
@@ -13,12 +13,12 @@
   }
 
   /**
-   * Notes that an id has responded as another incarnation.
+   * Notes that an id has responded as another incarnation. A registration that does not say when the worker started may be of either.
    * @param before - the incarnation that is over
    * @param next - the one that has responded
    */
   replace (before: WorkerRegistration, next: WorkerRegistration): void {
-    this.replaced.add(incarnationKey(before))
+    if (before.born !== UNKNOWN_BORN) this.replaced.add(incarnationKey(before))
     this.replaced.delete(incarnationKey(next))
   }
 
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -55,6 +55,8 @@
   private readonly commands: CommandChannel
   /** The channel for polls, and whether this incarnation has responded on it. */
   private polls: { readonly channel: WorkerChannel, identified: boolean } | undefined
+  /** Birth of this incarnation as its first report says, if its registration does not say. */
+  private reportedBorn: number | undefined
   private currentPoll: LinkedAbort | undefined
   private readonly starts = new Set<LinkedAbort>()
   /** The poll in progress waits for a completion. */
@@ -121,15 +123,20 @@
       return false
     }
     if (this.endIfRestarted(response.value)) return false
-    const { born } = this.worker.registration
-    if (response.value.born !== undefined && born !== UNKNOWN_BORN) return true
+    if (response.value.born !== undefined && this.born() !== undefined) return true
     return this.worker.isOwnClock({ clockMs: response.value.clockMs, sentAt })
   }
 
+  private born (): number | undefined {
+    const { born } = this.worker.registration
+    return born === UNKNOWN_BORN ? this.reportedBorn : born
+  }
+
   /** Returns whether another incarnation has responded, which is tracked from now on. */
   private endIfRestarted ({ born }: WorkerReport): boolean {
     const { worker } = this
-    if (born === undefined || worker.registration.born === UNKNOWN_BORN || born === worker.registration.born) return false
+    const known = this.born()
+    if (born === undefined || known === undefined || born === known) return false
     this.opts.logger.info({ worker: worker.registration.id, born }, 'worker restarted')
     this.scheduler.replaceIncarnation(worker, born)
     this.end()
@@ -254,6 +261,7 @@
     const report = response.value
     if (this.endIfRestarted(report)) return
     polls.identified = true
+    this.reportedBorn ??= report.born
     const wasFenced = worker.fenced
     if (!wasFenced) this.opts.logger.info({ worker: worker.registration.id, running: report.running.length, ended: report.ended.length, born: report.born, listed: worker.registration.born }, 'first response from worker in this term')
     const receivedAt = this.opts.clock.now()
--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -42,9 +42,9 @@
   readonly seen: string[] = []
   private readonly calls: Calls
 
-  constructor (calls: Calls = {}, { port = 1, logger = silentLogger }: { port?: number, logger?: Logger } = {}) {
+  constructor (calls: Calls = {}, { port = 1, born, logger = silentLogger }: { port?: number, born?: number, logger?: Logger } = {}) {
     this.calls = calls
-    const [tracked] = this.harness.addWorkers(worker('w1', { port }))
+    const [tracked] = this.harness.addWorkers(worker('w1', { port, ...born === undefined ? {} : { born } }))
     assert.ok(tracked !== undefined)
     this.tracked = tracked
     const workerClient = { connect: (endpoint: WorkerEndpoint) => this.connect(endpoint) }
@@ -274,6 +274,30 @@
   }
 })
 
+// The polls of a worker whose registration does not say when it was born took the next incarnation for it, and granted that one a lease by the former clock.
+test('a worker whose registration does not say when it was born is told by the birth in its reports', async t => {
+  let born = 7
+  const asked: number[] = []
+  const harness: SessionHarness = new SessionHarness({
+    poll: async (channel, opts, signal) => {
+      if (channel >= 2 && opts.leaseUntilMs !== undefined) asked.push(opts.leaseUntilMs)
+      return opts.waitMs > 0 ? await untilAborted(signal) : harness.report(born, channel >= 2 ? 5 : 60_000)
+    }
+  }, { born: 0 })
+  await harness.open(t)
+  born = 8
+  harness.harness.now += 1_000
+  harness.channels[0]?.close()
+  harness.session.pollNow()
+  await settle()
+  assert.deepEqual(asked, [])
+  assert.equal(harness.tracked.ended, true)
+  const next = harness.harness.scheduler.workers.get('w1')
+  assert.deepEqual([next?.registration.born, next?.deregistered], [8, true])
+  harness.harness.scheduler.setWorkers([worker('w1', { port: 1, born: 0 })], { unknownRunsUntil: 0 })
+  assert.equal(harness.harness.scheduler.workers.get('w1')?.deregistered, false)
+})
+
 test('once its channel for commands has ended a worker gets no starts until it has responded on another one', async t => {
   let mayRespond = true
   const harness: SessionHarness = new SessionHarness({ poll: async (_channel, opts, signal) => opts.waitMs > 0 || !mayRespond ? await untilAborted(signal) : harness.report() })
