--- /dev/null
+++ b/core/http-limits/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Limits on what a process holds for its HTTP clients.
+ * @module
+ */
+export {}
--- /dev/null
+++ b/jobs/accounts/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Client accounts of jobs: whose key a call carries.
+ * @module
+ */
+export {}
--- /dev/null
+++ b/jobs/forecast/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Forecasts of queues, and which jobs are refused by them.
+ * @module
+ */
+export {}
--- a/jobs/model/src/job.ts
+++ b/jobs/model/src/job.ts
@@ -79,6 +79,8 @@
    * records of earlier versions.
    */
   readonly attempts?: number | undefined
+  /** Name of the client account that submitted it; undefined in a queue without accounts, and in records of earlier versions. */
+  readonly account?: string | undefined
 }
 
 /** A job as a caller submits it. */
@@ -115,6 +117,19 @@
   readonly timeoutMs: number
   /** Whether each start needs a permit from the permit service. */
   readonly needsPermit: boolean
+  /** Calls need no key of a client account; undefined is false. */
+  readonly public?: boolean | undefined
+}
+
+/** A client account: a team of callers. */
+export interface Account {
+  readonly name: string
+  /** SHA-256 digests of its keys, in hex. The keys themselves are kept nowhere. */
+  readonly keyDigests: readonly string[]
+  /** Share when there is less room than work, and number of jobs a second that it is entitled to. */
+  readonly weight: number
+  /** What it may have running on all workers of all services together; 0 for no limit. */
+  readonly quota: Resources
 }
 
 /** A service: one pool of workers. */
@@ -132,6 +147,8 @@
   readonly queues: readonly Queue[]
   readonly services: readonly Service[]
   readonly maxBodyBytes: number
+  /** Client accounts; undefined in a deployment without any, where calls need no key. */
+  readonly accounts?: readonly Account[] | undefined
 }
 
 /** Parts of a task name: job, occurrence, step and index. */
--- /dev/null
+++ b/jobs/quota/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Quotas of client accounts across the leaders of all services.
+ * @module
+ */
+export {}
