Client accounts of jobs: calls need a known key

Nobody asked whose a call is: a key that a version removed, or that nobody gave out, was served.

- jobs/accounts: directory of digests, gate of calls, refusals in a bounded number of lines
- the adapter and the product's own interface ask for the key of each call before its body is read: 401
- a restarted entry takes its first configuration with accounts from the store only, by itself or relayed; a peer's memory may hold a key that was removed.
Relayed reads carry digests in place of keys
- whose a job is is in its record; a job of another account looks like no job
- histogram of waits by account; jobs status lists accounts

--- a/cli/cli/src/commands/jobs.ts
+++ b/cli/cli/src/commands/jobs.ts
@@ -8,6 +8,7 @@
   readonly id: string
   readonly storeReached: boolean
   readonly configVersion?: number
+  readonly accounts?: ReadonlyArray<{ readonly name: string, readonly weight: number, readonly keys: number, readonly quota: { readonly cpu: number, readonly memMb: number, readonly accelerators: number } }>
   readonly services: ReadonlyArray<{ readonly name: string, readonly leader?: string, readonly load?: { readonly wantedCpu: number, readonly workers: readonly unknown[] } }>
 }
 
@@ -23,7 +24,8 @@
   pending QUEUE            count the accepted jobs that have not started
   configure -f FILE        replace the configuration of queues and services by
                            a newer version
-  status                   show services with their leaders and load
+  status                   show services with their leaders and load, and the
+                           client accounts
   explain KIND NAME        explain the state of a job, worker, pool or wave
 
   --entry URL of an entry's job API, --key-file FILE, --json`,
@@ -77,5 +79,14 @@
     const workers = load === undefined ? 'cannot be asked' : `${load.workers.length} workers, ${load.wantedCpu / 1_000} cores wanted`
     lines.push(`service ${name} led by ${leader ?? 'nobody'}: ${workers}`)
   }
+  for (const { name, weight, keys, quota } of status.accounts ?? []) {
+    const limits = [limitText(quota.cpu / 1_000, 'cores'), limitText(quota.memMb, 'MB'), limitText(quota.accelerators, 'accelerators')].filter(text => text !== '')
+    lines.push(`account ${name}: weight ${weight}, keys ${keys}, ${limits.length === 0 ? 'no quota' : `at most ${limits.join(', ')}`}`)
+  }
   return lines.join('\n')
 }
+
+/** 0 is no limit. */
+function limitText (amount: number, unit: string): string {
+  return amount === 0 ? '' : `${amount} ${unit}`
+}
--- a/cli/jobs/src/run-jobs.ts
+++ b/cli/jobs/src/run-jobs.ts
@@ -45,6 +45,8 @@
   })
   const server = createJobServer({
     key: keys?.operators,
+    callGate: entry.callGate,
+    publicQueue: () => entry.site.config()?.queues.find(queue => queue.public === true),
     intake: entry.intake,
     queue: name => entry.site.queue(name),
     configure: async (text, version) => await configure(driver, storeLayout, { text, version }),
--- a/core/metrics/src/index.ts
+++ b/core/metrics/src/index.ts
@@ -10,12 +10,14 @@
 const MAX_LATENCY_US = 120_000_000
 const PERCENTILES = [50, 90, 99, 99.9]
 const MAX_SERIES = 4_000
+const OTHER_VALUES = 'other'
 
 /** Registry of all metric series of a process. Once there are `MAX_SERIES` counters or histograms, new ones are dropped. */
 export class Metrics {
   private readonly counters = new Map<string, number>()
   private readonly gauges = new Map<string, () => number>()
   private readonly histograms = new Map<string, Histogram>()
+  private readonly labelValues = new Map<string, Set<string>>()
 
   /**
    * Increments a counter.
@@ -57,6 +59,20 @@
     histogram.recordValue(Math.min(MAX_LATENCY_US, Math.max(1, Math.round(ms * 1_000))))
   }
 
+  /**
+   * Bounds the values of a label that callers or operators name.
+   * @param label - the label
+   * @param value - its value
+   * @param maxValues - number of values that keep their names
+   * @returns the value if it is one of the first `maxValues`, else `other`
+   */
+  boundedValue (label: string, value: string, maxValues: number): string {
+    const values = this.labelValues.get(label) ?? new Set()
+    this.labelValues.set(label, values)
+    if (values.size < maxValues) values.add(value)
+    return values.has(value) ? value : OTHER_VALUES
+  }
+
   /**
    * @param name - metric name
    * @param labels - labels of the series
--- a/jobs/accounts/src/index.ts
+++ b/jobs/accounts/src/index.ts
@@ -1,5 +1,7 @@
 /**
- * Client accounts of jobs: whose key a call carries.
+ * Client accounts of jobs: whose key a call carries, and calls without one.
  * @module
  */
-export {}
+export { AccountDirectory, digestOfKey, type Authentication, type RefusalReason } from './account-directory.ts'
+export { CallGate, type Admission, type Call, type CallGateOpts } from './call-gate.ts'
+export { RefusalLog } from './refusal-log.ts'
--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -1,12 +1,13 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import { createServer, type Server, type ServerResponse } from 'node:http'
+import { CallGate } from '@wisteriaslip/jobs.accounts'
 import { delay, systemClock, withTimeout, type Clock } from '@wisteriaslip/core.result'
 import { topicLogger, type Logger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { FleetTerm } from '@wisteriaslip/jobs.fleet'
 import { Intake } from '@wisteriaslip/jobs.intake'
-import type { FleetClient, JobLimits, PermitClient, StoreLayout, VmList, Wave, WorkerClient } from '@wisteriaslip/jobs.model'
+import type { Account, FleetClient, JobLimits, PermitClient, StoreLayout, VmList, Wave, WorkerClient } from '@wisteriaslip/jobs.model'
 import type { ExplainRequest, ExplainResult, JobPeerService, ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import { ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
@@ -88,12 +89,16 @@
   readonly configVersion: number | undefined
   readonly members: ReadonlyArray<{ readonly id: string, readonly zone: string }>
   readonly services: ReadonlyArray<{ readonly name: string, readonly leader: string | undefined, readonly load: ServiceLoad | undefined }>
+  /** Client accounts, undefined in a deployment without any. */
+  readonly accounts: ReadonlyArray<Pick<Account, 'name' | 'weight' | 'quota'> & { readonly keys: number }> | undefined
 }
 
 /** An entry that accepts jobs, leads some services, and may lead the fleet. */
 export class JobEntry {
   readonly site: SiteView
   readonly intake: Intake
+  /** Decides whose calls may come in. */
+  readonly callGate: CallGate
   readonly metrics = new Metrics()
   readonly logger: Logger
   private readonly opts: JobEntryOpts
@@ -133,6 +138,7 @@
     setMaxListeners(0, this.stopping.signal, this.leaving.signal)
     this.keys = new StoreKeys(opts.keyPrefix)
     this.site = new SiteView(opts.storeLayout, topicLogger(logger, 'site'))
+    this.callGate = new CallGate({ current: () => ({ accounts: this.site.accounts(), version: this.site.config()?.version }), clock, logger: topicLogger(logger, 'accounts'), metrics })
     this.driver = new RelayDriver(opts.driver, async (call, signal) => await this.peerSync.relay(call, signal))
     this.workerRegistry = new WorkerRegistry({ driver: this.driver, mirror: this.site.workers, clock, logger, batchWindowMs: WORKER_BATCH_WINDOW_MS })
     this.store = new StoreClient(this.driver, { ...opts.store, metrics, clock, newId })
@@ -153,6 +159,7 @@
       members: this.members,
       mirror,
       site: this.site,
+      storeLayout: opts.storeLayout,
       hasStoreAccess: () => this.hasStoreAccess(),
       directDriver: opts.driver,
       term: service => this.serviceTerms.get(serviceResource(service)),
@@ -188,6 +195,7 @@
       storeReached: this.hasStoreAccess(),
       configVersion: this.site.config()?.version,
       members: this.members.all().map(({ id, zone }) => ({ id, zone })),
+      accounts: this.site.config()?.accounts?.map(({ name, weight, quota, keyDigests }) => ({ name, weight, quota, keys: keyDigests.length })),
       services: services.map((name, number) => ({ name, leader: this.leadership.leaderOf(serviceResource(name))?.record.id, load: loads[number] }))
     }
   }
--- a/jobs/entry/src/peer-service.ts
+++ b/jobs/entry/src/peer-service.ts
@@ -1,10 +1,11 @@
 import { err, ok, withTimeout } from '@wisteriaslip/core.result'
 import type { ExplainRequest, JobPeerService, JobNotification, PeerState, ServiceLoad, JobStateReply, WithdrawReply } from '@wisteriaslip/jobs.protocol'
 import type { FleetTerm } from '@wisteriaslip/jobs.fleet'
+import type { StoreLayout } from '@wisteriaslip/jobs.model'
 import type { ServiceTerm } from '@wisteriaslip/jobs.service'
 import type { Members } from '@wisteriaslip/peers.membership'
 import type { RelayRequest, RelayReply } from '@wisteriaslip/peers.protocol'
-import type { Driver } from '@wisteriaslip/store.client'
+import type { Driver, KeyRange } from '@wisteriaslip/store.client'
 import type { Mirror } from '@wisteriaslip/store.mirror'
 import { RELAY_TIMEOUT_MS } from './peer-sync.ts'
 import type { SiteView } from './site-view.ts'
@@ -14,6 +15,7 @@
   readonly members: Members
   readonly mirror: Mirror
   readonly site: SiteView
+  readonly storeLayout: Pick<StoreLayout, 'configKey' | 'withoutKeys'>
   /** @returns whether this entry reaches the store directly */
   readonly hasStoreAccess: () => boolean
   /** Driver without relaying, so that a relayed call is not relayed again. */
@@ -55,9 +57,12 @@
   }
 
   async state (req: { service: string, id: string }): Promise<JobStateReply> {
-    const state = this.opts.term(req.service)?.state(req.id) ?? 'not-ready'
+    const term = this.opts.term(req.service)
+    const state = term?.state(req.id) ?? 'not-ready'
     if (state === 'not-ready') return { kind: 'not-leader' }
-    return state === 'unknown' ? { kind: 'unknown' } : { kind: 'known', state }
+    if (state === 'unknown') return { kind: 'unknown' }
+    const account = term?.accountOf(req.id)
+    return { kind: 'known', state, ...(account === undefined ? {} : { account }) }
   }
 
   async pending (req: { service: string, queue: string }): Promise<{ pending: number | undefined }> {
@@ -82,7 +87,15 @@
 
   /** Runs a relayed call directly against the store, for no longer than the entry that asked for it waits. */
   async relay (call: RelayRequest): Promise<RelayReply> {
-    return await withTimeout(RELAY_TIMEOUT_MS, this.opts.signal, async signal => await runStoreCall(this.opts.directDriver, call, signal))
+    const reply = await withTimeout(RELAY_TIMEOUT_MS, this.opts.signal, async signal => await runStoreCall(this.opts.directDriver, call, signal))
+    return call.op === 'range' && reply.ok ? ok(this.withoutKeys(reply.value as KeyRange)) : reply
+  }
+
+  /** Keys of client accounts do not leave this entry. */
+  private withoutKeys (range: KeyRange): KeyRange {
+    const { configKey, withoutKeys } = this.opts.storeLayout
+    if (withoutKeys === undefined) return range
+    return { ...range, kvs: range.kvs.map(kv => kv.key === configKey ? { ...kv, value: withoutKeys(kv.value) } : kv) }
   }
 }
 
--- a/jobs/entry/src/peer-sync.ts
+++ b/jobs/entry/src/peer-sync.ts
@@ -127,7 +127,7 @@
     }
     if (reply.value.delta !== undefined) mirror.merge(reply.value.delta)
     this.syncedAt.set(peer.incarnation, requestedAt)
-    if (reply.value.config !== undefined) site.applyConfigIfNewer(reply.value.config)
+    if (reply.value.config !== undefined) site.applyPeerConfigIfNewer(reply.value.config)
     this.recordPeerVersion(reply.value.configVersion)
     if (reply.value.storeAvailable) this.storeAccessReportedAt.set(peer.incarnation, clock.now())
     else this.storeAccessReportedAt.delete(peer.incarnation)
--- a/jobs/entry/src/site-view.ts
+++ b/jobs/entry/src/site-view.ts
@@ -1,10 +1,12 @@
+import { AccountDirectory } from '@wisteriaslip/jobs.accounts'
 import type { JobConfig, Queue, StoreLayout, Wave, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { Logger } from '@wisteriaslip/core.logger'
 import { RawMirror } from './raw-mirror.ts'
 
 /**
  * Configuration, waves and worker registrations as this entry knows them: mirrored from the store, the configuration
- * also received from peers. The configuration never reverts to an older version.
+ * also received from peers. The configuration never reverts to an older version, nor, with client accounts, does the first
+ * one come from a peer's memory: an earlier incarnation of this entry may have had a newer one, without a key of that.
  */
 export class SiteView {
   readonly operatorKeys: RawMirror
@@ -12,6 +14,10 @@
   private readonly storeLayout: StoreLayout
   private readonly logger: Logger
   private currentConfig: JobConfig | undefined
+  private directory: AccountDirectory | undefined
+  /** The current configuration came from a peer, which may be of a version of the product that does not know all of its fields. */
+  private isFromPeer = false
+  private loggedPeerVersion: number | undefined
   private queuesByName = new Map<string, Queue>()
   private declaredWaves: readonly Wave[] = []
   private workersByService = new Map<string, WorkerRegistration[]>()
@@ -36,6 +42,11 @@
     return this.currentConfig
   }
 
+  /** @returns the client accounts of the newest configuration, undefined where it has none */
+  accounts (): AccountDirectory | undefined {
+    return this.directory
+  }
+
   /** @returns the declared waves, by ascending number */
   waves (): readonly Wave[] {
     return this.declaredWaves
@@ -78,13 +89,40 @@
 
   /**
    * Applies a configuration if it is newer than the current one.
-   * @param config - received from the store or a peer
+   * @param config - read from the store, by this entry or through a peer
    */
   applyConfigIfNewer (config: JobConfig): void {
-    if (this.currentConfig !== undefined && config.version <= this.currentConfig.version) return
+    const current = this.currentConfig
+    const completes = this.isFromPeer && config.version === current?.version && config.accounts !== undefined
+    if (current !== undefined && config.version <= current.version && !completes) return
+    this.apply(config)
+    this.isFromPeer = false
+  }
+
+  /**
+   * Applies a configuration that a peer holds in memory if it is newer than the current one, and if that cannot bring back
+   * keys that were taken away: the peer may have lost the store long ago.
+   * @param config - the peer's configuration
+   */
+  applyPeerConfigIfNewer (config: JobConfig): void {
+    if (this.currentConfig === undefined && config.accounts !== undefined) this.logWaitingForStore(config.version)
+    else if (config.version > (this.currentConfig?.version ?? Number.NEGATIVE_INFINITY)) {
+      this.apply(config)
+      this.isFromPeer = true
+    }
+  }
+
+  private apply (config: JobConfig): void {
     this.currentConfig = config
     this.queuesByName = new Map(config.queues.map(queue => [queue.name, queue]))
-    this.logger.info({ version: config.version, queues: config.queues.length }, 'configuration applied')
+    this.directory = config.accounts === undefined ? undefined : new AccountDirectory(config.accounts)
+    this.logger.info({ version: config.version, queues: config.queues.length, accounts: config.accounts?.length, unreadableAccounts: config.unreadableAccounts }, 'configuration applied')
+  }
+
+  private logWaitingForStore (version: number): void {
+    if (this.loggedPeerVersion === version) return
+    this.loggedPeerVersion = version
+    this.logger.info({ version }, 'first configuration with accounts awaited from the store: a peer\'s may be older than one that was in effect here')
   }
 
   private decodeOperatorKeys (): void {
--- a/jobs/http/src/job-server.ts
+++ b/jobs/http/src/job-server.ts
@@ -1,9 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { hasValidKey } from '@wisteriaslip/core.auth'
 import { formatIssues } from '@wisteriaslip/config.settings'
+import type { CallGate } from '@wisteriaslip/jobs.accounts'
 import type { Intake } from '@wisteriaslip/jobs.intake'
 import type { Queue } from '@wisteriaslip/jobs.model'
 import type { ExplainResult } from '@wisteriaslip/jobs.protocol'
+import { accessErrors, jobAccessOf, operatorAccessOf, type Access } from './access.ts'
 import { configSchema, jobSchema, readJson, sendJson } from './wire-format.ts'
 
 const JOB_PATH = /^\/v1\/jobs\/([^/]+)\/([^/]+)$/
@@ -12,8 +13,11 @@
 
 /** Options of {@link createJobServer}. */
 export interface JobServerOpts {
-  /** Key that callers and operators must present; undefined in a trial without keys. */
+  /** Key that operators must present, and callers where there are no client accounts; undefined in a trial without keys. */
   readonly key: string | undefined
+  readonly callGate: CallGate
+  /** @returns a queue whose calls need no key, undefined if there is none */
+  readonly publicQueue: () => Queue | undefined
   readonly intake: Intake
   readonly queue: (name: string) => Queue | undefined
   /** @returns whether the configuration was stored; `older` when the stored version is at least as new */
@@ -58,44 +62,55 @@
 }
 
 async function handleRequest (req: IncomingMessage, res: ServerResponse, opts: JobServerOpts): Promise<void> {
-  if (!hasValidKey(req, opts.key)) return sendError(res, 401, 'OPERATOR_KEY_WRONG', 'the key is missing or wrong', 'Set WISTERIASLIP_KEY or pass --key-file.')
   const url = new URL(req.url ?? '/', 'http://entry')
   const route = `${req.method ?? 'GET'} ${url.pathname}`
   const job = JOB_PATH.exec(url.pathname)
   const queue = QUEUE_PATH.exec(url.pathname)
   if (route === 'POST /v1/jobs') return await submitJob(req, res, opts)
+  if (queue !== null && req.method === 'GET') return await pending(queue[1] ?? '', req, res, opts)
+  if (job !== null && (req.method === 'GET' || req.method === 'DELETE')) return await handleJobRequest({ queue: job[1] ?? '', id: job[2] ?? '' }, req, res, opts)
+  const access = operatorAccessOf(req, opts)
+  if (access.kind === 'refused') return sendRefusal(res, access)
   if (route === 'POST /v1/job-config') return await configure(req, res, opts)
   if (route === 'GET /v1/job-status') return sendJson(res, 200, await opts.status())
   if (route === 'GET /v1/explain') return await explain(url, res, opts)
-  if (queue !== null && req.method === 'GET') return await pending(queue[1] ?? '', res, opts)
-  if (job !== null && (req.method === 'GET' || req.method === 'DELETE')) return await handleJobRequest(req.method, { queue: job[1] ?? '', id: job[2] ?? '' }, res, opts)
   sendError(res, 404, 'NO_ROUTE', `${route} does not exist`, 'See docs/OPERATORS.md.')
 }
 
 async function submitJob (req: IncomingMessage, res: ServerResponse, opts: JobServerOpts): Promise<void> {
+  const early = jobAccessOf(req, opts.publicQueue(), opts)
+  if (early.kind === 'refused') return sendRefusal(res, early)
   const body = await readJson(req)
   const parsed = jobSchema.safeParse(body)
   if (!parsed.success) return sendError(res, 400, 'JOB_INVALID', formatIssues(parsed.error.issues, body).join('; '), 'Correct the job; nothing was stored.')
   const queue = opts.queue(parsed.data.queue)
   if (queue === undefined) return sendQueueNotFound(res, parsed.data.queue)
-  const result = await opts.intake.submit({ ...parsed.data, service: queue.service, attempts: queue.attempts, acceptedAt: Date.now() })
+  const access = jobAccessOf(req, queue, opts)
+  if (access.kind === 'refused') return sendRefusal(res, access)
+  const { account } = access
+  const result = await opts.intake.submit({ ...parsed.data, service: queue.service, attempts: queue.attempts, acceptedAt: Date.now(), ...(account === undefined ? {} : { account }) })
   if (result.kind === 'accepted') return sendJson(res, 202, { id: parsed.data.id, state: 'accepted' })
+  if (result.kind === 'taken') return sendError(res, 409, 'JOB_ID_TAKEN', 'a job of another client account has this id', 'Choose another id.')
   if (result.kind === 'unknown') return sendError(res, 504, 'JOB_UNKNOWN', 'it is unknown whether the job was accepted', 'Submit it again with the same id: it remains one job.')
   sendJson(res, 503, { code: 'JOB_REFUSED', message: 'the job was not accepted; this request never runs it', hint: 'Submit it again later.' }, { 'retry-after': String(result.retryAfterS) })
 }
 
-async function handleJobRequest (method: 'GET' | 'DELETE', jobRef: { queue: string, id: string }, res: ServerResponse, opts: JobServerOpts): Promise<void> {
+async function handleJobRequest (jobRef: { queue: string, id: string }, req: IncomingMessage, res: ServerResponse, opts: JobServerOpts): Promise<void> {
   const queue = opts.queue(jobRef.queue)
+  const access = jobAccessOf(req, queue, opts)
+  if (access.kind === 'refused') return sendRefusal(res, access)
   if (queue === undefined) return sendQueueNotFound(res, jobRef.queue)
-  const state = method === 'GET' ? await opts.intake.state(queue, jobRef.id) : await opts.intake.cancel(queue, jobRef.id)
+  const state = req.method === 'GET' ? await opts.intake.state(queue, jobRef.id, access.owner) : await opts.intake.cancel(queue, jobRef.id, access.owner)
   if (state === 'none') return sendError(res, 410, 'JOB_GONE', `there is no job ${jobRef.id}`, 'The record of a job is deleted some time after the job has ended.')
   if (state === 'unavailable') return sendError(res, 503, 'JOB_UNREADABLE', 'the state of the job is unavailable', 'Retry, or send the request to another entry.')
   if (state === 'unknown') return sendError(res, 504, 'JOB_UNKNOWN', 'it is unknown whether the job was cancelled', 'Cancel it again.')
   sendJson(res, 200, { id: jobRef.id, state })
 }
 
-async function pending (name: string, res: ServerResponse, opts: JobServerOpts): Promise<void> {
+async function pending (name: string, req: IncomingMessage, res: ServerResponse, opts: JobServerOpts): Promise<void> {
   const queue = opts.queue(name)
+  const access = jobAccessOf(req, queue, opts)
+  if (access.kind === 'refused') return sendRefusal(res, access)
   if (queue === undefined) return sendQueueNotFound(res, name)
   const count = await opts.intake.pending(queue)
   if (count === undefined) return sendError(res, 503, 'QUEUE_UNREADABLE', 'the queue is unavailable', 'Retry: the service of the queue may be electing a leader.')
@@ -127,6 +142,11 @@
   sendError(res, 404, 'NO_QUEUE', `there is no queue ${name}`, 'Run wisteriaslip jobs status to list the queues.')
 }
 
+function sendRefusal (res: ServerResponse, { reason }: Extract<Access, { kind: 'refused' }>): void {
+  const { code, message, hint } = accessErrors[reason]
+  sendError(res, 401, code, message, hint)
+}
+
 function sendError (res: ServerResponse, status: number, code: string, message: string, hint: string): void {
   sendJson(res, status, { code, message, hint })
 }
--- a/jobs/http/src/store-layout.ts
+++ b/jobs/http/src/store-layout.ts
@@ -28,8 +28,14 @@
 function decodeConfig (text: string): JobConfig | undefined {
   const parsed = configSchema.safeParse(parseJson(text))
   if (!parsed.success) return undefined
-  const { version, services, queues } = parsed.data
-  return { version, services, maxBodyBytes: MAX_BODY_BYTES, queues: queues.map(queue => ({ ...queue, host: '', pathPrefix: '', needsPermit: false })) }
+  const { version, services, queues, accounts } = parsed.data
+  return {
+    version,
+    services,
+    maxBodyBytes: MAX_BODY_BYTES,
+    queues: queues.map(queue => ({ ...queue, host: '', pathPrefix: '', needsPermit: false })),
+    ...(accounts === undefined ? {} : { accounts: accounts.map(({ name, keySha256, weight, quota }) => ({ name, keyDigests: keySha256, weight, quota })) })
+  }
 }
 
 function decodeWorker (text: string): WorkerRegistration | undefined {
--- a/jobs/http/src/wire-format.ts
+++ b/jobs/http/src/wire-format.ts
@@ -52,7 +52,14 @@
   }
 })
 
-/** Configuration of queues and services as operators submit it. */
+const accountSchema = z.strictObject({
+  name: z.string().min(1).max(MAX_NAME_CHARS),
+  keySha256: z.array(z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest in lower-case hex')).default([]),
+  weight: safeNumber.positive().default(1),
+  quota: resourcesSchema.default({})
+})
+
+/** Configuration of queues, services and client accounts as operators submit it. */
 export const configSchema = z.strictObject({
   version: safeNumber.int().min(1),
   services: z.array(z.strictObject({ name: z.string().min(1), guardsCapacity: z.boolean().default(true), standby: z.boolean().default(false) })),
@@ -63,8 +70,16 @@
     attempts: safeNumber.int().min(1).default(3),
     stretch: safeNumber.min(1).default(2),
     objectiveMs: safeNumber.min(0).default(1_000),
-    timeoutMs: safeNumber.min(0).default(10_000)
-  }))
+    timeoutMs: safeNumber.min(0).default(10_000),
+    public: z.boolean().optional()
+  })),
+  accounts: z.array(accountSchema).optional()
+}).superRefine(({ accounts = [] }, context) => {
+  for (const [number, account] of accounts.entries()) {
+    const earlier = accounts.slice(0, number)
+    if (earlier.some(({ name }) => name === account.name)) context.addIssue({ code: 'custom', path: ['accounts', number, 'name'], message: 'must differ from that of the other accounts' })
+    if (earlier.some(({ keySha256 }) => keySha256.some(digest => account.keySha256.includes(digest)))) context.addIssue({ code: 'custom', path: ['accounts', number, 'keySha256'], message: 'must differ from those of the other accounts' })
+  }
 })
 
 const shortText = z.string().max(MAX_NAME_CHARS)
--- a/jobs/intake/src/intake.ts
+++ b/jobs/intake/src/intake.ts
@@ -1,3 +1,4 @@
+import { RefusalLog } from '@wisteriaslip/jobs.accounts'
 import { delay, type Clock } from '@wisteriaslip/core.result'
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { Metrics } from '@wisteriaslip/core.metrics'
@@ -31,6 +32,8 @@
 /** Result of a job submission. */
 export type SubmitResult =
   | { readonly kind: 'accepted' }
+  /** A job of another client account has this id. */
+  | { readonly kind: 'taken' }
   /** Not accepted: the job never runs because of this request. */
   | { readonly kind: 'refused', readonly retryAfterS: number }
   /** The outcome is unknown: the job may be accepted, now or later. */
@@ -52,12 +55,14 @@
 /** Accepts jobs, cancellations and status queries. Any entry does so for any queue. */
 export class Intake {
   private readonly opts: IntakeOpts
-  private readonly accepted = new Map<string, string>()
+  private readonly accepted = new Map<string, Pick<Job, 'service' | 'account'>>()
   /** Jobs whose write got no response at this entry: it may still be applied. */
   private readonly uncertain = new Set<string>()
+  private readonly hidden: RefusalLog
 
   constructor (opts: IntakeOpts) {
     this.opts = opts
+    this.hidden = new RefusalLog(opts.clock, opts.logger, 'job of another account')
   }
 
   /**
@@ -67,16 +72,18 @@
    */
   async submit (req: JobRequest): Promise<SubmitResult> {
     const startedAt = this.opts.clock.now()
-    if (this.accepted.get(req.id) === req.service) return { kind: 'accepted' }
+    const earlier = this.accepted.get(req.id)
+    if (earlier?.service === req.service) return this.isHidden('submit', req.id, earlier.account, req.account) ? { kind: 'taken' } : { kind: 'accepted' }
     const job: Job = { ...req, acceptedUnder: this.opts.leaderClient.token(req.service) }
     const stored = await this.opts.records.accept(job)
     this.opts.metrics.observe('job_accept_us', { queue: job.queue }, this.opts.clock.now() - startedAt)
     this.opts.metrics.count('jobs_handed_in_total', { queue: job.queue, result: stored.kind })
-    this.opts.logger.info({ job: job.id, queue: job.queue, service: job.service, result: stored.kind }, 'job submitted')
+    this.opts.logger.info({ job: job.id, queue: job.queue, service: job.service, account: job.account, result: stored.kind }, 'job submitted')
     if (stored.kind === 'unknown') this.addUncertain(job.id)
     if (stored.kind === 'unknown' || (stored.kind === 'not-stored' && this.uncertain.has(job.id))) return { kind: 'unknown' }
     if (stored.kind === 'not-stored') return { kind: 'refused', retryAfterS: 1 }
     this.uncertain.delete(job.id)
+    if (stored.kind === 'known' && await this.isOfAnother(job)) return { kind: 'taken' }
     this.addAccepted(job)
     if (stored.kind === 'stored') this.notifyInBackground(job.service, job.id, async () => await this.opts.leaderClient.push(job.service, { job }))
     return { kind: 'accepted' }
@@ -86,11 +93,13 @@
    * Cancels a job.
    * @param queue - queue that the job was submitted to
    * @param id - id of the job
+   * @param account - client account that asks, undefined where any may: jobs of others look like none
    * @returns `cancelled` also if the job has already ended or may still be stored, `none` if there is no such job,
-   * `unknown` if the cancellation may not be stored
+   * `unknown` if the cancellation may not be stored, or nobody can say whose job it is
    */
-  async cancel (queue: Queue, id: string): Promise<'cancelled' | 'none' | 'unknown'> {
-    const state = await this.state(queue, id)
+  async cancel (queue: Queue, id: string, account?: string): Promise<'cancelled' | 'none' | 'unknown'> {
+    const state = await this.state(queue, id, account)
+    if (state === 'unavailable' && account !== undefined && this.accepted.get(id)?.account !== account) return 'unknown'
     if (state === 'none' && !this.uncertain.has(id)) return 'none'
     if (state !== 'none' && state !== 'unavailable' && isFinal(state)) return 'cancelled'
     const stored = await this.opts.records.cancel(queue.service, id)
@@ -103,14 +112,19 @@
   /**
    * @param queue - queue that the job was submitted to
    * @param id - id of the job
+   * @param account - client account that asks, undefined where any may: jobs of others look like none
    * @returns state of the job from the leader, or from the store if the leader does not have it or does not respond
    */
-  async state (queue: Queue, id: string): Promise<JobStateResult> {
+  async state (queue: Queue, id: string, account?: string): Promise<JobStateResult> {
     const reply = await this.opts.leaderClient.state(queue.service, id)
-    if (reply?.kind === 'known') return reply.state
+    if (reply?.kind === 'known') return this.isHidden('ask', id, reply.account, account) ? 'none' : reply.state
     const stored = await this.opts.records.state(queue.service, id)
     if (!stored.ok) return 'unavailable'
-    return stored.value ?? 'none'
+    if (stored.value === undefined) return 'none'
+    if (account === undefined) return stored.value
+    const owner = await this.opts.records.accountOf(queue.service, id)
+    if (!owner.ok) return 'unavailable'
+    return this.isHidden('ask', id, owner.value, account) ? 'none' : stored.value
   }
 
   /**
@@ -121,6 +135,21 @@
     return await this.opts.leaderClient.pending(queue.service, queue.name)
   }
 
+  /** While nobody can say whose job it is, a repeat of a stored id counts as one of the same account. */
+  private async isOfAnother (job: Job): Promise<boolean> {
+    if (job.account === undefined) return false
+    const owner = await this.opts.records.accountOf(job.service, job.id)
+    return owner.ok && this.isHidden('submit', job.id, owner.value, job.account)
+  }
+
+  /** Jobs without an account, as those stored by earlier versions, are visible to all. */
+  private isHidden (reason: 'ask' | 'submit', id: string, owner: string | undefined, account: string | undefined): boolean {
+    if (owner === undefined || account === undefined || owner === account) return false
+    this.opts.metrics.count('jobs_hidden_total', { reason })
+    this.hidden.note({ reason, job: id, account })
+    return true
+  }
+
   private addUncertain (id: string): void {
     this.uncertain.add(id)
     const oldest = this.uncertain.values().next()
@@ -128,7 +157,7 @@
   }
 
   private addAccepted (job: Job): void {
-    this.accepted.set(job.id, job.service)
+    this.accepted.set(job.id, { service: job.service, account: job.account })
     const oldest = this.accepted.keys().next()
     if (this.accepted.size > MAX_REMEMBERED_JOBS && oldest.done !== true) this.accepted.delete(oldest.value)
   }
--- a/jobs/model/src/job.ts
+++ b/jobs/model/src/job.ts
@@ -149,6 +149,8 @@
   readonly maxBodyBytes: number
   /** Client accounts; undefined in a deployment without any, where calls need no key. */
   readonly accounts?: readonly Account[] | undefined
+  /** How many accounts, or keys of accounts, are left out as they cannot be read; undefined for none. */
+  readonly unreadableAccounts?: number | undefined
 }
 
 /** Parts of a task name: job, occurrence, step and index. */
--- a/jobs/model/src/store-layout.ts
+++ b/jobs/model/src/store-layout.ts
@@ -9,6 +9,8 @@
   readonly operatorPrefix: string
   readonly workerPrefix: string
   decodeConfig (text: string): JobConfig | undefined
+  /** @returns the text of the configuration without keys of accounts, for messages between entries; undefined method: it holds none */
+  withoutKeys?: (text: string) => string
   /** @returns the number of the wave whose document has this key, undefined for other keys */
   waveNumber (key: string): number | undefined
   /** @returns the key of a wave's document */
--- a/jobs/protocol/src/service.ts
+++ b/jobs/protocol/src/service.ts
@@ -9,7 +9,8 @@
 
 /** A leader's reply to a query for a job's state; `not-leader` when the entry does not lead the service. */
 export type JobStateReply =
-  | { readonly kind: 'known', readonly state: JobState }
+  /** `account` is whose job it is; entries of earlier versions, and jobs without an account, name none. */
+  | { readonly kind: 'known', readonly state: JobState, readonly account?: string | undefined }
   | { readonly kind: 'unknown' }
   | { readonly kind: 'not-leader' }
 
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -106,6 +106,14 @@
     return tracked.durableOutcome ?? (tracked.begun ? 'running' : 'queued')
   }
 
+  /**
+   * @param id - id of a job
+   * @returns its client account, undefined for none or when the job is not tracked
+   */
+  accountOf (id: string): string | undefined {
+    return this.jobs.get(id)?.job.account
+  }
+
   /**
    * @param queue - name of a queue
    * @returns number of accepted jobs that have not started
--- a/jobs/service/src/progress-writer.ts
+++ b/jobs/service/src/progress-writer.ts
@@ -7,6 +7,8 @@
 const BATCH_WINDOW_MS = 15
 const MAX_BATCH_CHANGES = 12
 const WRITE_RETRY_MS = 150
+/** Further accounts share one histogram. */
+const MAX_ACCOUNTS_IN_METRICS = 40
 /** A rejected record may be accepted once the job has changed, but each attempt sends a large record. */
 const REJECTED_RETRY_MS = 2_000
 
@@ -134,7 +136,14 @@
     const tookMs = Math.max(0, this.opts.wallClock() - job.acceptedAt)
     this.opts.metrics.count('jobs_ended_total', { queue: job.queue, outcome: outcome ?? '' })
     if (job.schedule === undefined) this.opts.metrics.observe('job_time_us', { queue: job.queue }, tookMs)
-    this.opts.logger.info({ job: job.id, queue: job.queue, outcome, failure, tookMs, waitedMs: tracked.waitedMs, token: this.opts.token }, 'job ended')
+    this.recordAccountWait(tracked)
+    this.opts.logger.info({ job: job.id, queue: job.queue, account: job.account, outcome, failure, tookMs, waitedMs: tracked.waitedMs, token: this.opts.token }, 'job ended')
+  }
+
+  private recordAccountWait ({ job, waitedMs }: TrackedJob): void {
+    if (job.account === undefined || waitedMs === undefined) return
+    const account = this.opts.metrics.boundedValue('account', job.account, MAX_ACCOUNTS_IN_METRICS)
+    this.opts.metrics.observe('account_wait_us', { account }, waitedMs)
   }
 
   /**
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -136,6 +136,14 @@
     return this.components.scheduler.table.stateOf(id) ?? 'unknown'
   }
 
+  /**
+   * @param id - id of the job
+   * @returns the client account of the job, undefined for none or if this leader has no such job
+   */
+  accountOf (id: string): string | undefined {
+    return this.components?.scheduler.table.accountOf(id)
+  }
+
   /**
    * @param queue - name of the queue
    * @returns number of accepted jobs that have not started, undefined while the records are not loaded
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -109,6 +109,16 @@
     return ok(job.value === undefined ? undefined : 'queued')
   }
 
+  /**
+   * @param service - service of the job
+   * @param id - id of the job
+   * @returns the client account of the job, undefined for none and if the job is not stored
+   */
+  async accountOf (service: string, id: string): Promise<Result<string | undefined, StoreError>> {
+    const job = await this.store.get(this.keys.job(service, id), { forCaller: true })
+    return job.ok ? ok((job.value?.value as Partial<Job> | null | undefined)?.account) : job
+  }
+
   /** The job may have ended before its cancellation was stored, since its progress was read. */
   private async stateOfCancelled (service: string, id: string): Promise<Result<JobState, StoreError>> {
     const progress = await this.progressState(service, id)
--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -66,8 +66,12 @@
   constructor () {
     this.workers = new InMemoryWorkers(() => systemClock.now(), (task, attempt) => ({ runMs: 30, how: 'done', demand: { cpu: 1_000, memMb: 100, accelerators: 0 }, members: 1, ...this.plan(task, attempt) }))
     this.workers.onCrash = id => this.crash(id)
-    const metrics = new Metrics()
-    this.intake = new Intake({ records: this.createRecords(withWriteFaults(this.driver, this.submitFaults, () => true)), leaderClient: this.createLeaderClient(), clock: systemClock, logger: silentLogger, metrics, signal: this.shutdown.signal })
+    this.intake = this.newIntake()
+  }
+
+  /** @returns the intake of one more entry */
+  newIntake (): Intake {
+    return new Intake({ records: this.createRecords(withWriteFaults(this.driver, this.submitFaults, () => true)), leaderClient: this.createLeaderClient(), clock: systemClock, logger: silentLogger, metrics: new Metrics(), signal: this.shutdown.signal })
   }
 
   /** @param ids - ids of workers to start, each on its own VM */
@@ -214,7 +218,7 @@
       state: async (_service, id) => {
         const state = reachableTerm()?.state(id) ?? 'not-ready'
         if (state === 'not-ready') return { kind: 'not-leader' }
-        return state === 'unknown' ? { kind: 'unknown' } : { kind: 'known', state }
+        return state === 'unknown' ? { kind: 'unknown' } : { kind: 'known', state, account: reachableTerm()?.accountOf(id) }
       },
       pending: async (_service, name) => reachableTerm()?.pending(name)
     }
