Client accounts get room by their weights

Cause: within a priority nothing asked whose a job is, so that one account that sends six times its usual pushed all others aside.

What changed: among steps of a priority, those of jobs beyond their account's weight in jobs a second come after all that are within; then those that cannot meet their objective; among the rest the account with the least use of the room over its weight comes next, in levels of half of what it would have if all that wait shared the room. What a pass starts counts at once (share-turns). The leader gets accounts by name; without accounts, and with jobs of none, the order is exactly that of before.

Evidence: nine of the thirteen tests of account-shares fail on the code before; the model of turns checks each start against levels of its own.

--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -10,7 +10,7 @@
 import { benchLeaderLoss } from './leader-loss.ts'
 import { benchMoves } from './moves.ts'
 import { benchPlanning } from './planning.ts'
-import { benchScheduling } from './scheduling.ts'
+import { benchAccounts, benchScheduling } from './scheduling.ts'
 import { benchWaves } from './waves.ts'
 
 const SEED = 1
@@ -71,6 +71,7 @@
   scheduling: async () => {
     const results = benchScheduling()
     printFigure('scheduling', results)
+    printFigure('schedulingByAccounts', benchAccounts())
     return {
       growth: Math.max(...results.map(result => result.growth)),
       mostStartUs: Math.max(...results.flatMap(result => Object.values(result.startUsByWorkers)))
--- a/bench/src/scheduling.ts
+++ b/bench/src/scheduling.ts
@@ -1,15 +1,18 @@
 /**
- * Measures the processor time of a leader's scheduling decisions for each start, by number of workers and load. Calls,
+ * Measures the processor time of a leader's scheduling decisions for each start, by number of workers, load and client accounts. Calls,
  * network and store are left out; time is virtual.
  * @module
  */
 import { plainStep } from '@wisteriaslip/testing.jobs'
-import type { Job, Queue } from '@wisteriaslip/jobs.model'
+import type { Account, Job, Queue } from '@wisteriaslip/jobs.model'
 import { Scheduler, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import { round } from './statistics.ts'
 
 const WORKER_COUNTS = [8, 32, 128, 256] as const
 const LOADS = [1, 2, 4, 8] as const
+const ACCOUNT_COUNTS = [0, 20, 230] as const
+/** Workers where numbers of accounts are compared. */
+const ACCOUNTS_WORKERS = 128
 /** Load 1 keeps this share of the workers' processors busy. */
 const USED_SHARE = 0.5
 const CAPACITY = { cpu: 64_000, memMb: 128_000, accelerators: 0 }
@@ -47,6 +50,20 @@
   })
 }
 
+/** Processor time of a start by number of client accounts, in microseconds, at one load. */
+export interface AccountsResult {
+  readonly load: number
+  readonly startUsByAccounts: Readonly<Record<string, number>>
+}
+
+/**
+ * Measures all numbers of client accounts, whose weights together are half of what the workers can do.
+ * @returns a result for each load
+ */
+export function benchAccounts (): AccountsResult[] {
+  return LOADS.map(load => ({ load, startUsByAccounts: Object.fromEntries(ACCOUNT_COUNTS.map(accounts => [accounts, round(new SchedulingSimulation(ACCOUNTS_WORKERS, load, accounts).measureStartUs(), 1)])) }))
+}
+
 class SchedulingSimulation {
   private now = 1_000
   private readonly scheduler: Scheduler
@@ -56,14 +73,17 @@
   private readonly jobsPerMs: number
   private jobs = 0
   private starts = 0
+  private readonly accounts: number
 
-  constructor (workers: number, load: number) {
-    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits: { longestLeaseMs: 6_000, stopMs: 400, shutdownGraceMs: 6_000, keepMs: 120_000, maintenanceMs: 2_000 }, queue: () => queue, term: 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: 0 })
+  constructor (workers: number, load: number, accounts = 0) {
+    this.accounts = accounts
+    const weight = 1_000 / RUN_MS / TASKS_PER_JOB * tasksAtOnce(workers) / Math.max(1, accounts)
+    const account = (name: string): Account => ({ name, keyDigests: [], weight, quota: { cpu: 0, memMb: 0, accelerators: 0 } })
+    this.scheduler = new Scheduler({ account: accounts === 0 ? undefined : account, clock: { now: () => this.now }, wallClock: () => this.now, limits: { longestLeaseMs: 6_000, stopMs: 400, shutdownGraceMs: 6_000, keepMs: 120_000, maintenanceMs: 2_000 }, queue: () => queue, term: 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: 0 })
     this.scheduler.setWorkers(Array.from({ length: workers }, (_, index) => ({ id: `w${index}`, born: 1, service: 's', host: 'h', port: 1, zone: 'z', vm: `v${index}`, draining: false, capacity: CAPACITY, labels: [], rack: `r${index >> 4}` })), { unknownRunsUntil: 0 })
     this.workers = [...this.scheduler.workers.values()]
     for (const worker of this.workers) this.report(worker)
-    const tasksAtOnce = workers * Math.floor(CAPACITY.cpu / DEMAND.cpu) * USED_SHARE * load
-    this.jobsPerMs = tasksAtOnce / RUN_MS / TASKS_PER_JOB
+    this.jobsPerMs = tasksAtOnce(workers) * load / RUN_MS / TASKS_PER_JOB
   }
 
   measureStartUs (): number {
@@ -89,7 +109,8 @@
 
   private addJob (): void {
     this.jobs += 1
-    const job: Job = { id: `j${this.jobs}`, queue: 'q', service: 's', payload: '', steps: [plainStep({ tasks: TASKS_PER_JOB, demand: DEMAND, estimateMs: RUN_MS })], acceptedAt: this.now, acceptedUnder: 0 }
+    const account = this.accounts === 0 ? {} : { account: `a${this.jobs % this.accounts}` }
+    const job: Job = { ...account, id: `j${this.jobs}`, queue: 'q', service: 's', payload: '', steps: [plainStep({ tasks: TASKS_PER_JOB, demand: DEMAND, estimateMs: RUN_MS })], acceptedAt: this.now, acceptedUnder: 0 }
     this.scheduler.addJob(job, { acceptedThisTerm: true })
   }
 
@@ -115,3 +136,8 @@
     worker.extendLease(this.now, LEASE_MS)
   }
 }
+
+/** Tasks at once that load 1 asks for. */
+function tasksAtOnce (workers: number): number {
+  return workers * Math.floor(CAPACITY.cpu / DEMAND.cpu) * USED_SHARE
+}
--- a/jobs/scheduler/src/explain.ts
+++ b/jobs/scheduler/src/explain.ts
@@ -1,4 +1,5 @@
-import { orderSteps, type QueueLookup } from './step-priority.ts'
+import { orderSteps, priorityOf, type QueueLookup } from './step-priority.ts'
+import { takeTurns } from './share-turns.ts'
 import { needsIsolation } from './crash.ts'
 import { unavailableReasonOf } from './left-out.ts'
 import { canPlace } from './placement.ts'
@@ -22,7 +23,7 @@
 export function explainJob (scheduler: Scheduler, id: string, opts: { queue: QueueLookup, now: number }): Record<string, unknown> | undefined {
   const tracked = scheduler.table.jobs.get(id)
   if (tracked === undefined) return undefined
-  const sortedSteps = orderSteps(scheduler.table.ready, opts)
+  const sortedSteps = [...takeTurns(orderSteps(scheduler.table.ready, opts), { priorityOf: step => priorityOf(step, opts), shares: scheduler.table.shares })].map(({ step }) => step)
   const occurrences = [...tracked.occurrences.values()].map(occurrence => ({
     number: occurrence.number,
     steps: occurrence.steps.map(step => explainStep(scheduler, step, sortedSteps, opts))
@@ -30,6 +31,7 @@
   return {
     id,
     queue: tracked.job.queue,
+    ...(tracked.job.account === undefined ? {} : { account: tracked.job.account, share: scheduler.table.shares?.explain(tracked) }),
     state: scheduler.table.stateOf(id),
     failure: tracked.failure,
     outcomeWaitsForStore: tracked.outcome !== tracked.durableOutcome,
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@wisteriaslip/core.result'
 import type { EndedRun, Job, JobState, Resources } from '@wisteriaslip/jobs.model'
+import { AccountShares, type AccountSharesOpts } from './account-shares.ts'
 import type { QueueLookup } from './step-priority.ts'
 import type { JobFailure, JobProgress } from './progress.ts'
 import type { Run } from './run.ts'
@@ -17,10 +18,8 @@
 }
 
 /** Options of {@link JobTable}. */
-export interface JobTableOpts {
+export interface JobTableOpts extends AccountSharesOpts {
   readonly clock: Clock
-  /** @returns Unix milliseconds */
-  readonly wallClock: () => number
   readonly queue: QueueLookup
   /** Called for runs that are no longer needed. */
   readonly onRunNotNeeded: (run: Run, reason: string) => void
@@ -31,6 +30,8 @@
   readonly jobs = new Map<string, TrackedJob>()
   /** Steps with tasks left whose preceding steps are done. */
   readonly ready = new Set<TrackedStep>()
+  /** Use of the client accounts; undefined where there are none. */
+  readonly shares: AccountShares | undefined
   private readonly opts: JobTableOpts
   private readonly scheduledJobs = new Set<TrackedJob>()
   private readonly dirtyJobs = new Map<TrackedJob, PendingCompletion[]>()
@@ -40,6 +41,7 @@
 
   constructor (opts: JobTableOpts) {
     this.opts = opts
+    this.shares = opts.account === undefined ? undefined : new AccountShares({ ...opts, account: opts.account })
   }
 
   /**
@@ -50,6 +52,7 @@
   addJob (job: Job, opts: { acceptedThisTerm: boolean, progress?: JobProgress | undefined }): void {
     if (this.jobs.has(job.id)) return
     const tracked = new TrackedJob(job, { ...opts, firstSeenAt: this.opts.clock.now() })
+    this.shares?.addJob(tracked)
     this.jobs.set(job.id, tracked)
     this.notStored.delete(job.id)
     if (this.cancelledBeforeAdded.delete(job.id)) this.cancel(job.id)
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@wisteriaslip/core.result'
 import { parseTaskName, type ActiveRun, type EndedRun, type Job, type JobLimits, type Resources, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
+import type { AccountSharesOpts } from './account-shares.ts'
 import { SETTLE_MS } from './crash.ts'
 import { CrashTracker } from './crash-tracker.ts'
 import { collectDueStops } from './due-stops.ts'
@@ -36,10 +37,8 @@
 const EXPIRED_RUNS_KEPT_MS = 10_000
 
 /** Options of {@link Scheduler}. */
-export interface SchedulerOpts {
+export interface SchedulerOpts extends AccountSharesOpts {
   readonly clock: Clock
-  /** @returns Unix milliseconds */
-  readonly wallClock: () => number
   readonly limits: JobLimits
   readonly queue: QueueLookup
   /** Number of this term: one more than that of the previous term. */
@@ -90,8 +89,8 @@
   constructor (opts: SchedulerOpts) {
     this.opts = opts
     this.demandEstimator = new DemandEstimator(opts.clock)
-    this.placer = new TaskPlacer({ queue: opts.queue, term: opts.term, reservations: this.reservations, addRun: (task, worker, attempt) => this.addRun(task, worker, attempt), releaseRun: run => this.releaseRun(run) })
     this.table = new JobTable({ ...opts, onRunNotNeeded: (run, reason) => this.requestStop(run, reason) })
+    this.placer = new TaskPlacer({ queue: opts.queue, term: opts.term, reservations: this.reservations, shares: this.table.shares, addRun: (task, worker, attempt) => this.addRun(task, worker, attempt), releaseRun: run => this.releaseRun(run) })
     this.permitRequester = new PermitRequester({ clock: opts.clock, queue: opts.queue, ready: this.table.ready, workers: this.workers })
     this.isolation = new Isolation(this.placer, this.reservations)
     this.withdrawnRoom = new WithdrawnRoom(this.placer, this.isolation)
--- a/jobs/scheduler/src/step-order.ts
+++ b/jobs/scheduler/src/step-order.ts
@@ -1,3 +1,4 @@
+import { takeTurns, type Turn, type TurnOpts } from './share-turns.ts'
 import { comparePriorities, priorityOf, type QueueLookup, type StepPriority } from './step-priority.ts'
 import type { TrackedStep } from './tracked-job.ts'
 
@@ -38,6 +39,16 @@
     this.sorted = merge(this.sorted.filter(step => known.has(step) && priorities.has(step)), added, compare)
     return this.sorted
   }
+
+  /**
+   * @param steps - steps with tasks to start
+   * @param now - time of the injected clock
+   * @param opts - `shares`: use of the client accounts, undefined where there are none; `mayFit`: see {@link TurnOpts}
+   * @returns the steps in turns of their accounts, the most urgent first; to be iterated before the next call
+   */
+  turns (steps: readonly TrackedStep[], now: number, opts: Omit<TurnOpts, 'priorityOf'>): Iterable<Turn> {
+    return takeTurns(this.order(steps, now), { ...opts, priorityOf: step => this.priorities.get(step) as StepPriority })
+  }
 }
 
 /** Merges two sorted lists; of equal steps, those of the first list come first. */
--- a/jobs/scheduler/src/step-priority.ts
+++ b/jobs/scheduler/src/step-priority.ts
@@ -9,6 +9,8 @@
   /** 0 for long-running steps, 1 for others. */
   readonly lasting: number
   readonly priority: number
+  /** 1 for jobs that their client account has submitted beyond its weight, 0 for others and for long-running steps. */
+  readonly beyondWeight: number
   readonly cannotMeetObjective: number
   /** Class of the job's remaining work; each class spans twice the work of the one before. */
   readonly workClass: number
@@ -23,9 +25,11 @@
  * Sorts ready steps:
  * 1. long-running steps first, because their value accrues all the time;
  * 2. by queue priority;
- * 3. jobs that can still meet their time objective before those that cannot;
- * 4. jobs with less remaining work first, because more of them are then on time when capacity is short;
- * 5. by least slack.
+ * 3. jobs within the weights of their accounts before those beyond;
+ * 4. jobs that can still meet their time objective before those that cannot;
+ * 5. jobs with less remaining work first, because more of them are then on time when capacity is short;
+ * 6. by least slack.
+ * Between 4 and 5 accounts take turns, see `share-turns`.
  * @param steps - steps with tasks to start
  * @param opts - `queue`: looks up queues; `now`: time of the injected clock
  * @returns the steps, the most urgent first
@@ -82,7 +86,7 @@
   const { criticalPathMs, remainingCriticalPathMs, workClass } = figuresOf(job)
   const objectiveMs = (queue?.stretch ?? 1) * criticalPathMs + (queue?.objectiveMs ?? 0)
   const latestStartAt = job.firstSeenAt + objectiveMs - remainingCriticalPathMs
-  return { lasting: step.spec.lasting ? 0 : 1, priority: queue?.priority ?? 0, cannotMeetObjective: latestStartAt < opts.now ? 1 : 0, workClass, latestStartAt }
+  return { lasting: step.spec.lasting ? 0 : 1, priority: queue?.priority ?? 0, beyondWeight: job.isBeyondWeight && !step.spec.lasting ? 1 : 0, cannotMeetObjective: latestStartAt < opts.now ? 1 : 0, workClass, latestStartAt }
 }
 
 function workClassOf (job: TrackedJob): number {
@@ -95,5 +99,19 @@
 
 /** @returns a negative number if `a` comes before `b`, a positive one if after */
 export function comparePriorities (a: StepPriority, b: StepPriority): number {
-  return a.lasting - b.lasting || a.priority - b.priority || a.cannotMeetObjective - b.cannotMeetObjective || a.workClass - b.workClass || a.latestStartAt - b.latestStartAt
+  return compareRanks(a, b) || compareInAccount(a, b)
+}
+
+/** @returns whether steps rank alike but for their accounts and what comes after these */
+export function isSameRank (a: StepPriority, b: StepPriority): boolean {
+  return compareRanks(a, b) === 0
+}
+
+/** @returns a negative number if, of steps of one account that rank alike, `a` comes before `b`, a positive one if after */
+export function compareInAccount (a: StepPriority, b: StepPriority): number {
+  return a.workClass - b.workClass || a.latestStartAt - b.latestStartAt
+}
+
+function compareRanks (a: StepPriority, b: StepPriority): number {
+  return a.lasting - b.lasting || a.priority - b.priority || a.beyondWeight - b.beyondWeight || a.cannotMeetObjective - b.cannotMeetObjective
 }
--- a/jobs/scheduler/src/task-placer.ts
+++ b/jobs/scheduler/src/task-placer.ts
@@ -1,5 +1,6 @@
 import type { Reservations } from './reservations.ts'
 import type { Run } from './run.ts'
+import type { AccountShares } from './account-shares.ts'
 import { canPlace, chooseReservedWorker, chooseWorker, FreeCapacity, rankWorkers } from './placement.ts'
 import { needsIsolation } from './crash.ts'
 import { needsPermit } from './permits.ts'
@@ -18,6 +19,8 @@
   readonly term: number
   /** Gets the workers that are kept for long-running tasks. */
   readonly reservations: Reservations
+  /** Use of the client accounts; undefined where there are none. */
+  readonly shares?: AccountShares | undefined
   /** Creates a run and reserves its capacity. */
   addRun (task: Task, worker: TrackedWorker, attempt: number): Run
   /** Undoes {@link TaskPlacerOpts.addRun}. */
@@ -53,15 +56,16 @@
    */
   place (steps: readonly TrackedStep[], workers: readonly TrackedWorker[], opts: PlacementOpts): Run[] {
     if (workers.length === 0 || opts.maxRuns <= 0) return []
+    this.opts.shares?.beginPass(workers)
     const { now, maxRuns, reserved } = opts
     let usable = reserved === undefined ? workers : workers.filter(worker => worker !== reserved)
     let freeCapacity = new FreeCapacity(usable)
     const runs: Run[] = []
-    for (const step of this.stepOrder.order(steps, now)) {
+    for (const { step, maxTasks } of this.stepOrder.turns(steps, now, { shares: this.opts.shares, mayFit: step => freeCapacity.mayFit(step) })) {
       if (!freeCapacity.mayFit(step) && !step.spec.lasting) continue
       // What is reserved for a long-running task is room to the others: none has to wait for the work that keeps it from there.
       const open = step.spec.lasting ? workers : usable
-      runs.push(...step.spec.gang ? this.placeUnsuspectedGang(step, open, now) : this.placeTasks(step, open, now, maxRuns - runs.length))
+      runs.push(...step.spec.gang ? this.placeUnsuspectedGang(step, open, now) : this.placeTasks(step, open, now, Math.min(maxTasks, maxRuns - runs.length)))
       if (runs.length >= maxRuns) break
       if (mayStart(step)) freeCapacity.update()
       if (step.spec.lasting && step.tasks.some(task => isStartable(task, now) && !needsIsolation(task))) {
--- a/jobs/scheduler/src/tracked-job.ts
+++ b/jobs/scheduler/src/tracked-job.ts
@@ -1,4 +1,5 @@
 import type { Job, JobState, Step } from '@wisteriaslip/jobs.model'
+import type { AccountUse } from './account-use.ts'
 import { needsIsolation, type Crash } from './crash.ts'
 import { emptyProgress, type JobFailure, type JobProgress } from './progress.ts'
 import { numbersIn } from './ranges.ts'
@@ -89,6 +90,10 @@
   durableCrashVersion = 0
   /** The store has rejected its latest progress record, even without checkpoints: its crashes may never be stored. */
   isRecordRejected = false
+  /** Use of its client account; undefined where the leader has no accounts. */
+  use: AccountUse | undefined
+  /** Its account has submitted it beyond its weight in jobs a second. */
+  isBeyondWeight = false
   private readonly restoredProgress: JobProgress
 
   constructor (job: Job, opts: { acceptedThisTerm: boolean, firstSeenAt: number, progress?: JobProgress | undefined }) {
@@ -201,6 +206,7 @@
   const { task } = run
   if (isWaiting(task)) task.step.waiting -= 1
   task.runs.push(run)
+  task.step.job.use?.add(task.step.spec)
 }
 
 /**
@@ -213,6 +219,7 @@
   const at = task.runs.indexOf(run)
   if (at < 0) return
   task.runs.splice(at, 1)
+  task.step.job.use?.remove(task.step.spec)
   if (run.phase !== 'sending') task.idleSince = now
   if (isWaiting(task)) task.step.waiting += 1
 }
--- a/jobs/scheduler/test/harness.ts
+++ b/jobs/scheduler/test/harness.ts
@@ -1,4 +1,4 @@
-import type { ActiveRun, EndedRun, Job, JobLimits, Queue, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import type { Account, ActiveRun, EndedRun, Job, JobLimits, Queue, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import { Scheduler, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import { plainStep as step } from '@wisteriaslip/testing.jobs'
 
@@ -33,9 +33,9 @@
   queueKnown = true
   readonly scheduler: Scheduler
 
-  constructor (opts: { term?: number, queue?: Partial<Queue> } = {}) {
+  constructor (opts: { term?: number, queue?: Partial<Queue>, account?: (name: string) => Account | undefined } = {}) {
     const mergedQueue = { ...queue, ...opts.queue }
-    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits, queue: () => this.queueKnown ? mergedQueue : undefined, term: opts.term ?? 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: limits.longestLeaseMs })
+    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits, queue: () => this.queueKnown ? mergedQueue : undefined, account: opts.account, term: opts.term ?? 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: limits.longestLeaseMs })
   }
 
   /** Registers workers and applies a first report of each, without any runs. */
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -207,9 +207,9 @@
   }
 
   private createComponents (term: TermRecord, all: ServiceRecords, startedAt: number): void {
-    const { service, clock, wallClock, limits, queue, logger, leadershipConfirmedAt } = this.opts
+    const { service, clock, wallClock, limits, queue, account, logger, leadershipConfirmedAt } = this.opts
     const maxEarlierLeaseMs = Math.min(limits.longestLeaseMs, (term.leaseMs ?? limits.longestLeaseMs) * CLOCK_DRIFT_FACTOR)
-    const scheduler = new Scheduler({ clock, wallClock, limits, queue, term: term.number, maxEarlierLeaseMs, leadershipConfirmedAt })
+    const scheduler = new Scheduler({ clock, wallClock, limits, queue, account, term: term.number, maxEarlierLeaseMs, leadershipConfirmedAt })
     const writer = new ProgressWriter(scheduler, this.opts, { onRecorded: () => this.onRecorded(), onNewerLeader: () => this.onNewerLeader({ store: true }) })
     for (const [id, prior] of all.progress) writer.setPrior(id, prior)
     for (const id of all.unreadable) this.skipUnreadable(scheduler, id)
