What jobs beyond weights ask for draws no VMs from pools whose jobs are within

Cause: a pool that an account floods asked for VMs as loudly as one whose jobs are owed.

What changed: leaders tell the demand without such jobs beside the whole one (ServiceLoad.owed, optional). While pools ask for more VMs than exist, they are shared by it first.

--- a/jobs/fleet/src/pool-autoscaler.ts
+++ b/jobs/fleet/src/pool-autoscaler.ts
@@ -61,6 +61,8 @@
   readonly supply: number
   /** Number of VMs required now. */
   readonly required: number
+  /** Of these, VMs required without jobs beyond the weights of their client accounts. */
+  readonly owed: number
   /** Number of VMs with long-running tasks. */
   readonly lasting: number
   /** Largest number of VMs required within {@link SCALE_DOWN_WINDOW_MS}; infinite while the demand is not known. */
@@ -155,7 +157,9 @@
     const usable = new Set(load.workers.filter(worker => worker.usable).map(worker => worker.vm))
     const available = up.filter(vm => usable.has(vm.id) || now - (this.upSince.get(vm.id) ?? now) < WORKER_START_TIMEOUT_MS).length
     const supply = available + vms.filter(vm => this.willBecomeAvailable(vm, name, now)).length
-    const required = countRequiredVms(load, up.length === 0 ? vms : up)
+    const referenceVms = up.length === 0 ? vms : up
+    const required = countRequiredVms(load, referenceVms)
+    const { cpu, memMb } = load.owed ?? { cpu: load.wantedCpu, memMb: load.wantedMemMb }
     const samples = (this.samples.get(name) ?? []).filter(sample => now - sample.at < SCALE_DOWN_WINDOW_MS)
     samples.push({ at: now, vms: required })
     this.samples.set(name, samples)
@@ -164,6 +168,7 @@
       up,
       supply,
       required,
+      owed: countRequiredVms({ ...load, wantedCpu: cpu, wantedMemMb: memMb }, referenceVms),
       lasting: load.workers.filter(worker => worker.lastingRuns > 0).length,
       recentMaxRequired: this.isDemandKnown(name, load, now) ? Math.max(...samples.map(sample => sample.vms)) : Infinity,
       loads: new Map(load.workers.map(worker => [worker.vm, worker]))
--- a/jobs/fleet/src/vm-shares.ts
+++ b/jobs/fleet/src/vm-shares.ts
@@ -5,12 +5,14 @@
   readonly required: number
   /** Number of VMs that its long-running tasks require; granted first. */
   readonly lasting: number
+  /** Number of VMs that it requires without jobs beyond the weights of their client accounts; undefined if there are none. */
+  readonly owed?: number | undefined
 }
 
 /**
  * Shares VMs among pools. While there are enough, each pool gets what it requires. Otherwise the shares are max-min fair:
  * one VM for each pool that requires any first, then long-running tasks, then one VM at a time for the pool with the
- * smallest share that still requires more. So a small pool gets all it requires however much the large ones ask for.
+ * smallest share that still requires more, for jobs within the weights of their client accounts first. So a small pool gets all it requires however much the large ones ask for.
  * @param requests - what each pool asks for
  * @param total - number of VMs to share
  * @returns number of VMs by pool
@@ -21,7 +23,8 @@
   const shares = new Map(requests.map(({ name }) => [name, 0]))
   const afterMinimum = raise(requests, shares, { left: total, limitOf: ({ required }) => Math.min(1, required) })
   const afterLasting = raise(requests, shares, { left: afterMinimum, limitOf: ({ required, lasting }) => Math.min(lasting, required) })
-  raise(requests, shares, { left: afterLasting, limitOf: ({ required }) => required })
+  const afterOwed = raise(requests, shares, { left: afterLasting, limitOf: ({ required, owed }) => Math.min(owed ?? required, required) })
+  raise(requests, shares, { left: afterOwed, limitOf: ({ required }) => required })
   return shares
 }
 
--- a/jobs/fleet/test/pool-autoscaler.test.ts
+++ b/jobs/fleet/test/pool-autoscaler.test.ts
@@ -31,6 +31,19 @@
   assert.deepEqual(moves.map(move => [move.vm, move.to]), [['o1', 'a'], ['b2', 'a'], ['b3', 'a']])
 })
 
+test('a pool flooded beyond the weights of accounts draws no VMs from one whose jobs are within, and gets those that are left', () => {
+  const vms = [vm('a1', 'a'), vm('b1', 'b'), vm('o1', 'off'), vm('o2', 'off'), vm('o3', 'off')]
+  const movesTo = (owed: number): string[] => {
+    const loads = new Map([
+      ['a', { ...load(20 * CPU, [{ vm: 'a1', runs: 9, cpuShare: 1 }]), owed: { cpu: owed * CPU, memMb: 0 } }],
+      ['b', { ...load(1.9 * CPU, [{ vm: 'b1', runs: 9, cpuShare: 1 }]), owed: { cpu: 1.9 * CPU, memMb: 0 } }]
+    ])
+    return new PoolAutoscaler({ now: () => 0 }).plan(services, vms, loads, new Set()).map(move => move.to).sort()
+  }
+  assert.deepEqual(movesTo(20), ['a', 'a', 'b'])
+  assert.deepEqual(movesTo(0.2), ['a', 'b', 'b'])
+})
+
 test('idle VMs are powered off only after the requirement has been low for a while', () => {
   let now = 0
   const autoscaler = new PoolAutoscaler({ now: () => now })
--- a/jobs/fleet/test/vm-shares.test.ts
+++ b/jobs/fleet/test/vm-shares.test.ts
@@ -23,6 +23,13 @@
   assert.deepEqual(shares({ a: [30, 12], b: 30, c: 2 }, 20), { a: 12, b: 6, c: 2 })
 })
 
+test('what jobs beyond the weights of their accounts require comes after all that others require, and gets what is left', () => {
+  const share = (total: number): Record<string, number> => Object.fromEntries(shareVms([{ name: 'flooded', required: 40, lasting: 0, owed: 5 }, { name: 'within', required: 20, lasting: 0, owed: 20 }], total))
+  assert.deepEqual(share(24), { flooded: 5, within: 19 })
+  assert.deepEqual(share(40), { flooded: 20, within: 20 })
+  assert.deepEqual(share(3), { flooded: 2, within: 1 })
+})
+
 test('with enough VMs each pool gets what it requires', () => {
   assert.deepEqual(shares({ a: 5, b: 7, none: 0 }, 40), { a: 5, b: 7, none: 0 })
 })
--- a/jobs/protocol/src/service.ts
+++ b/jobs/protocol/src/service.ts
@@ -37,6 +37,11 @@
   readonly wantedCpu: number
   /** Memory demand of all running and waiting tasks, in MB. */
   readonly wantedMemMb: number
+  /**
+   * The same without waiting and expected tasks of jobs beyond the weights of their client accounts; undefined if there are no accounts,
+   * and from entries of earlier versions.
+   */
+  readonly owed?: { readonly cpu: number, readonly memMb: number } | undefined
   /** Minimum number of workers that satisfies the limits on tasks of one step per worker. */
   readonly leastWorkers: number
 }
--- a/jobs/scheduler/src/account-shares.ts
+++ b/jobs/scheduler/src/account-shares.ts
@@ -76,6 +76,11 @@
     if (this.arrivals.size > 0) this.arrivals = new Map()
   }
 
+  /** @returns whether jobs of known accounts were added */
+  hasAccounts (): boolean {
+    return this.meters.size > 0
+  }
+
   /**
    * Begins a pass: judges the jobs that were added.
    * @param workers - workers of the service, whose capacity is its room
--- a/jobs/scheduler/src/demand-estimator.ts
+++ b/jobs/scheduler/src/demand-estimator.ts
@@ -10,6 +10,7 @@
   readonly at: number
   /** Work of the job, in thousandths of a core times milliseconds. */
   readonly work: number
+  readonly isBeyondWeight: boolean
 }
 
 /** Estimates the steady-state CPU demand of a service from the jobs that arrived recently. */
@@ -26,21 +27,26 @@
    * Records a job that was just submitted. Ignores scheduled jobs, and long-running and backfill steps.
    * @param job - the accepted job
    * @param durationFactor - actual duration of its tasks relative to their estimates
+   * @param opts - `isBeyondWeight`: its client account has submitted it beyond its weight
    */
-  recordJob (job: Job, durationFactor: number): void {
+  recordJob (job: Job, durationFactor: number, { isBeyondWeight = false } = {}): void {
     if (job.schedule !== undefined) return
     const work = job.steps.reduce((sum, { lasting, backfill, tasks, demand, estimateMs }) => lasting || backfill ? sum : sum + tasks * demand.cpu * estimateMs * durationFactor, 0)
-    if (work > 0) this.arrivals.push({ at: this.clock.now(), work })
+    if (work > 0) this.arrivals.push({ at: this.clock.now(), work, isBeyondWeight })
   }
 
-  /** @returns CPU demand at the current arrival rate, in thousandths of a core; weighted lower when few jobs arrived */
-  expectedCpu (): number {
+  /**
+   * @param opts - `isOwed`: leaves out jobs beyond the weights of their client accounts
+   * @returns CPU demand at the current arrival rate, in thousandths of a core; weighted lower when few jobs arrived
+   */
+  expectedCpu ({ isOwed = false } = {}): number {
     const now = this.clock.now()
     this.arrivals = this.arrivals.filter(({ at }) => now - at < DEMAND_WINDOW_MS)
-    const first = this.arrivals[0]
+    const counted = isOwed ? this.arrivals.filter(({ isBeyondWeight }) => !isBeyondWeight) : this.arrivals
+    const first = counted[0]
     if (first === undefined) return 0
-    const work = this.arrivals.reduce((sum, arrival) => sum + arrival.work, 0)
-    const weight = (this.arrivals.length - 1) / this.arrivals.length
+    const work = counted.reduce((sum, arrival) => sum + arrival.work, 0)
+    const weight = (counted.length - 1) / counted.length
     return weight * work / Math.max(MIN_SPAN_MS, now - first.at)
   }
 }
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -129,6 +129,15 @@
     return !this.jobs.has(id) && !this.notStored.has(id)
   }
 
+  /**
+   * @param id - id of a job
+   * @returns whether its client account has submitted it beyond its weight
+   */
+  isBeyondWeight (id: string): boolean {
+    this.shares?.judgeJobs()
+    return this.jobs.get(id)?.isBeyondWeight === true
+  }
+
   /**
    * Applies the completion of a run.
    * @param task - task of the run
@@ -147,14 +156,15 @@
   /**
    * @param isUnplaceable - whether no worker of the service may take tasks of a step; of these steps, only the largest task counts, as
    * more workers like those are of no use to the others
+   * @param opts - `isOwed`: leaves out jobs beyond the weights of their client accounts
    * @returns demand of the ready tasks that have no run
    */
-  waiting (isUnplaceable: (step: TrackedStep) => boolean): Resources {
+  waiting (isUnplaceable: (step: TrackedStep) => boolean, { isOwed = false } = {}): Resources {
     const total = { cpu: 0, memMb: 0, accelerators: 0 }
     const largest = { cpu: 0, memMb: 0, accelerators: 0 }
     for (const step of this.ready) {
       const { spec, waiting } = step
-      if (waiting === 0) continue
+      if (waiting === 0 || (isOwed && step.job.isBeyondWeight && !spec.lasting)) continue
       const cpu = spec.backfill ? 0 : spec.demand.cpu
       if (isUnplaceable(step)) {
         largest.cpu = Math.max(largest.cpu, cpu)
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -103,13 +103,14 @@
    * @param opts - `acceptedThisTerm`: no earlier leader can have started the job
    */
   addJob (job: Job, opts: { acceptedThisTerm: boolean }): void {
-    if (!this.table.jobs.has(job.id)) this.demandEstimator.recordJob(job, this.durationEstimator.durationFactor(job.queue))
+    if (this.table.jobs.has(job.id)) return
     this.table.addJob(job, opts)
+    this.demandEstimator.recordJob(job, this.durationEstimator.durationFactor(job.queue), { isBeyondWeight: this.table.isBeyondWeight(job.id) })
   }
 
-  /** @returns CPU demand at the current arrival rate of jobs, in thousandths of a core */
-  expectedCpu (): number {
-    return this.demandEstimator.expectedCpu()
+  /** @returns CPU demand at the current arrival rate of jobs, in thousandths of a core; for `isOwed` see {@link DemandEstimator.expectedCpu} */
+  expectedCpu (opts: { isOwed?: boolean } = {}): number {
+    return this.demandEstimator.expectedCpu(opts)
   }
 
   /**
@@ -309,9 +310,9 @@
   }
 
   /** @returns demand of the ready tasks that have no run, see {@link JobTable.waiting} */
-  waitingDemand (): Resources {
+  waitingDemand (opts: { isOwed?: boolean } = {}): Resources {
     const workers = [...this.workers.values()].filter(worker => !worker.ended && !worker.deregistered)
-    return this.table.waiting(step => isUnplaceable(step, workers, this.opts.queue))
+    return this.table.waiting(step => isUnplaceable(step, workers, this.opts.queue), opts)
   }
 
   /** @returns runs for which a stop command is due, marked as sent */
--- a/jobs/scheduler/test/account-shares.test.ts
+++ b/jobs/scheduler/test/account-shares.test.ts
@@ -191,6 +191,18 @@
   }))
 })
 
+test('jobs beyond a weight count as demand, and apart from what is owed', () => {
+  const service = new SharedService({ a: 2 })
+  const { scheduler } = service.harness
+  for (let number = 0; number < 10; number++) {
+    service.harness.now += 50
+    scheduler.addJob(job({ id: `j${number}`, account: 'a', acceptedAt: 10_000 }), { acceptedThisTerm: true })
+  }
+  assert.deepEqual([scheduler.waitingDemand().cpu, scheduler.waitingDemand({ isOwed: true }).cpu], [10_000, 2_000])
+  assert.ok(scheduler.expectedCpu() > 4 * scheduler.expectedCpu({ isOwed: true }))
+  assert.ok(scheduler.expectedCpu({ isOwed: true }) > 0)
+})
+
 test('a job explains its account\'s share', () => {
   const service = new SharedService({ a: 1 })
   service.send('a', { count: 2, tasks: 16 })
--- a/jobs/service/src/load.ts
+++ b/jobs/service/src/load.ts
@@ -12,13 +12,21 @@
  */
 export function computeServiceLoad (scheduler: Scheduler, now: number): ServiceLoad {
   const workers = [...scheduler.workers.values()].filter(worker => !worker.ended && !worker.deregistered)
-  const waiting = scheduler.waitingDemand()
   const dueSoon = scheduler.table.dueSoon(SCHEDULED_LEAD_MS)
   const used = workers.map(worker => worker.used())
+  const wanted = (opts: { isOwed?: boolean } = {}): { cpu: number, memMb: number } => {
+    const waiting = scheduler.waitingDemand(opts)
+    return {
+      cpu: dueSoon.cpu + Math.max(waiting.cpu + sum(used.map(each => each.cpu)), longRunningCpu(workers) + scheduler.expectedCpu(opts)),
+      memMb: dueSoon.memMb + waiting.memMb + sum(used.map(each => each.memMb))
+    }
+  }
+  const { cpu, memMb } = wanted()
   return {
     kind: 'load',
-    wantedCpu: dueSoon.cpu + Math.max(waiting.cpu + sum(used.map(each => each.cpu)), longRunningCpu(workers) + scheduler.expectedCpu()),
-    wantedMemMb: dueSoon.memMb + waiting.memMb + sum(used.map(each => each.memMb)),
+    wantedCpu: cpu,
+    wantedMemMb: memMb,
+    ...(scheduler.table.shares?.hasAccounts() === true ? { owed: wanted({ isOwed: true }) } : {}),
     leastWorkers: scheduler.table.leastWorkers(),
     workers: workers.map(worker => ({
       worker: worker.registration.id,
