--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -164,7 +164,7 @@
     const largest = { cpu: 0, memMb: 0, accelerators: 0 }
     for (const step of this.ready) {
       const { spec, waiting } = step
-      if (waiting === 0 || (isOwed && step.job.isBeyondWeight && !spec.lasting)) continue
+      if (waiting === 0 || (isOwed && step.job.isBeyondWeight)) continue
       const cpu = spec.backfill ? 0 : spec.demand.cpu
       if (isUnplaceable(step)) {
         largest.cpu = Math.max(largest.cpu, cpu)
--- a/jobs/scheduler/src/step-priority.ts
+++ b/jobs/scheduler/src/step-priority.ts
@@ -9,7 +9,7 @@
   /** 0 for long-running steps, 1 for others. */
   readonly lasting: number
   readonly priority: number
-  /** 1 for jobs that their client account has submitted beyond its weight, 0 for others and for long-running steps. */
+  /** 1 for jobs that their client account has submitted beyond its weight, 0 for others. */
   readonly beyondWeight: number
   readonly cannotMeetObjective: number
   /** Class of the job's remaining work; each class spans twice the work of the one before. */
@@ -86,7 +86,7 @@
   const { criticalPathMs, remainingCriticalPathMs, workClass } = figuresOf(job)
   const objectiveMs = (queue?.stretch ?? 1) * criticalPathMs + (queue?.objectiveMs ?? 0)
   const latestStartAt = job.firstSeenAt + objectiveMs - remainingCriticalPathMs
-  return { lasting: step.spec.lasting ? 0 : 1, priority: queue?.priority ?? 0, beyondWeight: job.isBeyondWeight && !step.spec.lasting ? 1 : 0, cannotMeetObjective: latestStartAt < opts.now ? 1 : 0, workClass, latestStartAt }
+  return { lasting: step.spec.lasting ? 0 : 1, priority: queue?.priority ?? 0, beyondWeight: job.isBeyondWeight ? 1 : 0, cannotMeetObjective: latestStartAt < opts.now ? 1 : 0, workClass, latestStartAt }
 }
 
 function workClassOf (job: TrackedJob): number {
--- a/jobs/scheduler/test/account-shares.test.ts
+++ b/jobs/scheduler/test/account-shares.test.ts
@@ -135,7 +135,8 @@
   service.start()
   service.send('b')
   service.send('a', { tasks: 3, lasting: true })
-  assert.deepEqual(service.start(), ['a', 'a', 'a', 'b'])
+  service.send('b', { tasks: 2, lasting: true })
+  assert.deepEqual(service.start(), ['a', 'a', 'a', 'b', 'b', 'b'])
 })
 
 test('which jobs lie beyond a weight is the same in whichever order a leader learns of them, and after a takeover', () => {
