--- a/jobs/entry/src/site-view.ts
+++ b/jobs/entry/src/site-view.ts
@@ -1,5 +1,5 @@
 import { AccountDirectory } from '@wisteriaslip/jobs.accounts'
-import type { JobConfig, Queue, StoreLayout, Wave, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import type { Account, JobConfig, Queue, StoreLayout, Wave, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { Logger } from '@wisteriaslip/core.logger'
 import { RawMirror } from './raw-mirror.ts'
 
@@ -19,6 +19,7 @@
   private isFromPeer = false
   private loggedPeerVersion: number | undefined
   private queuesByName = new Map<string, Queue>()
+  private accountsByName = new Map<string, Account>()
   private declaredWaves: readonly Wave[] = []
   private workersByService = new Map<string, WorkerRegistration[]>()
   /** Decoded registrations by key: of many workers few change at a time, so unchanged revisions are not decoded again. */
@@ -60,6 +61,14 @@
     return this.queuesByName.get(name)
   }
 
+  /**
+   * @param name - name of a client account
+   * @returns the account, undefined when the newest configuration has none of this name
+   */
+  account (name: string): Account | undefined {
+    return this.accountsByName.get(name)
+  }
+
   /**
    * @param host - host header of the request
    * @param path - path of the request
@@ -115,6 +124,7 @@
   private apply (config: JobConfig): void {
     this.currentConfig = config
     this.queuesByName = new Map(config.queues.map(queue => [queue.name, queue]))
+    this.accountsByName = new Map((config.accounts ?? []).map(account => [account.name, account]))
     this.directory = config.accounts === undefined ? undefined : new AccountDirectory(config.accounts)
     this.logger.info({ version: config.version, queues: config.queues.length, accounts: config.accounts?.length, unreadableAccounts: config.unreadableAccounts }, 'configuration applied')
   }
--- a/jobs/service/src/progress-writer.ts
+++ b/jobs/service/src/progress-writer.ts
@@ -137,13 +137,13 @@
     this.opts.metrics.count('jobs_ended_total', { queue: job.queue, outcome: outcome ?? '' })
     if (job.schedule === undefined) this.opts.metrics.observe('job_time_us', { queue: job.queue }, tookMs)
     this.recordAccountWait(tracked)
-    this.opts.logger.info({ job: job.id, queue: job.queue, account: job.account, outcome, failure, tookMs, waitedMs: tracked.waitedMs, token: this.opts.token }, 'job ended')
+    this.opts.logger.info({ job: job.id, queue: job.queue, ...(job.account === undefined ? {} : { account: job.account, beyondWeight: tracked.isBeyondWeight }), outcome, failure, tookMs, waitedMs: tracked.waitedMs, token: this.opts.token }, 'job ended')
   }
 
-  private recordAccountWait ({ job, waitedMs }: TrackedJob): void {
+  private recordAccountWait ({ job, waitedMs, isBeyondWeight }: TrackedJob): void {
     if (job.account === undefined || waitedMs === undefined) return
     const account = this.opts.metrics.boundedValue('account', job.account, MAX_ACCOUNTS_IN_METRICS)
-    this.opts.metrics.observe('account_wait_us', { account }, waitedMs)
+    this.opts.metrics.observe('account_wait_us', { account, weight: isBeyondWeight ? 'beyond' : 'within' }, waitedMs)
   }
 
   /**
