Quotas of client accounts: each service's part of a quota in the store, and starts only within it

Nothing held a quota: an account sends to several services, each with a leader of its own that knows nothing of the others. Each account with a quota has a record of what each service may have in use; leaders raise, note what they lack and give back under its revision and their own leadership, and start within the last confirmed part. What a successor does not know counts as in use.

--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -301,6 +301,8 @@
       registeredWorkers: () => this.site.workersOf(service),
       vms: async inner => await this.listVms(inner),
       queue: name => this.site.queue(name),
+      account: name => this.site.account(name),
+      hasQuotas: () => this.site.hasQuotas(),
       limits: this.opts.limits,
       clock: this.clock,
       wallClock: this.wallClock,
--- a/jobs/entry/src/site-view.ts
+++ b/jobs/entry/src/site-view.ts
@@ -1,4 +1,4 @@
-import type { JobConfig, Queue, StoreLayout, Wave, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import type { Account, JobConfig, Queue, StoreLayout, Wave, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { Logger } from '@wisteriaslip/core.logger'
 import { RawMirror } from './raw-mirror.ts'
 
@@ -13,6 +13,8 @@
   private readonly logger: Logger
   private currentConfig: JobConfig | undefined
   private queuesByName = new Map<string, Queue>()
+  private accountsByName = new Map<string, Account>()
+  private accountsWithQuotas = 0
   private declaredWaves: readonly Wave[] = []
   private workersByService = new Map<string, WorkerRegistration[]>()
   /** Decoded registrations by key: of many workers few change at a time, so unchanged revisions are not decoded again. */
@@ -49,6 +51,19 @@
     return this.queuesByName.get(name)
   }
 
+  /**
+   * @param name - name of a client account
+   * @returns the account, undefined when the newest configuration has none of this name
+   */
+  account (name: string): Account | undefined {
+    return this.accountsByName.get(name)
+  }
+
+  /** @returns whether a client account of the newest configuration has a quota */
+  hasQuotas (): boolean {
+    return this.accountsWithQuotas > 0
+  }
+
   /**
    * @param host - host header of the request
    * @param path - path of the request
@@ -84,6 +99,9 @@
     if (this.currentConfig !== undefined && config.version <= this.currentConfig.version) return
     this.currentConfig = config
     this.queuesByName = new Map(config.queues.map(queue => [queue.name, queue]))
+    const accounts = config.accounts ?? []
+    this.accountsByName = new Map(accounts.map(account => [account.name, account]))
+    this.accountsWithQuotas = accounts.filter(({ quota }) => quota.cpu > 0 || quota.memMb > 0 || quota.accelerators > 0).length
     this.logger.info({ version: config.version, queues: config.queues.length }, 'configuration applied')
   }
 
--- /dev/null
+++ b/jobs/quota/src/holder.ts
@@ -0,0 +1,271 @@
+import { delay, Wakeup, type Clock } from '@wisteriaslip/core.result'
+import type { Logger } from '@wisteriaslip/core.logger'
+import type { Metrics } from '@wisteriaslip/core.metrics'
+import type { Account, Resources } from '@wisteriaslip/jobs.model'
+import type { Scheduler, StartLimiter } from '@wisteriaslip/jobs.scheduler'
+import { splitChanges, toVersioned, type Change, type Guard, type Store, type StoreError } from '@wisteriaslip/store.client'
+import { QuotaLimiter } from './limiter.ts'
+import { collectWaiting, type WaitingWork } from './needs.ts'
+import { nextPart, withPart, type Need, type Part, type QuotaRecord } from './parts.ts'
+import { QuotaBook } from './quota-book.ts'
+import { isSame, isWithin, least, most, nothing, plus } from './resources.ts'
+import { UseMetrics } from './use-metrics.ts'
+
+/** Interval at which parts are looked at although no task was refused. */
+const CHECK_INTERVAL_MS = 250
+/** Demand that comes together goes into one write. */
+const MIN_GAP_MS = 30
+/** Writes of a service at most: this many at once, and this many a second. */
+const MAX_WRITES_AT_ONCE = 4
+const WRITES_PER_S = 4
+/** What an account has not used for as long goes back. */
+const IDLE_MS = 10_000
+const READ_RETRY_MS = 200
+/** After a conflict over that many records they are read one by one; over more, the next write has half of them. */
+const MAX_READ_SINGLY = 2
+
+/** Options of {@link QuotaHolder}. */
+export interface QuotaHolderOpts {
+  readonly service: string
+  readonly token: number
+  /** Store condition that is true while this entry leads the service in this term. */
+  readonly guard: Guard
+  readonly store: Store
+  /** Key prefix of the records. */
+  readonly prefix: string
+  /** @returns the account in the newest configuration, undefined if it has none of this name */
+  readonly account: (name: string) => Account | undefined
+  /** @returns whether an account in the newest configuration has a quota */
+  readonly hasQuotas: () => boolean
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: Metrics
+  /** Called when a part has changed. */
+  readonly onChange: () => void
+}
+
+interface PartChange {
+  readonly account: string
+  readonly from: Resources
+  readonly part: Part
+  readonly isUrgent: boolean
+  readonly change: Change & { readonly value: QuotaRecord }
+}
+
+/**
+ * Holds a service's parts of the accounts' quotas: raises them where tasks wait, notes demand that it can't meet, and gives back what
+ * others lack, under the revision of each record and only while this entry leads the service. Reads and writes nothing while
+ * no account has a quota.
+ */
+export class QuotaHolder {
+  readonly book: QuotaBook
+  private readonly limits: QuotaLimiter
+  private readonly opts: QuotaHolderOpts
+  private readonly wakeup = new Wakeup()
+  private readonly useMetrics: UseMetrics
+  private readonly busyAt = new Map<string, number>()
+  private isNeeded = false
+  private readRevision = 0
+  private mustRead = true
+  private changesPerWrite = Infinity
+  private writesLeft = MAX_WRITES_AT_ONCE
+  private writesCountedAt: number
+  private failure: string | undefined
+
+  constructor (opts: QuotaHolderOpts) {
+    this.opts = opts
+    this.writesCountedAt = opts.clock.now()
+    this.book = new QuotaBook(opts.service, opts.prefix)
+    this.limits = new QuotaLimiter({ service: opts.service, clock: opts.clock, account: opts.account, book: this.book, onNeed: () => this.noteNeed() })
+    this.useMetrics = new UseMetrics(opts, account => ({ use: this.limits.use(account).tracked, part: this.book.given(account) }))
+  }
+
+  /** Says which tasks may be started. */
+  get limiter (): StartLimiter {
+    return this.limits
+  }
+
+  /**
+   * Reads, watches and changes the parts until the signal aborts.
+   * @param scheduler - scheduler of the term
+   * @param signal - ends the term
+   */
+  async run (scheduler: Scheduler, signal: AbortSignal): Promise<void> {
+    try {
+      while (!this.isNeeded && !this.opts.hasQuotas() && await this.wakeup.sleep(CHECK_INTERVAL_MS, signal));
+      if (!signal.aborted) await Promise.all([this.changeParts(scheduler, signal), this.watch(signal)])
+    } finally {
+      this.useMetrics.end()
+    }
+  }
+
+  /**
+   * Reads the records if they must be read, and writes the parts that should change.
+   * @param scheduler - scheduler of the term
+   * @param signal - ends the term
+   */
+  async step (scheduler: Scheduler, signal?: AbortSignal): Promise<void> {
+    if (this.mustRead && !await this.readAll(signal)) return
+    // Determined anew for each write: what is in use may have changed during the one before.
+    for (let written = true; written;) {
+      const [changes] = splitChanges(this.collectChanges(scheduler), { commonGuards: 1 })
+      if (changes === undefined || !this.takeWrite()) return
+      written = await this.write(changes.slice(0, this.changesPerWrite), signal)
+    }
+  }
+
+  private noteNeed (): void {
+    this.isNeeded = true
+    this.wakeup.wake()
+  }
+
+  private async changeParts (scheduler: Scheduler, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.step(scheduler, signal)
+      if (this.mustRead) await delay(READ_RETRY_MS, signal)
+      else if (await delay(MIN_GAP_MS, signal)) await this.wakeup.sleep(CHECK_INTERVAL_MS, signal)
+    }
+  }
+
+  private async watch (signal: AbortSignal): Promise<void> {
+    const { store, prefix } = this.opts
+    while (!signal.aborted) {
+      if (!this.mustRead) {
+        const ended = await store.watch(prefix, this.readRevision + 1, batch => {
+          this.readRevision = Math.max(this.readRevision, batch.revision)
+          for (const kv of batch.changed) if (this.book.apply(kv)) this.logUnreadable(kv.key)
+          for (const { key, modRevision } of batch.deleted) this.book.applyRemoval(key, modRevision)
+          this.noteChange()
+        }, signal)
+        if (ended.kind === 'compacted') this.mustRead = true
+      }
+      await delay(READ_RETRY_MS, signal)
+    }
+  }
+
+  /** Reads all records. */
+  private async readAll (signal: AbortSignal | undefined): Promise<boolean> {
+    const { store, prefix } = this.opts
+    const all = await store.list(prefix, signal === undefined ? {} : { signal })
+    this.noteOutcome(all.ok ? undefined : all.error)
+    if (!all.ok) return false
+    const { docs, undecodable, revision } = all.value
+    const found = new Set([...docs.map(doc => doc.key), ...undecodable])
+    for (const doc of docs) if (this.book.applyDoc(doc)) this.logUnreadable(doc.key)
+    for (const key of undecodable) if (this.book.apply({ key, value: '', createRevision: 0, modRevision: revision })) this.logUnreadable(key)
+    for (const account of this.book.accounts()) if (!found.has(this.book.key(account))) this.book.applyRemoval(this.book.key(account), revision)
+    this.readRevision = revision
+    this.book.isRead = true
+    this.mustRead = false
+    this.noteChange()
+    return true
+  }
+
+  private noteChange (): void {
+    this.wakeup.wake()
+    this.opts.onChange()
+  }
+
+  private collectChanges (scheduler: Scheduler): PartChange[] {
+    const now = this.opts.clock.now()
+    const waiting = collectWaiting(scheduler, this.limits, now)
+    const accounts = new Set([...this.limits.accounts(), ...this.book.accounts()])
+    const changes = [...accounts].map(account => this.nextChange(account, waiting.get(account), now)).filter(change => change !== undefined)
+    return changes.sort((a, b) => Number(b.isUrgent) - Number(a.isUrgent))
+  }
+
+  private nextChange (account: string, waiting: WaitingWork | undefined, now: number): PartChange | undefined {
+    const inForce = this.limits.quota(account)
+    const entry = this.book.entry(account)
+    if (typeof inForce === 'string' || entry?.unreadable === true) return undefined
+    const { quota, limits } = inForce
+    const from = this.book.given(account)
+    this.useMetrics.observe(account)
+    const need = this.needOf(account, from, { waiting, now })
+    const known = entry?.record?.parts[this.opts.service]
+    const part = nextPart(entry?.record, this.opts.service, { limits, need }) ?? (this.book.isLowering(account) ? known ?? { given: nothing } : undefined)
+    if (part === undefined) return undefined
+    const value = withPart(entry?.record, this.opts.service, { part, quota })
+    return { account, from, part, isUrgent: waiting !== undefined, change: { key: this.book.key(account), prior: entry?.version, value } }
+  }
+
+  /** The part is not lowered below what may be in progress, and not raised for runs that the term only cannot rule out. */
+  private needOf (account: string, given: Resources, { waiting, now }: { waiting: WaitingWork | undefined, now: number }): Need {
+    const { tracked, most: upTo } = this.limits.use(account)
+    const inUse = most(tracked, least(given, upTo))
+    if (waiting !== undefined || !isSame(upTo, nothing) || !this.busyAt.has(account)) this.busyAt.set(account, now)
+    return {
+      inUse,
+      total: plus(inUse, waiting?.demand ?? nothing),
+      atOnce: waiting?.atOnce ?? nothing,
+      idle: now - (this.busyAt.get(account) ?? now) >= IDLE_MS,
+      progressed: this.limits.hasProgressed(account)
+    }
+  }
+
+  /** Counts a write, unless the service has written too often of late. */
+  private takeWrite (): boolean {
+    const now = this.opts.clock.now()
+    this.writesLeft = Math.min(MAX_WRITES_AT_ONCE, this.writesLeft + (now - this.writesCountedAt) / 1_000 * WRITES_PER_S)
+    this.writesCountedAt = now
+    if (this.writesLeft < 1) return false
+    this.writesLeft -= 1
+    return true
+  }
+
+  /** Writes parts. One that is lowered is kept to from the moment of sending, also if there is no response. */
+  private async write (changes: readonly PartChange[], signal: AbortSignal | undefined): Promise<boolean> {
+    const { store, guard } = this.opts
+    const isLower = ({ from, part }: PartChange): boolean => !isWithin(from, part.given)
+    for (const each of changes) if (isLower(each)) this.book.lower(each.account, each.part.given)
+    const written = await store.update(changes.map(({ change }) => change), { guards: [guard], signal })
+    this.noteOutcome(written.ok ? undefined : written.error)
+    if (written.ok) {
+      for (const { change } of changes) this.book.applyDoc(toVersioned(change, written.value))
+      for (const { account } of changes) this.limits.forgetProgress(account)
+      this.changesPerWrite *= 2
+      this.log(changes)
+      this.noteChange()
+      return true
+    }
+    this.changesPerWrite = Math.max(1, Math.floor(Math.min(changes.length, this.changesPerWrite) / 2))
+    const maybeApplied = written.error.kind === 'unavailable' && written.error.maybeApplied
+    if (!maybeApplied) for (const each of changes) this.book.forgetLowered(each.account)
+    if (maybeApplied) this.mustRead = true
+    if (written.error.kind === 'conflict' && changes.length <= MAX_READ_SINGLY) await this.readAgain(changes, signal)
+    this.wakeup.wake()
+    return false
+  }
+
+  /** The watch may not have shown yet what has changed. */
+  private async readAgain (changes: readonly PartChange[], signal: AbortSignal | undefined): Promise<void> {
+    for (const { change: { key } } of changes) {
+      const doc = await this.opts.store.get(key, { signal })
+      if (doc.ok && doc.value !== undefined) this.book.applyDoc(doc.value)
+      else this.mustRead = true
+    }
+  }
+
+  /** One line for each write, of 15 parts at most. */
+  private log (changes: readonly PartChange[]): void {
+    const { service, token, logger, metrics } = this.opts
+    metrics.count('quota_writes_total', { service })
+    const parts = changes.map(({ account, from, part: { given, wants } }) => ({ account, from, to: given, ...(wants === undefined ? {} : { wants: wants.total }) }))
+    logger.info({ service, token, parts }, 'parts of quotas changed')
+  }
+
+  private logUnreadable (key: string): void {
+    this.opts.logger.error({ service: this.opts.service, key }, 'record of a quota cannot be read: its part stays as it is, and nobody changes it')
+  }
+
+  /** Logs when writes and reads begin to fail, and when they succeed again. Conflicts are none. */
+  private noteOutcome (error: StoreError | undefined): void {
+    const { service, token, logger, metrics } = this.opts
+    if (error !== undefined) metrics.count('quota_failures_total', { service, code: error.code })
+    const code = error?.kind === 'conflict' ? undefined : error?.code
+    if (code === this.failure) return
+    if (code === undefined) logger.info({ service, token }, 'parts of quotas can be changed again')
+    else logger.warn({ service, token, code }, 'parts of quotas cannot be changed: tasks start within those that are confirmed')
+    this.failure = code
+  }
+}
--- a/jobs/quota/src/index.ts
+++ b/jobs/quota/src/index.ts
@@ -2,4 +2,4 @@
  * Quotas of client accounts across the leaders of all services.
  * @module
  */
-export {}
+export { QuotaHolder, type QuotaHolderOpts } from './holder.ts'
--- /dev/null
+++ b/jobs/quota/src/parts.ts
@@ -0,0 +1,137 @@
+import type { Resources } from '@wisteriaslip/jobs.model'
+import { shareFairly } from './fair-parts.ts'
+import { each, isSame, isWithin, least, minus, most, nothing, plus } from './resources.ts'
+
+/** What a service would use beyond its part. */
+export interface Wants {
+  /** All that it would use now, with what is in use. */
+  readonly total: Resources
+  /** Its largest task, or gang, that waits: less than that more may be of no use to it. */
+  readonly atOnce: Resources
+  /** Whoever has the lower number is served first. */
+  readonly turn: number
+}
+
+/** A service's part of an account's quota. */
+export interface Part {
+  /** What the service may have in use. Nothing else counts for the others. */
+  readonly given: Resources
+  readonly wants?: Wants | undefined
+}
+
+/** The record of one account: what each service may have in use of its quota. */
+export interface QuotaRecord {
+  /** The quota as the last writer knew it, for as long as the configuration lacks the account. */
+  readonly quota: Resources
+  readonly parts: Readonly<Record<string, Part>>
+}
+
+/** What a service has in use of an account's quota, and what it would use. */
+export interface Need {
+  /** All that may be in progress. */
+  readonly inUse: Resources
+  /** What would be in use if all that waits and has room ran; not less than `inUse`. */
+  readonly total: Resources
+  /** Largest task or gang that waits; nothing if none does. */
+  readonly atOnce: Resources
+  /** Nothing has been in use or has waited for long. */
+  readonly idle: boolean
+  /** A task was started since the part was last written. */
+  readonly progressed: boolean
+}
+
+/** A part is raised by this share of the quota more than is needed, if nobody lacks it: so that it is raised seldom. */
+const HEADROOM = 1 / 8
+/** Demand is noted in steps of this share of the quota: so that it is noted seldom. */
+const STEP = 1 / 16
+
+/**
+ * @param record - an account's record
+ * @param service - a service
+ * @returns what all other services may have in use
+ */
+export function givenToOthers (record: QuotaRecord | undefined, service: string): Resources {
+  let sum = nothing
+  for (const [name, part] of Object.entries(record?.parts ?? {})) if (name !== service) sum = plus(sum, part.given)
+  return sum
+}
+
+/**
+ * While all parts together are above the quota, as a version has lowered it, a service uses only what the others certainly leave.
+ * @param record - an account's record
+ * @param service - a service
+ * @param limits - the account's quota, infinity for no limit
+ * @returns what the service may have in use when it starts more
+ */
+export function usablePart (record: QuotaRecord | undefined, service: string, limits: Resources): Resources {
+  const given = record?.parts[service]?.given ?? nothing
+  const left = minus(limits, givenToOthers(record, service))
+  return each(dimension => limits[dimension] === Infinity ? Infinity : Math.min(given[dimension], left[dimension]))
+}
+
+/**
+ * Decides on the part that a service should have next. A part is raised only into what all others leave of the quota, and
+ * never goes below what is in use. What nobody lacks stays where it is. If all parts are above the quota, each is lowered to its share.
+ * @param record - the account's record, undefined if there is none
+ * @param service - the service
+ * @param opts - `limits`: the account's quota, infinity for no limit; `need`: use and demand here
+ * @returns the new part, with nothing given if it can be removed; undefined if it should stay as it is
+ */
+export function nextPart (record: QuotaRecord | undefined, service: string, opts: { limits: Resources, need: Need }): Part | undefined {
+  const { limits, need } = opts
+  const limited = (resources: Resources): Resources => each(dimension => limits[dimension] === Infinity ? 0 : resources[dimension])
+  const part = record?.parts[service]
+  const before = part?.given ?? nothing
+  const inUse = limited(need.inUse)
+  const total = limited(most(inUse, least(need.total, limits)))
+  const atOnce = limited(need.atOnce)
+  const free = limited(minus(limits, givenToOthers(record, service)))
+  const isOver = !isWithin(before, free)
+  const lacking = isOver || Object.entries(record?.parts ?? {}).some(([name, other]) => name !== service && other.wants !== undefined)
+  const given = most(inUse, lacking ? contendedPart() : calmPart())
+  const wants = isWithin(total, given) ? undefined : notedWants(record, service, { total, atOnce, limits, progressed: need.progressed })
+  if (isSame(given, before) && isSameWants(wants, part?.wants)) return undefined
+  return { given, ...(wants === undefined ? {} : { wants }) }
+
+  function calmPart (): Resources {
+    if (need.idle) return nothing
+    if (isWithin(total, before)) return before
+    return least(free, most(before, plus(total, limited(each(dimension => Math.floor(limits[dimension] * HEADROOM))))))
+  }
+
+  function contendedPart (): Resources {
+    const wanted = { total, atOnce: isWithin(total, before) ? nothing : atOnce, turn: part?.wants?.turn ?? Infinity }
+    const share = least(total, shareFairly(record, service, { limits, wanted }))
+    return each(dimension => share[dimension] <= before[dimension] ? share[dimension] : Math.max(before[dimension], Math.min(share[dimension], free[dimension])))
+  }
+}
+
+/** Notes demand in steps, and keeps its turn until a task has started and others wait. */
+function notedWants (record: QuotaRecord | undefined, service: string, opts: { total: Resources, atOnce: Resources, limits: Resources, progressed: boolean }): Wants {
+  const inSteps = (resources: Resources): Resources => each(dimension => {
+    const step = opts.limits[dimension] * STEP
+    return Number.isFinite(step) ? Math.floor(Math.min(opts.limits[dimension], Math.ceil(resources[dimension] / step) * step)) : 0
+  })
+  const own = record?.parts[service]?.wants?.turn
+  const others = Object.entries(record?.parts ?? {}).flatMap(([name, part]) => name === service || part.wants === undefined ? [] : [part.wants.turn])
+  const last = Math.max(0, ...others)
+  const keepsTurn = own !== undefined && (!opts.progressed || own > last)
+  return { total: inSteps(opts.total), atOnce: inSteps(opts.atOnce), turn: keepsTurn ? own : last + 1 }
+}
+
+function isSameWants (a: Wants | undefined, b: Wants | undefined): boolean {
+  if (a === undefined || b === undefined) return a === b
+  return a.turn === b.turn && isSame(a.total, b.total) && isSame(a.atOnce, b.atOnce)
+}
+
+/**
+ * @param record - the account's record, undefined if there is none
+ * @param service - the service
+ * @param opts - its new part, and the account's quota
+ * @returns the new record
+ */
+export function withPart (record: QuotaRecord | undefined, service: string, { part, quota }: { part: Part, quota: Resources }): QuotaRecord {
+  const { [service]: _, ...others } = record?.parts ?? {}
+  const isEmpty = isSame(part.given, nothing) && part.wants === undefined
+  return { quota, parts: isEmpty ? others : { ...others, [service]: part } }
+}
--- /dev/null
+++ b/jobs/quota/src/quota-book.ts
@@ -0,0 +1,179 @@
+import type { Resources } from '@wisteriaslip/jobs.model'
+import { decodeEnvelope, type RawKeyValue, type Versioned } from '@wisteriaslip/store.client'
+import { usablePart, type QuotaRecord } from './parts.ts'
+import { isQuotaRecord } from './record-schema.ts'
+import { each, nothing } from './resources.ts'
+
+/** A lowered part that may be stored, now or later. */
+interface Lowered {
+  readonly given: Resources
+  /** Revision of the record that the write replaces: it has taken effect, or never will, once the record has a later one. */
+  readonly priorRevision: number
+}
+
+/** What is known of one account's record. */
+export interface BookEntry {
+  /** The last record that could be read. */
+  readonly record: QuotaRecord | undefined
+  /** The stored version, for the next write. */
+  readonly version: Versioned | undefined
+  readonly revision: number
+  /** The stored value cannot be read: nobody changes it. */
+  readonly unreadable: boolean
+}
+
+/** The records of all accounts as the store has confirmed them, and what this service may use by them. */
+export class QuotaBook {
+  private readonly service: string
+  private readonly prefix: string
+  private readonly entries = new Map<string, BookEntry>()
+  private readonly lowered = new Map<string, Lowered>()
+  /** The records have been read. */
+  isRead = false
+  /** Increases with each change of what may be used. */
+  changes = 0
+
+  /**
+   * @param service - the service whose parts are used here
+   * @param prefix - key prefix of the records
+   */
+  constructor (service: string, prefix: string) {
+    this.service = service
+    this.prefix = prefix
+  }
+
+  /**
+   * @param account - name of an account
+   * @returns key of its record
+   */
+  key (account: string): string {
+    return this.prefix + encodeURIComponent(account)
+  }
+
+  /** @returns names of the accounts whose records are known */
+  accounts (): string[] {
+    return [...this.entries.keys()]
+  }
+
+  /**
+   * @param account - name of an account
+   * @returns its record as far as it is known
+   */
+  entry (account: string): BookEntry | undefined {
+    return this.entries.get(account)
+  }
+
+  /**
+   * Takes a stored record over, unless a later one is known.
+   * @param kv - the record as stored
+   * @returns whether it cannot be read and that is new
+   */
+  apply (kv: RawKeyValue): boolean {
+    const doc = decodeEnvelope(kv)
+    if (doc !== undefined) return this.applyDoc(doc)
+    return this.markUnreadable(kv.key, kv.modRevision)
+  }
+
+  /**
+   * Takes a stored record over, unless a later one is known.
+   * @param doc - the record as stored
+   * @returns whether it cannot be read and that is new
+   */
+  applyDoc (doc: Versioned): boolean {
+    const { value } = doc
+    if (!isQuotaRecord(value)) return this.markUnreadable(doc.key, doc.modRevision)
+    const account = this.accountOf(doc.key)
+    if (account === undefined || doc.modRevision < this.revisionOf(account)) return false
+    this.changes += 1
+    this.entries.set(account, { record: value, version: doc, revision: doc.modRevision, unreadable: false })
+    this.settleLowered(account)
+    return false
+  }
+
+  /**
+   * Takes note of the removal of a record, unless a later one is known.
+   * @param key - key of the record
+   * @param revision - revision at which it was removed, or at which it was not there
+   */
+  applyRemoval (key: string, revision: number): void {
+    const account = this.accountOf(key)
+    if (account === undefined || revision < this.revisionOf(account)) return
+    this.changes += 1
+    this.entries.set(account, { record: undefined, version: undefined, revision, unreadable: false })
+    this.settleLowered(account)
+  }
+
+  /**
+   * @param account - name of an account
+   * @param limits - its quota, infinity for no limit
+   * @returns what the service may have in use when it starts more
+   */
+  usable (account: string, limits: Resources): Resources {
+    const entry = this.entries.get(account)
+    const usable = usablePart(entry?.record, this.service, limits)
+    const lowered = this.lowered.get(account)
+    if (lowered === undefined) return usable
+    return each(dimension => usable[dimension] === Infinity ? Infinity : Math.min(usable[dimension], lowered.given[dimension]))
+  }
+
+  /**
+   * From now on only what a lowered part gives is used: the write that lowers it may take effect at any time.
+   * @param account - name of an account
+   * @param given - the part that is about to be written
+   */
+  lower (account: string, given: Resources): void {
+    const before = this.lowered.get(account)?.given
+    this.changes += 1
+    this.lowered.set(account, { given: before === undefined ? given : each(dimension => Math.min(before[dimension], given[dimension])), priorRevision: this.revisionOf(account) })
+  }
+
+  /**
+   * Forgets a lowered part whose write has certainly had no effect.
+   * @param account - name of an account
+   */
+  forgetLowered (account: string): void {
+    if (this.lowered.delete(account)) this.changes += 1
+  }
+
+  /**
+   * @param account - name of an account
+   * @returns whether a write may still take effect that lowers the part
+   */
+  isLowering (account: string): boolean {
+    return this.lowered.has(account)
+  }
+
+  /**
+   * @param account - name of an account
+   * @returns what the service was given by the last record
+   */
+  given (account: string): Resources {
+    return this.entries.get(account)?.record?.parts[this.service]?.given ?? nothing
+  }
+
+  private settleLowered (account: string): void {
+    const lowered = this.lowered.get(account)
+    if (lowered !== undefined && this.revisionOf(account) > lowered.priorRevision) this.lowered.delete(account)
+  }
+
+  private markUnreadable (key: string, revision: number): boolean {
+    const account = this.accountOf(key)
+    if (account === undefined || revision < this.revisionOf(account)) return false
+    const known = this.entries.get(account)
+    if (known?.unreadable === true && known.revision === revision) return false
+    this.entries.set(account, { record: known?.record, version: undefined, revision, unreadable: true })
+    return true
+  }
+
+  private revisionOf (account: string): number {
+    return this.entries.get(account)?.revision ?? 0
+  }
+
+  private accountOf (key: string): string | undefined {
+    try {
+      return key.startsWith(this.prefix) ? decodeURIComponent(key.slice(this.prefix.length)) : undefined
+    } catch {
+      return undefined
+    }
+  }
+}
--- a/jobs/scheduler/src/explain.ts
+++ b/jobs/scheduler/src/explain.ts
@@ -8,7 +8,7 @@
 import type { TrackedWorker } from './tracked-worker.ts'
 
 /** Reason why tasks of a ready step are not started. */
-export type WaitReason = 'EARLIER_LEADERS_WORKERS_SILENT' | 'NO_USABLE_WORKER' | 'NO_WORKER_WITH_LABEL' | 'ONLY_WITHDRAWN_ROOM' | 'NO_ROOM' | 'NO_PERMIT' | 'SUSPECTED_OF_CRASHES' | 'UNSETTLED_OR_RESTING'
+export type WaitReason = 'EARLIER_LEADERS_WORKERS_SILENT' | 'ACCOUNT_QUOTA' | 'NO_USABLE_WORKER' | 'NO_WORKER_WITH_LABEL' | 'ONLY_WITHDRAWN_ROOM' | 'NO_ROOM' | 'NO_PERMIT' | 'SUSPECTED_OF_CRASHES' | 'UNSETTLED_OR_RESTING'
 
 const MAX_LISTED_TASKS = 50
 
@@ -67,6 +67,7 @@
 function explainStep (scheduler: Scheduler, step: TrackedStep, sortedSteps: readonly TrackedStep[], opts: { queue: QueueLookup, now: number }): Record<string, unknown> {
   const position = sortedSteps.indexOf(step)
   const waiting = position < 0 ? undefined : step.tasks.find(isWaiting)
+  const quota = waiting === undefined ? undefined : scheduler.limiter.whyNot(step)
   return {
     number: step.number,
     tasks: step.tasks.length,
@@ -74,6 +75,7 @@
     after: step.spec.after,
     ...(position < 0 ? {} : { placeInOrder: position }),
     ...(waiting === undefined ? {} : { waitsFor: waitReasonOf(scheduler, step, opts), room: countRoom(scheduler, waiting, opts) }),
+    ...(quota === undefined ? {} : { quota }),
     underWay: step.tasks.filter(task => !task.done && (task.runs.length > 0 || task.failedAttempts.length > 0 || task.crashes.length > 0)).slice(0, MAX_LISTED_TASKS).map(task => explainTask(scheduler, task, opts.now))
   }
 }
@@ -118,6 +120,7 @@
  */
 export function waitReasonOf (scheduler: Scheduler, step: TrackedStep, opts: { queue: QueueLookup, now: number }): WaitReason {
   if (scheduler.mayHaveUnknownRuns() && !step.job.acceptedThisTerm) return 'EARLIER_LEADERS_WORKERS_SILENT'
+  if (scheduler.limiter.whyNot(step) !== undefined) return 'ACCOUNT_QUOTA'
   const usable = [...scheduler.workers.values()].filter(worker => worker.takesStarts(opts.now))
   if (!usable.some(worker => canPlace(step, worker)) && withdrawnWithRoom(scheduler, step, opts.now).length > 0) return 'ONLY_WITHDRAWN_ROOM'
   if (usable.length === 0) return 'NO_USABLE_WORKER'
--- a/jobs/scheduler/src/isolation.ts
+++ b/jobs/scheduler/src/isolation.ts
@@ -75,6 +75,7 @@
     let waiting: Task | undefined
     for (const task of suspectedSteps.flatMap(step => startableSuspects(step, opts.now)).sort(compareSuspicion)) {
       if (runs.length >= opts.maxRuns) break
+      if (!this.placer.isAllowed(task.step)) continue
       if (this.waitedMs(task.step.job, opts.now) >= MAX_SUSPICION_WAIT_MS) {
         const unsuspected = this.startAnywhere(task, this.placer.permittedWorkers(task.step, workers, opts.now), opts.now)
         runs.push(...unsuspected)
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -144,13 +144,15 @@
   /**
    * @param isUnplaceable - whether no worker of the service may take tasks of a step; of these steps, only the largest task counts, as
    * more workers like those are of no use to the others
+   * @param countOf - of how many waiting tasks of a step the demand counts
    * @returns demand of the ready tasks that have no run
    */
-  waiting (isUnplaceable: (step: TrackedStep) => boolean): Resources {
+  waiting (isUnplaceable: (step: TrackedStep) => boolean, countOf: (step: TrackedStep) => number = step => step.waiting): Resources {
     const total = { cpu: 0, memMb: 0, accelerators: 0 }
     const largest = { cpu: 0, memMb: 0, accelerators: 0 }
     for (const step of this.ready) {
-      const { spec, waiting } = step
+      const { spec } = step
+      const waiting = countOf(step)
       if (waiting === 0) continue
       const cpu = spec.backfill ? 0 : spec.demand.cpu
       if (isUnplaceable(step)) {
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -15,10 +15,11 @@
 import { PermitRequester } from './permit-requester.ts'
 import { releaseCauses, toReleasedRun, type ReleaseCause } from './released-run.ts'
 import { Reservations } from './reservations.ts'
+import { capacityOfUnknownRuns, noLimits, type StartLimiter } from './start-limiter.ts'
 import { carriedOver, createRun, type Run } from './run.ts'
 import { DurationEstimator, findStragglers } from './stragglers.ts'
 import { TaskPlacer } from './task-placer.ts'
-import { attachRun, detachRun, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
+import { attachRun, detachRun, markBegun, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
 import { runKey, TrackedWorker, type ClockReading } from './tracked-worker.ts'
 import { WithdrawnRoom } from './withdrawn-room.ts'
 import { describeSilence, lossCauses, toLostRun, type LossCause, type WorkerLoss } from './worker-loss.ts'
@@ -48,6 +49,8 @@
   readonly maxEarlierLeaseMs: number
   /** @returns latest time of the injected clock at which this leader was certainly the only one */
   readonly leadershipConfirmedAt: () => number
+  /** Limits starts by the quotas of client accounts; by default nothing is limited. */
+  readonly limiter?: StartLimiter | undefined
 }
 
 /** A reported run whose job is not stored. */
@@ -76,6 +79,7 @@
   readonly withdrawnRoom: WithdrawnRoom
   readonly isolation: Isolation
   readonly reservations = new Reservations()
+  readonly limiter: StartLimiter
   private readonly opts: SchedulerOpts
   private readonly runsToStop = new Set<Run>()
   private losses: WorkerLoss[] = []
@@ -89,8 +93,9 @@
 
   constructor (opts: SchedulerOpts) {
     this.opts = opts
+    this.limiter = opts.limiter ?? noLimits
     this.demandEstimator = new DemandEstimator(opts.clock)
-    this.placer = new TaskPlacer({ queue: opts.queue, term: opts.term, reservations: this.reservations, addRun: (task, worker, attempt) => this.addRun(task, worker, attempt), releaseRun: run => this.releaseRun(run) })
+    this.placer = new TaskPlacer({ queue: opts.queue, term: opts.term, reservations: this.reservations, limiter: this.limiter, addRun: (task, worker, attempt) => this.addRun(task, worker, attempt), releaseRun: run => this.releaseRun(run) })
     this.table = new JobTable({ ...opts, onRunNotNeeded: (run, reason) => this.requestStop(run, reason) })
     this.permitRequester = new PermitRequester({ clock: opts.clock, queue: opts.queue, ready: this.table.ready, workers: this.workers })
     this.isolation = new Isolation(this.placer, this.reservations)
@@ -104,7 +109,7 @@
    * @param opts - `acceptedThisTerm`: no earlier leader can have started the job
    */
   addJob (job: Job, opts: { acceptedThisTerm: boolean }): void {
-    if (!this.table.jobs.has(job.id)) this.demandEstimator.recordJob(job, this.durationEstimator.durationFactor(job.queue))
+    if (!this.table.jobs.has(job.id) && this.limiter.mayGrow(job)) this.demandEstimator.recordJob(job, this.durationEstimator.durationFactor(job.queue))
     this.table.addJob(job, opts)
   }
 
@@ -235,7 +240,7 @@
       run.begunHere ||= reading !== undefined && run.worker.isOwnClock(reading)
       run.startedWorkerClockMs ??= run.worker.clockAt(now)
       run.progressedWorkerClockMs = Math.max(run.progressedWorkerClockMs, run.startedWorkerClockMs)
-      this.markJobStarted(run, now)
+      markBegun(run.task.step.job, now)
       return
     }
     if (error.kind === 'other-life') {
@@ -274,7 +279,7 @@
     for (const worker of [...this.workers.values()]) {
       if (worker.runs.size > 0 && worker.haveLeasesExpired(leasesKnownAt)) {
         if (!worker.ended) this.recordLoss(worker, lossCauses.leaseExpired)
-        if (!worker.ended) this.keepExpiredRuns(worker)
+        if (!worker.ended) worker.keepExpiredRuns(now + EXPIRED_RUNS_KEPT_MS)
         this.releaseRuns(worker, releaseCauses.leaseExpired)
       }
       if (worker.expiredRuns.length > 0 && now >= worker.expiredRunsUntil) worker.expiredRuns = []
@@ -294,6 +299,7 @@
     const now = this.opts.clock.now()
     this.reservations.clear()
     if (maxRuns <= 0) return []
+    this.limiter.beginPass(() => capacityOfUnknownRuns(this.workers.values(), this.leasesKnownAt()))
     const steps = [...this.table.ready].filter(mayStart)
     if (steps.length === 0) return this.withdrawnRoom.place({ ready: [], placeable: [] }, [...this.workers.values()], { now, maxRuns })
     const workers = [...this.workers.values()].filter(worker => worker.takesStarts(now) && worker.hasClock())
@@ -312,7 +318,7 @@
   /** @returns demand of the ready tasks that have no run, see {@link JobTable.waiting} */
   waitingDemand (): Resources {
     const workers = [...this.workers.values()].filter(worker => !worker.ended && !worker.deregistered)
-    return this.table.waiting(step => isUnplaceable(step, workers, this.opts.queue))
+    return this.table.waiting(step => isUnplaceable(step, workers, this.opts.queue), this.limiter.countWaiting())
   }
 
   /** @returns runs for which a stop command is due, marked as sent */
@@ -357,7 +363,7 @@
   stopLongRunningTasks (worker: TrackedWorker): void {
     const now = this.opts.clock.now()
     const others = [...this.workers.values()].filter(other => other !== worker && other.takesStarts(now))
-    moveLongRunningTasks(worker, { others, ready: this.table.ready, stopping: this.runsToStop, mayTake: (step, other) => this.placer.permittedWorkers(step, [other], now).length > 0, stop: (run, reason) => this.requestStop(run, reason) })
+    moveLongRunningTasks(worker, { others, ready: this.table.ready, stopping: this.runsToStop, mayTake: (step, other) => this.limiter.mayAdd(step, 0) && this.placer.permittedWorkers(step, [other], now).length > 0, stop: (run, reason) => this.requestStop(run, reason) })
   }
 
   /** @returns the runs that were lost with their workers since the previous call */
@@ -367,11 +373,6 @@
     return losses
   }
 
-  private keepExpiredRuns (worker: TrackedWorker): void {
-    worker.expiredRuns = [...worker.runs.values()]
-    worker.expiredRunsUntil = this.opts.clock.now() + EXPIRED_RUNS_KEPT_MS
-  }
-
   private recordLoss (worker: TrackedWorker, cause: LossCause): void {
     if (worker.runs.size === 0) return
     this.losses.push({ ...describeSilence(worker, this.opts.clock.now()), worker: worker.registration, cause, runs: [...worker.runs.values()].map(toLostRun) })
@@ -410,6 +411,7 @@
     run.carriedTo = carried
     worker.add(carried)
     attachRun(carried)
+    this.limiter.noteRun(carried)
     if (run.phase === 'running') {
       if (run.stopReason !== undefined) this.requestStop(carried, run.stopReason)
       return
@@ -528,18 +530,13 @@
     else if (run.phase === 'unsettled') this.requestStop(run, 'start unanswered')
   }
 
-  private markJobStarted (run: Run, now: number): void {
-    const { job } = run.task.step
-    if (!job.begun) job.waitedMs = Math.round(now - job.firstSeenAt)
-    job.begun = true
-  }
-
   private addRun (task: Task, worker: TrackedWorker, attempt: number): Run {
     const now = this.opts.clock.now()
     const run = createRun(task, worker, { attempt, now })
     task.lastAttempt = Math.max(task.lastAttempt, attempt)
     attachRun(run)
     worker.add(run)
+    this.limiter.noteRun(run)
     worker.emptySince = undefined
     return run
   }
@@ -548,6 +545,7 @@
     if (cause !== undefined) run.task.released = toReleasedRun(run, cause, this.opts.clock.now())
     run.worker.remove(run)
     this.runsToStop.delete(run)
+    this.limiter.forgetRun(run)
     detachRun(run, this.opts.clock.now())
   }
 }
--- a/jobs/scheduler/src/task-placer.ts
+++ b/jobs/scheduler/src/task-placer.ts
@@ -3,6 +3,7 @@
 import { canPlace, chooseReservedWorker, chooseWorker, FreeCapacity, rankWorkers } from './placement.ts'
 import { needsIsolation } from './crash.ts'
 import { needsPermit } from './permits.ts'
+import type { StartLimiter } from './start-limiter.ts'
 import { StepOrder } from './step-order.ts'
 import type { QueueLookup } from './step-priority.ts'
 import { isStartable, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
@@ -18,6 +19,8 @@
   readonly term: number
   /** Gets the workers that are kept for long-running tasks. */
   readonly reservations: Reservations
+  /** Says which tasks may be started whatever room there is. */
+  readonly limiter: StartLimiter
   /** Creates a run and reserves its capacity. */
   addRun (task: Task, worker: TrackedWorker, attempt: number): Run
   /** Undoes {@link TaskPlacerOpts.addRun}. */
@@ -58,13 +61,13 @@
     let freeCapacity = new FreeCapacity(usable)
     const runs: Run[] = []
     for (const step of this.stepOrder.order(steps, now)) {
-      if (!freeCapacity.mayFit(step) && !step.spec.lasting) continue
+      if ((!freeCapacity.mayFit(step) && !step.spec.lasting) || !this.isAllowed(step)) continue
       // What is reserved for a long-running task is room to the others: none has to wait for the work that keeps it from there.
       const open = step.spec.lasting ? workers : usable
       runs.push(...step.spec.gang ? this.placeUnsuspectedGang(step, open, now) : this.placeTasks(step, open, now, maxRuns - runs.length))
       if (runs.length >= maxRuns) break
       if (mayStart(step)) freeCapacity.update()
-      if (step.spec.lasting && step.tasks.some(task => isStartable(task, now) && !needsIsolation(task))) {
+      if (step.spec.lasting && step.tasks.some(task => isStartable(task, now) && !needsIsolation(task)) && this.isAllowed(step)) {
         const reservedWorker = chooseReservedWorker(step, this.allowedWorkers(step, usable))
         if (reservedWorker !== undefined) this.opts.reservations.reserve(reservedWorker, step, { fromAll: false })
         usable = usable.filter(worker => worker !== reservedWorker)
@@ -74,6 +77,14 @@
     return runs
   }
 
+  /**
+   * @param step - a step
+   * @returns whether a task of it, or the gang that it is, may be started whatever room there is
+   */
+  isAllowed (step: TrackedStep): boolean {
+    return this.opts.limiter.mayAdd(step, step.spec.gang ? step.tasks.length : 1)
+  }
+
   /**
    * @param step - a step
    * @param workers - workers that accept starts
@@ -99,7 +110,7 @@
       if (!isStartable(task, now) || needsIsolation(task)) continue
       while (ranked[next] !== undefined && !canPlace(step, ranked[next] as TrackedWorker)) next += 1
       const worker = task.failedOn.size === 0 ? ranked[next] : chooseWorker(step, permitted, { avoid: task.failedOn })
-      if (worker === undefined) break
+      if (worker === undefined || !this.isAllowed(step)) break
       runs.push(this.placeOn(task, worker))
     }
     return runs
@@ -127,7 +138,7 @@
    * @returns runs to start
    */
   placeGang (step: TrackedStep, workers: readonly TrackedWorker[], now: number): Run[] {
-    if (!step.tasks.every(task => isStartable(task, now))) return []
+    if (!step.tasks.every(task => isStartable(task, now)) || !this.isAllowed(step)) return []
     const attempt = this.nextAttempt(step.tasks)
     const permitted = this.permittedWorkers(step, workers, now)
     const racks = step.spec.oneRack ? [...new Set(permitted.map(worker => worker.registration.rack))] : [undefined]
--- a/jobs/scheduler/src/tracked-job.ts
+++ b/jobs/scheduler/src/tracked-job.ts
@@ -228,6 +228,16 @@
   task.step.job.version += 1
 }
 
+/**
+ * Notes that a worker has accepted a start.
+ * @param job - the job
+ * @param now - time of the injected clock
+ */
+export function markBegun (job: TrackedJob, now: number): void {
+  if (!job.begun) job.waitedMs = Math.round(now - job.firstSeenAt)
+  job.begun = true
+}
+
 /**
  * @param task - a task
  * @returns whether it is not done and has no run
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -176,6 +176,15 @@
     this.reachable = false
   }
 
+  /**
+   * Keeps the runs that are about to be released, as the lease has expired, to find out whether the worker has crashed.
+   * @param until - time of the injected clock
+   */
+  keepExpiredRuns (until: number): void {
+    this.expiredRuns = [...this.runs.values()]
+    this.expiredRunsUntil = until
+  }
+
   /**
    * @param now - time of the injected clock
    * @returns whether runs of earlier leaders may be in progress, or have ended, that are not known here
--- a/jobs/scheduler/src/unserved-tasks.ts
+++ b/jobs/scheduler/src/unserved-tasks.ts
@@ -1,6 +1,7 @@
 import { explainHold, waitReasonOf, withdrawnWithRoom, type TaskHold, type WaitReason } from './explain.ts'
 import { countRoom, type RoomCount } from './room-count.ts'
 import type { Scheduler } from './scheduler.ts'
+import type { LimitFigures } from './start-limiter.ts'
 import type { QueueLookup } from './step-priority.ts'
 import type { Task } from './tracked-job.ts'
 
@@ -9,6 +10,8 @@
   readonly task: string
   /** Why it is not started; undefined while it has runs that may be in progress. */
   readonly waitsFor: WaitReason | undefined
+  /** Its account's quota, if it waits for that. */
+  readonly quota?: LimitFigures | undefined
   /** Runs that may be in progress. */
   readonly runs: ReadonlyArray<{ readonly worker: string, readonly attempt: number, readonly phase: string, readonly stopReason: string | undefined, readonly startedMsAgo: number, readonly stopAcknowledged: boolean }>
   /** Room that the service has for it, and why it isn't used; undefined while it has runs that may be in progress. */
@@ -37,9 +40,11 @@
 export function describeUnserved (scheduler: Scheduler, task: Task, opts: { queue: QueueLookup, now: number }): UnservedTask {
   const withRoom = withdrawnWithRoom(scheduler, task.step, opts.now)
   const waits = task.runs.length === 0
+  const quota = waits ? scheduler.limiter.whyNot(task.step) : undefined
   return {
     task: task.name,
     ...explainHold(scheduler, task, opts.now),
+    ...(quota === undefined ? {} : { quota }),
     waitsFor: waits ? waitReasonOf(scheduler, task.step, opts) : undefined,
     room: waits ? countRoom(scheduler, task, opts) : undefined,
     runs: task.runs.map(({ worker, attempt, phase, stopReason, startedAt, stopAcknowledgedAt }) => ({ worker: worker.registration.id, attempt, phase, stopReason, startedMsAgo: Math.round(opts.now - startedAt), stopAcknowledged: stopAcknowledgedAt !== undefined })),
--- a/jobs/scheduler/src/withdrawn-room.ts
+++ b/jobs/scheduler/src/withdrawn-room.ts
@@ -51,7 +51,7 @@
   place ({ ready, placeable }: { ready: readonly TrackedStep[], placeable: readonly TrackedStep[] }, workers: readonly TrackedWorker[], opts: PlacementOpts): Run[] {
     const { now } = opts
     this.claimed.clear()
-    const waiting = ready.filter(step => step.spec.lasting && step.tasks.some(task => isStartable(task, now)))
+    const waiting = ready.filter(step => step.spec.lasting && step.tasks.some(task => isStartable(task, now)) && this.placer.isAllowed(step))
     const atRisk = workers.some(worker => worker.withdrawn) ? tasksAtRisk(workers, now) : []
     if (waiting.length === 0 && atRisk.length === 0) return []
     const overdue = waiting.filter(step => placeable.includes(step) && step.tasks.some(task => isOverdue(task, now)))
--- a/jobs/service/src/ports.ts
+++ b/jobs/service/src/ports.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@wisteriaslip/core.result'
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { Metrics } from '@wisteriaslip/core.metrics'
-import type { JobLimits, PermitClient, VmList, WorkerClient, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import type { Account, JobLimits, PermitClient, VmList, WorkerClient, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { QueueLookup } from '@wisteriaslip/jobs.scheduler'
 import type { JobRecords } from '@wisteriaslip/jobs.store'
 import type { Guard, Store } from '@wisteriaslip/store.client'
@@ -24,6 +24,10 @@
   /** @returns the platform's list of VMs, undefined when it is unavailable or there is no VM platform client */
   readonly vms: (signal: AbortSignal) => Promise<VmList | undefined>
   readonly queue: QueueLookup
+  /** @returns the client account in the newest configuration; no account has a quota if this is undefined */
+  readonly account?: ((name: string) => Account | undefined) | undefined
+  /** @returns whether a client account in the newest configuration has a quota */
+  readonly hasQuotas?: (() => boolean) | undefined
   readonly limits: JobLimits
   readonly clock: Clock
   /** @returns Unix time in milliseconds */
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -1,6 +1,7 @@
 import { allEnded, delay, linkAbort, Wakeup, withTimeout } from '@wisteriaslip/core.result'
 import type { Job, JobState, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { ExplainRequest, ServiceLoad } from '@wisteriaslip/jobs.protocol'
+import type { QuotaHolder } from '@wisteriaslip/jobs.quota'
 import { explainJob, explainWorker, isSettled, LostWorkerDetector, Scheduler, type PermitRequest, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import type { ServiceRecords, TermRecord } from '@wisteriaslip/jobs.store'
 import { removeExpiredJobs } from './expired-jobs.ts'
@@ -9,6 +10,7 @@
 import { logLosses, logRestart } from './loss-log.ts'
 import type { ServiceTermOpts } from './ports.ts'
 import { ProgressWriter } from './progress-writer.ts'
+import { createQuotaHolder } from './quotas.ts'
 import { RequestWatcher } from './request-watcher.ts'
 import { StartWindow } from './start-window.ts'
 import { TakeoverMonitor } from './takeover-monitor.ts'
@@ -46,6 +48,7 @@
   private readonly startWindow = new StartWindow()
   private readonly recordWriter: TermRecordWriter
   private readonly leadership: LeadershipCheck
+  private readonly quotas: QuotaHolder | undefined
   private readonly fleetTokens = new FleetTokens()
   /** Sessions and calls in progress. */
   private readonly inProgress = new Set<Promise<void>>()
@@ -60,6 +63,7 @@
     this.token = opts.token
     this.recordWriter = new TermRecordWriter(opts)
     this.leadership = new LeadershipCheck(opts)
+    this.quotas = createQuotaHolder(opts, () => this.wakeup.wake())
   }
 
   /**
@@ -81,6 +85,7 @@
         this.runSchedulingLoop(termAbort.signal),
         this.recordWriter.run(scheduler, () => this.onTermRecordWritten(), termAbort.signal),
         this.detectLostWorkers(scheduler, termAbort.signal),
+        ...(this.quotas === undefined ? [] : [this.quotas.run(scheduler, termAbort.signal)]),
         this.runPeriodically(JOB_EXPIRY_INTERVAL_MS, termAbort.signal, async () => await removeExpiredJobs(scheduler, writer, this.opts))
       ], termAbort.abort)
       for (let tries = 0; tries < MAX_FLUSH_ATTEMPTS && !this.leadershipLost.signal.aborted; tries++) {
@@ -209,7 +214,7 @@
   private createComponents (term: TermRecord, all: ServiceRecords, startedAt: number): void {
     const { service, clock, wallClock, limits, queue, logger, leadershipConfirmedAt } = this.opts
     const maxEarlierLeaseMs = Math.min(limits.longestLeaseMs, (term.leaseMs ?? limits.longestLeaseMs) * CLOCK_DRIFT_FACTOR)
-    const scheduler = new Scheduler({ clock, wallClock, limits, queue, term: term.number, maxEarlierLeaseMs, leadershipConfirmedAt })
+    const scheduler = new Scheduler({ clock, wallClock, limits, queue, term: term.number, maxEarlierLeaseMs, leadershipConfirmedAt, limiter: this.quotas?.limiter })
     const writer = new ProgressWriter(scheduler, this.opts, { onRecorded: () => this.onRecorded(), onNewerLeader: () => this.onNewerLeader({ store: true }) })
     for (const [id, prior] of all.progress) writer.setPrior(id, prior)
     for (const id of all.unreadable) this.skipUnreadable(scheduler, id)
--- a/jobs/store/src/keys.ts
+++ b/jobs/store/src/keys.ts
@@ -58,6 +58,11 @@
     return `${this.prefix}-terms/${service}`
   }
 
+  /** @returns key prefix of the records of client accounts' quotas: what each service may have running of each */
+  quotasPrefix (): string {
+    return `${this.prefix}-quotas/`
+  }
+
   /** @returns key of the fleet leader's record of maintenance waves */
   waveRecords (): string {
     return `${this.prefix}-fleet`
