Quotas: what others lack is not taken again, turns for tasks that need a large part, failure tests

A service whose runs follow each other took again what ended before it could give it back: it starts nothing beyond its share while others lack. Two services that lacked a large part took it from each other for ever (found by the model: all work ends once all faults are over): a claim keeps its turn until it is used, what is needed at once goes first by turns, and a part of no use is given up.

--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -6,7 +6,7 @@
 import { splitChanges, toVersioned, type Change, type Guard, type Store, type StoreError } from '@wisteriaslip/store.client'
 import { QuotaLimiter } from './limiter.ts'
 import { collectWaiting, type WaitingWork } from './needs.ts'
-import { nextPart, withPart, type Need, type Part, type QuotaRecord } from './parts.ts'
+import { planPart, withPart, type Need, type Part, type QuotaRecord } from './parts.ts'
 import { QuotaBook } from './quota-book.ts'
 import { isSame, isWithin, least, most, nothing, plus } from './resources.ts'
 import { UseMetrics } from './use-metrics.ts'
@@ -16,8 +16,8 @@
 /** Demand that comes together goes into one write. */
 const MIN_GAP_MS = 30
 /** Writes of a service at most: this many at once, and this many a second. */
-const MAX_WRITES_AT_ONCE = 4
-const WRITES_PER_S = 4
+const MAX_WRITES_AT_ONCE = 8
+const WRITES_PER_S = 6
 /** What an account has not used for as long goes back. */
 const IDLE_MS = 10_000
 const READ_RETRY_MS = 200
@@ -183,7 +183,9 @@
     this.useMetrics.observe(account)
     const need = this.needOf(account, from, { waiting, now })
     const known = entry?.record?.parts[this.opts.service]
-    const part = nextPart(entry?.record, this.opts.service, { limits, need }) ?? (this.book.isLowering(account) ? known ?? { given: nothing } : undefined)
+    const plan = planPart(entry?.record, this.opts.service, { limits, need })
+    this.book.hold(account, isWithin(from, plan.target) ? undefined : plan.target)
+    const part = plan.part ?? (this.book.isLowering(account) ? known ?? { given: nothing } : undefined)
     if (part === undefined) return undefined
     const value = withPart(entry?.record, this.opts.service, { part, quota })
     return { account, from, part, isUrgent: waiting !== undefined, change: { key: this.book.key(account), prior: entry?.version, value } }
@@ -198,6 +200,7 @@
       inUse,
       total: plus(inUse, waiting?.demand ?? nothing),
       atOnce: waiting?.atOnce ?? nothing,
+      smallest: waiting?.smallest ?? nothing,
       idle: now - (this.busyAt.get(account) ?? now) >= IDLE_MS,
       progressed: this.limits.hasProgressed(account)
     }
--- a/jobs/quota/src/needs.ts
+++ b/jobs/quota/src/needs.ts
@@ -9,6 +9,8 @@
   readonly demand: Resources
   /** Largest task, or gang. */
   readonly atOnce: Resources
+  /** Smallest task, or gang, in each resource. */
+  readonly smallest: Resources
 }
 
 /**
@@ -19,21 +21,21 @@
  * @returns the work by account
  */
 export function collectWaiting (scheduler: Scheduler, limiter: QuotaLimiter, now: number): Map<string, WaitingWork> {
-  const found = new Map<string, { plain: Resources, backfill: Resources, atOnce: Resources }>()
+  const found = new Map<string, { plain: Resources, backfill: Resources, atOnce: Resources, smallest: Resources }>()
   for (const step of scheduler.table.ready) {
     const name = step.job.job.account
     if (name === undefined || step.waiting === 0) continue
     const inForce = limiter.quota(name)
     const unit = unitOf(step)
     if (typeof inForce === 'string' || !hasRoomFor(nothing, unit, inForce.limits)) continue
-    const before = found.get(name) ?? { plain: nothing, backfill: nothing, atOnce: nothing }
+    const before = found.get(name) ?? { plain: nothing, backfill: nothing, atOnce: nothing, smallest: unit }
     const demand = times(step.spec.demand, step.waiting)
     const sums = step.spec.backfill ? { plain: before.plain, backfill: plus(before.backfill, demand) } : { plain: plus(before.plain, demand), backfill: before.backfill }
-    found.set(name, { ...sums, atOnce: most(before.atOnce, unit) })
+    found.set(name, { ...sums, atOnce: most(before.atOnce, unit), smallest: least(before.smallest, unit) })
   }
   if (found.size === 0) return new Map()
   const free = freeCapacity(scheduler, now)
-  return new Map([...found].map(([name, { plain, backfill, atOnce }]) => [name, { demand: plus(least(plain, most(free, atOnce)), backfill), atOnce }]))
+  return new Map([...found].map(([name, { plain, backfill, atOnce, smallest }]) => [name, { demand: plus(least(plain, most(free, atOnce)), backfill), atOnce, smallest }]))
 }
 
 function freeCapacity (scheduler: Scheduler, now: number): Resources {
--- a/jobs/quota/src/parts.ts
+++ b/jobs/quota/src/parts.ts
@@ -1,8 +1,8 @@
 import type { Resources } from '@wisteriaslip/jobs.model'
 import { shareFairly } from './fair-parts.ts'
-import { each, isSame, isWithin, least, minus, most, nothing, plus } from './resources.ts'
+import { each, hasRoomFor, isSame, isWithin, least, minus, most, nothing, plus } from './resources.ts'
 
-/** What a service would use beyond its part. */
+/** What a service would use beyond its part, or has got and not yet used while others lack it, too. */
 export interface Wants {
   /** All that it would use now, with what is in use. */
   readonly total: Resources
@@ -34,6 +34,8 @@
   readonly total: Resources
   /** Largest task or gang that waits; nothing if none does. */
   readonly atOnce: Resources
+  /** Smallest task or gang that waits: a part that is raised by less is of no use. */
+  readonly smallest: Resources
   /** Nothing has been in use or has waited for long. */
   readonly idle: boolean
   /** A task was started since the part was last written. */
@@ -69,29 +71,39 @@
   return each(dimension => limits[dimension] === Infinity ? Infinity : Math.min(given[dimension], left[dimension]))
 }
 
+/** What a service should do about its part. */
+export interface PartPlan {
+  /** The new part, with nothing given if it can be removed; undefined if it should stay as it is. */
+  readonly part: Part | undefined
+  /** What it leaves to others from now on, although it may have more in use until that ends: it starts nothing beyond this. */
+  readonly target: Resources
+}
+
 /**
  * Decides on the part that a service should have next. A part is raised only into what all others leave of the quota, and
  * never goes below what is in use. What nobody lacks stays where it is. If all parts are above the quota, each is lowered to its share.
  * @param record - the account's record, undefined if there is none
  * @param service - the service
  * @param opts - `limits`: the account's quota, infinity for no limit; `need`: use and demand here
- * @returns the new part, with nothing given if it can be removed; undefined if it should stay as it is
+ * @returns the new part, and the one that the service aims at
  */
-export function nextPart (record: QuotaRecord | undefined, service: string, opts: { limits: Resources, need: Need }): Part | undefined {
+export function planPart (record: QuotaRecord | undefined, service: string, opts: { limits: Resources, need: Need }): PartPlan {
   const { limits, need } = opts
   const limited = (resources: Resources): Resources => each(dimension => limits[dimension] === Infinity ? 0 : resources[dimension])
   const part = record?.parts[service]
   const before = part?.given ?? nothing
   const inUse = limited(need.inUse)
   const total = limited(most(inUse, least(need.total, limits)))
-  const atOnce = limited(need.atOnce)
   const free = limited(minus(limits, givenToOthers(record, service)))
   const isOver = !isWithin(before, free)
-  const lacking = isOver || Object.entries(record?.parts ?? {}).some(([name, other]) => name !== service && other.wants !== undefined)
-  const given = most(inUse, lacking ? contendedPart() : calmPart())
-  const wants = isWithin(total, given) ? undefined : notedWants(record, service, { total, atOnce, limits, progressed: need.progressed })
-  if (isSame(given, before) && isSameWants(wants, part?.wants)) return undefined
-  return { given, ...(wants === undefined ? {} : { wants }) }
+  const isLacking = isOver || Object.entries(record?.parts ?? {}).some(([name, other]) => name !== service && other.wants !== undefined)
+  const target = isLacking ? contendedPart() : calmPart()
+  const given = most(inUse, target)
+  // What has come in turn is kept until it is used: others would take it again.
+  const keepsClaim = isLacking && part?.wants !== undefined && !isSame(need.atOnce, nothing)
+  const wants = isWithin(total, given) && !keepsClaim ? undefined : notedWants(record, service, { total, atOnce: limited(need.atOnce), limits, progressed: need.progressed })
+  const isUnchanged = isSame(given, before) && isSameWants(wants, part?.wants)
+  return { part: isUnchanged ? undefined : { given, ...(wants === undefined ? {} : { wants }) }, target }
 
   function calmPart (): Resources {
     if (need.idle) return nothing
@@ -100,9 +112,10 @@
   }
 
   function contendedPart (): Resources {
-    const wanted = { total, atOnce: isWithin(total, before) ? nothing : atOnce, turn: part?.wants?.turn ?? Infinity }
+    const wanted = { total, atOnce: limited(need.atOnce), turn: part?.wants?.turn ?? Infinity }
     const share = least(total, shareFairly(record, service, { limits, wanted }))
-    return each(dimension => share[dimension] <= before[dimension] ? share[dimension] : Math.max(before[dimension], Math.min(share[dimension], free[dimension])))
+    const raised = each(dimension => share[dimension] <= before[dimension] ? share[dimension] : Math.max(before[dimension], Math.min(share[dimension], free[dimension])))
+    return hasRoomFor(inUse, limited(need.smallest), raised) ? raised : least(raised, inUse)
   }
 }
 
@@ -112,11 +125,13 @@
     const step = opts.limits[dimension] * STEP
     return Number.isFinite(step) ? Math.floor(Math.min(opts.limits[dimension], Math.ceil(resources[dimension] / step) * step)) : 0
   })
-  const own = record?.parts[service]?.wants?.turn
+  const noted = record?.parts[service]?.wants
+  const own = noted?.turn
   const others = Object.entries(record?.parts ?? {}).flatMap(([name, part]) => name === service || part.wants === undefined ? [] : [part.wants.turn])
   const last = Math.max(0, ...others)
   const keepsTurn = own !== undefined && (!opts.progressed || own > last)
-  return { total: inSteps(opts.total), atOnce: inSteps(opts.atOnce), turn: keepsTurn ? own : last + 1 }
+  const isNoted = noted !== undefined && isWithin(opts.atOnce, noted.atOnce) && isWithin(noted.atOnce, plus(opts.atOnce, opts.atOnce))
+  return { total: inSteps(opts.total), atOnce: isNoted ? noted.atOnce : opts.atOnce, turn: keepsTurn ? own : last + 1 }
 }
 
 function isSameWants (a: Wants | undefined, b: Wants | undefined): boolean {
--- a/jobs/quota/src/quota-book.ts
+++ b/jobs/quota/src/quota-book.ts
@@ -2,7 +2,7 @@
 import { decodeEnvelope, type RawKeyValue, type Versioned } from '@wisteriaslip/store.client'
 import { usablePart, type QuotaRecord } from './parts.ts'
 import { isQuotaRecord } from './record-schema.ts'
-import { each, nothing } from './resources.ts'
+import { each, isSame, nothing } from './resources.ts'
 
 /** A lowered part that may be stored, now or later. */
 interface Lowered {
@@ -28,6 +28,7 @@
   private readonly prefix: string
   private readonly entries = new Map<string, BookEntry>()
   private readonly lowered = new Map<string, Lowered>()
+  private readonly held = new Map<string, Resources>()
   /** The records have been read. */
   isRead = false
   /** Increases with each change of what may be used. */
@@ -111,9 +112,23 @@
   usable (account: string, limits: Resources): Resources {
     const entry = this.entries.get(account)
     const usable = usablePart(entry?.record, this.service, limits)
-    const lowered = this.lowered.get(account)
-    if (lowered === undefined) return usable
-    return each(dimension => usable[dimension] === Infinity ? Infinity : Math.min(usable[dimension], lowered.given[dimension]))
+    const lowered = this.lowered.get(account)?.given
+    const held = this.held.get(account)
+    return each(dimension => usable[dimension] === Infinity ? Infinity : Math.min(usable[dimension], lowered?.[dimension] ?? Infinity, held?.[dimension] ?? Infinity))
+  }
+
+  /**
+   * Sets how far a service goes although its part is larger, as others lack what it has in use beyond that: it would take again what ends
+   * before it can give it back.
+   * @param account - name of an account
+   * @param target - what it starts nothing beyond; undefined for its part
+   */
+  hold (account: string, target: Resources | undefined): void {
+    const before = this.held.get(account)
+    if (before === undefined ? target === undefined : target !== undefined && isSame(before, target)) return
+    if (target === undefined) this.held.delete(account)
+    else this.held.set(account, target)
+    this.changes += 1
   }
 
   /**
--- a/jobs/quota/test/quotas-model.ts
+++ b/jobs/quota/test/quotas-model.ts
@@ -1,6 +1,6 @@
 import { silentLogger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
-import type { Account, EndedRun, Job, WorkerError, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import type { Account, EndedRun, Job, Step, WorkerError, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import { Scheduler, toProgress, type JobProgress, type Run } from '@wisteriaslip/jobs.scheduler'
 import { plainStep } from '@wisteriaslip/testing.jobs'
 import { QuotaHolder } from '../src/holder.ts'
@@ -14,6 +14,7 @@
 const CAPACITY = { cpu: 6_000, memMb: 8_000, accelerators: 0 }
 const QUOTAS = [6_000, 3_000, 9_000]
 const DEMANDS = [1_000, 2_000, 3_000]
+/** Services of the site. */
 export const SERVICES = ['s0', 's1', 's2'] as const
 const ACCOUNT = 'team'
 const queue = { name: 'q', host: 'h', pathPrefix: '/', service: 's', priority: 0, attempts: 100, stretch: 1, objectiveMs: 0, timeoutMs: 0, needsPermit: false }
@@ -148,17 +149,17 @@
   }
 
   /** Learns of what others have written, and of new jobs. */
-  observe (): void {
+  observe ({ records }: { records: boolean }): void {
     if (this.cut) return
     if (this.isLeader()) this.confirmedAt = this.site.now
     else if (!this.mayAct()) this.ended = true
-    if (this.holder.book.isRead) for (const doc of this.site.store.docs.values()) this.holder.book.applyDoc(doc)
+    if (records && this.holder.book.isRead) for (const doc of this.site.store.docs.values()) this.holder.book.applyDoc(doc)
     for (const job of this.site.jobs.slice(this.jobsSeen)) if (job.service === this.service) this.scheduler.addJob(job, { acceptedThisTerm: job.acceptedUnder === this.token })
     this.jobsSeen = this.site.jobs.length
   }
 
   private account (name: string): Account | undefined {
-    return name === ACCOUNT ? this.site.accounts.get(this.quota) : undefined
+    return this.site.isConfigured && name === ACCOUNT ? this.site.accounts.get(this.quota) : undefined
   }
 
   /** `fault` 1: the start has no response; 2: nor does it arrive before later. */
@@ -187,6 +188,8 @@
 export class Site {
   now = 10_000
   quota = QUOTAS[0] as number
+  /** Whether the configuration has the account. */
+  isConfigured = true
   readonly store = new QuotaStore()
   readonly accounts = new Map<number, Account>(QUOTAS.map(cpu => [cpu, { name: ACCOUNT, keyDigests: [], weight: 1, quota: { cpu, memMb: 0, accelerators: 0 } }]))
   readonly leaders: ModelLeader[] = []
@@ -268,12 +271,16 @@
       case 9: this.quota = QUOTAS[detail % QUOTAS.length] as number; return
       case 10: for (const leader of this.acting().filter(each => each.service === service || fault < 2)) leader.quota = this.quota; return
       case 11: this.store.applyLate(); this.lateStarts.shift()?.(); return
-      default: for (const leader of this.acting().filter(each => each.service === service || fault < 2)) leader.observe()
+      default: for (const leader of this.acting().filter(each => each.service === service || fault < 2)) leader.observe({ records: fault < 3 })
     }
   }
 
-  /** Lets all that works go on for a while. */
-  async work (): Promise<void> {
+  /**
+   * Lets all that works go on for a while.
+   * @param times - how often
+   */
+  async work (times = 1): Promise<void> {
+    if (times > 1) await this.work(times - 1)
     this.advance(WORK_STEP_MS)
     for (const action of [12, 2, 2, 1, 3, 12, 1, 2]) await this.perform(action, 0, 0)
   }
@@ -295,11 +302,31 @@
     this.store.nextFault = faults.none
   }
 
+  /**
+   * Accepts a job of one step.
+   * @param service - its service
+   * @param spec - `cpu`: demand of a task, in thousandths of a core; `account`: undefined for none
+   */
+  accept (service: string, { cpu, account = ACCOUNT, ...spec }: Partial<Step> & { cpu: number, account?: string | undefined }): Job {
+    const step = plainStep({ demand: { cpu, memMb: 0, accelerators: 0 }, ...spec })
+    const job: Job = { id: `j${this.jobs.length}`, queue: 'q', service, payload: '', steps: [step], acceptedAt: this.now, acceptedUnder: this.leader(service).token, account: account === '' ? undefined : account }
+    this.jobs.push(job)
+    return job
+  }
+
+  /** @returns the last leader of a service */
+  leader (service: string): ModelLeader {
+    return this.leaders.filter(leader => leader.service === service).at(-1) as ModelLeader
+  }
+
+  /** @returns processor time in use by the runs of a service's workers, in thousandths of a core */
+  usedBy (service: string): number {
+    return this.workersOf(service).reduce((sum, worker) => sum + worker.used(), 0)
+  }
+
   private submit (service: string, detail: number): void {
-    const id = `j${this.jobs.length}`
-    const demand = { cpu: DEMANDS[Math.floor(detail / SERVICES.length) % DEMANDS.length] as number, memMb: 0, accelerators: 0 }
-    const current = this.leaders.filter(leader => leader.service === service).at(-1)
-    this.jobs.push({ id, queue: 'q', service, payload: '', steps: [plainStep({ tasks: 1 + detail % 4, demand, gang: detail % 5 === 0, lasting: this.opts.lasting && detail % 7 === 0 })], acceptedAt: this.now, acceptedUnder: current?.token ?? 0, account: ACCOUNT })
+    const cpu = DEMANDS[Math.floor(detail / SERVICES.length) % DEMANDS.length] as number
+    this.accept(service, { tasks: 1 + detail % 4, cpu, gang: detail % 5 === 0, lasting: this.opts.lasting && detail % 7 === 0 })
   }
 
   /** The leader before goes on until it notices. */
--- a/jobs/quota/test/quotas.model.test.ts
+++ b/jobs/quota/test/quotas.model.test.ts
@@ -17,6 +17,8 @@
 
 type Action = [number, number, number]
 const work: Action = [WORK, 0, 0]
+/** More than the time after which an unused part goes back. */
+const longTime: Action[] = Array.from({ length: 8 }, () => [4, 2, 0])
 
 /** Courses that random ones seldom take. */
 const courses: ReadonlyArray<[Action[]]> = [
@@ -24,8 +26,8 @@
   [[[0, 33, 0], work, work, [8, 0, 0], [6, 0, 0], [0, 33, 0], work, work]],
   // Two leaders raise their parts at the same moment.
   [[[0, 33, 0], [0, 25, 0], [12, 0, 0], [1, 0, 0], [3, 0, 0], [2, 0, 0], [1, 0, 0]]],
-  // A leader lowers its part, gets no response, is cut off and goes on while another one raises its own.
-  [[[0, 51, 0], work, work, [0, 16, 0], [12, 0, 0], [1, 0, 0], [3, 0, 0], [12, 0, 0], [5, 3, 1], [2, 0, 0], [3, 0, 1], [7, 0, 0], [12, 1, 2], [3, 0, 0], [1, 0, 0]]],
+  // A leader gives back what is long unused, gets no response, needs it again, and the write takes effect after all while it is cut off.
+  [[[0, 33, 0], work, work, [5, 3, 1], [2, 0, 0], ...longTime, [2, 0, 0], [2, 0, 0], [3, 0, 2], [0, 33, 0], [12, 0, 3], [3, 0, 2], [1, 0, 0], [7, 0, 0], [11, 0, 0], [0, 25, 0], [12, 1, 2], [1, 0, 0], [3, 0, 0], [2, 0, 0], [1, 0, 0]]],
   // A version lowers the quota below what runs, and one run ends.
   [[[0, 24, 0], [0, 16, 0], work, work, [0, 24, 0], work, [9, 1, 0], [10, 0, 0], [5, 3, 0], [2, 0, 0], [1, 0, 0]]]
 ]
