--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -310,6 +310,7 @@
       vms: async inner => await this.listVms(inner),
       queue: name => this.site.queue(name),
       account: name => this.site.account(name),
+      hasQuotas: () => this.site.hasQuotas(),
       limits: this.opts.limits,
       clock: this.clock,
       wallClock: this.wallClock,
--- a/jobs/entry/src/site-view.ts
+++ b/jobs/entry/src/site-view.ts
@@ -20,6 +20,7 @@
   private loggedPeerVersion: number | undefined
   private queuesByName = new Map<string, Queue>()
   private accountsByName = new Map<string, Account>()
+  private accountsWithQuotas = 0
   private declaredWaves: readonly Wave[] = []
   private workersByService = new Map<string, WorkerRegistration[]>()
   /** Decoded registrations by key: of many workers few change at a time, so unchanged revisions are not decoded again. */
@@ -69,6 +70,11 @@
     return this.accountsByName.get(name)
   }
 
+  /** @returns whether a client account of the newest configuration has a quota */
+  hasQuotas (): boolean {
+    return this.accountsWithQuotas > 0
+  }
+
   /**
    * @param host - host header of the request
    * @param path - path of the request
@@ -124,7 +130,9 @@
   private apply (config: JobConfig): void {
     this.currentConfig = config
     this.queuesByName = new Map(config.queues.map(queue => [queue.name, queue]))
-    this.accountsByName = new Map((config.accounts ?? []).map(account => [account.name, account]))
+    const accounts = config.accounts ?? []
+    this.accountsByName = new Map(accounts.map(account => [account.name, account]))
+    this.accountsWithQuotas = accounts.filter(({ quota }) => quota.cpu > 0 || quota.memMb > 0 || quota.accelerators > 0).length
     this.directory = config.accounts === undefined ? undefined : new AccountDirectory(config.accounts)
     this.logger.info({ version: config.version, queues: config.queues.length, accounts: config.accounts?.length, unreadableAccounts: config.unreadableAccounts }, 'configuration applied')
   }
--- a/jobs/scheduler/src/task-placer.ts
+++ b/jobs/scheduler/src/task-placer.ts
@@ -4,6 +4,7 @@
 import { canPlace, chooseReservedWorker, chooseWorker, FreeCapacity, rankWorkers } from './placement.ts'
 import { needsIsolation } from './crash.ts'
 import { needsPermit } from './permits.ts'
+import type { StartLimiter } from './start-limiter.ts'
 import { StepOrder } from './step-order.ts'
 import type { QueueLookup } from './step-priority.ts'
 import { isStartable, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
@@ -21,6 +22,8 @@
   readonly reservations: Reservations
   /** Use of the client accounts; undefined where there are none. */
   readonly shares?: AccountShares | undefined
+  /** Says which tasks may be started whatever room there is. */
+  readonly limiter: StartLimiter
   /** Creates a run and reserves its capacity. */
   addRun (task: Task, worker: TrackedWorker, attempt: number): Run
   /** Undoes {@link TaskPlacerOpts.addRun}. */
@@ -61,14 +64,15 @@
     let usable = reserved === undefined ? workers : workers.filter(worker => worker !== reserved)
     let freeCapacity = new FreeCapacity(usable)
     const runs: Run[] = []
-    for (const { step, maxTasks } of this.stepOrder.turns(steps, now, { shares: this.opts.shares, mayFit: step => freeCapacity.mayFit(step) })) {
-      if (!freeCapacity.mayFit(step) && !step.spec.lasting) continue
+    const mayFit = (step: TrackedStep): boolean => freeCapacity.mayFit(step) && this.isAllowed(step)
+    for (const { step, maxTasks } of this.stepOrder.turns(steps, now, { shares: this.opts.shares, mayFit })) {
+      if ((!freeCapacity.mayFit(step) && !step.spec.lasting) || !this.isAllowed(step)) continue
       // What is reserved for a long-running task is room to the others: none has to wait for the work that keeps it from there.
       const open = step.spec.lasting ? workers : usable
       runs.push(...step.spec.gang ? this.placeUnsuspectedGang(step, open, now) : this.placeTasks(step, open, now, Math.min(maxTasks, maxRuns - runs.length)))
       if (runs.length >= maxRuns) break
       if (mayStart(step)) freeCapacity.update()
-      if (step.spec.lasting && step.tasks.some(task => isStartable(task, now) && !needsIsolation(task))) {
+      if (step.spec.lasting && step.tasks.some(task => isStartable(task, now) && !needsIsolation(task)) && this.isAllowed(step)) {
         const reservedWorker = chooseReservedWorker(step, this.allowedWorkers(step, usable))
         if (reservedWorker !== undefined) this.opts.reservations.reserve(reservedWorker, step, { fromAll: false })
         usable = usable.filter(worker => worker !== reservedWorker)
@@ -78,6 +82,14 @@
     return runs
   }
 
+  /**
+   * @param step - a step
+   * @returns whether a task of it, or the gang that it is, may be started whatever room there is
+   */
+  isAllowed (step: TrackedStep): boolean {
+    return this.opts.limiter.mayAdd(step, step.spec.gang ? step.tasks.length : 1)
+  }
+
   /**
    * @param step - a step
    * @param workers - workers that accept starts
@@ -103,7 +115,7 @@
       if (!isStartable(task, now) || needsIsolation(task)) continue
       while (ranked[next] !== undefined && !canPlace(step, ranked[next] as TrackedWorker)) next += 1
       const worker = task.failedOn.size === 0 ? ranked[next] : chooseWorker(step, permitted, { avoid: task.failedOn })
-      if (worker === undefined) break
+      if (worker === undefined || !this.isAllowed(step)) break
       runs.push(this.placeOn(task, worker))
     }
     return runs
@@ -131,7 +143,7 @@
    * @returns runs to start
    */
   placeGang (step: TrackedStep, workers: readonly TrackedWorker[], now: number): Run[] {
-    if (!step.tasks.every(task => isStartable(task, now))) return []
+    if (!step.tasks.every(task => isStartable(task, now)) || !this.isAllowed(step)) return []
     const attempt = this.nextAttempt(step.tasks)
     const permitted = this.permittedWorkers(step, workers, now)
     const racks = step.spec.oneRack ? [...new Set(permitted.map(worker => worker.registration.rack))] : [undefined]
--- a/jobs/service/src/ports.ts
+++ b/jobs/service/src/ports.ts
@@ -24,8 +24,10 @@
   /** @returns the platform's list of VMs, undefined when it is unavailable or there is no VM platform client */
   readonly vms: (signal: AbortSignal) => Promise<VmList | undefined>
   readonly queue: QueueLookup
-  /** Looks up client accounts; undefined where there are none. */
+  /** Looks up client accounts; undefined where there are none, so that none has a quota. */
   readonly account?: AccountLookup | undefined
+  /** @returns whether a client account in the newest configuration has a quota */
+  readonly hasQuotas?: (() => boolean) | undefined
   readonly limits: JobLimits
   readonly clock: Clock
   /** @returns Unix time in milliseconds */
