Tasks that slow each other down: pairs of images are learned and kept apart

`image` was stored and not used: a task that fills was started beside any serving task, and throttled when that one's tail came near its objective.

- jobs/interference: for each pair of images by how much the one raises the tail of the other, as a median over workers.
What tasks of a step have in common is taken out as their own load, what other likely neighbours explain as well.
Old evidence fades.
- jobs/scheduler: a worker's company is a penalty in its score, above packing, below data's rack, failures and workers to avoid.
No task waits for better company.
As long as no pair is known, placement is the same (property test).
- One log line and a counter for each pair found or dropped; `explain worker` and `explain pool` show the pairs.

--- a/jobs/interference/src/index.ts
+++ b/jobs/interference/src/index.ts
@@ -2,4 +2,4 @@
  * Which tasks slow each other down on a worker, learned from reports.
  * @module
  */
-export {}
+export { InterferenceModel, type KnownPair, type ObservedRun, type PairChange } from './model.ts'
--- a/jobs/scheduler/src/availability.ts
+++ b/jobs/scheduler/src/availability.ts
@@ -2,7 +2,7 @@
 import type { TrackedStep } from './tracked-job.ts'
 
 /** Progress at which a long-running task is serving. */
-const SERVING_PERCENT = 100
+export const SERVING_PERCENT = 100
 
 /**
  * @param step - a long-running step
--- a/jobs/scheduler/src/explain.ts
+++ b/jobs/scheduler/src/explain.ts
@@ -1,3 +1,4 @@
+import type { KnownPair } from '@wisteriaslip/jobs.interference'
 import { orderSteps, type QueueLookup } from './step-priority.ts'
 import { needsIsolation } from './crash.ts'
 import { unavailableReasonOf } from './left-out.ts'
@@ -60,10 +61,30 @@
     used: worker.used(),
     capacity: worker.registration.capacity,
     endsNotDurable: worker.pendingCompletions.size,
-    runs: [...worker.runs.values()].slice(0, MAX_LISTED_TASKS).map(({ task, attempt, phase, percent, stopReason }) => ({ task: task.name, attempt, phase, percent, stopReason }))
+    runs: [...worker.runs.values()].slice(0, MAX_LISTED_TASKS).map(({ task, attempt, phase, percent, stopReason }) => ({ task: task.name, attempt, phase, percent, stopReason })),
+    ...explainCompany(scheduler, worker)
   }
 }
 
+/** Describes the pairs of images that are kept apart of which the worker runs one, and the figures of its serving tasks; nothing if there is none. */
+function explainCompany (scheduler: Scheduler, worker: TrackedWorker): Record<string, unknown> {
+  const pairs = scheduler.company.pairsOf(worker)
+  if (pairs.length === 0) return {}
+  const serving = [...worker.runs.values()].filter(({ task }) => task.step.spec.latencyTargetMs > 0)
+  return {
+    keptApart: pairs.map(explainPair),
+    serving: serving.slice(0, MAX_LISTED_TASKS).map(({ task, load }) => ({ task: task.name, image: task.step.spec.image, tailMs: load, objectiveMs: task.step.spec.latencyTargetMs }))
+  }
+}
+
+/**
+ * @param pair - two images of which one slows the other down
+ * @returns its description, with figures in whole numbers
+ */
+export function explainPair ({ image, on, rise, confidence, workers, ageMs }: KnownPair): Record<string, unknown> {
+  return { image, slowsDown: on, byPercent: Math.round(100 * rise), surePercent: Math.round(100 * confidence), seenOnWorkers: workers, ageMs: Math.round(ageMs) }
+}
+
 function explainStep (scheduler: Scheduler, step: TrackedStep, sortedSteps: readonly TrackedStep[], opts: { queue: QueueLookup, now: number }): Record<string, unknown> {
   const position = sortedSteps.indexOf(step)
   const waiting = position < 0 ? undefined : step.tasks.find(isWaiting)
--- a/jobs/scheduler/src/placement.ts
+++ b/jobs/scheduler/src/placement.ts
@@ -1,25 +1,43 @@
 import type { Resources } from '@wisteriaslip/jobs.model'
+import type { CompanyCost } from './company.ts'
 import type { TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
 
 /** Exceeds all bonuses of a score together. */
 const AVOID_PENALTY = 100
+/** Exceeds what packing is worth, and is below the bonus of the rack that holds the data. */
+const COMPANY_PENALTY = 3
+
+/** Options of {@link rankWorkers}. */
+export interface RankOpts {
+  /** What a worker's company costs the task; undefined if that makes no difference. */
+  readonly company?: CompanyCost | undefined
+}
+
+/** Options of {@link chooseWorker}. */
+export interface ChoiceOpts extends RankOpts {
+  /** The only rack to consider. */
+  readonly rack?: string
+  /** Ids of workers to use only if there is no other. */
+  readonly avoid?: ReadonlySet<string>
+}
 
 /**
  * Chooses a worker for one more task of a step. Tasks are packed onto workers that are already in use, so that others
  * stay empty and their VMs can be moved to other pools. Long-running tasks, which pin a worker, are packed together.
  * @param step - the step
  * @param workers - workers that accept starts
- * @param opts - `rack`: the only rack to consider; `avoid`: ids of workers to use only if there is no other
+ * @param opts - which workers to consider or avoid, and for which reasons
  * @returns the worker, undefined when none has enough free capacity
  */
-export function chooseWorker (step: TrackedStep, workers: readonly TrackedWorker[], opts: { rack?: string, avoid?: ReadonlySet<string> } = {}): TrackedWorker | undefined {
+export function chooseWorker (step: TrackedStep, workers: readonly TrackedWorker[], opts: ChoiceOpts = {}): TrackedWorker | undefined {
+  const company = companyThatCounts(step, opts)
   let best: TrackedWorker | undefined
   let bestScore = Number.NEGATIVE_INFINITY
   for (const worker of workers) {
     if (opts.rack !== undefined && worker.registration.rack !== opts.rack) continue
     if (!canPlace(step, worker)) continue
-    const score = scoreOf(step, worker) - (opts.avoid?.has(worker.registration.id) === true ? AVOID_PENALTY : 0)
+    const score = scoreOf(step, worker, company) - (opts.avoid?.has(worker.registration.id) === true ? AVOID_PENALTY : 0)
     if (score > bestScore) {
       best = worker
       bestScore = score
@@ -31,15 +49,17 @@
 /**
  * Ranks the workers on which a task of a step can be placed. As a task that is placed on a worker only raises the worker's
  * score, its next tasks belong on the same worker until none fits there: ranking once gives the same placements as
- * choosing a worker for each task.
+ * choosing a worker for each task. What its company costs doesn't change with it, as runs of the step's own image make no difference.
  * @param step - the step
  * @param workers - workers that accept starts
+ * @param opts - what counts beside room
  * @returns the workers, best first
  */
-export function rankWorkers (step: TrackedStep, workers: readonly TrackedWorker[]): TrackedWorker[] {
+export function rankWorkers (step: TrackedStep, workers: readonly TrackedWorker[], opts: RankOpts = {}): TrackedWorker[] {
+  const company = companyThatCounts(step, opts)
   const ranked: Array<{ worker: TrackedWorker, score: number }> = []
   for (const worker of workers) {
-    if (canPlace(step, worker)) ranked.push({ worker, score: scoreOf(step, worker) })
+    if (canPlace(step, worker)) ranked.push({ worker, score: scoreOf(step, worker, company) })
   }
   return ranked.sort((a, b) => b.score - a.score).map(({ worker }) => worker)
 }
@@ -185,10 +205,20 @@
   return Math.max(cpu, memMb)
 }
 
-function scoreOf (step: TrackedStep, worker: TrackedWorker): number {
+function companyThatCounts (step: TrackedStep, { company }: RankOpts): CompanyCost | undefined {
+  return company?.concerns(step) === true ? company : undefined
+}
+
+/** Returns what the company on a worker takes off its score. Failures come first: a worker with any is no better than the worst company. */
+function companyPenalty (step: TrackedStep, worker: TrackedWorker, company: CompanyCost | undefined): number {
+  if (company === undefined) return 0
+  return COMPANY_PENALTY * (worker.failuresInARow > 0 ? 1 : company.costOf(step, worker))
+}
+
+function scoreOf (step: TrackedStep, worker: TrackedWorker, company: CompanyCost | undefined): number {
   const localityBonus = step.spec.dataRack !== '' && step.spec.dataRack === worker.registration.rack ? 10 : 0
   const share = worker.cpuShare()
   const failurePenalty = worker.failuresInARow
   const packingBonus = step.spec.lasting && worker.lastingRuns() > 0 ? 1 : 0
-  return localityBonus + packingBonus + share - failurePenalty
+  return localityBonus + packingBonus + share - failurePenalty - companyPenalty(step, worker, company)
 }
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@wisteriaslip/core.result'
 import { parseTaskName, type ActiveRun, type EndedRun, type Job, type JobLimits, type Resources, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
+import { Company } from './company.ts'
 import { SETTLE_MS } from './crash.ts'
 import { CrashTracker } from './crash-tracker.ts'
 import { collectDueStops } from './due-stops.ts'
@@ -14,6 +15,7 @@
 import { moveLongRunningTasks } from './move-tasks.ts'
 import { PermitRequester } from './permit-requester.ts'
 import { releaseCauses, toReleasedRun, type ReleaseCause } from './released-run.ts'
+import { recordFailure } from './failed-runs.ts'
 import { Reservations } from './reservations.ts'
 import { carriedOver, createRun, type Run } from './run.ts'
 import { DurationEstimator, findStragglers } from './stragglers.ts'
@@ -23,9 +25,6 @@
 import { WithdrawnRoom } from './withdrawn-room.ts'
 import { describeSilence, lossCauses, toLostRun, type LossCause, type WorkerLoss } from './worker-loss.ts'
 
-/** Consecutive failed runs after which a worker gets no starts for `FAILURE_COOLDOWN_MS`. */
-const FAILURES_BEFORE_COOLDOWN = 2
-const FAILURE_COOLDOWN_MS = 3_000
 /** Cooldown of a worker on which runs of several jobs are slow. */
 const SLOW_WORKER_COOLDOWN_MS = 1_500
 /** Cooldown of a worker that rejected a start for lack of capacity or could not be sent one, or that is unhealthy. */
@@ -76,6 +75,8 @@
   readonly withdrawnRoom: WithdrawnRoom
   readonly isolation: Isolation
   readonly reservations = new Reservations()
+  /** Which tasks slow each other down. */
+  readonly company = new Company()
   private readonly opts: SchedulerOpts
   private readonly runsToStop = new Set<Run>()
   private losses: WorkerLoss[] = []
@@ -90,7 +91,7 @@
   constructor (opts: SchedulerOpts) {
     this.opts = opts
     this.demandEstimator = new DemandEstimator(opts.clock)
-    this.placer = new TaskPlacer({ queue: opts.queue, term: opts.term, reservations: this.reservations, addRun: (task, worker, attempt) => this.addRun(task, worker, attempt), releaseRun: run => this.releaseRun(run) })
+    this.placer = new TaskPlacer({ queue: opts.queue, term: opts.term, reservations: this.reservations, company: this.company, addRun: (task, worker, attempt) => this.addRun(task, worker, attempt), releaseRun: run => this.releaseRun(run) })
     this.table = new JobTable({ ...opts, onRunNotNeeded: (run, reason) => this.requestStop(run, reason) })
     this.permitRequester = new PermitRequester({ clock: opts.clock, queue: opts.queue, ready: this.table.ready, workers: this.workers })
     this.isolation = new Isolation(this.placer, this.reservations)
@@ -213,6 +214,7 @@
       this.handleMissingRuns(worker, listedRuns, opts.sentAt)
     }
     if (!report.moreEnded) this.handleStragglers(worker, report.clockMs)
+    this.company.observe(worker, opts.receivedAt)
     if (worker.runs.size > 0 || worker.hasUntrackedRuns) worker.emptySince = undefined
     else worker.emptySince ??= opts.receivedAt
     return { unknownJobs: [...unknownJobs], orphans }
@@ -451,17 +453,11 @@
       if (tracked === undefined || task === undefined) continue
       worker.pendingCompletions.add(endedRun.seq)
       if (endedRun.how === 'done') worker.failuresInARow = 0
-      if (endedRun.how === 'failed') this.recordFailure(worker, task)
+      if (endedRun.how === 'failed') recordFailure(worker, task, this.opts.clock.now())
       this.table.applyEndedRun(task, endedRun, { worker, seq: endedRun.seq })
     }
   }
 
-  private recordFailure (worker: TrackedWorker, task: Task): void {
-    task.failedOn.add(worker.registration.id)
-    worker.failuresInARow += 1
-    if (worker.failuresInARow >= FAILURES_BEFORE_COOLDOWN) worker.cooldownUntil = this.opts.clock.now() + FAILURE_COOLDOWN_MS
-  }
-
   private applyActiveRun (worker: TrackedWorker, running: ActiveRun, found: { unknownJobs: Set<string>, orphans: OrphanedRun[], clockMs: number }): void {
     const existing = worker.runs.get(runKey(running.task, running.attempt))
     if (existing !== undefined) {
--- a/jobs/scheduler/src/task-placer.ts
+++ b/jobs/scheduler/src/task-placer.ts
@@ -1,3 +1,4 @@
+import type { CompanyCost } from './company.ts'
 import type { Reservations } from './reservations.ts'
 import type { Run } from './run.ts'
 import { canPlace, chooseReservedWorker, chooseWorker, FreeCapacity, rankWorkers } from './placement.ts'
@@ -18,6 +19,8 @@
   readonly term: number
   /** Gets the workers that are kept for long-running tasks. */
   readonly reservations: Reservations
+  /** What the company on a worker costs a task; undefined if that makes no difference. */
+  readonly company?: CompanyCost | undefined
   /** Creates a run and reserves its capacity. */
   addRun (task: Task, worker: TrackedWorker, attempt: number): Run
   /** Undoes {@link TaskPlacerOpts.addRun}. */
@@ -92,13 +95,14 @@
   private placeTasks (step: TrackedStep, workers: readonly TrackedWorker[], now: number, maxRuns: number): Run[] {
     const runs: Run[] = []
     const permitted = this.permittedWorkers(step, workers, now)
-    const ranked = rankWorkers(step, permitted)
+    const { company } = this.opts
+    const ranked = rankWorkers(step, permitted, { company })
     let next = 0
     for (const task of step.tasks) {
       if (runs.length >= maxRuns) break
       if (!isStartable(task, now) || needsIsolation(task)) continue
       while (ranked[next] !== undefined && !canPlace(step, ranked[next] as TrackedWorker)) next += 1
-      const worker = task.failedOn.size === 0 ? ranked[next] : chooseWorker(step, permitted, { avoid: task.failedOn })
+      const worker = task.failedOn.size === 0 ? ranked[next] : chooseWorker(step, permitted, { avoid: task.failedOn, company })
       if (worker === undefined) break
       runs.push(this.placeOn(task, worker))
     }
@@ -134,7 +138,7 @@
     for (const rack of racks) {
       const runs: Run[] = []
       for (const task of step.tasks) {
-        const worker = chooseWorker(step, permitted, { avoid: task.failedOn, ...(rack === undefined ? {} : { rack }) })
+        const worker = chooseWorker(step, permitted, { avoid: task.failedOn, company: this.opts.company, ...(rack === undefined ? {} : { rack }) })
         if (worker === undefined) break
         runs.push(this.opts.addRun(task, worker, attempt))
       }
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -6,6 +6,7 @@
 import { removeExpiredJobs } from './expired-jobs.ts'
 import { computeServiceLoad } from './load.ts'
 import { LeadershipCheck, LEADERSHIP_OVERLAP_MS } from './leadership-check.ts'
+import { explainPairs, logCompany } from './company-log.ts'
 import { logLosses, logRestart } from './loss-log.ts'
 import type { ServiceTermOpts } from './ports.ts'
 import { ProgressWriter } from './progress-writer.ts'
@@ -170,7 +171,7 @@
     if (request.kind === 'job') return explainJob(scheduler, request.name, { queue: this.opts.queue, now })
     if (request.kind === 'worker') return explainWorker(scheduler, request.name, now)
     if (request.kind !== 'pool' || request.name !== this.service) return undefined
-    return { token: this.token, readyToPlaceAll: !scheduler.mayHaveUnknownRuns(), ...computeServiceLoad(scheduler, now) }
+    return { token: this.token, readyToPlaceAll: !scheduler.mayHaveUnknownRuns(), ...computeServiceLoad(scheduler, now), ...explainPairs(scheduler) }
   }
 
   /**
@@ -246,6 +247,7 @@
       components.scheduler.tick()
       takeoverMonitor.observe(components.scheduler)
       logLosses(components.scheduler, this.opts)
+      logCompany(components.scheduler, this.opts)
       this.endOldWithdrawals(components.scheduler)
       const runs = components.scheduler.placeReadyTasks(this.leadership.mayAct() ? this.startWindow.free() : 0)
       for (const run of runs) this.sendStart(run, signal)
