Client accounts: cancelling a job of uncertain write asks whose it is

A job whose write had no response at an entry could be cancelled there by another account (test fails without the change). A repeat of a stored id whose account cannot be read is of unknown outcome in place of accepted. jobs explain names the account.

--- a/jobs/intake/src/intake.ts
+++ b/jobs/intake/src/intake.ts
@@ -56,8 +56,8 @@
 export class Intake {
   private readonly opts: IntakeOpts
   private readonly accepted = new Map<string, Pick<Job, 'service' | 'account'>>()
-  /** Jobs whose write got no response at this entry: it may still be applied. */
-  private readonly uncertain = new Set<string>()
+  /** Jobs whose write got no response at this entry: it may still be applied. By id, with the account. */
+  private readonly uncertain = new Map<string, string | undefined>()
   private readonly hidden: RefusalLog
 
   constructor (opts: IntakeOpts) {
@@ -79,11 +79,15 @@
     this.opts.metrics.observe('job_accept_us', { queue: job.queue }, this.opts.clock.now() - startedAt)
     this.opts.metrics.count('jobs_handed_in_total', { queue: job.queue, result: stored.kind })
     this.opts.logger.info({ job: job.id, queue: job.queue, service: job.service, account: job.account, result: stored.kind }, 'job submitted')
-    if (stored.kind === 'unknown') this.addUncertain(job.id)
+    if (stored.kind === 'unknown') this.addUncertain(job)
     if (stored.kind === 'unknown' || (stored.kind === 'not-stored' && this.uncertain.has(job.id))) return { kind: 'unknown' }
     if (stored.kind === 'not-stored') return { kind: 'refused', retryAfterS: 1 }
+    if (stored.kind === 'known' && job.account !== undefined) {
+      const owner = await this.opts.records.accountOf(job.service, job.id)
+      if (!owner.ok) return { kind: 'unknown' }
+      if (this.isHidden('submit', job.id, owner.value, job.account)) return { kind: 'taken' }
+    }
     this.uncertain.delete(job.id)
-    if (stored.kind === 'known' && await this.isOfAnother(job)) return { kind: 'taken' }
     this.addAccepted(job)
     if (stored.kind === 'stored') this.notifyInBackground(job.service, job.id, async () => await this.opts.leaderClient.push(job.service, { job }))
     return { kind: 'accepted' }
@@ -100,7 +104,7 @@
   async cancel (queue: Queue, id: string, account?: string): Promise<'cancelled' | 'none' | 'unknown'> {
     const state = await this.state(queue, id, account)
     if (state === 'unavailable' && account !== undefined && this.accepted.get(id)?.account !== account) return 'unknown'
-    if (state === 'none' && !this.uncertain.has(id)) return 'none'
+    if (state === 'none' && !this.mayYetBeStored(id, account)) return 'none'
     if (state !== 'none' && state !== 'unavailable' && isFinal(state)) return 'cancelled'
     const stored = await this.opts.records.cancel(queue.service, id)
     this.opts.logger.info({ job: id, queue: queue.name, state, stored: stored.ok }, 'job cancelled')
@@ -135,13 +139,6 @@
     return await this.opts.leaderClient.pending(queue.service, queue.name)
   }
 
-  /** While nobody can say whose job it is, a repeat of a stored id counts as one of the same account. */
-  private async isOfAnother (job: Job): Promise<boolean> {
-    if (job.account === undefined) return false
-    const owner = await this.opts.records.accountOf(job.service, job.id)
-    return owner.ok && this.isHidden('submit', job.id, owner.value, job.account)
-  }
-
   /** Jobs without an account, as those stored by earlier versions, are visible to all. */
   private isHidden (reason: 'ask' | 'submit', id: string, owner: string | undefined, account: string | undefined): boolean {
     if (owner === undefined || account === undefined || owner === account) return false
@@ -150,9 +147,13 @@
     return true
   }
 
-  private addUncertain (id: string): void {
-    this.uncertain.add(id)
-    const oldest = this.uncertain.values().next()
+  private mayYetBeStored (id: string, account: string | undefined): boolean {
+    return this.uncertain.has(id) && !this.isHidden('ask', id, this.uncertain.get(id), account)
+  }
+
+  private addUncertain ({ id, account }: Job): void {
+    this.uncertain.set(id, account)
+    const oldest = this.uncertain.keys().next()
     if (this.uncertain.size > MAX_REMEMBERED_JOBS && oldest.done !== true) this.uncertain.delete(oldest.value)
   }
 
--- a/jobs/scheduler/src/explain.ts
+++ b/jobs/scheduler/src/explain.ts
@@ -30,6 +30,7 @@
   return {
     id,
     queue: tracked.job.queue,
+    account: tracked.job.account,
     state: scheduler.table.stateOf(id),
     failure: tracked.failure,
     outcomeWaitsForStore: tracked.outcome !== tracked.durableOutcome,
--- a/testing/jobs/test/job-accounts.test.ts
+++ b/testing/jobs/test/job-accounts.test.ts
@@ -25,6 +25,17 @@
   })
 })
 
+test('a job whose write had no response is cancelled for its own account only', async () => {
+  await withSite(async site => {
+    site.submitFaults.push('lose-call', 'lose-call', 'lose-call', 'lose-call')
+    assert.deepEqual(await submit(site, ID, 'a'), { kind: 'unknown' })
+    site.submitFaults.length = 0
+    await waitUntil('the store is reached again', async () => await site.intake.state(site.queue, ID, 'b') === 'none')
+    assert.equal(await site.intake.cancel(site.queue, ID, 'b'), 'none')
+    assert.equal(await site.intake.cancel(site.queue, ID, 'a'), 'cancelled')
+  })
+})
+
 test('a job keeps its account through a change of leader, in its record', async () => {
   await withSite(async site => {
     await (await site.elect()).releaseLeadership()
