Accounts do not vanish by a peer's configuration

A peer of an earlier version of the product decodes configurations without their accounts; an entry cut off from the store took one and served all calls (test fails without the change). The store decides now.

--- a/jobs/entry/src/site-view.ts
+++ b/jobs/entry/src/site-view.ts
@@ -105,11 +105,19 @@
    * @param config - the peer's configuration
    */
   applyPeerConfigIfNewer (config: JobConfig): void {
-    if (this.currentConfig === undefined && config.accounts !== undefined) this.logWaitingForStore(config.version)
-    else if (config.version > (this.currentConfig?.version ?? Number.NEGATIVE_INFINITY)) {
-      this.apply(config)
-      this.isFromPeer = true
+    if (config.version <= (this.currentConfig?.version ?? Number.NEGATIVE_INFINITY)) return
+    if (this.mustComeFromStore(config)) {
+      this.logWaitingForStore(config.version)
+      return
     }
+    this.apply(config)
+    this.isFromPeer = true
+  }
+
+  /** A peer of an earlier version of the product does not know accounts: its configurations have none. */
+  private mustComeFromStore (config: JobConfig): boolean {
+    if (this.currentConfig === undefined) return config.accounts !== undefined
+    return this.currentConfig.accounts !== undefined && config.accounts === undefined
   }
 
   private apply (config: JobConfig): void {
@@ -122,7 +130,7 @@
   private logWaitingForStore (version: number): void {
     if (this.loggedPeerVersion === version) return
     this.loggedPeerVersion = version
-    this.logger.info({ version }, 'first configuration with accounts awaited from the store: a peer\'s may be older than one that was in effect here')
+    this.logger.info({ version, inEffect: this.currentConfig?.version }, 'configuration of a peer not taken: the store decides about accounts')
   }
 
   private decodeOperatorKeys (): void {
--- a/jobs/entry/test/removed-keys.test.ts
+++ b/jobs/entry/test/removed-keys.test.ts
@@ -73,6 +73,15 @@
   assert.equal(isKnown(site, 'kept'), true)
 })
 
+test('an entry with accounts takes no configuration without any from a peer, but from the store', async () => {
+  const site = new SiteView(layout, silentLogger)
+  deliverFromStore(site, configText(7, 'kept'), 5)
+  await syncWithPeer(site, decode(configText(8)))
+  assert.equal(site.config()?.version, 7)
+  deliverFromStore(site, configText(8), 6)
+  assert.equal(site.accounts(), undefined)
+})
+
 test('a read of the store that a peer relays has no keys', async () => {
   const driver = new MemoryDriver()
   await driver.txn({ guards: [], puts: [{ key: 'op/config', value: 'secret' }, { key: 'op/wave/1', value: 'w' }], deletes: [] })
