Quotas: parts are lowered in steps, bench of what accounts cost a start

A part is lowered by 1/32 of the quota or as a whole, and a pass writes again only what did not fit.

--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -10,6 +10,7 @@
 import { benchLeaderLoss } from './leader-loss.ts'
 import { benchMoves } from './moves.ts'
 import { benchPlanning } from './planning.ts'
+import { benchAccountQuotas } from './account-quotas.ts'
 import { benchScheduling } from './scheduling.ts'
 import { benchWaves } from './waves.ts'
 
@@ -69,13 +70,17 @@
     return {}
   },
   scheduling: async () => {
-    const results = benchScheduling()
+    const results = await benchScheduling()
     printFigure('scheduling', results)
     return {
       growth: Math.max(...results.map(result => result.growth)),
       mostStartUs: Math.max(...results.flatMap(result => Object.values(result.startUsByWorkers)))
     }
   },
+  accountQuotas: async () => {
+    printFigure('accountQuotas', await benchAccountQuotas())
+    return {}
+  },
   jobPeaks: async () => {
     const results = Object.fromEntries(await Promise.all(Object.entries(sharingPolicies).map(async ([name, policy]) => [name, await benchJobPeaks(policy, SEED)] as const)))
     printFigure('jobPeaks', results)
--- a/bench/src/scheduling.ts
+++ b/bench/src/scheduling.ts
@@ -5,7 +5,7 @@
  */
 import { plainStep } from '@wisteriaslip/testing.jobs'
 import type { Job, Queue } from '@wisteriaslip/jobs.model'
-import { Scheduler, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
+import { Scheduler, type Run, type StartLimiter, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import { round } from './statistics.ts'
 
 const WORKER_COUNTS = [8, 32, 128, 256] as const
@@ -36,19 +36,33 @@
  * Measures all numbers of workers and loads.
  * @returns a result for each load
  */
-export function benchScheduling (): SchedulingResult[] {
-  return LOADS.map(load => {
-    const startUs = WORKER_COUNTS.map(workers => new SchedulingSimulation(workers, load).measureStartUs())
-    return {
+export async function benchScheduling (): Promise<SchedulingResult[]> {
+  const results: SchedulingResult[] = []
+  for (const load of LOADS) {
+    const startUs: number[] = []
+    for (const workers of WORKER_COUNTS) startUs.push(await new SchedulingSimulation(workers, load).measureStartUs())
+    results.push({
       load,
       startUsByWorkers: Object.fromEntries(WORKER_COUNTS.map((workers, index) => [workers, round(startUs[index] ?? Number.NaN, 1)])),
       growth: round((startUs.at(-1) ?? Number.NaN) / (startUs[0] ?? Number.NaN), 2)
-    }
-  })
+    })
+  }
+  return results
+}
+
+/** Client accounts of a simulation. */
+export interface SimulatedAccounts {
+  readonly limiter: StartLimiter
+  /** @returns name of the account of a job, by its number */
+  accountOf (job: number): string
+  /** Called before each pass, with the time of the simulation. */
+  beforePass (scheduler: Scheduler, now: number): Promise<void>
 }
 
-class SchedulingSimulation {
+/** A leader with its workers on a virtual clock. */
+export class SchedulingSimulation {
   private now = 1_000
+  private readonly accounts: SimulatedAccounts | undefined
   private readonly scheduler: Scheduler
   private readonly workers: TrackedWorker[]
   private readonly endsByWorker = new Map<TrackedWorker, Array<{ at: number, run: Run }>>()
@@ -57,8 +71,14 @@
   private jobs = 0
   private starts = 0
 
-  constructor (workers: number, load: number) {
-    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits: { longestLeaseMs: 6_000, stopMs: 400, shutdownGraceMs: 6_000, keepMs: 120_000, maintenanceMs: 2_000 }, queue: () => queue, term: 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: 0 })
+  /**
+   * @param workers - number of workers
+   * @param load - work that arrives, relative to what keeps half of the processors busy
+   * @param accounts - client accounts of the jobs, undefined for none
+   */
+  constructor (workers: number, load: number, accounts?: SimulatedAccounts) {
+    this.accounts = accounts
+    this.scheduler = new Scheduler({ clock: { now: () => this.now }, wallClock: () => this.now, limits: { longestLeaseMs: 6_000, stopMs: 400, shutdownGraceMs: 6_000, keepMs: 120_000, maintenanceMs: 2_000 }, queue: () => queue, term: 0, leadershipConfirmedAt: () => Infinity, maxEarlierLeaseMs: 0, limiter: accounts?.limiter })
     this.scheduler.setWorkers(Array.from({ length: workers }, (_, index) => ({ id: `w${index}`, born: 1, service: 's', host: 'h', port: 1, zone: 'z', vm: `v${index}`, draining: false, capacity: CAPACITY, labels: [], rack: `r${index >> 4}` })), { unknownRunsUntil: 0 })
     this.workers = [...this.scheduler.workers.values()]
     for (const worker of this.workers) this.report(worker)
@@ -66,22 +86,24 @@
     this.jobsPerMs = tasksAtOnce / RUN_MS / TASKS_PER_JOB
   }
 
-  measureStartUs (): number {
-    this.runUntil(this.now + WARM_UP_MS)
+  /** @returns processor time of a start, in microseconds */
+  async measureStartUs (): Promise<number> {
+    await this.runUntil(this.now + WARM_UP_MS)
     const startsBefore = this.starts
     const before = process.cpuUsage()
-    this.runUntil(this.now + MEASURED_MS)
+    await this.runUntil(this.now + MEASURED_MS)
     const { user, system } = process.cpuUsage(before)
     return (user + system) / (this.starts - startsBefore)
   }
 
-  private runUntil (until: number): void {
+  private async runUntil (until: number): Promise<void> {
     for (; this.now < until; this.now += PASS_MS) {
       for (const due = Math.floor(this.now * this.jobsPerMs); this.jobs < due;) this.addJob()
       for (const worker of this.workers) {
         if ((this.endsByWorker.get(worker)?.[0]?.at ?? Infinity) <= this.now) this.report(worker)
       }
       this.scheduler.tick()
+      if (this.accounts !== undefined) await this.accounts.beforePass(this.scheduler, this.now)
       for (const run of this.scheduler.placeReadyTasks()) this.start(run)
       for (const { tracked, completions } of this.scheduler.table.takeDirty()) this.scheduler.table.markDurable(tracked, tracked.outcome, completions)
     }
@@ -89,7 +111,7 @@
 
   private addJob (): void {
     this.jobs += 1
-    const job: Job = { id: `j${this.jobs}`, queue: 'q', service: 's', payload: '', steps: [plainStep({ tasks: TASKS_PER_JOB, demand: DEMAND, estimateMs: RUN_MS })], acceptedAt: this.now, acceptedUnder: 0 }
+    const job: Job = { id: `j${this.jobs}`, queue: 'q', service: 's', payload: '', steps: [plainStep({ tasks: TASKS_PER_JOB, demand: DEMAND, estimateMs: RUN_MS })], acceptedAt: this.now, acceptedUnder: 0, account: this.accounts?.accountOf(this.jobs) }
     this.scheduler.addJob(job, { acceptedThisTerm: true })
   }
 
--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -107,10 +107,11 @@
   async step (scheduler: Scheduler, signal?: AbortSignal): Promise<void> {
     if (this.mustRead && !await this.readAll(signal)) return
     // Determined anew for each write: what is in use may have changed during the one before.
-    for (let written = true; written;) {
-      const [changes] = splitChanges(this.collectChanges(scheduler), { commonGuards: 1 })
+    for (let isMoreLeft = true; isMoreLeft;) {
+      const all = this.collectChanges(scheduler)
+      const changes = splitChanges(all, { commonGuards: 1 })[0]?.slice(0, this.changesPerWrite)
       if (changes === undefined || !this.takeWrite()) return
-      written = await this.write(changes.slice(0, this.changesPerWrite), signal)
+      isMoreLeft = await this.write(changes, signal) && all.length > changes.length
     }
   }
 
--- a/jobs/quota/src/parts.ts
+++ b/jobs/quota/src/parts.ts
@@ -44,6 +44,8 @@
 
 /** A part is raised by this share of the quota more than is needed, if nobody lacks it: so that it is raised seldom. */
 const HEADROOM = 1 / 8
+/** A part is lowered by at least this share of the quota. */
+const MIN_LOWERING = 1 / 32
 /** Demand is noted in steps of this share of the quota: so that it is noted seldom. */
 const STEP = 1 / 16
 
@@ -98,7 +100,7 @@
   const isOver = !isWithin(before, free)
   const isLacking = isOver || Object.entries(record?.parts ?? {}).some(([name, other]) => name !== service && other.wants !== undefined)
   const target = isLacking ? contendedPart() : calmPart()
-  const given = most(inUse, target)
+  const given = worthALowering(most(inUse, target))
   // What has come in turn is kept until it is used: others would take it again.
   const keepsClaim = isLacking && part?.wants !== undefined && !isSame(need.atOnce, nothing)
   const wants = isWithin(total, given) && !keepsClaim ? undefined : notedWants(record, service, { total, atOnce: limited(need.atOnce), limits, progressed: need.progressed })
@@ -111,6 +113,12 @@
     return least(free, most(before, plus(total, limited(each(dimension => Math.floor(limits[dimension] * HEADROOM))))))
   }
 
+  /** Runs end one by one: a part is lowered in steps, but as a whole when nothing is left of it. */
+  function worthALowering (lower: Resources): Resources {
+    const isSmall = isWithin(lower, before) && isWithin(minus(before, lower), limited(each(dimension => limits[dimension] * MIN_LOWERING)))
+    return isSmall && !isSame(lower, nothing) ? before : lower
+  }
+
   function contendedPart (): Resources {
     const wanted = { total, atOnce: limited(need.atOnce), turn: part?.wants?.turn ?? Infinity }
     const share = least(total, shareFairly(record, service, { limits, wanted }))
