--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -17,7 +17,7 @@
 const MIN_GAP_MS = 30
 /** Writes of a service at most: this many at once, and this many a second. */
 const MAX_WRITES_AT_ONCE = 8
-const WRITES_PER_S = 6
+const WRITES_PER_S = 4
 /** What an account has not used for as long goes back. */
 const IDLE_MS = 10_000
 const READ_RETRY_MS = 200
@@ -217,12 +217,14 @@
     return true
   }
 
-  /** Writes parts. One that is lowered is kept to from the moment of sending, also if there is no response. */
+  /**
+   * Writes parts, after what the entry must write. One that is lowered is kept to from the moment of sending, also if there is no response.
+   */
   private async write (changes: readonly PartChange[], signal: AbortSignal | undefined): Promise<boolean> {
     const { store, guard } = this.opts
     const isLower = ({ from, part }: PartChange): boolean => !isWithin(from, part.given)
     for (const each of changes) if (isLower(each)) this.book.lower(each.account, each.part.given)
-    const written = await store.update(changes.map(({ change }) => change), { guards: [guard], signal })
+    const written = await store.update(changes.map(({ change }) => change), { guards: [guard], signal, forCaller: true })
     this.noteOutcome(written.ok ? undefined : written.error)
     if (written.ok) {
       for (const { change } of changes) this.book.applyDoc(toVersioned(change, written.value))
