--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -192,13 +192,14 @@
     return { account, from, part, isUrgent: waiting !== undefined, change: { key: this.book.key(account), prior: entry?.version, value } }
   }
 
-  /** The part is not lowered below what may be in progress, and not raised for runs that the term only cannot rule out. */
+  /** The part is not lowered below what may be in progress or is to go on, and not raised for runs that the term only cannot rule out. */
   private needOf (account: string, given: Resources, { waiting, now }: { waiting: WaitingWork | undefined, now: number }): Need {
     const { tracked, most: upTo } = this.limits.use(account)
     const inUse = most(tracked, least(given, upTo))
+    const kept = least(given, plus(inUse, waiting?.returning ?? nothing))
     if (waiting !== undefined || !isSame(upTo, nothing) || !this.busyAt.has(account)) this.busyAt.set(account, now)
     return {
-      inUse,
+      inUse: most(inUse, kept),
       total: plus(inUse, waiting?.demand ?? nothing),
       atOnce: waiting?.atOnce ?? nothing,
       smallest: waiting?.smallest ?? nothing,
--- a/jobs/quota/src/limiter.ts
+++ b/jobs/quota/src/limiter.ts
@@ -29,7 +29,7 @@
   /** When the account was first looked for in vain, by the injected clock. */
   missingSince: number | undefined
   /** What was computed from this quota and state of the book. */
-  cached: { readonly quota: Resources, readonly limits: Resources | undefined, readonly bookChanges: number, readonly usable: Resources } | undefined
+  cached: { readonly quota: Resources, readonly limits: Resources | undefined, readonly bookChanges: number, readonly usable: Resources, readonly confirmed: Resources } | undefined
 }
 
 /** The quota that applies to an account: `none` if nothing is limited, `unknown` while it may yet turn out to have one. */
@@ -57,7 +57,7 @@
     const name = step.job.job.account
     if (name === undefined) return true
     const state = this.stateOf(name)
-    const usable = this.usableOf(name, state)
+    const usable = this.usableOf(name, state, { isLasting: step.spec.lasting })
     if (usable === 'none') return true
     state.hasBackfill ||= step.spec.backfill
     const demand = runs === 1 ? step.spec.demand : times(step.spec.demand, runs)
@@ -182,15 +182,16 @@
     return book.isRead && clock.now() - state.missingSince >= UNKNOWN_ACCOUNT_WAIT_MS ? 'none' : 'unknown'
   }
 
-  private usableOf (name: string, state: AccountState): Resources | 'none' | 'unknown' {
+  /** A long-running task that has ended, or is to be moved, does not give way to what others lack. */
+  private usableOf (name: string, state: AccountState, { isLasting }: { isLasting: boolean }): Resources | 'none' | 'unknown' {
     const inForce = this.quotaOf(name, state)
     if (typeof inForce === 'string') return inForce
     const { book } = this.opts
     const { quota, limits } = inForce
     if (state.cached?.quota !== quota || state.cached.bookChanges !== book.changes) {
-      state.cached = { quota, limits, bookChanges: book.changes, usable: book.usable(name, limits) }
+      state.cached = { quota, limits, bookChanges: book.changes, usable: book.usable(name, limits), confirmed: book.confirmed(name, limits) }
     }
-    return state.cached.usable
+    return isLasting ? state.cached.confirmed : state.cached.usable
   }
 
   /** What the account may still get here as long as the other services keep their parts. */
--- a/jobs/quota/src/needs.ts
+++ b/jobs/quota/src/needs.ts
@@ -1,5 +1,5 @@
 import type { Resources } from '@wisteriaslip/jobs.model'
-import type { Scheduler } from '@wisteriaslip/jobs.scheduler'
+import type { Scheduler, TrackedStep } from '@wisteriaslip/jobs.scheduler'
 import { unitOf, type QuotaLimiter } from './limiter.ts'
 import { hasRoomFor, least, most, nothing, plus, times } from './resources.ts'
 
@@ -11,6 +11,8 @@
   readonly atOnce: Resources
   /** Smallest task, or gang, in each resource. */
   readonly smallest: Resources
+  /** Demand of the long-running tasks that ran before and are to run again: their part is kept for them. */
+  readonly returning: Resources
 }
 
 /**
@@ -21,21 +23,25 @@
  * @returns the work by account
  */
 export function collectWaiting (scheduler: Scheduler, limiter: QuotaLimiter, now: number): Map<string, WaitingWork> {
-  const found = new Map<string, { plain: Resources, backfill: Resources, atOnce: Resources, smallest: Resources }>()
+  const found = new Map<string, { plain: Resources, backfill: Resources, atOnce: Resources, smallest: Resources, returning: Resources }>()
   for (const step of scheduler.table.ready) {
     const name = step.job.job.account
     if (name === undefined || step.waiting === 0) continue
     const inForce = limiter.quota(name)
     const unit = unitOf(step)
     if (typeof inForce === 'string' || !hasRoomFor(nothing, unit, inForce.limits)) continue
-    const before = found.get(name) ?? { plain: nothing, backfill: nothing, atOnce: nothing, smallest: unit }
+    const before = found.get(name) ?? { plain: nothing, backfill: nothing, atOnce: nothing, smallest: unit, returning: nothing }
     const demand = times(step.spec.demand, step.waiting)
     const sums = step.spec.backfill ? { plain: before.plain, backfill: plus(before.backfill, demand) } : { plain: plus(before.plain, demand), backfill: before.backfill }
-    found.set(name, { ...sums, atOnce: most(before.atOnce, unit), smallest: least(before.smallest, unit) })
+    found.set(name, { ...sums, atOnce: most(before.atOnce, unit), smallest: least(before.smallest, unit), returning: step.spec.lasting ? plus(before.returning, returningDemand(step)) : before.returning })
   }
   if (found.size === 0) return new Map()
   const free = freeCapacity(scheduler, now)
-  return new Map([...found].map(([name, { plain, backfill, atOnce, smallest }]) => [name, { demand: plus(least(plain, most(free, atOnce)), backfill), atOnce, smallest }]))
+  return new Map([...found].map(([name, { plain, backfill, atOnce, smallest, returning }]) => [name, { demand: plus(least(plain, most(free, atOnce)), backfill), atOnce, smallest, returning }]))
+}
+
+function returningDemand ({ tasks, spec }: TrackedStep): Resources {
+  return times(spec.demand, tasks.filter(task => !task.done && task.runs.length === 0 && task.idleSince !== undefined).length)
 }
 
 function freeCapacity (scheduler: Scheduler, now: number): Resources {
--- a/jobs/quota/src/quota-book.ts
+++ b/jobs/quota/src/quota-book.ts
@@ -107,14 +107,19 @@
   /**
    * @param account - name of an account
    * @param limits - its quota, infinity for no limit
-   * @returns what the service may have in use when it starts more
+   * @returns what the service may have in use when it starts more; less if others lack it, see {@link hold}
    */
   usable (account: string, limits: Resources): Resources {
-    const entry = this.entries.get(account)
-    const usable = usablePart(entry?.record, this.service, limits)
-    const lowered = this.lowered.get(account)?.given
-    const held = this.held.get(account)
-    return each(dimension => usable[dimension] === Infinity ? Infinity : Math.min(usable[dimension], lowered?.[dimension] ?? Infinity, held?.[dimension] ?? Infinity))
+    return lowerOf(this.confirmed(account, limits), this.held.get(account))
+  }
+
+  /**
+   * @param account - name of an account
+   * @param limits - its quota, infinity for no limit
+   * @returns what the service may have in use although others lack it
+   */
+  confirmed (account: string, limits: Resources): Resources {
+    return lowerOf(usablePart(this.entries.get(account)?.record, this.service, limits), this.lowered.get(account)?.given)
   }
 
   /**
@@ -192,3 +197,9 @@
     }
   }
 }
+
+/** Leaves what is not limited as it is. */
+function lowerOf (usable: Resources, bound: Resources | undefined): Resources {
+  if (bound === undefined) return usable
+  return each(dimension => usable[dimension] === Infinity ? Infinity : Math.min(usable[dimension], bound[dimension]))
+}
--- a/jobs/quota/test/quotas.model.test.ts
+++ b/jobs/quota/test/quotas.model.test.ts
@@ -86,11 +86,11 @@
     holder.book.lower = () => {}
   },
   'a part is raised before the write is confirmed' ({ holder: { book } }) {
-    const usable = book.usable.bind(book)
-    book.usable = (account, limits) => plus(usable(account, limits), { cpu: 1_000, memMb: 0, accelerators: 0 })
+    const confirmed = book.confirmed.bind(book)
+    book.confirmed = (account, limits) => plus(confirmed(account, limits), { cpu: 1_000, memMb: 0, accelerators: 0 })
   },
   'parts above a lowered quota are used as before' ({ holder: { book } }) {
-    book.usable = account => book.given(account)
+    book.confirmed = account => book.given(account)
   }
 }
 
--- a/jobs/quota/test/quotas.test.ts
+++ b/jobs/quota/test/quotas.test.ts
@@ -157,6 +157,23 @@
   assertHeld(site)
 })
 
+test('a long-running task that ends or is moved starts again although another service lacks its part', async () => {
+  const site = new Site()
+  site.accept('s0', { cpu: 1_000, tasks: 6, lasting: true })
+  await site.work(2)
+  site.accept('s1', { cpu: 1_000, tasks: 3 })
+  await site.work(2)
+  for (let round = 0; round < 4; round++) {
+    await site.perform(5, 3, 0)
+    await site.perform(2, 0, 0)
+    assert.equal(site.usedBy('s0'), 5_000)
+    for (const action of [3, 12, 3, 12, 4]) await site.perform(action, 0, 0)
+    await site.work(3)
+    assert.equal(site.usedBy('s0'), QUOTA)
+  }
+  assertHeld(site)
+})
+
 test('a task that needs the whole quota gets its turn beside services that want it, too', async () => {
   const site = await siteWithRuns(200)
   site.accept('s1', { cpu: 2_000, tasks: 200 })
