--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -17,7 +17,7 @@
 const MIN_GAP_MS = 30
 /** Writes of a service at most: this many at once, and this many a second. */
 const MAX_WRITES_AT_ONCE = 8
-const WRITES_PER_S = 6
+const WRITES_PER_S = 4
 /** What an account has not used for as long goes back. */
 const IDLE_MS = 10_000
 const READ_RETRY_MS = 200
@@ -107,10 +107,11 @@
   async step (scheduler: Scheduler, signal?: AbortSignal): Promise<void> {
     if (this.mustRead && !await this.readAll(signal)) return
     // Determined anew for each write: what is in use may have changed during the one before.
-    for (let written = true; written;) {
-      const [changes] = splitChanges(this.collectChanges(scheduler), { commonGuards: 1 })
+    for (let isMoreLeft = true; isMoreLeft;) {
+      const all = this.collectChanges(scheduler)
+      const changes = splitChanges(all, { commonGuards: 1 })[0]?.slice(0, this.changesPerWrite)
       if (changes === undefined || !this.takeWrite()) return
-      written = await this.write(changes.slice(0, this.changesPerWrite), signal)
+      isMoreLeft = await this.write(changes, signal) && all.length > changes.length
     }
   }
 
@@ -191,13 +192,14 @@
     return { account, from, part, isUrgent: waiting !== undefined, change: { key: this.book.key(account), prior: entry?.version, value } }
   }
 
-  /** The part is not lowered below what may be in progress, and not raised for runs that the term only cannot rule out. */
+  /** The part is not lowered below what may be in progress or is to go on, and not raised for runs that the term only cannot rule out. */
   private needOf (account: string, given: Resources, { waiting, now }: { waiting: WaitingWork | undefined, now: number }): Need {
     const { tracked, most: upTo } = this.limits.use(account)
     const inUse = most(tracked, least(given, upTo))
+    const kept = least(given, plus(inUse, waiting?.returning ?? nothing))
     if (waiting !== undefined || !isSame(upTo, nothing) || !this.busyAt.has(account)) this.busyAt.set(account, now)
     return {
-      inUse,
+      inUse: most(inUse, kept),
       total: plus(inUse, waiting?.demand ?? nothing),
       atOnce: waiting?.atOnce ?? nothing,
       smallest: waiting?.smallest ?? nothing,
@@ -216,12 +218,14 @@
     return true
   }
 
-  /** Writes parts. One that is lowered is kept to from the moment of sending, also if there is no response. */
+  /**
+   * Writes parts, after what the entry must write. One that is lowered is kept to from the moment of sending, also if there is no response.
+   */
   private async write (changes: readonly PartChange[], signal: AbortSignal | undefined): Promise<boolean> {
     const { store, guard } = this.opts
     const isLower = ({ from, part }: PartChange): boolean => !isWithin(from, part.given)
     for (const each of changes) if (isLower(each)) this.book.lower(each.account, each.part.given)
-    const written = await store.update(changes.map(({ change }) => change), { guards: [guard], signal })
+    const written = await store.update(changes.map(({ change }) => change), { guards: [guard], signal, forCaller: true })
     this.noteOutcome(written.ok ? undefined : written.error)
     if (written.ok) {
       for (const { change } of changes) this.book.applyDoc(toVersioned(change, written.value))
