Backfill that is throttled for long beside a task that it disturbs continues elsewhere

Only new starts chose their company so far. A backfill run at half its speed or less for 5 s is stopped, if it is known to disturb a serving task there, its checkpoint saves the work, and another worker has room for it and nobody that it disturbs. One run a second in a service, a task once; no gangs, no long-running tasks.

jobs/scheduler and jobs/interference: 265 tests pass.

--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -19,6 +19,7 @@
 import { Reservations } from './reservations.ts'
 import { carriedOver, createRun, type Run } from './run.ts'
 import { DurationEstimator, findStragglers } from './stragglers.ts'
+import { ThrottledBackfill } from './throttled-backfill.ts'
 import { TaskPlacer } from './task-placer.ts'
 import { attachRun, detachRun, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
 import { runKey, TrackedWorker, type ClockReading } from './tracked-worker.ts'
@@ -87,11 +88,13 @@
   private readonly demandEstimator: DemandEstimator
   private readonly placer: TaskPlacer
   private readonly crashTracker: CrashTracker
+  private readonly throttledBackfill: ThrottledBackfill
 
   constructor (opts: SchedulerOpts) {
     this.opts = opts
     this.demandEstimator = new DemandEstimator(opts.clock)
     this.placer = new TaskPlacer({ queue: opts.queue, term: opts.term, reservations: this.reservations, company: this.company, addRun: (task, worker, attempt) => this.addRun(task, worker, attempt), releaseRun: run => this.releaseRun(run) })
+    this.throttledBackfill = new ThrottledBackfill({ workers: this.workers, company: this.company, mayTake: (step, worker, now) => this.placer.permittedWorkers(step, [worker], now).length > 0 })
     this.table = new JobTable({ ...opts, onRunNotNeeded: (run, reason) => this.requestStop(run, reason) })
     this.permitRequester = new PermitRequester({ clock: opts.clock, queue: opts.queue, ready: this.table.ready, workers: this.workers })
     this.isolation = new Isolation(this.placer, this.reservations)
@@ -215,6 +218,8 @@
     }
     if (!report.moreEnded) this.handleStragglers(worker, report.clockMs)
     this.company.observe(worker, opts.receivedAt)
+    const moved = this.throttledBackfill.findRunToMove(worker, opts.receivedAt)
+    if (moved !== undefined) this.requestStop(moved, 'disturbs')
     if (worker.runs.size > 0 || worker.hasUntrackedRuns) worker.emptySince = undefined
     else worker.emptySince ??= opts.receivedAt
     return { unknownJobs: [...unknownJobs], orphans }
--- a/jobs/scheduler/test/company.test.ts
+++ b/jobs/scheduler/test/company.test.ts
@@ -8,18 +8,18 @@
 import { SchedulerHarness, step, worker } from './harness.ts'
 
 const serving: Partial<Step> = { image: 'api', latencyTargetMs: 100, lasting: true, perWorker: 1, demand: { cpu: 1_000, memMb: 100, accelerators: 0 } }
-const filling: Partial<Step> = { image: 'crunch', backfill: true, estimateMs: 60_000, perWorker: 1, demand: { cpu: 1_000, memMb: 100, accelerators: 0 } }
+const filling: Partial<Step> = { image: 'crunch', backfill: true, estimateMs: 600_000, perWorker: 1, demand: { cpu: 1_000, memMb: 100, accelerators: 0 } }
 
 /** A service of which most workers have a serving task, and some a task that fills beside it. */
 class BusyService extends SchedulerHarness {
   readonly started: Run[] = []
 
-  constructor (opts: { workers: number, serving: number, filling: number }) {
+  constructor (opts: { workers: number, serving: number, filling: number, fillingStep?: Partial<Step> }) {
     super()
     this.addWorkers(...Array.from({ length: opts.workers }, (_, number) => worker(`w${number}`)))
     this.addJob({ id: 'api', steps: [step({ ...serving, tasks: opts.serving })] })
     this.start()
-    this.addJob({ id: 'crunch', steps: [step({ ...filling, tasks: opts.filling })] })
+    this.addJob({ id: 'crunch', steps: [step({ ...filling, tasks: opts.filling, ...opts.fillingStep })] })
     this.start()
   }
 
@@ -36,7 +36,7 @@
       for (const { registration: { id }, runs } of this.scheduler.workers.values()) {
         const disturbed = [...runs.values()].some(run => run.task.step.spec.backfill)
         const loadOf = ({ task: { step: { spec } } }: Run): number => spec.backfill ? spec.demand.cpu : calmMs * (disturbed ? factor : 1)
-        this.report(id, { running: [...runs.values()].map(run => ({ task: run.task.name, attempt: run.attempt, checkpoint: '', percent: 100, load: loadOf(run) })) })
+        this.report(id, { running: [...runs.values()].map(run => ({ task: run.task.name, attempt: run.attempt, checkpoint: run.task.step.spec.checkpoints ? 'saved' : '', percent: 100, load: loadOf(run) })) })
       }
     }
   }
@@ -80,6 +80,28 @@
   assert.equal(service.scheduler.company.takeChanges().length, 0)
 })
 
+/** Lets the tasks that fill of a busy service be throttled for a while, and returns the reasons of the stops that are due then. */
+function stopsAfterThrottling (opts: ConstructorParameters<typeof BusyService>[0], { percent = 20, ms = 7_000 } = {}): Array<string | undefined> {
+  const service = new BusyService(opts)
+  service.reportFor(30_000, { factor: 1.6 })
+  for (const run of service.started) if (run.task.step.spec.backfill) run.speedPercent = percent
+  service.reportFor(ms, { factor: 1.6 })
+  return service.scheduler.collectDueStops().map(({ stopReason }) => stopReason)
+}
+
+test('backfill that is throttled for long beside a task that it disturbs is moved, one run a second', () => {
+  const opts = { workers: 14, serving: 10, filling: 6, fillingStep: { checkpoints: true } }
+  assert.deepEqual(stopsAfterThrottling(opts), ['disturbs', 'disturbs'])
+  assert.deepEqual(stopsAfterThrottling(opts, { ms: 5_000 }), [])
+  assert.deepEqual(stopsAfterThrottling(opts, { percent: 80 }), [])
+})
+
+test('it stays where no other worker has room, where its work would be lost, and where it is long-running', () => {
+  assert.deepEqual(stopsAfterThrottling({ workers: 10, serving: 10, filling: 6, fillingStep: { checkpoints: true } }), [])
+  assert.deepEqual(stopsAfterThrottling({ workers: 14, serving: 10, filling: 6 }), [])
+  assert.deepEqual(stopsAfterThrottling({ workers: 14, serving: 10, filling: 6, fillingStep: { checkpoints: true, lasting: true } }), [])
+})
+
 /** Costs by worker id, for every step. */
 function costs (byWorker: Readonly<Record<string, number>>): CompanyCost {
   return { concerns: () => true, costOf: (_step, { registration: { id } }) => byWorker[id] ?? 0 }
