--- a/jobs/interference/src/model.ts
+++ b/jobs/interference/src/model.ts
@@ -27,6 +27,8 @@
 const CONVINCING_FOR_MS = 4_000
 const MAX_PAIRS = 1_024
 const NOISE_MEMORY = 200
+/** What is known of the figures of an image is forgotten after this time without any. */
+const MAX_SILENCE_MS = 60_000
 const INITIAL_NOISE = 0.4
 /** Rise of all figures of a worker, as a natural logarithm, from which on it may be slow as a whole. */
 const RAISED_ABOVE = 0.25
@@ -83,6 +85,7 @@
   noise: number
   /** When a pair with it was last found. */
   foundAt: number
+  heardAt: number
 }
 
 /**
@@ -183,8 +186,9 @@
   }
 
   private learn (worker: string, on: string, rest: number, activities: ReadonlyMap<string, number>, now: number): void {
-    const state = this.disturbed.get(on) ?? { calm: new Average(), noise: INITIAL_NOISE, foundAt: Number.NEGATIVE_INFINITY }
+    const state = this.disturbed.get(on) ?? { calm: new Average(), noise: INITIAL_NOISE, foundAt: Number.NEGATIVE_INFINITY, heardAt: now }
     this.disturbed.set(on, state)
+    state.heardAt = now
     state.calm.add(rest)
     state.noise += (Math.abs(rest - state.calm.value) - state.noise) / NOISE_MEMORY
     for (const [image, activity] of activities) {
@@ -272,10 +276,9 @@
         pairs.delete(pair.image)
         this.pairCount -= 1
       }
-      if (pairs.size > 0) continue
-      this.pairs.delete(on)
-      this.disturbed.delete(on)
+      if (pairs.size === 0) this.pairs.delete(on)
     }
+    for (const [on, { heardAt }] of this.disturbed) if (now - heardAt > MAX_SILENCE_MS) this.disturbed.delete(on)
   }
 }
 
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -10,7 +10,6 @@
 import { Isolation } from './isolation.ts'
 import { JobTable } from './job-table.ts'
 import type { QueueLookup } from './step-priority.ts'
-import { canPlace } from './placement.ts'
 import { isUnplaceable } from './unplaceable.ts'
 import { moveLongRunningTasks } from './move-tasks.ts'
 import { PermitRequester } from './permit-requester.ts'
@@ -18,16 +17,15 @@
 import { recordFailure } from './failed-runs.ts'
 import { Reservations } from './reservations.ts'
 import { carriedOver, createRun, type Run } from './run.ts'
-import { DurationEstimator, findStragglers } from './stragglers.ts'
+import { restartSlowRuns } from './slow-runs.ts'
+import { DurationEstimator } from './stragglers.ts'
 import { ThrottledBackfill } from './throttled-backfill.ts'
 import { TaskPlacer } from './task-placer.ts'
-import { attachRun, detachRun, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
+import { attachRun, detachRun, mayStart, type Task } from './tracked-job.ts'
 import { runKey, TrackedWorker, type ClockReading } from './tracked-worker.ts'
 import { WithdrawnRoom } from './withdrawn-room.ts'
 import { describeSilence, lossCauses, toLostRun, type LossCause, type WorkerLoss } from './worker-loss.ts'
 
-/** Cooldown of a worker on which runs of several jobs are slow. */
-const SLOW_WORKER_COOLDOWN_MS = 1_500
 /** Cooldown of a worker that rejected a start for lack of capacity or could not be sent one, or that is unhealthy. */
 const NO_CAPACITY_COOLDOWN_MS = 200
 const UNHEALTHY_COOLDOWN_MS = 600
@@ -216,7 +214,7 @@
       worker.markFenced()
       this.handleMissingRuns(worker, listedRuns, opts.sentAt)
     }
-    if (!report.moreEnded) this.handleStragglers(worker, report.clockMs)
+    if (!report.moreEnded) restartSlowRuns(worker, { workers: this.workers, durationEstimator: this.durationEstimator, clockMs: report.clockMs, now: this.opts.clock.now(), stop: (run, reason) => this.requestStop(run, reason) })
     this.company.observe(worker, opts.receivedAt)
     const moved = this.throttledBackfill.findRunToMove(worker, opts.receivedAt)
     if (moved !== undefined) this.requestStop(moved, 'disturbs')
@@ -426,21 +424,6 @@
     this.requestStop(carried, 'worker restarted')
   }
 
-  private handleStragglers (worker: TrackedWorker, clockMs: number): void {
-    const now = this.opts.clock.now()
-    const { workerIsSlow, toRestart } = findStragglers(worker, this.durationEstimator, clockMs)
-    if (workerIsSlow) worker.cooldownUntil = Math.max(worker.cooldownUntil, now + SLOW_WORKER_COOLDOWN_MS)
-    for (const run of toRestart) {
-      if (!this.canRunElsewhere(run.task.step, worker, now)) continue
-      run.task.slowRestarts += 1
-      this.requestStop(run, 'slow')
-    }
-  }
-
-  private canRunElsewhere (step: TrackedStep, worker: TrackedWorker, now: number): boolean {
-    return [...this.workers.values()].some(other => other !== worker && other.takesStarts(now) && canPlace(step, other))
-  }
-
   private applyEndedRuns (worker: TrackedWorker, ended: readonly EndedRun[], unknownJobs: Set<string>): void {
     const newRuns = ended.filter(endedRun => endedRun.seq > worker.highestCompletionSeq).sort((a, b) => a.seq - b.seq)
     for (const endedRun of newRuns) {
--- a/testing/jobs/src/memory-workers.ts
+++ b/testing/jobs/src/memory-workers.ts
@@ -69,6 +69,10 @@
   readonly recordedRuns: RecordedRun[] = []
   /** How many completions a poll lists at most. */
   maxListedEnds = 500
+  /** Figure that a poll reports for a run of a task, beside the tasks on its worker. */
+  loadOf: (task: string, tasks: readonly string[]) => number = () => 0
+  /** Checkpoint that a poll reports for a run of a task. */
+  checkpointOf: (task: string) => string = () => ''
   /** Number of polls that the caller ended early. */
   endedPolls = 0
   /** Called with the id of a worker that a run crashes. */
@@ -170,7 +174,8 @@
       return noReply('aborted')
     }
     if (!worker.up) return noReply('worker crashed')
-    const running: ActiveRun[] = [...worker.runs.values()].map(({ record }) => ({ task: record.task, attempt: record.attempt, checkpoint: '', percent: 100, load: 0 }))
+    const tasks = [...worker.runs.values()].map(({ record }) => record.task)
+    const running: ActiveRun[] = [...worker.runs.values()].map(({ record: { task, attempt } }) => ({ task, attempt, checkpoint: this.checkpointOf(task), percent: 100, load: this.loadOf(task, tasks) }))
     return ok({ clockMs: this.clockOf(worker), born: worker.registration.born, running, ended: worker.ended.slice(0, this.maxListedEnds), moreEnded: worker.ended.length > this.maxListedEnds })
   }
 
