Interference: a pair mostly seen on slow workers is not kept apart

Judging a worker by what likely pairs leave of its figures explained its slowness by the pair itself: a pair seen on six workers, five of them slow, was kept apart (new test, failed before). It is judged by what pairs that are found leave.

--- a/jobs/interference/src/model.ts
+++ b/jobs/interference/src/model.ts
@@ -66,6 +66,15 @@
   readonly change: 'found' | 'dropped'
 }
 
+/** What is left of the figure of a run, as a natural logarithm, beside its own load. */
+interface Rest {
+  readonly image: string
+  /** Less what its neighbours are likely to explain. */
+  readonly rest: number
+  /** Less what pairs that are found explain: what is only likely may be the slowness of the worker. */
+  readonly raisedBy: number
+}
+
 interface Pair {
   readonly image: string
   readonly on: string
@@ -118,13 +127,15 @@
     if (now - (this.observedAt.get(worker) ?? Number.NEGATIVE_INFINITY) < MIN_REPORT_GAP_MS) return
     this.observedAt.set(worker, now)
     const activities = activityByImage(runs)
-    const rests: Array<{ image: string, rest: number }> = []
+    const rests: Rest[] = []
     for (const run of runs) {
       if (run.tailMs <= 0 || run.image === '') continue
       const figure = Math.log(run.tailMs)
       if (opts.slow !== true) this.ownLoad.record(run.group, run.key, figure, now)
       const level = this.ownLoad.levelOf(run.group, now)
-      if (level !== undefined) rests.push({ image: run.image, rest: clamp(figure - level) - this.explainedBy(run.image, activities) })
+      if (level === undefined) continue
+      const excess = clamp(figure - level)
+      rests.push({ image: run.image, rest: excess - this.explainedBy(run.image, activities), raisedBy: excess - this.explainedBy(run.image, activities, { foundOnly: true }) })
     }
     this.judgeWorker(worker, rests, activities, now)
     if (opts.slow !== true) for (const { image, rest } of rests) this.learn(worker, image, rest, activities, now)
@@ -170,19 +181,19 @@
     return [...this.pairs.values()].flatMap(pairs => [...pairs.values()])
   }
 
-  /** Returns what the neighbours of an image explain of its figure, as far as their effect is likely. */
-  private explainedBy (image: string, activities: ReadonlyMap<string, number>): number {
+  /** Returns what the neighbours of an image explain of its figure: those that are found, or all whose effect is likely. */
+  private explainedBy (image: string, activities: ReadonlyMap<string, number>, { foundOnly = false } = {}): number {
     let effect = 0
-    for (const pair of this.pairs.get(image)?.values() ?? []) effect += effectOf(pair) * (activities.get(pair.image) ?? 0)
+    for (const pair of this.pairs.get(image)?.values() ?? []) if (pair.found || !foundOnly) effect += effectOf(pair) * (activities.get(pair.image) ?? 0)
     return effect
   }
 
   /** Several images don't rise together by chance again and again, nor does one that has no company. */
-  private judgeWorker (worker: string, rests: ReadonlyArray<{ image: string, rest: number }>, activities: ReadonlyMap<string, number>, now: number): void {
+  private judgeWorker (worker: string, rests: readonly Rest[], activities: ReadonlyMap<string, number>, now: number): void {
     if (rests.length === 0) return
     const images = new Set(rests.map(({ image }) => image))
     if (images.size < 2 && activities.size > 1) return
-    this.slowWorkers.record(worker, rests.every(({ image, rest }) => rest - (this.disturbed.get(image)?.calm.value ?? 0) > RAISED_ABOVE), now)
+    this.slowWorkers.record(worker, rests.every(({ image, raisedBy }) => raisedBy - (this.disturbed.get(image)?.calm.value ?? 0) > RAISED_ABOVE), now)
   }
 
   private learn (worker: string, on: string, rest: number, activities: ReadonlyMap<string, number>, now: number): void {
--- a/jobs/interference/test/model.test.ts
+++ b/jobs/interference/test/model.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { InterferenceModel, type ObservedRun } from '@wisteriaslip/jobs.interference'
 import { FILLING_IMAGES, REPORT_EVERY_MS, SERVING_IMAGES, SyntheticFleet, type Disturbance, type FleetOpts } from './fleet.ts'
 
 const SEEDS = [1, 2, 3]
@@ -75,6 +76,39 @@
   assert.equal(fleet.model.concerns('serving-0'), false)
 })
 
+/** Lets forty workers report for a minute: each has the images that `imagesOn` names, and `tailOf` gives the tails of those that serve. */
+function knownAfterMinute (imagesOn: (worker: number) => readonly string[], tailOf: (worker: number, image: string) => number, lateTailOf = tailOf): string[] {
+  const model = new InterferenceModel()
+  const runsOf = (worker: number, tails: typeof tailOf): ObservedRun[] => imagesOn(worker).map(image => ({ key: `${image}@${worker}`, image, group: image, tailMs: image.startsWith('serving') ? tails(worker, image) : 0, activity: 1 }))
+  for (let now = 0; now < 60_000; now += REPORT_EVERY_MS) {
+    for (let worker = 0; worker < 40; worker++) {
+      model.observe(`w${worker}`, runsOf(worker, tailOf), now)
+      if (lateTailOf !== tailOf) model.observe(`w${worker}`, runsOf(worker, lateTailOf), now - REPORT_EVERY_MS)
+    }
+  }
+  return model.known().map(({ image, on }) => `${image} on ${on}`)
+}
+
+test('a neighbour that only ever shares workers with the one that disturbs is not blamed', () => {
+  const images = (worker: number): string[] => ['serving', ...worker < 14 ? ['culprit'] : [], ...worker < 5 ? ['bystander'] : []]
+  assert.deepEqual(knownAfterMinute(images, worker => worker < 14 ? 80 : 40), ['culprit on serving'])
+})
+
+test('a pair that is mostly seen on slow workers is not kept apart', () => {
+  const images = (worker: number): string[] => ['serving-2', ...worker < 20 ? ['filling'] : [], ...worker < 6 || worker >= 20 ? ['serving-1'] : []]
+  assert.deepEqual(knownAfterMinute(images, worker => worker < 5 ? 80 : 40), [])
+})
+
+test('an image that slows all others down is found, although its workers seem slow as a whole', () => {
+  const images = (worker: number): string[] => ['serving-1', 'serving-2', ...worker < 12 ? ['filling'] : []]
+  assert.deepEqual(knownAfterMinute(images, worker => worker < 12 ? 80 : 40).sort(), ['filling on serving-1', 'filling on serving-2'])
+})
+
+test('reports that arrive after later ones are ignored', () => {
+  const images = (worker: number): string[] => ['serving', ...worker < 14 ? ['filling'] : []]
+  assert.deepEqual(knownAfterMinute(images, () => 40, worker => worker < 14 ? 200 : 40), [])
+})
+
 test('nothing is learned from a worker that is known to be slow', () => {
   const fleet = new SyntheticFleet({ seed: 1 })
   for (let now = 0; now < 60_000; now += REPORT_EVERY_MS) {
--- a/jobs/scheduler/test/company.test.ts
+++ b/jobs/scheduler/test/company.test.ts
@@ -30,13 +30,13 @@
   }
 
   /** Lets all workers report twice a second; a task that fills raises the tail latency beside it by a factor. */
-  reportFor (ms: number, { factor = 1, calmMs = 60 }: { factor?: number, calmMs?: number } = {}): void {
+  reportFor (ms: number, { factor = 1, calmMs = 60, checkpoint = 'saved' }: { factor?: number, calmMs?: number, checkpoint?: string } = {}): void {
     for (const end = this.now + ms; this.now < end;) {
       this.now += 500
       for (const { registration: { id }, runs } of this.scheduler.workers.values()) {
         const disturbed = [...runs.values()].some(run => run.task.step.spec.backfill)
         const loadOf = ({ task: { step: { spec } } }: Run): number => spec.backfill ? spec.demand.cpu : calmMs * (disturbed ? factor : 1)
-        this.report(id, { running: [...runs.values()].map(run => ({ task: run.task.name, attempt: run.attempt, checkpoint: run.task.step.spec.checkpoints ? 'saved' : '', percent: 100, load: loadOf(run) })) })
+        this.report(id, { running: [...runs.values()].map(run => ({ task: run.task.name, attempt: run.attempt, checkpoint: run.task.step.spec.checkpoints ? checkpoint : '', percent: 100, load: loadOf(run) })) })
       }
     }
   }
@@ -81,11 +81,11 @@
 })
 
 /** Lets the tasks that fill of a busy service be throttled for a while, and returns the reasons of the stops that are due then. */
-function stopsAfterThrottling (opts: ConstructorParameters<typeof BusyService>[0], { percent = 20, ms = 7_000 } = {}): Array<string | undefined> {
+function stopsAfterThrottling (opts: ConstructorParameters<typeof BusyService>[0], { percent = 20, ms = 7_000, checkpoint = 'saved' } = {}): Array<string | undefined> {
   const service = new BusyService(opts)
-  service.reportFor(30_000, { factor: 1.6 })
+  service.reportFor(30_000, { factor: 1.6, checkpoint })
   for (const run of service.started) if (run.task.step.spec.backfill) run.speedPercent = percent
-  service.reportFor(ms, { factor: 1.6 })
+  service.reportFor(ms, { factor: 1.6, checkpoint })
   return service.scheduler.collectDueStops().map(({ stopReason }) => stopReason)
 }
 
@@ -99,6 +99,7 @@
 test('it stays where no other worker has room, where its work would be lost, and where it is long-running', () => {
   assert.deepEqual(stopsAfterThrottling({ workers: 10, serving: 10, filling: 6, fillingStep: { checkpoints: true } }), [])
   assert.deepEqual(stopsAfterThrottling({ workers: 14, serving: 10, filling: 6 }), [])
+  assert.deepEqual(stopsAfterThrottling({ workers: 14, serving: 10, filling: 6, fillingStep: { checkpoints: true } }, { checkpoint: '' }), [])
   assert.deepEqual(stopsAfterThrottling({ workers: 14, serving: 10, filling: 6, fillingStep: { checkpoints: true, lasting: true } }), [])
 })
 
@@ -119,6 +120,16 @@
   return ready
 }
 
+test('a long-running task leaves a nearly full worker with others for an empty one, if its company disturbs it', () => {
+  const { harness, workers } = emptyWorkers({}, {})
+  const [first, second] = workers as [TrackedWorker, TrackedWorker]
+  const placed = readyStep(harness, { tasks: 4, image: 'a', lasting: true })
+  for (const task of placed.tasks.slice(0, 3)) first.add(createRun(task, first, { attempt: 1, now: 0 }))
+  assert.equal(chooseWorker(placed, workers), first)
+  assert.equal(chooseWorker(placed, workers, { company: costs({ w0: 1 }) }), second)
+  assert.equal(chooseWorker(placed, workers, { company: costs({ w0: 0.1 }) }), first, 'as little as this does not count against packing')
+})
+
 test('company outweighs packing, but neither the rack of the data, failures nor workers to be avoided', () => {
   const { harness, workers } = emptyWorkers({}, { rack: 'r2' }, {})
   const [first, second, third] = workers as [TrackedWorker, TrackedWorker, TrackedWorker]
