--- a/jobs/interference/src/model.ts
+++ b/jobs/interference/src/model.ts
@@ -27,6 +27,8 @@
 const CONVINCING_FOR_MS = 4_000
 const MAX_PAIRS = 1_024
 const NOISE_MEMORY = 200
+/** What is known of the figures of an image is forgotten after this time without any. */
+const MAX_SILENCE_MS = 60_000
 const INITIAL_NOISE = 0.4
 /** Rise of all figures of a worker, as a natural logarithm, from which on it may be slow as a whole. */
 const RAISED_ABOVE = 0.25
@@ -64,6 +66,15 @@
   readonly change: 'found' | 'dropped'
 }
 
+/** What is left of the figure of a run, as a natural logarithm, beside its own load. */
+interface Rest {
+  readonly image: string
+  /** Less what its neighbours are likely to explain. */
+  readonly rest: number
+  /** Less what pairs that are found explain: what is only likely may be the slowness of the worker. */
+  readonly raisedBy: number
+}
+
 interface Pair {
   readonly image: string
   readonly on: string
@@ -83,6 +94,7 @@
   noise: number
   /** When a pair with it was last found. */
   foundAt: number
+  heardAt: number
 }
 
 /**
@@ -115,13 +127,15 @@
     if (now - (this.observedAt.get(worker) ?? Number.NEGATIVE_INFINITY) < MIN_REPORT_GAP_MS) return
     this.observedAt.set(worker, now)
     const activities = activityByImage(runs)
-    const rests: Array<{ image: string, rest: number }> = []
+    const rests: Rest[] = []
     for (const run of runs) {
       if (run.tailMs <= 0 || run.image === '') continue
       const figure = Math.log(run.tailMs)
       if (opts.slow !== true) this.ownLoad.record(run.group, run.key, figure, now)
       const level = this.ownLoad.levelOf(run.group, now)
-      if (level !== undefined) rests.push({ image: run.image, rest: clamp(figure - level) - this.explainedBy(run.image, activities) })
+      if (level === undefined) continue
+      const excess = clamp(figure - level)
+      rests.push({ image: run.image, rest: excess - this.explainedBy(run.image, activities), raisedBy: excess - this.explainedBy(run.image, activities, { foundOnly: true }) })
     }
     this.judgeWorker(worker, rests, activities, now)
     if (opts.slow !== true) for (const { image, rest } of rests) this.learn(worker, image, rest, activities, now)
@@ -167,24 +181,25 @@
     return [...this.pairs.values()].flatMap(pairs => [...pairs.values()])
   }
 
-  /** Returns what the neighbours of an image explain of its figure, as far as their effect is likely. */
-  private explainedBy (image: string, activities: ReadonlyMap<string, number>): number {
+  /** Returns what the neighbours of an image explain of its figure: those that are found, or all whose effect is likely. */
+  private explainedBy (image: string, activities: ReadonlyMap<string, number>, { foundOnly = false } = {}): number {
     let effect = 0
-    for (const pair of this.pairs.get(image)?.values() ?? []) effect += effectOf(pair) * (activities.get(pair.image) ?? 0)
+    for (const pair of this.pairs.get(image)?.values() ?? []) if (pair.found || !foundOnly) effect += effectOf(pair) * (activities.get(pair.image) ?? 0)
     return effect
   }
 
   /** Several images don't rise together by chance again and again, nor does one that has no company. */
-  private judgeWorker (worker: string, rests: ReadonlyArray<{ image: string, rest: number }>, activities: ReadonlyMap<string, number>, now: number): void {
+  private judgeWorker (worker: string, rests: readonly Rest[], activities: ReadonlyMap<string, number>, now: number): void {
     if (rests.length === 0) return
     const images = new Set(rests.map(({ image }) => image))
     if (images.size < 2 && activities.size > 1) return
-    this.slowWorkers.record(worker, rests.every(({ image, rest }) => rest - (this.disturbed.get(image)?.calm.value ?? 0) > RAISED_ABOVE), now)
+    this.slowWorkers.record(worker, rests.every(({ image, raisedBy }) => raisedBy - (this.disturbed.get(image)?.calm.value ?? 0) > RAISED_ABOVE), now)
   }
 
   private learn (worker: string, on: string, rest: number, activities: ReadonlyMap<string, number>, now: number): void {
-    const state = this.disturbed.get(on) ?? { calm: new Average(), noise: INITIAL_NOISE, foundAt: Number.NEGATIVE_INFINITY }
+    const state = this.disturbed.get(on) ?? { calm: new Average(), noise: INITIAL_NOISE, foundAt: Number.NEGATIVE_INFINITY, heardAt: now }
     this.disturbed.set(on, state)
+    state.heardAt = now
     state.calm.add(rest)
     state.noise += (Math.abs(rest - state.calm.value) - state.noise) / NOISE_MEMORY
     for (const [image, activity] of activities) {
@@ -272,10 +287,9 @@
         pairs.delete(pair.image)
         this.pairCount -= 1
       }
-      if (pairs.size > 0) continue
-      this.pairs.delete(on)
-      this.disturbed.delete(on)
+      if (pairs.size === 0) this.pairs.delete(on)
     }
+    for (const [on, { heardAt }] of this.disturbed) if (now - heardAt > MAX_SILENCE_MS) this.disturbed.delete(on)
   }
 }
 
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -11,7 +11,6 @@
 import { Isolation } from './isolation.ts'
 import { JobTable } from './job-table.ts'
 import type { QueueLookup } from './step-priority.ts'
-import { canPlace } from './placement.ts'
 import { isUnplaceable } from './unplaceable.ts'
 import { moveLongRunningTasks } from './move-tasks.ts'
 import { PermitRequester } from './permit-requester.ts'
@@ -20,15 +19,15 @@
 import { Reservations } from './reservations.ts'
 import { capacityOfUnknownRuns, noLimits, type StartLimiter } from './start-limiter.ts'
 import { carriedOver, createRun, type Run } from './run.ts'
-import { DurationEstimator, findStragglers } from './stragglers.ts'
+import { restartSlowRuns } from './slow-runs.ts'
+import { DurationEstimator } from './stragglers.ts'
+import { ThrottledBackfill } from './throttled-backfill.ts'
 import { TaskPlacer } from './task-placer.ts'
 import { attachRun, detachRun, markBegun, mayStart, type Task, type TrackedStep } from './tracked-job.ts'
 import { runKey, TrackedWorker, type ClockReading } from './tracked-worker.ts'
 import { WithdrawnRoom } from './withdrawn-room.ts'
 import { describeSilence, lossCauses, toLostRun, type LossCause, type WorkerLoss } from './worker-loss.ts'
 
-/** Cooldown of a worker on which runs of several jobs are slow. */
-const SLOW_WORKER_COOLDOWN_MS = 1_500
 /** Cooldown of a worker that rejected a start for lack of capacity or could not be sent one, or that is unhealthy. */
 const NO_CAPACITY_COOLDOWN_MS = 200
 const UNHEALTHY_COOLDOWN_MS = 600
@@ -90,11 +89,13 @@
   private readonly demandEstimator: DemandEstimator
   private readonly placer: TaskPlacer
   private readonly crashTracker: CrashTracker
+  private readonly throttledBackfill: ThrottledBackfill
 
   constructor (opts: SchedulerOpts) {
     this.opts = opts
     this.limiter = opts.limiter ?? noLimits
     this.demandEstimator = new DemandEstimator(opts.clock)
+    this.throttledBackfill = new ThrottledBackfill({ workers: this.workers, company: this.company, mayTake: (step, worker, now) => this.limiter.mayAdd(step, 0) && this.placer.permittedWorkers(step, [worker], now).length > 0 })
     this.table = new JobTable({ ...opts, onRunNotNeeded: (run, reason) => this.requestStop(run, reason) })
     this.placer = new TaskPlacer({ queue: opts.queue, term: opts.term, reservations: this.reservations, shares: this.table.shares, limiter: this.limiter, company: this.company, addRun: (task, worker, attempt) => this.addRun(task, worker, attempt), releaseRun: run => this.releaseRun(run) })
     this.permitRequester = new PermitRequester({ clock: opts.clock, queue: opts.queue, ready: this.table.ready, workers: this.workers })
@@ -218,8 +219,10 @@
       worker.markFenced()
       this.handleMissingRuns(worker, listedRuns, opts.sentAt)
     }
-    if (!report.moreEnded) this.handleStragglers(worker, report.clockMs)
+    if (!report.moreEnded) restartSlowRuns(worker, { workers: this.workers, durationEstimator: this.durationEstimator, limiter: this.limiter, clockMs: report.clockMs, now: this.opts.clock.now(), stop: (run, reason) => this.requestStop(run, reason) })
     this.company.observe(worker, opts.receivedAt)
+    const moved = this.throttledBackfill.findRunToMove(worker, opts.receivedAt)
+    if (moved !== undefined) this.requestStop(moved, 'disturbs')
     if (worker.runs.size > 0 || worker.hasUntrackedRuns) worker.emptySince = undefined
     else worker.emptySince ??= opts.receivedAt
     return { unknownJobs: [...unknownJobs], orphans }
@@ -423,21 +426,6 @@
     this.requestStop(carried, 'worker restarted')
   }
 
-  private handleStragglers (worker: TrackedWorker, clockMs: number): void {
-    const now = this.opts.clock.now()
-    const { workerIsSlow, toRestart } = findStragglers(worker, this.durationEstimator, clockMs)
-    if (workerIsSlow) worker.cooldownUntil = Math.max(worker.cooldownUntil, now + SLOW_WORKER_COOLDOWN_MS)
-    for (const run of toRestart) {
-      if (!this.canRunElsewhere(run.task.step, worker, now)) continue
-      run.task.slowRestarts += 1
-      this.requestStop(run, 'slow')
-    }
-  }
-
-  private canRunElsewhere (step: TrackedStep, worker: TrackedWorker, now: number): boolean {
-    return [...this.workers.values()].some(other => other !== worker && other.takesStarts(now) && canPlace(step, other))
-  }
-
   private applyEndedRuns (worker: TrackedWorker, ended: readonly EndedRun[], unknownJobs: Set<string>): void {
     const newRuns = ended.filter(endedRun => endedRun.seq > worker.highestCompletionSeq).sort((a, b) => a.seq - b.seq)
     for (const endedRun of newRuns) {
