--- a/jobs/service/src/progress-writer.ts
+++ b/jobs/service/src/progress-writer.ts
@@ -1,7 +1,6 @@
 import { delay, Wakeup } from '@wisteriaslip/core.result'
 import { toProgress, type JobProgress, type PendingCompletion, type Scheduler, type TrackedJob } from '@wisteriaslip/jobs.scheduler'
 import { toVersioned, type Versioned } from '@wisteriaslip/store.client'
-import { AccountWaits } from './account-waits.ts'
 import type { ServiceTermOpts } from './ports.ts'
 
 /** Changes to jobs within this time are written together. */
@@ -23,7 +22,6 @@
   private readonly events: { onRecorded (): void, onNewerLeader (): void }
   private readonly priors = new Map<string, Versioned<JobProgress>>()
   private readonly wakeup = new Wakeup()
-  private readonly accountWaits: AccountWaits
   /**
    * Jobs whose records the store has rejected, and until when they are not written again, by the injected clock. Their
    * records leave checkpoints out: their tasks would begin anew after a takeover, which is allowed.
@@ -34,7 +32,6 @@
     this.scheduler = scheduler
     this.opts = opts
     this.events = events
-    this.accountWaits = new AccountWaits(opts.metrics)
   }
 
   /**
@@ -137,8 +134,7 @@
     const tookMs = Math.max(0, this.opts.wallClock() - job.acceptedAt)
     this.opts.metrics.count('jobs_ended_total', { queue: job.queue, outcome: outcome ?? '' })
     if (job.schedule === undefined) this.opts.metrics.observe('job_time_us', { queue: job.queue }, tookMs)
-    this.accountWaits.record(tracked)
-    this.opts.logger.info({ job: job.id, queue: job.queue, ...(job.account === undefined ? {} : { account: job.account, beyondWeight: tracked.isBeyondWeight }), outcome, failure, tookMs, waitedMs: tracked.waitedMs, token: this.opts.token }, 'job ended')
+    this.opts.logger.info({ job: job.id, queue: job.queue, outcome, failure, tookMs, waitedMs: tracked.waitedMs, token: this.opts.token }, 'job ended')
   }
 
   /**
