Shares: levels are as wide as the steps that wait

Cause: levels of 1/64 of the room are a part of a step in a small pool, so that all accounts' jobs ran slowly together.

What changed: a level is as wide as the waiting steps on average, a quarter of the room each at most. The new test fails with 1/64.

--- a/jobs/scheduler/src/account-shares.ts
+++ b/jobs/scheduler/src/account-shares.ts
@@ -1,5 +1,5 @@
 import type { Account, Resources } from '@wisteriaslip/jobs.model'
-import { AccountUse } from './account-use.ts'
+import { AccountUse, shareOfStep } from './account-use.ts'
 import type { TrackedJob, TrackedStep } from './tracked-job.ts'
 import { WeightMeter, type Arrival } from './weight-meter.ts'
 
@@ -8,8 +8,11 @@
  * jobs are finished one after the other rather than all at a slow pace.
  */
 const LEVEL_PART = 0.5
-/** No finer than this share of the room: tasks of a job are to run together, however many accounts wait. */
-const LEAST_LEVEL_SHARE = 1 / 64
+/**
+ * Levels are no finer than a usual step is wide, so that the tasks of a step run together however many accounts wait; but a step
+ * counts as no wider than this share of the room.
+ */
+const MOST_STEP_SHARE = 1 / 4
 const LEAST_WEIGHT = 0.001
 
 /** Looks up a client account by name; undefined when the configuration has none. */
@@ -102,8 +105,10 @@
    */
   claims (steps: readonly TrackedStep[]): Map<AccountUse, Claim> | undefined {
     const uses = new Set<AccountUse>()
+    let stepShares = 0
     this.pass += 1
-    for (const { job: { use } } of steps) {
+    for (const { spec, job: { use } } of steps) {
+      stepShares += Math.min(MOST_STEP_SHARE, shareOfStep(spec, this.room))
       if (use === undefined || use.seenInPass === this.pass) continue
       use.seenInPass = this.pass
       uses.add(use)
@@ -112,8 +117,9 @@
     const known = [...weights.values()].filter(weight => weight !== undefined)
     if (known.length === 0) return undefined
     const mean = sum(known) / known.length
+    const usualStepShare = stepShares / steps.length
     const total = sum([...weights.values()].map(weight => weight ?? mean))
-    return new Map([...weights].map(([use, weight]) => [use, { use, levelShare: Math.max(LEAST_LEVEL_SHARE, LEVEL_PART * (weight ?? mean) / total) }]))
+    return new Map([...weights].map(([use, weight]) => [use, { use, levelShare: Math.max(usualStepShare, LEVEL_PART * (weight ?? mean) / total) }]))
   }
 
   /**
--- a/jobs/scheduler/src/account-use.ts
+++ b/jobs/scheduler/src/account-use.ts
@@ -59,6 +59,15 @@
   }
 }
 
+/**
+ * @param step - a step
+ * @param room - capacity of all workers of the service
+ * @returns share of the room that its tasks take together, of the resource of which they take most
+ */
+export function shareOfStep ({ tasks, demand, backfill }: Step, room: Resources): number {
+  return tasks * Math.max(backfill ? 0 : fraction(demand.cpu, room.cpu), fraction(demand.memMb, room.memMb), fraction(demand.accelerators, room.accelerators))
+}
+
 function fraction (used: number, room: number): number {
   return room > 0 ? used / room : 0
 }
--- a/jobs/scheduler/test/account-shares.test.ts
+++ b/jobs/scheduler/test/account-shares.test.ts
@@ -122,6 +122,13 @@
   assert.deepEqual(countOf(service.start()), { a: 64 })
 })
 
+test('jobs of many accounts run one after the other, rather than all of them slowly together', () => {
+  const names = Array.from({ length: 20 }, (_, number) => `a${number}`)
+  const service = new SharedService(Object.fromEntries(names.map(name => [name, 1])))
+  for (const name of names) service.send(name, { tasks: 8, demand: { cpu: 2_000, memMb: 10, accelerators: 0 } })
+  assert.deepEqual(Object.values(countOf(service.start())), [8, 8, 8, 8])
+})
+
 test('an account whose tasks cannot start holds up no other', () => {
   const service = new SharedService({ full: 10, waiting: 10 })
   service.send('full', { count: 5, label: 'nowhere' })
--- a/jobs/scheduler/test/share-turns.model.test.ts
+++ b/jobs/scheduler/test/share-turns.model.test.ts
@@ -35,7 +35,8 @@
     const left = weights.map((_, account) => sent.filter(each => each.account === account).reduce((sum, each) => sum + each.tasks, 0))
     const total = weights.filter((_, account) => (left[account] as number) > 0).reduce((sum, each) => sum + each, 0)
     const used = weights.map(() => 0)
-    const level = (account: number): number => Math.floor((used[account] as number) / room / Math.max(1 / 64, 0.5 * (weights[account] as number) / total))
+    const usual = sent.reduce((sum, each) => sum + Math.min(1 / 4, each.tasks * each.cpu / room), 0) / sent.length
+    const level = (account: number): number => Math.floor((used[account] as number) / room / Math.max(usual, 0.5 * (weights[account] as number) / total))
     const starts = startAll(weights, sent, workers)
     let free = room
     for (const { account, cpu, gang } of starts) {
