--- a/jobs/scheduler/src/explain.ts
+++ b/jobs/scheduler/src/explain.ts
@@ -31,12 +31,12 @@
   return {
     id,
     queue: tracked.job.queue,
-    ...(tracked.job.account === undefined ? {} : { account: tracked.job.account, share: scheduler.table.shares?.explain(tracked) }),
     state: scheduler.table.stateOf(id),
     failure: tracked.failure,
     outcomeWaitsForStore: tracked.outcome !== tracked.durableOutcome,
     heardMsAgo: Math.round(opts.now - tracked.firstSeenAt),
     waitedMs: tracked.waitedMs,
+    ...(tracked.job.account === undefined ? {} : { share: scheduler.table.shares?.explain(tracked) }),
     acceptedInThisTerm: tracked.acceptedThisTerm,
     occurrences
   }
