--- a/scripts/test/test.test.ts
+++ b/scripts/test/test.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { execFile } from 'node:child_process'
-import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
-import { join } from 'node:path'
+import { dirname, join } from 'node:path'
 import { test } from 'node:test'
 import { fileURLToPath } from 'node:url'
 
@@ -15,11 +15,15 @@
 const exits = (code: number): string => `test('exits', () => { process.exit(${code}) })\n`
 
 /** Runs all tests of a folder with the given test file and another one whose test passes. */
-async function runTests (content: string): Promise<{ code: number, out: string }> {
+async function runTests (content: string, more: Readonly<Record<string, string>> = {}): Promise<{ code: number, out: string }> {
   const cwd = await mkdtemp(join(tmpdir(), 'wisteriaslip-tests-'))
   await writeFile(join(cwd, 'KNOWN-RED.txt'), 'known red | npm test | seen before | 1\n')
   await writeFile(join(cwd, 'checked.test.ts'), content)
   await writeFile(join(cwd, 'other.test.ts'), IMPORT + 'test(\'another passes\', () => {})\n')
+  for (const [file, text] of Object.entries(more)) {
+    await mkdir(join(cwd, dirname(file)), { recursive: true })
+    await writeFile(join(cwd, file), text)
+  }
   // Set for test files, in which Node.js runs no others.
   const { NODE_TEST_CONTEXT: _, ...env } = process.env
   try {
@@ -79,3 +83,19 @@
 test('a test file that fails after its last test fails the run', async () => {
   await assertFails(IMPORT + 'test(\'passes\', () => { setTimeout(() => { throw new Error(\'too late\') }, 20) })\n')
 })
+
+// Guards against tests whose bounds don't hold while others load the machine.
+test('tests of crowds run after all others, one at a time, and fail the run too', async () => {
+  const noting = (name: string, fails = false): string => `${IMPORT}import { appendFileSync } from 'node:fs'
+    test('${name}', async () => {
+      appendFileSync('order', '${name} begins,')
+      await new Promise(resolve => setTimeout(resolve, 300))
+      appendFileSync('order', '${name} ends,')
+      if (${String(fails)}) throw new Error('fails')
+    })\n`
+  const order = IMPORT + 'import { readFileSync } from \'node:fs\'\ntest(\'order\', t => t.diagnostic(readFileSync(\'order\', \'utf8\')))\n'
+  const { code, out } = await runTests(noting('plain'), { 'testing/crowd/test/a.test.ts': noting('a'), 'testing/crowd/test/b.test.ts': noting('b', true), 'testing/crowd/test/c.test.ts': order })
+  assert.match(out, /plain begins,plain ends,a begins,a ends,b begins,b ends,/)
+  assert.match(out, /^4 passed, 1 failed, 0 skipped$/m)
+  assert.equal(code, 1)
+})
--- a/testing/soak/src/entry-process.ts
+++ b/testing/soak/src/entry-process.ts
@@ -25,6 +25,8 @@
   readonly folder: string
   readonly longestLeaseMs: number
   readonly addresses: Addresses
+  /** Limits of memory and descriptors in the settings; none if undefined. */
+  readonly limits?: { readonly memoryMb: number, readonly maxFds: number } | undefined
 }
 
 /** An entry as a process on addresses of its own; whatever it calls, it calls through its proxies. */
@@ -55,7 +57,7 @@
       region: 'here',
       ip: entry.ip,
       portRange: [ports.peers, ports.peers + 15],
-      limits: { cpuShare: 1, cores: 1 },
+      limits: { cpuShare: 1, cores: 1, ...opts.limits },
       listen: { front: `${entry.ip}:${ports.callers}`, ready: `${entry.ip}:${ports.ready}` },
       bounds: { graceS: 6, holdMaxMs: opts.longestLeaseMs, stopTimeoutMs: 400, status_s: STATUS_KEPT_MS / 1_000, maintenanceS: MAINTENANCE_MS / 1_000 },
       platform: { address: `${addresses.ip(addresses.hosts.store, index)}:${ports.store}`, writesPerS: 400, readsPerS: 2_000 },
@@ -72,6 +74,16 @@
     process.child.once('exit', () => started.delete(process))
   }
 
+  /** @returns id of the process, undefined before its start */
+  pid (): number | undefined {
+    return this.process?.child.pid
+  }
+
+  /** @returns where it listens for callers */
+  callers (): { host: string, port: number } {
+    return { host: this.ip, port: ports.callers }
+  }
+
   /** @returns whether the process runs, or is paused */
   isRunning (): boolean {
     const child = this.process?.child
--- a/testing/soak/src/site.ts
+++ b/testing/soak/src/site.ts
@@ -28,6 +28,8 @@
   readonly folder: string
   /** Path of the built program; undefined to run the sources. */
   readonly binary: string | undefined
+  /** Limits of memory and descriptors in the entries' settings; none if undefined. */
+  readonly limits?: { readonly memoryMb: number, readonly maxFds: number }
 }
 
 /** Entries as processes, and stand-ins of the platform, with a proxy on the way from each entry to each server. */
@@ -135,7 +137,7 @@
     return link
   }
 
-  private async startAll ({ entries, pools, longestLeaseMs, folder, binary }: SiteOpts): Promise<void> {
+  private async startAll ({ entries, pools, longestLeaseMs, folder, binary, limits }: SiteOpts): Promise<void> {
     const { addresses, store, log, random } = this
     const { hosts } = addresses
     await mkdir(folder, { recursive: true })
@@ -150,7 +152,7 @@
       this.hosts.push(host)
       await host.start({ sameId: true })
     }
-    for (let index = 0; index < entries; index++) this.entries.push(await EntryProcess.create({ index, binary, folder, longestLeaseMs, addresses }))
+    for (let index = 0; index < entries; index++) this.entries.push(await EntryProcess.create({ index, binary, folder, longestLeaseMs, addresses, limits }))
     for (let index = 0; index < entries; index++) await this.openLinks(index)
     for (const entry of this.entries) entry.start()
     for (const resource of this.resources()) await waitUntil(`${resource} has a leader`, () => this.leader(resource) !== undefined)
