Clients share a budget of bytes, and connections are read no further than they are answered

A crowd ended a process: each chunk was an object of its own, nothing was counted across connections, and requests were read ahead of unanswered ones. core/http-limits now stands in front of the platform's callers, readiness and metrics, the job interface, operators and the gateway: - bytes in progress of all connections have one budget, a quarter of the memory limit; above it the connections that hold most and have completed nothing for longest are closed, never one whose request is being handled; a whole body that still does not fit is refused with 503 and Retry-After before anything is stored; - chunks are copied into a growing buffer; - connections are read in slices that hold one request at most; what is read ahead waits and the socket is paused until the answer has gone; slices of all connections take turns of 10 ms, so that tiny chunks don't hold up the event loop; - connections of callers have a limit from the descriptor limit; the longest idle gives way; readiness, metrics and operators have limits of their own; - deadlines for headers, requests, stalled bodies and unread responses.

--- a/cli/cli/src/commands/entry.ts
+++ b/cli/cli/src/commands/entry.ts
@@ -1,4 +1,5 @@
-import { createLogger, type Logger } from '@wisteriaslip/core.logger'
+import { ClientLimits } from '@wisteriaslip/core.http-limits'
+import { createLogger, topicLogger, type Logger } from '@wisteriaslip/core.logger'
 import { readSettings } from '@wisteriaslip/config.settings'
 import { exitCodes, printError, type Command } from '../command.ts'
 import { handleSignals } from '../signals.ts'
@@ -30,10 +31,11 @@
     const { settings, keys } = read.value
     const logger = createLogger('wisteriaslip', { level: settings.logLevel })
     onReload(() => { logChangedSettings(path, logger).catch(() => {}) })
-    const entry = new Entry({ settings, keys, logger: logger.child({ entry: settings.id }) })
+    const limits = new ClientLimits({ ...settings.processLimits, logger: topicLogger(logger.child({ entry: settings.id }), 'clients') })
+    const entry = new Entry({ settings, keys, limits, logger: logger.child({ entry: settings.id }) })
     await Promise.all([
       entry.run(shutdown, addresses => logger.info({ entry: settings.id, ...addresses }, 'listening')),
-      runJobs(settings, keys, { logger: logger.child({ entry: settings.id, side: 'jobs' }), signal: shutdown })
+      runJobs(settings, keys, { logger: logger.child({ entry: settings.id, side: 'jobs' }), limits, signal: shutdown })
     ])
     return exitCodes.ok
   }
--- a/cli/entry/src/entry.ts
+++ b/cli/entry/src/entry.ts
@@ -1,5 +1,6 @@
 import { setMaxListeners } from 'node:events'
 import type { Server } from 'node:http'
+import { ClientLimits, guardServer } from '@wisteriaslip/core.http-limits'
 import { delay, runEvery, type Wakeup } from '@wisteriaslip/core.result'
 import { topicLogger, type Logger } from '@wisteriaslip/core.logger'
 import type { Address, Settings } from '@wisteriaslip/config.settings'
@@ -21,6 +22,7 @@
 const FLEET_STEP_INTERVAL_MS = 1_000
 /** After a shutdown is requested, requests are still accepted for this long so that the load balancer can notice it. */
 const BALANCER_NOTICE_MS = 1_000
+const MAX_OPERATOR_CONNECTIONS = 64
 const IN_FLIGHT_POLL_INTERVAL_MS = 20
 const NEVER_ABORTED = new AbortController().signal
 
@@ -29,6 +31,8 @@
   readonly settings: Settings
   readonly keys: { readonly operators: string, readonly peers: string } | undefined
   readonly logger: Logger
+  /** Limits on clients; with the limits of the settings by default. */
+  readonly limits?: ClientLimits
 }
 
 /** Addresses on which an entry listens. */
@@ -63,6 +67,7 @@
    */
   async run (signal: AbortSignal, onListening: (addresses: EntryAddresses) => void = () => {}): Promise<void> {
     const { settings, keys, logger } = this.opts
+    const limits = this.opts.limits ?? new ClientLimits({ ...settings.processLimits, logger: topicLogger(logger, 'clients') })
     setMaxListeners(0, this.stopping.signal)
     const assembled: { state?: EntryState, components?: EntryComponents } = {}
     const onBytes = (received: number, sent: number): void => assembled.state?.metrics.count('peer_server_bytes_total', {}, received + sent)
@@ -81,9 +86,11 @@
     assembled.components = components
     const servers: Servers = {
       peers: peerServer,
-      callers: createCallerServer(components.gateway),
+      callers: createCallerServer(components.gateway, limits),
       operators: createOperatorServer({ key: keys?.operators, ...createOperatorHandlers({ state, ...components }) })
     }
+    limits.report(state.metrics)
+    guardServer(servers.operators, limits, limits.group(MAX_OPERATOR_CONNECTIONS))
     const callers = await listen(servers.callers, settings.callers)
     const operators = await listen(servers.operators, settings.operators)
     onListening({ callers, operators, peers })
--- a/cli/entry/src/servers.ts
+++ b/cli/entry/src/servers.ts
@@ -1,22 +1,25 @@
 import { createServer, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { guardServer, limitedServerOptions, type ClientLimits } from '@wisteriaslip/core.http-limits'
 import type { Address } from '@wisteriaslip/config.settings'
 import type { Gateway } from '@wisteriaslip/routing.gateway'
 
 const HEADERS_TIMEOUT_MS = 5_000
 const KEEP_ALIVE_TIMEOUT_MS = 30_000
-const MAX_HEADER_BYTES = 16 * 1024
 
 /**
  * Creates the HTTP server for callers.
  * @param gateway - gateway that serves the requests
+ * @param limits - limits on clients
  * @returns a server that is not listening yet
  */
-export function createCallerServer (gateway: Gateway): Server {
-  const opts = { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true }
-  return createServer(opts, (req, res) => {
+export function createCallerServer (gateway: Gateway, limits: ClientLimits): Server {
+  const opts = { ...limitedServerOptions, headersTimeout: HEADERS_TIMEOUT_MS, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true }
+  const server = createServer(opts, (req, res) => {
     gateway.handle(req, res).catch(() => res.destroy())
   })
+  guardServer(server, limits)
+  return server
 }
 
 /**
--- a/cli/jobs/src/run-jobs.ts
+++ b/cli/jobs/src/run-jobs.ts
@@ -1,4 +1,5 @@
 import type { Server } from 'node:http'
+import { guardServer, type ClientLimits } from '@wisteriaslip/core.http-limits'
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { AccessKeys, Settings } from '@wisteriaslip/config.settings'
 import { JobEntry } from '@wisteriaslip/jobs.entry'
@@ -16,10 +17,10 @@
  * @param settings - settings of the entry
  * @param keys - keys of operators and peers; undefined if the settings name no keys, which they may omit only with
  * `trialWithoutKeys`
- * @param opts - logger, and the signal that requests the shutdown
+ * @param opts - logger, limits on clients, and the signal that requests the shutdown
  * @throws when a server cannot listen on its address
  */
-export async function runJobs (settings: Settings, keys: AccessKeys | undefined, opts: { logger: Logger, signal: AbortSignal }): Promise<void> {
+export async function runJobs (settings: Settings, keys: AccessKeys | undefined, opts: { logger: Logger, limits: ClientLimits, signal: AbortSignal }): Promise<void> {
   const { jobs } = settings
   if (jobs === undefined) return
   const prefix = `${settings.store.prefix}-jobs`
@@ -52,6 +53,8 @@
     explain: async (kind, name) => await entry.explain({ kind, name })
   })
   server.prependListener('request', (_req, res) => entry.trackRequest(res))
+  guardServer(server, opts.limits)
+  opts.limits.report(entry.metrics)
   await listen(server, jobs.listen)
   await entry.run(opts.signal, [server])
   workers.close()
--- a/cli/operators/src/server.ts
+++ b/cli/operators/src/server.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { z } from 'zod'
+import { limitedServerOptions, readBody } from '@wisteriaslip/core.http-limits'
 import { hasValidKey } from '@wisteriaslip/core.auth'
 import type { Result } from '@wisteriaslip/core.result'
 import { documentKinds, type Document, type DocumentKind } from '@wisteriaslip/config.documents'
@@ -38,7 +39,7 @@
  * @returns a server that is not listening yet
  */
 export function createOperatorServer (opts: OperatorServerOpts): Server {
-  return createServer((req, res) => {
+  return createServer(limitedServerOptions, (req, res) => {
     handleRequest(req, res, opts).catch(error => sendJson(res, 500, { code: 'INTERNAL', message: String(error), hint: 'See the entry\'s log.' }))
   })
 }
@@ -99,15 +100,10 @@
 }
 
 async function readJson (req: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    bytes += chunk.length
-    if (bytes > MAX_BODY_BYTES) return undefined
-    chunks.push(chunk)
-  }
+  const body = await readBody(req, { maxBytes: MAX_BODY_BYTES })
+  if (body.kind !== 'whole') return undefined
   try {
-    return JSON.parse(Buffer.concat(chunks).toString()) as unknown
+    return JSON.parse(body.bytes.toString()) as unknown
   } catch {
     return undefined
   }
--- a/config/settings/src/schema.ts
+++ b/config/settings/src/schema.ts
@@ -53,6 +53,13 @@
     /** Longest time to read the body of a request. */
     callerTimeoutMs: z.number().int().min(100).default(10_000)
   }).default({}),
+  /** What the process may use; clients get a part of it. */
+  processLimits: z.strictObject({
+    /** Resident memory in MB. */
+    memoryMb: z.number().positive().default(350),
+    /** Descriptors. */
+    maxFds: z.number().int().min(300).default(4_100)
+  }).default({}),
   /** If set, jobs are accepted as well. */
   jobs: z.strictObject({
     listen: address,
--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import { createServer, type Server, type ServerResponse } from 'node:http'
+import { limitedServerOptions } from '@wisteriaslip/core.http-limits'
 import { delay, systemClock, withTimeout, type Clock } from '@wisteriaslip/core.result'
 import { topicLogger, type Logger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
@@ -352,5 +353,5 @@
  * @returns the server, which does not listen yet
  */
 export function createCallerServer (handle: Parameters<typeof createServer>[1]): Server {
-  return createServer({ keepAliveTimeout: 30_000, noDelay: true }, handle)
+  return createServer({ ...limitedServerOptions, keepAliveTimeout: 30_000, noDelay: true }, handle)
 }
--- a/jobs/http/src/job-server.ts
+++ b/jobs/http/src/job-server.ts
@@ -1,10 +1,11 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { limitedServerOptions } from '@wisteriaslip/core.http-limits'
 import { hasValidKey } from '@wisteriaslip/core.auth'
 import { formatIssues } from '@wisteriaslip/config.settings'
 import type { Intake } from '@wisteriaslip/jobs.intake'
 import type { Queue } from '@wisteriaslip/jobs.model'
 import type { ExplainResult } from '@wisteriaslip/jobs.protocol'
-import { configSchema, jobSchema, readJson, sendJson } from './wire-format.ts'
+import { configSchema, jobSchema, overload, readJson, sendJson } from './wire-format.ts'
 
 const JOB_PATH = /^\/v1\/jobs\/([^/]+)\/([^/]+)$/
 const QUEUE_PATH = /^\/v1\/queues\/([^/]+)$/
@@ -34,7 +35,7 @@
  * @returns the server, which does not listen yet
  */
 export function createMonitoringServer (opts: MonitoringServerOpts): Server {
-  return createServer((req, res) => {
+  return createServer(limitedServerOptions, (req, res) => {
     handleMonitoringRequest(req, res, opts).catch(error => sendJson(res, 500, { code: 'INTERNAL', message: String(error), hint: 'See the entry\'s log.' }))
   })
 }
@@ -52,7 +53,7 @@
  * @returns the server, which does not listen yet
  */
 export function createJobServer (opts: JobServerOpts): Server {
-  return createServer((req, res) => {
+  return createServer(limitedServerOptions, (req, res) => {
     handleRequest(req, res, opts).catch(error => sendJson(res, 500, { code: 'INTERNAL', message: String(error), hint: 'See the entry\'s log.' }))
   })
 }
@@ -74,6 +75,7 @@
 
 async function submitJob (req: IncomingMessage, res: ServerResponse, opts: JobServerOpts): Promise<void> {
   const body = await readJson(req)
+  if (body === overload) return sendOverload(res)
   const parsed = jobSchema.safeParse(body)
   if (!parsed.success) return sendError(res, 400, 'JOB_INVALID', formatIssues(parsed.error.issues, body).join('; '), 'Correct the job; nothing was stored.')
   const queue = opts.queue(parsed.data.queue)
@@ -104,6 +106,7 @@
 
 async function configure (req: IncomingMessage, res: ServerResponse, opts: JobServerOpts): Promise<void> {
   const body = await readJson(req)
+  if (body === overload) return sendOverload(res)
   const parsed = configSchema.safeParse(body)
   if (!parsed.success) return sendError(res, 400, 'JOB_CONFIG_INVALID', formatIssues(parsed.error.issues, body).join('; '), 'Correct the configuration; nothing was stored.')
   const stored = await opts.configure(JSON.stringify(parsed.data), parsed.data.version)
@@ -123,6 +126,10 @@
   sendError(res, 404, 'NOT_FOUND', `no leader tracks ${kind} ${name}`, 'Check the name; a service without a leader cannot be queried.')
 }
 
+function sendOverload (res: ServerResponse): void {
+  sendJson(res, 503, { code: 'OVERLOADED', message: 'the entry holds too many bodies; nothing was stored, and this request never runs', hint: 'Send it again later.' }, { 'retry-after': '1' })
+}
+
 function sendQueueNotFound (res: ServerResponse, name: string): void {
   sendError(res, 404, 'NO_QUEUE', `there is no queue ${name}`, 'Run wisteriaslip jobs status to list the queues.')
 }
--- a/jobs/http/src/wire-format.ts
+++ b/jobs/http/src/wire-format.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { readBody } from '@wisteriaslip/core.http-limits'
 import { parseJson } from '@wisteriaslip/core.result'
 import { whyTooLarge } from '@wisteriaslip/jobs.model'
 import { z } from 'zod'
@@ -6,6 +7,9 @@
 /** Paths of the worker interface. */
 export const workerPaths = { start: '/v1/runs/start', stop: '/v1/runs/stop', setSpeed: '/v1/runs/pace', poll: '/v1/runs/look' } as const
 
+/** Result of {@link readJson} when the process holds too much for its clients. */
+export const overload = Symbol('overload')
+
 const MAX_BODY_BYTES = 1_048_576
 const MAX_TASKS_PER_STEP = 10_000
 const MAX_PAYLOAD_CHARS = 65_536
@@ -117,16 +121,13 @@
 /**
  * Reads the body of a request.
  * @param req - the request
- * @returns the parsed JSON, undefined when the body is larger than 1 MiB or not JSON
+ * @returns the parsed JSON, undefined when the body is larger than 1 MiB, incomplete or not JSON; `overload` when the process
+ * holds too much for its clients
  */
 export async function readJson (req: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    bytes += chunk.length
-    if (bytes <= MAX_BODY_BYTES) chunks.push(chunk)
-  }
-  return bytes > MAX_BODY_BYTES ? undefined : parseJson(Buffer.concat(chunks).toString())
+  const body = await readBody(req, { maxBytes: MAX_BODY_BYTES, drainBytes: MAX_BODY_BYTES })
+  if (body.kind === 'overload') return overload
+  return body.kind === 'whole' ? parseJson(body.bytes.toString()) : undefined
 }
 
 /**
--- a/routing/gateway/src/error-responses.ts
+++ b/routing/gateway/src/error-responses.ts
@@ -36,6 +36,7 @@
   claimLost: unknownOutcome(409, 'OUTCOME_UNKNOWN', 'A request with this Idempotency-Key may have run; its answer is no longer known.', 'Find out at the service itself whether it happened.'),
   stillRunning: unknownOutcome(409, 'STILL_RUNNING', 'A request with this Idempotency-Key is still under way.', 'Send the same request with the same key again later for its answer.', 1_000),
   notReady: notRun(503, 'NOT_READY', 'This entry has no configuration or is not registered yet.', 'Try again at another entry.', 1_000),
+  overloaded: notRun(503, 'OVERLOADED', 'This entry holds too many bodies.', 'Try again later or at another entry.', 1_000),
   shuttingDown: notRun(503, 'SHUTTING_DOWN', 'This entry is shutting down.', 'Try again at another entry.', 1_000),
   noTarget: notRun(503, 'NO_TARGET', 'No target could be reached.', 'Try again later.', 1_000),
   outcomeUnknown: unknownOutcome(502, 'OUTCOME_UNKNOWN', 'The request was sent, but no whole answer came back.', 'Find out at the service itself whether it happened; send it again only if it did not.'),
--- a/routing/gateway/src/gateway.ts
+++ b/routing/gateway/src/gateway.ts
@@ -33,6 +33,8 @@
   readonly limits: { readonly bodyBytes: number, readonly callerTimeoutMs: number }
 }
 
+const bodyErrorResponses = { 'too-large': errorResponses.bodyTooLarge, incomplete: errorResponses.bodyIncomplete, overload: errorResponses.overloaded } as const
+
 interface ActiveClaim {
   readonly request: ClaimRequest
   readonly owner: ClaimOwner
@@ -103,7 +105,7 @@
     const body = await readBody(req, { maxBytes: this.opts.limits.bodyBytes, timeoutMs: this.opts.limits.callerTimeoutMs })
     if (!body.ok) {
       res.setHeader('connection', 'close')
-      return this.refuse(res, requestId, body.error === 'too-large' ? errorResponses.bodyTooLarge : errorResponses.bodyIncomplete, head)
+      return this.refuse(res, requestId, bodyErrorResponses[body.error], head)
     }
     const callerAbort = new AbortController()
     res.once('close', () => { if (!res.writableFinished) callerAbort.abort() })
