--- a/cli/operators/src/server.ts
+++ b/cli/operators/src/server.ts
@@ -9,6 +9,7 @@
 import { subjectKinds, type SubjectKind } from '@wisteriaslip/core.decisions'
 import type { EntryStatus, Explanation } from './status.ts'
 
+const overload = Symbol('overload')
 const MAX_BODY_BYTES = 8 * 1024 * 1024
 
 const applySchema = z.strictObject({
@@ -80,6 +81,7 @@
 
 async function handleApply (req: IncomingMessage, res: ServerResponse, opts: OperatorServerOpts): Promise<void> {
   const body = await readJson(req)
+  if (body === overload) return sendJson(res, 503, { code: 'OVERLOADED', message: 'the entry holds too many bodies; nothing was applied', hint: 'Send it again later, or to another entry.' })
   const parsed = applySchema.safeParse(body)
   if (!parsed.success) {
     return sendJson(res, 400, { code: 'BAD_REQUEST', message: formatIssues(parsed.error.issues, body).join('; '), hint: 'Send {"documents": [...], "deletes": [...], "seen": {...}}.' })
@@ -101,6 +103,7 @@
 
 async function readJson (req: IncomingMessage): Promise<unknown> {
   const body = await readBody(req, { maxBytes: MAX_BODY_BYTES })
+  if (body.kind === 'overload') return overload
   if (body.kind !== 'whole') return undefined
   try {
     return JSON.parse(body.bytes.toString()) as unknown
--- a/core/http-limits/src/client-limits.ts
+++ b/core/http-limits/src/client-limits.ts
@@ -4,8 +4,8 @@
 import { Turns } from './turns.ts'
 
 const BYTES_PER_MB = 1_048_576
-/** The rest is for the process itself and for what is accepted. */
-const CLIENTS_SHARE_OF_MEMORY = 0.25
+/** The rest is for the process itself, what is accepted, and buffers that are not collected yet. */
+const CLIENTS_SHARE_OF_MEMORY = 0.2
 /** Below this part of the budget connections are no longer closed for it. */
 const RELIEVED_SHARE = 0.9
 /** Descriptors of files and of the runtime. */
--- a/core/http-limits/src/guard-server.ts
+++ b/core/http-limits/src/guard-server.ts
@@ -35,5 +35,11 @@
     connections.set(socket, connection)
     limits.add(group, connection)
   })
+  const closeIdleConnections = server.closeIdleConnections.bind(server)
+  server.closeIdleConnections = () => {
+    // What has arrived, but waits for its turn, is no idle connection.
+    for (const connection of [...group.connections]) connection.beginNow()
+    closeIdleConnections()
+  }
   server.prependListener('request', (req, res) => guardedConnection(req.socket)?.begin(req, res))
 }
--- a/core/http-limits/src/guarded-connection.ts
+++ b/core/http-limits/src/guarded-connection.ts
@@ -95,6 +95,11 @@
     return this.charge()
   }
 
+  /** Reads on without waiting for a turn if the next request has not begun. */
+  beginNow (): void {
+    if (this.pendingBytes > 0 && this.unanswered === 0) this.read()
+  }
+
   /** Closes the connection, whose body goes on although it is too large. */
   closeEndless (): void {
     this.close()
@@ -128,19 +133,22 @@
     this.pending.push(chunk)
     this.pendingBytes += chunk.length
     if (this.paused) this.charge()
+    else if (this.limits.turns.isPressed()) this.waitForTurn()
     else this.read()
   }
 
   private read (): void {
+    let readBytes = 0
     while (this.pendingBytes > 0 && !this.closed && this.mayReadOn()) {
       const before = this.request
       const slice = this.nextSlice()
       if (this.request === undefined || this.request.complete) this.headBytes += slice.length
       this.feed(slice)
+      readBytes += slice.length
       if (this.socket.destroyed) return this.close()
       // The server responds to some requests without an event.
       const ended = this.request === before && (before === undefined || before.complete)
-      if (this.pendingBytes > 0 && this.mayReadOn() && (ended || !this.limits.turns.hasTime())) return this.waitForTurn()
+      if (this.pendingBytes > 0 && this.mayReadOn() && (ended || (readBytes >= SLICE_BYTES && !this.limits.turns.hasTime()))) return this.waitForTurn()
     }
     if (this.closed) return
     if (this.pendingBytes > 0) this.pause()
--- a/core/http-limits/src/turns.ts
+++ b/core/http-limits/src/turns.ts
@@ -14,6 +14,11 @@
     return this.waiting.size === 0 && performance.now() < this.endsAt
   }
 
+  /** @returns whether others wait, or the current turn is over */
+  isPressed (): boolean {
+    return this.waiting.size > 0 || (this.endsAt !== 0 && performance.now() >= this.endsAt)
+  }
+
   /** @param step - is called in a later turn, after all that wait already */
   wait (step: () => void): void {
     if (this.endsAt === 0) this.hasTime()
--- a/routing/gateway/src/body.ts
+++ b/routing/gateway/src/body.ts
@@ -2,6 +2,9 @@
 import { readBody as readWholeBody } from '@wisteriaslip/core.http-limits'
 import { err, ok, type Result } from '@wisteriaslip/core.result'
 
+/** Bodies are sent on as they are. */
+const COST_OF_BYTE = 1
+
 /** Why a request body could not be read. */
 export type BodyError = 'too-large' | 'incomplete' | 'overload'
 
@@ -13,6 +16,6 @@
  */
 export async function readBody (req: IncomingMessage, opts: { maxBytes: number, timeoutMs: number }): Promise<Result<Buffer, BodyError>> {
   if (Number(req.headers['content-length'] ?? 0) > opts.maxBytes) return err('too-large')
-  const body = await readWholeBody(req, opts)
+  const body = await readWholeBody(req, { ...opts, costOfByte: COST_OF_BYTE })
   return body.kind === 'whole' ? ok(body.bytes) : err(body.kind)
 }
