--- a/cli/operators/src/server.ts
+++ b/cli/operators/src/server.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { z } from 'zod'
+import { limitedServerOptions, readBody } from '@wisteriaslip/core.http-limits'
 import { hasValidKey } from '@wisteriaslip/core.auth'
 import type { Result } from '@wisteriaslip/core.result'
 import { documentKinds, type Document, type DocumentKind } from '@wisteriaslip/config.documents'
@@ -8,6 +9,7 @@
 import { subjectKinds, type SubjectKind } from '@wisteriaslip/core.decisions'
 import type { EntryStatus, Explanation } from './status.ts'
 
+const overload = Symbol('overload')
 const MAX_BODY_BYTES = 8 * 1024 * 1024
 
 const applySchema = z.strictObject({
@@ -38,7 +40,7 @@
  * @returns a server that is not listening yet
  */
 export function createOperatorServer (opts: OperatorServerOpts): Server {
-  return createServer((req, res) => {
+  return createServer(limitedServerOptions, (req, res) => {
     handleRequest(req, res, opts).catch(error => sendJson(res, 500, { code: 'INTERNAL', message: String(error), hint: 'See the entry\'s log.' }))
   })
 }
@@ -79,6 +81,7 @@
 
 async function handleApply (req: IncomingMessage, res: ServerResponse, opts: OperatorServerOpts): Promise<void> {
   const body = await readJson(req)
+  if (body === overload) return sendJson(res, 503, { code: 'OVERLOADED', message: 'the entry holds too many bodies; nothing was applied', hint: 'Send it again later, or to another entry.' })
   const parsed = applySchema.safeParse(body)
   if (!parsed.success) {
     return sendJson(res, 400, { code: 'BAD_REQUEST', message: formatIssues(parsed.error.issues, body).join('; '), hint: 'Send {"documents": [...], "deletes": [...], "seen": {...}}.' })
@@ -99,15 +102,11 @@
 }
 
 async function readJson (req: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    bytes += chunk.length
-    if (bytes > MAX_BODY_BYTES) return undefined
-    chunks.push(chunk)
-  }
+  const body = await readBody(req, { maxBytes: MAX_BODY_BYTES })
+  if (body.kind === 'overload') return overload
+  if (body.kind !== 'whole') return undefined
   try {
-    return JSON.parse(Buffer.concat(chunks).toString()) as unknown
+    return JSON.parse(body.bytes.toString()) as unknown
   } catch {
     return undefined
   }
--- a/jobs/http/src/job-server.ts
+++ b/jobs/http/src/job-server.ts
@@ -1,11 +1,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { limitedServerOptions } from '@wisteriaslip/core.http-limits'
 import { formatIssues } from '@wisteriaslip/config.settings'
 import type { CallGate } from '@wisteriaslip/jobs.accounts'
 import type { Intake } from '@wisteriaslip/jobs.intake'
 import type { Queue } from '@wisteriaslip/jobs.model'
 import type { ExplainResult } from '@wisteriaslip/jobs.protocol'
 import { accessErrors, jobAccessOf, operatorAccessOf, type Access } from './access.ts'
-import { configSchema, jobSchema, readJson, sendJson } from './wire-format.ts'
+import { configSchema, jobSchema, overload, readJson, sendJson } from './wire-format.ts'
 
 const JOB_PATH = /^\/v1\/jobs\/([^/]+)\/([^/]+)$/
 const QUEUE_PATH = /^\/v1\/queues\/([^/]+)$/
@@ -38,7 +39,7 @@
  * @returns the server, which does not listen yet
  */
 export function createMonitoringServer (opts: MonitoringServerOpts): Server {
-  return createServer((req, res) => {
+  return createServer(limitedServerOptions, (req, res) => {
     handleMonitoringRequest(req, res, opts).catch(error => sendJson(res, 500, { code: 'INTERNAL', message: String(error), hint: 'See the entry\'s log.' }))
   })
 }
@@ -56,7 +57,7 @@
  * @returns the server, which does not listen yet
  */
 export function createJobServer (opts: JobServerOpts): Server {
-  return createServer((req, res) => {
+  return createServer(limitedServerOptions, (req, res) => {
     handleRequest(req, res, opts).catch(error => sendJson(res, 500, { code: 'INTERNAL', message: String(error), hint: 'See the entry\'s log.' }))
   })
 }
@@ -81,6 +82,7 @@
   const early = jobAccessOf(req, opts.publicQueue(), opts)
   if (early.kind === 'refused') return sendRefusal(res, early)
   const body = await readJson(req)
+  if (body === overload) return sendOverload(res)
   const parsed = jobSchema.safeParse(body)
   if (!parsed.success) return sendError(res, 400, 'JOB_INVALID', formatIssues(parsed.error.issues, body).join('; '), 'Correct the job; nothing was stored.')
   const queue = opts.queue(parsed.data.queue)
@@ -119,6 +121,7 @@
 
 async function configure (req: IncomingMessage, res: ServerResponse, opts: JobServerOpts): Promise<void> {
   const body = await readJson(req)
+  if (body === overload) return sendOverload(res)
   const parsed = configSchema.safeParse(body)
   if (!parsed.success) return sendError(res, 400, 'JOB_CONFIG_INVALID', formatIssues(parsed.error.issues, body).join('; '), 'Correct the configuration; nothing was stored.')
   const stored = await opts.configure(JSON.stringify(parsed.data), parsed.data.version)
@@ -138,6 +141,10 @@
   sendError(res, 404, 'NOT_FOUND', `no leader tracks ${kind} ${name}`, 'Check the name; a service without a leader cannot be queried.')
 }
 
+function sendOverload (res: ServerResponse): void {
+  sendJson(res, 503, { code: 'OVERLOADED', message: 'the entry holds too many bodies; nothing was stored, and this request never runs', hint: 'Send it again later.' }, { 'retry-after': '1' })
+}
+
 function sendQueueNotFound (res: ServerResponse, name: string): void {
   sendError(res, 404, 'NO_QUEUE', `there is no queue ${name}`, 'Run wisteriaslip jobs status to list the queues.')
 }
