--- a/jobs/entry/test/site-view.test.ts
+++ b/jobs/entry/test/site-view.test.ts
@@ -54,3 +54,15 @@
     assert.deepEqual(view.workersOf('s')?.map(worker => worker.revision), [revision])
   }
 })
+
+test('accounts and whether any has a quota are those of the newest configuration', () => {
+  const view = new SiteView(layout, recordingLogger([]))
+  const account = { name: 'team', keyDigests: [], weight: 1, quota: { cpu: 0, memMb: 0, accelerators: 0 } }
+  const config = { version: 1, queues: [], services: [], maxBodyBytes: 1 }
+  view.applyConfigIfNewer(config)
+  assert.deepEqual([view.account('team'), view.hasQuotas()], [undefined, false])
+  view.applyConfigIfNewer({ ...config, version: 2, accounts: [account] })
+  assert.deepEqual([view.account('team'), view.hasQuotas()], [account, false])
+  view.applyConfigIfNewer({ ...config, version: 3, accounts: [{ ...account, quota: { cpu: 1, memMb: 0, accelerators: 0 } }] })
+  assert.equal(view.hasQuotas(), true)
+})
--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -178,7 +178,10 @@
   private nextChange (account: string, waiting: WaitingWork | undefined, now: number): PartChange | undefined {
     const inForce = this.limits.quota(account)
     const entry = this.book.entry(account)
-    if (typeof inForce === 'string' || entry?.unreadable === true) return undefined
+    if (typeof inForce === 'string' || entry?.unreadable === true) {
+      this.book.hold(account, undefined)
+      return undefined
+    }
     const { quota, limits } = inForce
     const from = this.book.given(account)
     this.useMetrics.observe(account)
