--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -40,7 +40,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly metrics: Metrics
-  /** Called when a part has changed. */
+  /** Called when more tasks may be started. */
   readonly onChange: () => void
 }
 
@@ -133,10 +133,11 @@
     while (!signal.aborted) {
       if (!this.mustRead) {
         const ended = await store.watch(prefix, this.readRevision + 1, batch => {
+          const { raises } = this.book
           this.readRevision = Math.max(this.readRevision, batch.revision)
           for (const kv of batch.changed) if (this.book.apply(kv)) this.logUnreadable(kv.key)
           for (const { key, modRevision } of batch.deleted) this.book.applyRemoval(key, modRevision)
-          this.noteChange()
+          this.noteChange({ isRaised: this.book.raises > raises })
         }, signal)
         if (ended.kind === 'compacted') this.mustRead = true
       }
@@ -158,13 +159,14 @@
     this.readRevision = revision
     this.book.isRead = true
     this.mustRead = false
-    this.noteChange()
+    this.noteChange({ isRaised: true })
     return true
   }
 
-  private noteChange (): void {
+  /** What others change concerns the holder, and seldom the tasks that wait here. */
+  private noteChange ({ isRaised }: { isRaised: boolean }): void {
     this.wakeup.wake()
-    this.opts.onChange()
+    if (isRaised) this.opts.onChange()
   }
 
   private collectChanges (scheduler: Scheduler): PartChange[] {
@@ -235,7 +237,7 @@
       for (const { account } of changes) this.limits.forgetProgress(account)
       this.changesPerWrite *= 2
       this.log(changes)
-      this.noteChange()
+      this.noteChange({ isRaised: true })
       return true
     }
     this.changesPerWrite = Math.max(1, Math.floor(Math.min(changes.length, this.changesPerWrite) / 2))
--- a/jobs/quota/src/quota-book.ts
+++ b/jobs/quota/src/quota-book.ts
@@ -2,7 +2,7 @@
 import { decodeEnvelope, type RawKeyValue, type Versioned } from '@wisteriaslip/store.client'
 import { usablePart, type QuotaRecord } from './parts.ts'
 import { isQuotaRecord } from './record-schema.ts'
-import { each, isSame, nothing } from './resources.ts'
+import { each, isSame, isWithin, nothing } from './resources.ts'
 
 /** A lowered part that may be stored, now or later. */
 interface Lowered {
@@ -33,6 +33,8 @@
   isRead = false
   /** Increases with each change of what may be used. */
   changes = 0
+  /** Increases with each record that gives the service more than the one before. */
+  raises = 0
 
   /**
    * @param service - the service whose parts are used here
@@ -85,8 +87,10 @@
     if (!isQuotaRecord(value)) return this.markUnreadable(doc.key, doc.modRevision)
     const account = this.accountOf(doc.key)
     if (account === undefined || doc.modRevision < this.revisionOf(account)) return false
+    const before = this.given(account)
     this.changes += 1
     this.entries.set(account, { record: value, version: doc, revision: doc.modRevision, unreadable: false })
+    if (!isWithin(this.given(account), before)) this.raises += 1
     this.settleLowered(account)
     return false
   }
