--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -17,7 +17,7 @@
 const MIN_GAP_MS = 30
 /** Writes of a service at most: this many at once, and this many a second. */
 const MAX_WRITES_AT_ONCE = 8
-const WRITES_PER_S = 4
+const WRITES_PER_S = 8
 /** What an account has not used for as long goes back. */
 const IDLE_MS = 10_000
 const READ_RETRY_MS = 200
@@ -206,6 +206,7 @@
     return {
       inUse: most(inUse, kept),
       total: plus(inUse, waiting?.demand ?? nothing),
+      totalWithoutRoom: plus(inUse, waiting?.all ?? nothing),
       atOnce: waiting?.atOnce ?? nothing,
       smallest: waiting?.smallest ?? nothing,
       idle: now - (this.busyAt.get(account) ?? now) >= IDLE_MS,
--- a/jobs/quota/src/needs.ts
+++ b/jobs/quota/src/needs.ts
@@ -7,6 +7,8 @@
 export interface WaitingWork {
   /** Demand of the tasks that wait, no more than the workers have room for, but at least that of the largest. */
   readonly demand: Resources
+  /** Demand of all tasks that wait. */
+  readonly all: Resources
   /** Largest task, or gang. */
   readonly atOnce: Resources
   /** Smallest task, or gang, in each resource. */
@@ -37,7 +39,7 @@
   }
   if (found.size === 0) return new Map()
   const free = freeCapacity(scheduler, now)
-  return new Map([...found].map(([name, { plain, backfill, atOnce, smallest, returning }]) => [name, { demand: plus(least(plain, most(free, atOnce)), backfill), atOnce, smallest, returning }]))
+  return new Map([...found].map(([name, { plain, backfill, atOnce, smallest, returning }]) => [name, { demand: plus(least(plain, most(free, atOnce)), backfill), all: plus(plain, backfill), atOnce, smallest, returning }]))
 }
 
 function returningDemand ({ tasks, spec }: TrackedStep): Resources {
--- a/jobs/quota/src/parts.ts
+++ b/jobs/quota/src/parts.ts
@@ -32,6 +32,8 @@
   readonly inUse: Resources
   /** What would be in use if all that waits and has room ran; not less than `inUse`. */
   readonly total: Resources
+  /** The same for all that waits, whether it has room or not: room may come soon. */
+  readonly totalWithoutRoom: Resources
   /** Largest task or gang that waits; nothing if none does. */
   readonly atOnce: Resources
   /** Smallest task or gang that waits: a part that is raised by less is of no use. */
@@ -110,7 +112,8 @@
   function calmPart (): Resources {
     if (need.idle) return nothing
     if (isWithin(total, before)) return before
-    return least(free, most(before, plus(total, limited(each(dimension => Math.floor(limits[dimension] * HEADROOM))))))
+    const later = limited(least(need.totalWithoutRoom, limits))
+    return least(free, most(before, plus(most(total, later), limited(each(dimension => Math.floor(limits[dimension] * HEADROOM))))))
   }
 
   /** Runs end one by one: a part is lowered in steps, but as a whole when nothing is left of it. */
--- a/jobs/quota/test/quotas.test.ts
+++ b/jobs/quota/test/quotas.test.ts
@@ -157,6 +157,23 @@
   assertHeld(site)
 })
 
+test('room that comes later finds the part raised for all that waits', async () => {
+  const site = new Site()
+  await site.perform(9, 2, 0)
+  await site.perform(10, 0, 0)
+  const [, second] = site.workersOf('s0')
+  assert.ok(second)
+  second.silent = true
+  await site.perform(2, 0, 0)
+  site.accept('s0', { cpu: 1_000, tasks: 20 })
+  await site.work(2)
+  assert.equal(site.usedBy('s0'), 6_000)
+  site.leader('s0').cut = true
+  second.silent = false
+  for (const action of [2, 2, 1]) await site.perform(action, 0, 0)
+  assert.equal(site.usedBy('s0'), 9_000)
+})
+
 test('a long-running task that ends or is moved starts again although another service lacks its part', async () => {
   const site = new Site()
   site.accept('s0', { cpu: 1_000, tasks: 6, lasting: true })
