--- a/jobs/quota/src/limiter.ts
+++ b/jobs/quota/src/limiter.ts
@@ -112,6 +112,7 @@
       quota: quota === 'unknown' ? undefined : quota.quota,
       part: this.opts.book.given(name),
       inUse: state.use.total(),
+      mayHaveMore: this.hasUnknown,
       elsewhere,
       neverFits: quota !== 'unknown' && !hasRoomFor(nothing, unitOf(step), quota.limits)
     }
--- a/jobs/scheduler/src/start-limiter.ts
+++ b/jobs/scheduler/src/start-limiter.ts
@@ -10,8 +10,10 @@
   readonly quota: Resources | undefined
   /** What this service may have running of that. */
   readonly part: Resources
-  /** What may be in progress here, with runs that the term does not know. */
+  /** What the account's runs take here that the term tracks. */
   readonly inUse: Resources
+  /** Workers that have not responded to this leader may run more of it. */
+  readonly mayHaveMore: boolean
   /** What other services may have running. */
   readonly elsewhere: Resources
   /** One task, or the whole gang, is larger than the quota: it can never be started. */
