--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -17,7 +17,7 @@
 const MIN_GAP_MS = 30
 /** Writes of a service at most: this many at once, and this many a second. */
 const MAX_WRITES_AT_ONCE = 8
-const WRITES_PER_S = 4
+const WRITES_PER_S = 8
 /** What an account has not used for as long goes back. */
 const IDLE_MS = 10_000
 const READ_RETRY_MS = 200
@@ -40,7 +40,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly metrics: Metrics
-  /** Called when a part has changed. */
+  /** Called when more tasks may be started. */
   readonly onChange: () => void
 }
 
@@ -133,10 +133,11 @@
     while (!signal.aborted) {
       if (!this.mustRead) {
         const ended = await store.watch(prefix, this.readRevision + 1, batch => {
+          const { raises } = this.book
           this.readRevision = Math.max(this.readRevision, batch.revision)
           for (const kv of batch.changed) if (this.book.apply(kv)) this.logUnreadable(kv.key)
           for (const { key, modRevision } of batch.deleted) this.book.applyRemoval(key, modRevision)
-          this.noteChange()
+          this.noteChange({ isRaised: this.book.raises > raises })
         }, signal)
         if (ended.kind === 'compacted') this.mustRead = true
       }
@@ -158,13 +159,14 @@
     this.readRevision = revision
     this.book.isRead = true
     this.mustRead = false
-    this.noteChange()
+    this.noteChange({ isRaised: true })
     return true
   }
 
-  private noteChange (): void {
+  /** What others change concerns the holder, and seldom the tasks that wait here. */
+  private noteChange ({ isRaised }: { isRaised: boolean }): void {
     this.wakeup.wake()
-    this.opts.onChange()
+    if (isRaised) this.opts.onChange()
   }
 
   private collectChanges (scheduler: Scheduler): PartChange[] {
@@ -178,7 +180,10 @@
   private nextChange (account: string, waiting: WaitingWork | undefined, now: number): PartChange | undefined {
     const inForce = this.limits.quota(account)
     const entry = this.book.entry(account)
-    if (typeof inForce === 'string' || entry?.unreadable === true) return undefined
+    if (typeof inForce === 'string' || entry?.unreadable === true) {
+      this.book.hold(account, undefined)
+      return undefined
+    }
     const { quota, limits } = inForce
     const from = this.book.given(account)
     this.useMetrics.observe(account)
@@ -201,6 +206,7 @@
     return {
       inUse: most(inUse, kept),
       total: plus(inUse, waiting?.demand ?? nothing),
+      totalWithoutRoom: plus(inUse, waiting?.all ?? nothing),
       atOnce: waiting?.atOnce ?? nothing,
       smallest: waiting?.smallest ?? nothing,
       idle: now - (this.busyAt.get(account) ?? now) >= IDLE_MS,
@@ -232,7 +238,7 @@
       for (const { account } of changes) this.limits.forgetProgress(account)
       this.changesPerWrite *= 2
       this.log(changes)
-      this.noteChange()
+      this.noteChange({ isRaised: true })
       return true
     }
     this.changesPerWrite = Math.max(1, Math.floor(Math.min(changes.length, this.changesPerWrite) / 2))
