--- a/jobs/accounts/src/index.ts
+++ b/jobs/accounts/src/index.ts
@@ -3,5 +3,6 @@
  * @module
  */
 export { AccountDirectory, digestOfKey, type Authentication, type RefusalReason } from './account-directory.ts'
+export { summarizeAccounts, type AccountSummary } from './account-summary.ts'
 export { CallGate, type Admission, type Call, type CallGateOpts } from './call-gate.ts'
 export { RefusalLog } from './refusal-log.ts'
--- a/jobs/accounts/test/call-gate.test.ts
+++ b/jobs/accounts/test/call-gate.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import { pino } from 'pino'
 import { Metrics } from '@wisteriaslip/core.metrics'
-import { AccountDirectory, CallGate, digestOfKey } from '@wisteriaslip/jobs.accounts'
+import { AccountDirectory, CallGate, digestOfKey, summarizeAccounts } from '@wisteriaslip/jobs.accounts'
 import type { Account, Queue } from '@wisteriaslip/jobs.model'
 import { ManualClock } from '@wisteriaslip/testing.stand-ins'
 
@@ -63,3 +63,7 @@
   assert.equal(lines.length, 12)
   assert.doesNotMatch(lines.join(), /secret/)
 })
+
+test('operators are shown accounts without keys or digests', () => {
+  assert.deepEqual(summarizeAccounts([account('a', 'ka', 'kb')]), [{ name: 'a', weight: 1, quota, keys: 2 }])
+})
--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -1,13 +1,13 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import { createServer, type Server, type ServerResponse } from 'node:http'
-import { CallGate } from '@wisteriaslip/jobs.accounts'
+import { CallGate, summarizeAccounts, type AccountSummary } from '@wisteriaslip/jobs.accounts'
 import { delay, systemClock, withTimeout, type Clock } from '@wisteriaslip/core.result'
 import { topicLogger, type Logger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { FleetTerm } from '@wisteriaslip/jobs.fleet'
 import { Intake } from '@wisteriaslip/jobs.intake'
-import type { Account, FleetClient, JobLimits, PermitClient, StoreLayout, VmList, Wave, WorkerClient } from '@wisteriaslip/jobs.model'
+import type { FleetClient, JobLimits, PermitClient, StoreLayout, VmList, Wave, WorkerClient } from '@wisteriaslip/jobs.model'
 import type { ExplainRequest, ExplainResult, JobPeerService, ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import { ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
@@ -90,7 +90,7 @@
   readonly members: ReadonlyArray<{ readonly id: string, readonly zone: string }>
   readonly services: ReadonlyArray<{ readonly name: string, readonly leader: string | undefined, readonly load: ServiceLoad | undefined }>
   /** Client accounts, undefined in a deployment without any. */
-  readonly accounts: ReadonlyArray<Pick<Account, 'name' | 'weight' | 'quota'> & { readonly keys: number }> | undefined
+  readonly accounts: readonly AccountSummary[] | undefined
 }
 
 /** An entry that accepts jobs, leads some services, and may lead the fleet. */
@@ -188,14 +188,15 @@
   /** @returns the members, and the leader and load of each service */
   async status (): Promise<JobEntryStatus> {
     const services = this.site.servicesWithQueues()
+    const config = this.site.config()
     const loads = await Promise.all(services.map(async service => await this.leaderClient.load(service)))
     return {
       id: this.opts.id,
       ready: this.ready(),
       storeReached: this.hasStoreAccess(),
-      configVersion: this.site.config()?.version,
+      configVersion: config?.version,
       members: this.members.all().map(({ id, zone }) => ({ id, zone })),
-      accounts: this.site.config()?.accounts?.map(({ name, weight, quota, keyDigests }) => ({ name, weight, quota, keys: keyDigests.length })),
+      accounts: config?.accounts && summarizeAccounts(config.accounts),
       services: services.map((name, number) => ({ name, leader: this.leadership.leaderOf(serviceResource(name))?.record.id, load: loads[number] }))
     }
   }
