--- /dev/null
+++ b/jobs/quota/test/failing-watch.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { delay, systemClock } from '@wisteriaslip/core.result'
+import { silentLogger } from '@wisteriaslip/core.logger'
+import { Metrics } from '@wisteriaslip/core.metrics'
+import type { Store } from '@wisteriaslip/store.client'
+import { QuotaHolder } from '../src/holder.ts'
+import type { QuotaRecord } from '../src/parts.ts'
+import { QuotaStore } from './quota-store.ts'
+
+const KEY = 'quotas/team'
+const cores = (count: number) => ({ cpu: count * 1_000, memMb: 0, accelerators: 0 })
+
+/** An entry that reaches the store through another one: its reads and writes are relayed, its watches are not. */
+function relayed (store: QuotaStore): Store {
+  const watch = async () => ({ kind: 'unavailable', code: 'STORE_UNAVAILABLE', maybeApplied: false, message: 'no response' })
+  return Object.assign(Object.create(store), { watch }) as Store
+}
+
+test('a leader without a watch learns what other services lack, and gives back what it does not use', async () => {
+  const store = new QuotaStore()
+  const guard = { key: 'leader', createRevision: store.put('leader', {}) }
+  store.put(KEY, { quota: cores(6), parts: { s: { given: cores(6) } } })
+  const stop = new AbortController()
+  const holder = new QuotaHolder({ service: 's', token: 1, guard, store: relayed(store), prefix: 'quotas/', account: name => ({ name, keyDigests: [], weight: 1, quota: cores(6) }), hasQuotas: () => true, clock: systemClock, logger: silentLogger, metrics: new Metrics(), onChange () {} })
+  const scheduler = { table: { ready: new Set() }, workers: new Map() } as unknown as Parameters<QuotaHolder['run']>[0]
+  const running = holder.run(scheduler, stop.signal)
+  await delay(300, stop.signal)
+  store.put(KEY, { quota: cores(6), parts: { s: { given: cores(6) }, other: { given: cores(0), wants: { total: cores(6), atOnce: cores(1), turn: 1 } } } })
+  await delay(3_000, stop.signal)
+  stop.abort()
+  await running
+  assert.equal((store.docs.get(KEY)?.value as QuotaRecord).parts.s, undefined)
+})
