--- a/jobs/quota/test/failing-watch.test.ts
+++ b/jobs/quota/test/failing-watch.test.ts
@@ -26,6 +26,7 @@
   const scheduler = { table: { ready: new Set() }, workers: new Map() } as unknown as Parameters<QuotaHolder['run']>[0]
   const running = holder.run(scheduler, stop.signal)
   await delay(300, stop.signal)
+  holder.limiter.beginPass(() => cores(0))
   store.put(KEY, { quota: cores(6), parts: { s: { given: cores(6) }, other: { given: cores(0), wants: { total: cores(6), atOnce: cores(1), turn: 1 } } } })
   await delay(3_000, stop.signal)
   stop.abort()
