--- a/jobs/quota/test/many-accounts.test.ts
+++ b/jobs/quota/test/many-accounts.test.ts
@@ -21,7 +21,7 @@
 class SlowStore extends QuotaStore {
   private readonly watchers: Array<(batch: WatchBatch) => void> = []
 
-  asStore (): Store {
+  override asStore (): Store {
     const slow = <T extends unknown[], R>(call: (...args: T) => Promise<R>) => async (...args: T) => {
       await delay(CALL_MS, AbortSignal.timeout(60_000))
       const result = await call(...args)
