--- a/jobs/forecast/src/index.ts
+++ /dev/null
@@ -1,5 +0,0 @@
-/**
- * Forecasts of queues, and which jobs are refused by them.
- * @module
- */
-export {}
