--- a/jobs/http/src/wire-format.ts
+++ b/jobs/http/src/wire-format.ts
@@ -57,7 +57,7 @@
 })
 
 const accountSchema = z.strictObject({
-  name: z.string().min(1).max(MAX_NAME_CHARS),
+  name: z.string().min(1).max(MAX_NAME_CHARS).regex(/^\P{Surrogate}*$/u, 'must be well-formed text'),
   keySha256: z.array(z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest in lower-case hex')).default([]),
   weight: safeNumber.positive().default(1),
   quota: resourcesSchema.default({})
--- a/jobs/http/test/job-access.test.ts
+++ b/jobs/http/test/job-access.test.ts
@@ -77,5 +77,5 @@
   const { decodeConfig } = jobStoreLayout('w')
   const decode = (list: object[]): unknown => decodeConfig(JSON.stringify({ ...base, accounts: list }))?.accounts
   assert.deepEqual(decode(accounts), [{ name: 'a', keyDigests: [digestOfKey('key-a')], weight: 3, quota: { cpu: 5_000, memMb: 0, accelerators: 0 } }])
-  for (const other of [{ name: 'a' }, { name: 'b', keySha256: accounts[0]?.keySha256 }, { name: 'b', keySha256: ['key-b'] }, { name: 'b', weight: 0 }]) assert.equal(decode([...accounts, other]), undefined)
+  for (const other of [{ name: 'a' }, { name: 'b', keySha256: accounts[0]?.keySha256 }, { name: 'b', keySha256: ['key-b'] }, { name: 'b', weight: 0 }, { name: 'b\ud800' }]) assert.equal(decode([...accounts, other]), undefined)
 })
