--- a/jobs/quota/test/quotas.test.ts
+++ b/jobs/quota/test/quotas.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { explainJob } from '@wisteriaslip/jobs.scheduler'
+import { computeServiceLoad } from '@wisteriaslip/jobs.service'
 import { faults } from './quota-store.ts'
 import { Site } from './quotas-model.ts'
 
@@ -225,6 +226,10 @@
   await site.work(2)
   const { scheduler } = site.leader('s0')
   assert.equal(scheduler.waitingDemand().cpu, 0)
+  scheduler.addJob({ ...site.accept('s0', { cpu: 1_000 }), schedule: { times: 2, firstMs: site.now + 500, everyMs: 60_000 } }, { acceptedThisTerm: true })
+  scheduler.addJob(site.accept('s0', { cpu: 1_000, tasks: 9, perWorker: 1 }), { acceptedThisTerm: true })
+  const load = computeServiceLoad(scheduler, site.now)
+  assert.deepEqual([load.wantedCpu, load.leastWorkers], [QUOTA, 0])
   assert.ok([...scheduler.workers.values()].every(worker => !scheduler.reservations.isForAnother(worker, { step: { spec: { lasting: false } } } as never)))
   site.accept('s0', { cpu: 1_000, account: '' })
   await site.work()
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -192,15 +192,16 @@
 
   /**
    * @param leadMs - time from now, in milliseconds
+   * @param counts - whether the demand of a job counts
    * @returns demand of the first steps of scheduled occurrences that become due within that time
    */
-  dueSoon (leadMs: number): Resources {
+  dueSoon (leadMs: number, counts: (job: Job) => boolean = () => true): Resources {
     const until = this.opts.wallClock() + leadMs
     let cpu = 0
     let memMb = 0
     let accelerators = 0
     for (const tracked of this.scheduledJobs) {
-      if (tracked.dueAt(nextOccurrenceNumber(tracked)) > until) continue
+      if (tracked.dueAt(nextOccurrenceNumber(tracked)) > until || !counts(tracked.job)) continue
       for (const step of tracked.job.steps) {
         if (step.after.length > 0) continue
         if (!step.backfill) cpu += step.tasks * step.demand.cpu
@@ -211,11 +212,15 @@
     return { cpu, memMb, accelerators }
   }
 
-  /** @returns minimum number of workers that the `perWorker` limits of ready steps require */
-  leastWorkers (): number {
+  /**
+   * @param countOf - of how many waiting tasks of a step the demand counts
+   * @returns minimum number of workers that the `perWorker` limits of ready steps require
+   */
+  leastWorkers (countOf: (step: TrackedStep) => number = step => step.waiting): number {
     let least = 0
-    for (const { spec, left } of this.ready) {
-      if (spec.perWorker > 0) least = Math.max(least, Math.ceil(left / spec.perWorker))
+    for (const step of this.ready) {
+      const { spec, left, waiting } = step
+      if (spec.perWorker > 0) least = Math.max(least, Math.ceil((left - waiting + countOf(step)) / spec.perWorker))
     }
     return least
   }
--- a/jobs/service/src/load.ts
+++ b/jobs/service/src/load.ts
@@ -12,7 +12,7 @@
  */
 export function computeServiceLoad (scheduler: Scheduler, now: number): ServiceLoad {
   const workers = [...scheduler.workers.values()].filter(worker => !worker.ended && !worker.deregistered)
-  const dueSoon = scheduler.table.dueSoon(SCHEDULED_LEAD_MS)
+  const dueSoon = scheduler.table.dueSoon(SCHEDULED_LEAD_MS, job => scheduler.limiter.mayGrow(job))
   const used = workers.map(worker => worker.used())
   const wanted = (opts: { isOwed?: boolean } = {}): { cpu: number, memMb: number } => {
     const waiting = scheduler.waitingDemand(opts)
@@ -27,7 +27,7 @@
     wantedCpu: cpu,
     wantedMemMb: memMb,
     ...(scheduler.table.shares?.hasAccounts() === true ? { owed: wanted({ isOwed: true }) } : {}),
-    leastWorkers: scheduler.table.leastWorkers(),
+    leastWorkers: scheduler.table.leastWorkers(scheduler.limiter.countWaiting()),
     workers: workers.map(worker => ({
       worker: worker.registration.id,
       vm: worker.registration.vm,
