A failed write takes back only its own lowering of a part

Cause: a write that had certainly not been made forgot all lowerings of the account, also an earlier one whose write had no response and could still take effect: the service used its old part while another one got it (lost-lowering.test.ts: 9000 of 6000). It restores now what held before it; an earlier lowering holds until the record has a later revision. Evidence: the test fails before and passes now, the model test with its mutations passes.

--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -230,7 +230,8 @@
   private async write (changes: readonly PartChange[], signal: AbortSignal | undefined): Promise<boolean> {
     const { store, guard } = this.opts
     const isLower = ({ from, part }: PartChange): boolean => !isWithin(from, part.given)
-    for (const each of changes) if (isLower(each)) this.book.lower(each.account, each.part.given)
+    const lowerings = changes.filter(isLower).map(({ account, part }) => ({ account, given: part.given, before: this.book.lowering(account) }))
+    for (const { account, given } of lowerings) this.book.lower(account, given)
     const written = await store.update(changes.map(({ change }) => change), { guards: [guard], signal, forCaller: true })
     this.noteOutcome(written.ok ? undefined : written.error)
     if (written.ok) {
@@ -243,7 +244,7 @@
     }
     this.changesPerWrite = Math.max(1, Math.floor(Math.min(changes.length, this.changesPerWrite) / 2))
     const maybeApplied = written.error.kind === 'unavailable' && written.error.maybeApplied
-    if (!maybeApplied) for (const each of changes) this.book.forgetLowered(each.account)
+    if (!maybeApplied) for (const { account, before } of lowerings) this.book.restoreLowering(account, before)
     if (maybeApplied) this.mustRead = true
     if (written.error.kind === 'conflict' && changes.length <= MAX_READ_SINGLY) await this.readAgain(changes, signal)
     this.wakeup.wake()
--- a/jobs/quota/src/quota-book.ts
+++ b/jobs/quota/src/quota-book.ts
@@ -5,7 +5,7 @@
 import { each, isSame, isWithin, nothing } from './resources.ts'
 
 /** A lowered part that may be stored, now or later. */
-interface Lowered {
+export interface Lowered {
   readonly given: Resources
   /** Revision of the record that the write replaces: it has taken effect, or never will, once the record has a later one. */
   readonly priorRevision: number
@@ -152,11 +152,23 @@
   }
 
   /**
-   * Forgets a lowered part whose write has certainly had no effect.
    * @param account - name of an account
+   * @returns its lowered part, undefined if no write may still take effect
    */
-  forgetLowered (account: string): void {
-    if (this.lowered.delete(account)) this.changes += 1
+  lowering (account: string): Lowered | undefined {
+    return this.lowered.get(account)
+  }
+
+  /**
+   * Takes back what a write lowered that has certainly had no effect. An earlier one that may still take effect goes on to hold.
+   * @param account - name of an account
+   * @param before - the lowered part before that write
+   */
+  restoreLowering (account: string, before: Lowered | undefined): void {
+    this.changes += 1
+    if (before === undefined) this.lowered.delete(account)
+    else this.lowered.set(account, before)
+    this.settleLowered(account)
   }
 
   /**
