Writes of quota parts of many accounts don't starve under conflicts

Changed: accounts that wait with nothing in use come first, then those longest unwritten, in another order in each service; after any conflict one list of what has changed, and up to three more tries at once, which count against the budget of writes as before. Halves after a conflict stay. Who creates a record doesn't give parts to others: the holder does not know which services have queues.

--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -10,6 +10,7 @@
 import { QuotaBook } from './quota-book.ts'
 import { isSame, isWithin, least, most, nothing, plus } from './resources.ts'
 import { UseMetrics } from './use-metrics.ts'
+import { WriteOrder } from './write-order.ts'
 
 /** Interval at which parts are looked at although no task was refused. */
 const CHECK_INTERVAL_MS = 250
@@ -21,8 +22,8 @@
 /** What an account has not used for as long goes back. */
 const IDLE_MS = 10_000
 const READ_RETRY_MS = 200
-/** After a conflict over that many records they are read one by one; over more, the next write has half of them. */
-const MAX_READ_SINGLY = 2
+/** A step that conflicts reads what has changed and tries again at once, this often. */
+const MAX_RETRIES = 3
 
 /** Options of {@link QuotaHolder}. */
 export interface QuotaHolderOpts {
@@ -48,7 +49,7 @@
   readonly account: string
   readonly from: Resources
   readonly part: Part
-  readonly isUrgent: boolean
+  readonly isStarved: boolean
   readonly change: Change & { readonly value: QuotaRecord }
 }
 
@@ -63,6 +64,7 @@
   private readonly opts: QuotaHolderOpts
   private readonly wakeup = new Wakeup()
   private readonly useMetrics: UseMetrics
+  private readonly order: WriteOrder
   private readonly busyAt = new Map<string, number>()
   private isNeeded = false
   private readRevision = 0
@@ -76,6 +78,7 @@
     this.opts = opts
     this.writesCountedAt = opts.clock.now()
     this.book = new QuotaBook(opts.service, opts.prefix)
+    this.order = new WriteOrder(opts.service)
     this.limits = new QuotaLimiter({ service: opts.service, clock: opts.clock, account: opts.account, book: this.book, onNeed: () => this.noteNeed() })
     this.useMetrics = new UseMetrics(opts, account => ({ use: this.limits.use(account).tracked, part: this.book.given(account) }))
   }
@@ -107,11 +110,13 @@
   async step (scheduler: Scheduler, signal?: AbortSignal): Promise<void> {
     if (this.mustRead && !await this.readAll(signal)) return
     // Determined anew for each write: what is in use may have changed during the one before.
-    for (let isMoreLeft = true; isMoreLeft;) {
+    for (let isMoreLeft = true, retries = 0; isMoreLeft;) {
       const all = this.collectChanges(scheduler)
       const changes = splitChanges(all, { commonGuards: 1 })[0]?.slice(0, this.changesPerWrite)
       if (changes === undefined || !this.takeWrite()) return
-      isMoreLeft = await this.write(changes, signal) && all.length > changes.length
+      const outcome = await this.write(changes, signal)
+      if (outcome === 'conflict') retries += 1
+      isMoreLeft = outcome === 'conflict' ? retries <= MAX_RETRIES && await this.readChanges(signal) : outcome === 'written' && all.length > changes.length
     }
   }
 
@@ -174,7 +179,7 @@
     const waiting = collectWaiting(scheduler, this.limits, now)
     const accounts = new Set([...this.limits.accounts(), ...this.book.accounts()])
     const changes = [...accounts].map(account => this.nextChange(account, waiting.get(account), now)).filter(change => change !== undefined)
-    return changes.sort((a, b) => Number(b.isUrgent) - Number(a.isUrgent))
+    return this.order.sort(changes)
   }
 
   private nextChange (account: string, waiting: WaitingWork | undefined, now: number): PartChange | undefined {
@@ -194,7 +199,7 @@
     const part = plan.part ?? (this.book.isLowering(account) ? known ?? { given: nothing } : undefined)
     if (part === undefined) return undefined
     const value = withPart(entry?.record, this.opts.service, { part, quota })
-    return { account, from, part, isUrgent: waiting !== undefined, change: { key: this.book.key(account), prior: entry?.version, value } }
+    return { account, from, part, isStarved: waiting !== undefined && isSame(this.limits.use(account).tracked, nothing), change: { key: this.book.key(account), prior: entry?.version, value } }
   }
 
   /** The part is not lowered below what may be in progress or is to go on, and not raised for runs that the term only cannot rule out. */
@@ -227,7 +232,7 @@
   /**
    * Writes parts, after what the entry must write. One that is lowered is kept to from the moment of sending, also if there is no response.
    */
-  private async write (changes: readonly PartChange[], signal: AbortSignal | undefined): Promise<boolean> {
+  private async write (changes: readonly PartChange[], signal: AbortSignal | undefined): Promise<'written' | 'conflict' | 'failed'> {
     const { store, guard } = this.opts
     const isLower = ({ from, part }: PartChange): boolean => !isWithin(from, part.given)
     const lowerings = changes.filter(isLower).map(({ account, part }) => ({ account, given: part.given, before: this.book.lowering(account) }))
@@ -237,27 +242,37 @@
     if (written.ok) {
       for (const { change } of changes) this.book.applyDoc(toVersioned(change, written.value))
       for (const { account } of changes) this.limits.forgetProgress(account)
+      for (const { account } of changes) this.order.noteWrite(account, this.opts.clock.now())
       this.changesPerWrite *= 2
       this.log(changes)
       this.noteChange({ isRaised: true })
-      return true
+      return 'written'
     }
     this.changesPerWrite = Math.max(1, Math.floor(Math.min(changes.length, this.changesPerWrite) / 2))
     const maybeApplied = written.error.kind === 'unavailable' && written.error.maybeApplied
     if (!maybeApplied) for (const { account, before } of lowerings) this.book.restoreLowering(account, before)
     if (maybeApplied) this.mustRead = true
-    if (written.error.kind === 'conflict' && changes.length <= MAX_READ_SINGLY) await this.readAgain(changes, signal)
+    // One that others change all the time does not hold up the rest.
+    if (changes.length === 1) for (const { account } of changes) this.order.noteWrite(account, this.opts.clock.now())
     this.wakeup.wake()
-    return false
+    return written.error.kind === 'conflict' ? 'conflict' : 'failed'
   }
 
-  /** The watch may not have shown yet what has changed. */
-  private async readAgain (changes: readonly PartChange[], signal: AbortSignal | undefined): Promise<void> {
-    for (const { change: { key } } of changes) {
-      const doc = await this.opts.store.get(key, { signal })
-      if (doc.ok && doc.value !== undefined) this.book.applyDoc(doc.value)
-      else this.mustRead = true
-    }
+  /** Reads what the watch may not have shown yet. */
+  private async readChanges (signal: AbortSignal | undefined): Promise<boolean> {
+    const { store, prefix } = this.opts
+    const found = await store.list(prefix, { minModRevision: this.readRevision + 1, ...(signal === undefined ? {} : { signal }) })
+    this.noteOutcome(found.ok ? undefined : found.error)
+    if (!found.ok || found.value.undecodable.length > 0) this.mustRead = true
+    if (!found.ok) return false
+    const { docs, count, revision } = found.value
+    const { raises } = this.book
+    for (const doc of docs) if (this.book.applyDoc(doc)) this.logUnreadable(doc.key)
+    // Removals are not listed.
+    if (this.book.stored() > count) this.mustRead = true
+    this.readRevision = Math.max(this.readRevision, revision)
+    this.noteChange({ isRaised: this.book.raises > raises })
+    return !this.mustRead
   }
 
   /** One line for each write, of 15 parts at most. */
--- a/jobs/quota/src/quota-book.ts
+++ b/jobs/quota/src/quota-book.ts
@@ -58,6 +58,11 @@
     return [...this.entries.keys()]
   }
 
+  /** @returns number of the records that the store has */
+  stored (): number {
+    return [...this.entries.values()].filter(({ version, unreadable }) => version !== undefined || unreadable).length
+  }
+
   /**
    * @param account - name of an account
    * @returns its record as far as it is known
