Parts of quotas are followed without a watch, too

Cause: only a compacted watch made the holder read again. A leader that reaches the store through peers has no watch, and never learnt what others lack (failing-watch.test.ts: part still 6000 after 3 s). Changed: any end of the watch is followed by reads of what has changed, one each 200 ms or so until a watch shows something or goes on for 2 s. A silent watch is probed each 2 s as in store/mirror, and another one opened if it has missed something.

--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -1,9 +1,9 @@
-import { delay, Wakeup, type Clock } from '@wisteriaslip/core.result'
+import { delay, linkAbort, Wakeup, type Clock } from '@wisteriaslip/core.result'
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { Metrics } from '@wisteriaslip/core.metrics'
 import type { Account, Resources } from '@wisteriaslip/jobs.model'
 import type { Scheduler, StartLimiter } from '@wisteriaslip/jobs.scheduler'
-import { splitChanges, toVersioned, type Change, type Guard, type Store, type StoreError } from '@wisteriaslip/store.client'
+import { splitChanges, toVersioned, type Change, type Guard, type Store, type StoreError, type WatchBatch } from '@wisteriaslip/store.client'
 import { QuotaLimiter } from './limiter.ts'
 import { collectWaiting, type WaitingWork } from './needs.ts'
 import { planPart, withPart, type Need, type Part, type QuotaRecord } from './parts.ts'
@@ -22,6 +22,8 @@
 /** What an account has not used for as long goes back. */
 const IDLE_MS = 10_000
 const READ_RETRY_MS = 200
+/** A watch that has shown nothing for as long may be dead. */
+const PROBE_MS = 2_000
 /** A step that conflicts reads what has changed and tries again at once, this often. */
 const MAX_RETRIES = 3
 
@@ -69,6 +71,12 @@
   private isNeeded = false
   private readRevision = 0
   private mustRead = true
+  /** Time of the last read or batch of the watch, by the injected clock. */
+  private heardAt: number
+  /** When the watch ended, until it shows something again. */
+  private watchFailedAt: number | undefined
+  private batches = 0
+  private endWatch = (): void => {}
   private changesPerWrite = Infinity
   private writesLeft = MAX_WRITES_AT_ONCE
   private writesCountedAt: number
@@ -77,6 +85,7 @@
   constructor (opts: QuotaHolderOpts) {
     this.opts = opts
     this.writesCountedAt = opts.clock.now()
+    this.heardAt = opts.clock.now()
     this.book = new QuotaBook(opts.service, opts.prefix)
     this.order = new WriteOrder(opts.service)
     this.limits = new QuotaLimiter({ service: opts.service, clock: opts.clock, account: opts.account, book: this.book, onNeed: () => this.noteNeed() })
@@ -116,7 +125,7 @@
       if (changes === undefined || !this.takeWrite()) return
       const outcome = await this.write(changes, signal)
       if (outcome === 'conflict') retries += 1
-      isMoreLeft = outcome === 'conflict' ? retries <= MAX_RETRIES && await this.readChanges(signal) : outcome === 'written' && all.length > changes.length
+      isMoreLeft = outcome === 'conflict' ? retries <= MAX_RETRIES && await this.readChanges(signal) !== undefined : outcome === 'written' && all.length > changes.length
     }
   }
 
@@ -127,6 +136,7 @@
 
   private async changeParts (scheduler: Scheduler, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      if (!this.mustRead && this.isReadDue()) await this.probe(signal)
       await this.step(scheduler, signal)
       if (this.mustRead) await delay(READ_RETRY_MS, signal)
       else if (await delay(MIN_GAP_MS, signal)) await this.wakeup.sleep(CHECK_INTERVAL_MS, signal)
@@ -134,22 +144,50 @@
   }
 
   private async watch (signal: AbortSignal): Promise<void> {
-    const { store, prefix } = this.opts
     while (!signal.aborted) {
-      if (!this.mustRead) {
-        const ended = await store.watch(prefix, this.readRevision + 1, batch => {
-          const { raises } = this.book
-          this.readRevision = Math.max(this.readRevision, batch.revision)
-          for (const kv of batch.changed) if (this.book.apply(kv)) this.logUnreadable(kv.key)
-          for (const { key, modRevision } of batch.deleted) this.book.applyRemoval(key, modRevision)
-          this.noteChange({ isRaised: this.book.raises > raises })
-        }, signal)
-        if (ended.kind === 'compacted') this.mustRead = true
-      }
+      if (!this.mustRead) await this.watchOnce(signal)
       await delay(READ_RETRY_MS, signal)
     }
   }
 
+  private async watchOnce (signal: AbortSignal): Promise<void> {
+    const { store, prefix, clock } = this.opts
+    const link = linkAbort(signal)
+    this.endWatch = () => link.abort()
+    const ended = await store.watch(prefix, this.readRevision + 1, batch => this.applyBatch(batch), link.signal)
+    link.release()
+    if (ended.kind === 'compacted') this.mustRead = true
+    this.watchFailedAt = clock.now()
+    this.wakeup.wake()
+  }
+
+  private applyBatch (batch: WatchBatch): void {
+    const { raises } = this.book
+    this.heardAt = this.opts.clock.now()
+    this.watchFailedAt = undefined
+    this.batches += 1
+    this.readRevision = Math.max(this.readRevision, batch.revision)
+    for (const kv of batch.changed) if (this.book.apply(kv)) this.logUnreadable(kv.key)
+    for (const { key, modRevision } of batch.deleted) this.book.applyRemoval(key, modRevision)
+    this.noteChange({ isRaised: this.book.raises > raises })
+  }
+
+  /** Without a watch, as the store may be reached through peers only, changes are read often; with a silent one now and then. */
+  private isReadDue (): boolean {
+    return this.opts.clock.now() - this.heardAt >= (this.isWatchFailing() ? READ_RETRY_MS : PROBE_MS)
+  }
+
+  private isWatchFailing (): boolean {
+    return this.watchFailedAt !== undefined && this.opts.clock.now() - this.watchFailedAt < PROBE_MS
+  }
+
+  /** Reads what the watch has not shown, and opens another one if it has missed something. */
+  private async probe (signal: AbortSignal): Promise<void> {
+    const { batches } = this
+    const found = await this.readChanges(signal) ?? 0
+    if (found > 0 && !this.isWatchFailing() && this.batches === batches) this.endWatch()
+  }
+
   /** Reads all records. */
   private async readAll (signal: AbortSignal | undefined): Promise<boolean> {
     const { store, prefix } = this.opts
@@ -162,6 +200,7 @@
     for (const key of undecodable) if (this.book.apply({ key, value: '', createRevision: 0, modRevision: revision })) this.logUnreadable(key)
     for (const account of this.book.accounts()) if (!found.has(this.book.key(account))) this.book.applyRemoval(this.book.key(account), revision)
     this.readRevision = revision
+    this.heardAt = this.opts.clock.now()
     this.book.isRead = true
     this.mustRead = false
     this.noteChange({ isRaised: true })
@@ -258,13 +297,17 @@
     return written.error.kind === 'conflict' ? 'conflict' : 'failed'
   }
 
-  /** Reads what the watch may not have shown yet. */
-  private async readChanges (signal: AbortSignal | undefined): Promise<boolean> {
+  /**
+   * Reads what the watch may not have shown yet.
+   * @returns how many records have changed, undefined if all must be read
+   */
+  private async readChanges (signal: AbortSignal | undefined): Promise<number | undefined> {
     const { store, prefix } = this.opts
     const found = await store.list(prefix, { minModRevision: this.readRevision + 1, ...(signal === undefined ? {} : { signal }) })
     this.noteOutcome(found.ok ? undefined : found.error)
     if (!found.ok || found.value.undecodable.length > 0) this.mustRead = true
-    if (!found.ok) return false
+    this.heardAt = this.opts.clock.now()
+    if (!found.ok) return undefined
     const { docs, count, revision } = found.value
     const { raises } = this.book
     for (const doc of docs) if (this.book.applyDoc(doc)) this.logUnreadable(doc.key)
@@ -272,7 +315,7 @@
     if (this.book.stored() > count) this.mustRead = true
     this.readRevision = Math.max(this.readRevision, revision)
     this.noteChange({ isRaised: this.book.raises > raises })
-    return !this.mustRead
+    return this.mustRead ? undefined : docs.length
   }
 
   /** One line for each write, of 15 parts at most. */
