A service is not held to less than its part while the store is away

Cause: it left to others what it could not give back and they could not take, so that the account started nothing anywhere (hold-without-store.test.ts: no task was started for 4 s). Changed: the first read or write that the store does not answer releases all holds, until one succeeds. A conflict, or a call over the entry's budget, releases none. Evidence: the test fails before and passes now, the model test with its mutations passes.

--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -81,6 +81,7 @@
   private writesLeft = MAX_WRITES_AT_ONCE
   private writesCountedAt: number
   private failure: string | undefined
+  private isStoreAway = false
 
   constructor (opts: QuotaHolderOpts) {
     this.opts = opts
@@ -234,7 +235,7 @@
     const need = this.needOf(account, from, { waiting, now })
     const known = entry?.record?.parts[this.opts.service]
     const plan = planPart(entry?.record, this.opts.service, { limits, need })
-    this.book.hold(account, isWithin(from, plan.target) ? undefined : plan.target)
+    this.book.hold(account, this.isStoreAway || isWithin(from, plan.target) ? undefined : plan.target)
     const part = plan.part ?? (this.book.isLowering(account) ? known ?? { given: nothing } : undefined)
     if (part === undefined) return undefined
     const value = withPart(entry?.record, this.opts.service, { part, quota })
@@ -339,5 +340,8 @@
     if (code === undefined) logger.info({ service, token }, 'parts of quotas can be changed again')
     else logger.warn({ service, token, code }, 'parts of quotas cannot be changed: tasks start within those that are confirmed')
     this.failure = code
+    this.isStoreAway = error?.kind === 'unavailable'
+    // What is left to others could not be given back.
+    if (this.isStoreAway && this.book.releaseHolds()) this.opts.onChange()
   }
 }
--- a/jobs/quota/src/quota-book.ts
+++ b/jobs/quota/src/quota-book.ts
@@ -145,6 +145,17 @@
     this.changes += 1
   }
 
+  /**
+   * From now on the service goes as far as its parts.
+   * @returns whether it was held to less
+   */
+  releaseHolds (): boolean {
+    if (this.held.size === 0) return false
+    this.held.clear()
+    this.changes += 1
+    return true
+  }
+
   /**
    * From now on only what a lowered part gives is used: the write that lowers it may take effect at any time.
    * @param account - name of an account
