--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -1,15 +1,16 @@
-import { delay, Wakeup, type Clock } from '@wisteriaslip/core.result'
+import { delay, linkAbort, Wakeup, type Clock } from '@wisteriaslip/core.result'
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { Metrics } from '@wisteriaslip/core.metrics'
 import type { Account, Resources } from '@wisteriaslip/jobs.model'
 import type { Scheduler, StartLimiter } from '@wisteriaslip/jobs.scheduler'
-import { splitChanges, toVersioned, type Change, type Guard, type Store, type StoreError } from '@wisteriaslip/store.client'
+import { splitChanges, toVersioned, type Change, type Guard, type Store, type StoreError, type WatchBatch } from '@wisteriaslip/store.client'
 import { QuotaLimiter } from './limiter.ts'
 import { collectWaiting, type WaitingWork } from './needs.ts'
 import { planPart, withPart, type Need, type Part, type QuotaRecord } from './parts.ts'
 import { QuotaBook } from './quota-book.ts'
 import { isSame, isWithin, least, most, nothing, plus } from './resources.ts'
 import { UseMetrics } from './use-metrics.ts'
+import { WriteOrder } from './write-order.ts'
 
 /** Interval at which parts are looked at although no task was refused. */
 const CHECK_INTERVAL_MS = 250
@@ -21,8 +22,10 @@
 /** What an account has not used for as long goes back. */
 const IDLE_MS = 10_000
 const READ_RETRY_MS = 200
-/** After a conflict over that many records they are read one by one; over more, the next write has half of them. */
-const MAX_READ_SINGLY = 2
+/** A watch that has shown nothing for as long may be dead. */
+const PROBE_MS = 2_000
+/** A step that conflicts reads what has changed and tries again at once, this often. */
+const MAX_RETRIES = 3
 
 /** Options of {@link QuotaHolder}. */
 export interface QuotaHolderOpts {
@@ -48,7 +51,7 @@
   readonly account: string
   readonly from: Resources
   readonly part: Part
-  readonly isUrgent: boolean
+  readonly isStarved: boolean
   readonly change: Change & { readonly value: QuotaRecord }
 }
 
@@ -63,19 +66,29 @@
   private readonly opts: QuotaHolderOpts
   private readonly wakeup = new Wakeup()
   private readonly useMetrics: UseMetrics
+  private readonly order: WriteOrder
   private readonly busyAt = new Map<string, number>()
   private isNeeded = false
   private readRevision = 0
   private mustRead = true
+  /** Time of the last read or batch of the watch, by the injected clock. */
+  private heardAt: number
+  /** When the watch ended, until it shows something again. */
+  private watchFailedAt: number | undefined
+  private batches = 0
+  private endWatch = (): void => {}
   private changesPerWrite = Infinity
   private writesLeft = MAX_WRITES_AT_ONCE
   private writesCountedAt: number
   private failure: string | undefined
+  private isStoreAway = false
 
   constructor (opts: QuotaHolderOpts) {
     this.opts = opts
     this.writesCountedAt = opts.clock.now()
+    this.heardAt = opts.clock.now()
     this.book = new QuotaBook(opts.service, opts.prefix)
+    this.order = new WriteOrder(opts.service)
     this.limits = new QuotaLimiter({ service: opts.service, clock: opts.clock, account: opts.account, book: this.book, onNeed: () => this.noteNeed() })
     this.useMetrics = new UseMetrics(opts, account => ({ use: this.limits.use(account).tracked, part: this.book.given(account) }))
   }
@@ -107,11 +120,13 @@
   async step (scheduler: Scheduler, signal?: AbortSignal): Promise<void> {
     if (this.mustRead && !await this.readAll(signal)) return
     // Determined anew for each write: what is in use may have changed during the one before.
-    for (let isMoreLeft = true; isMoreLeft;) {
+    for (let isMoreLeft = true, retries = 0; isMoreLeft;) {
       const all = this.collectChanges(scheduler)
       const changes = splitChanges(all, { commonGuards: 1 })[0]?.slice(0, this.changesPerWrite)
       if (changes === undefined || !this.takeWrite()) return
-      isMoreLeft = await this.write(changes, signal) && all.length > changes.length
+      const outcome = await this.write(changes, signal)
+      if (outcome === 'conflict') retries += 1
+      isMoreLeft = outcome === 'conflict' ? retries <= MAX_RETRIES && await this.readChanges(signal) !== undefined : outcome === 'written' && all.length > changes.length
     }
   }
 
@@ -122,6 +137,7 @@
 
   private async changeParts (scheduler: Scheduler, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      if (!this.mustRead && this.isReadDue()) await this.probe(signal)
       await this.step(scheduler, signal)
       if (this.mustRead) await delay(READ_RETRY_MS, signal)
       else if (await delay(MIN_GAP_MS, signal)) await this.wakeup.sleep(CHECK_INTERVAL_MS, signal)
@@ -129,22 +145,50 @@
   }
 
   private async watch (signal: AbortSignal): Promise<void> {
-    const { store, prefix } = this.opts
     while (!signal.aborted) {
-      if (!this.mustRead) {
-        const ended = await store.watch(prefix, this.readRevision + 1, batch => {
-          const { raises } = this.book
-          this.readRevision = Math.max(this.readRevision, batch.revision)
-          for (const kv of batch.changed) if (this.book.apply(kv)) this.logUnreadable(kv.key)
-          for (const { key, modRevision } of batch.deleted) this.book.applyRemoval(key, modRevision)
-          this.noteChange({ isRaised: this.book.raises > raises })
-        }, signal)
-        if (ended.kind === 'compacted') this.mustRead = true
-      }
+      if (!this.mustRead) await this.watchOnce(signal)
       await delay(READ_RETRY_MS, signal)
     }
   }
 
+  private async watchOnce (signal: AbortSignal): Promise<void> {
+    const { store, prefix, clock } = this.opts
+    const link = linkAbort(signal)
+    this.endWatch = () => link.abort()
+    const ended = await store.watch(prefix, this.readRevision + 1, batch => this.applyBatch(batch), link.signal)
+    link.release()
+    if (ended.kind === 'compacted') this.mustRead = true
+    this.watchFailedAt = clock.now()
+    this.wakeup.wake()
+  }
+
+  private applyBatch (batch: WatchBatch): void {
+    const { raises } = this.book
+    this.heardAt = this.opts.clock.now()
+    this.watchFailedAt = undefined
+    this.batches += 1
+    this.readRevision = Math.max(this.readRevision, batch.revision)
+    for (const kv of batch.changed) if (this.book.apply(kv)) this.logUnreadable(kv.key)
+    for (const { key, modRevision } of batch.deleted) this.book.applyRemoval(key, modRevision)
+    this.noteChange({ isRaised: this.book.raises > raises })
+  }
+
+  /** Without a watch, as the store may be reached through peers only, changes are read often; with a silent one now and then. */
+  private isReadDue (): boolean {
+    return this.opts.clock.now() - this.heardAt >= (this.isWatchFailing() ? READ_RETRY_MS : PROBE_MS)
+  }
+
+  private isWatchFailing (): boolean {
+    return this.watchFailedAt !== undefined && this.opts.clock.now() - this.watchFailedAt < PROBE_MS
+  }
+
+  /** Reads what the watch has not shown, and opens another one if it has missed something. */
+  private async probe (signal: AbortSignal): Promise<void> {
+    const { batches } = this
+    const found = await this.readChanges(signal) ?? 0
+    if (found > 0 && !this.isWatchFailing() && this.batches === batches) this.endWatch()
+  }
+
   /** Reads all records. */
   private async readAll (signal: AbortSignal | undefined): Promise<boolean> {
     const { store, prefix } = this.opts
@@ -157,6 +201,7 @@
     for (const key of undecodable) if (this.book.apply({ key, value: '', createRevision: 0, modRevision: revision })) this.logUnreadable(key)
     for (const account of this.book.accounts()) if (!found.has(this.book.key(account))) this.book.applyRemoval(this.book.key(account), revision)
     this.readRevision = revision
+    this.heardAt = this.opts.clock.now()
     this.book.isRead = true
     this.mustRead = false
     this.noteChange({ isRaised: true })
@@ -174,7 +219,7 @@
     const waiting = collectWaiting(scheduler, this.limits, now)
     const accounts = new Set([...this.limits.accounts(), ...this.book.accounts()])
     const changes = [...accounts].map(account => this.nextChange(account, waiting.get(account), now)).filter(change => change !== undefined)
-    return changes.sort((a, b) => Number(b.isUrgent) - Number(a.isUrgent))
+    return this.order.sort(changes)
   }
 
   private nextChange (account: string, waiting: WaitingWork | undefined, now: number): PartChange | undefined {
@@ -190,11 +235,11 @@
     const need = this.needOf(account, from, { waiting, now })
     const known = entry?.record?.parts[this.opts.service]
     const plan = planPart(entry?.record, this.opts.service, { limits, need })
-    this.book.hold(account, isWithin(from, plan.target) ? undefined : plan.target)
+    this.book.hold(account, this.isStoreAway || isWithin(from, plan.target) ? undefined : plan.target)
     const part = plan.part ?? (this.book.isLowering(account) ? known ?? { given: nothing } : undefined)
     if (part === undefined) return undefined
     const value = withPart(entry?.record, this.opts.service, { part, quota })
-    return { account, from, part, isUrgent: waiting !== undefined, change: { key: this.book.key(account), prior: entry?.version, value } }
+    return { account, from, part, isStarved: waiting !== undefined && isSame(this.limits.use(account).tracked, nothing), change: { key: this.book.key(account), prior: entry?.version, value } }
   }
 
   /** The part is not lowered below what may be in progress or is to go on, and not raised for runs that the term only cannot rule out. */
@@ -227,36 +272,51 @@
   /**
    * Writes parts, after what the entry must write. One that is lowered is kept to from the moment of sending, also if there is no response.
    */
-  private async write (changes: readonly PartChange[], signal: AbortSignal | undefined): Promise<boolean> {
+  private async write (changes: readonly PartChange[], signal: AbortSignal | undefined): Promise<'written' | 'conflict' | 'failed'> {
     const { store, guard } = this.opts
     const isLower = ({ from, part }: PartChange): boolean => !isWithin(from, part.given)
-    for (const each of changes) if (isLower(each)) this.book.lower(each.account, each.part.given)
+    const lowerings = changes.filter(isLower).map(({ account, part }) => ({ account, given: part.given, before: this.book.lowering(account) }))
+    for (const { account, given } of lowerings) this.book.lower(account, given)
     const written = await store.update(changes.map(({ change }) => change), { guards: [guard], signal, forCaller: true })
     this.noteOutcome(written.ok ? undefined : written.error)
     if (written.ok) {
       for (const { change } of changes) this.book.applyDoc(toVersioned(change, written.value))
       for (const { account } of changes) this.limits.forgetProgress(account)
+      for (const { account } of changes) this.order.noteWrite(account, this.opts.clock.now())
       this.changesPerWrite *= 2
       this.log(changes)
       this.noteChange({ isRaised: true })
-      return true
+      return 'written'
     }
     this.changesPerWrite = Math.max(1, Math.floor(Math.min(changes.length, this.changesPerWrite) / 2))
     const maybeApplied = written.error.kind === 'unavailable' && written.error.maybeApplied
-    if (!maybeApplied) for (const each of changes) this.book.forgetLowered(each.account)
+    if (!maybeApplied) for (const { account, before } of lowerings) this.book.restoreLowering(account, before)
     if (maybeApplied) this.mustRead = true
-    if (written.error.kind === 'conflict' && changes.length <= MAX_READ_SINGLY) await this.readAgain(changes, signal)
+    // One that others change all the time does not hold up the rest.
+    if (changes.length === 1) for (const { account } of changes) this.order.noteWrite(account, this.opts.clock.now())
     this.wakeup.wake()
-    return false
+    return written.error.kind === 'conflict' ? 'conflict' : 'failed'
   }
 
-  /** The watch may not have shown yet what has changed. */
-  private async readAgain (changes: readonly PartChange[], signal: AbortSignal | undefined): Promise<void> {
-    for (const { change: { key } } of changes) {
-      const doc = await this.opts.store.get(key, { signal })
-      if (doc.ok && doc.value !== undefined) this.book.applyDoc(doc.value)
-      else this.mustRead = true
-    }
+  /**
+   * Reads what the watch may not have shown yet.
+   * @returns how many records have changed, undefined if all must be read
+   */
+  private async readChanges (signal: AbortSignal | undefined): Promise<number | undefined> {
+    const { store, prefix } = this.opts
+    const found = await store.list(prefix, { minModRevision: this.readRevision + 1, ...(signal === undefined ? {} : { signal }) })
+    this.noteOutcome(found.ok ? undefined : found.error)
+    if (!found.ok || found.value.undecodable.length > 0) this.mustRead = true
+    this.heardAt = this.opts.clock.now()
+    if (!found.ok) return undefined
+    const { docs, count, revision } = found.value
+    const { raises } = this.book
+    for (const doc of docs) if (this.book.applyDoc(doc)) this.logUnreadable(doc.key)
+    // Removals are not listed.
+    if (this.book.stored() > count) this.mustRead = true
+    this.readRevision = Math.max(this.readRevision, revision)
+    this.noteChange({ isRaised: this.book.raises > raises })
+    return this.mustRead ? undefined : docs.length
   }
 
   /** One line for each write, of 15 parts at most. */
@@ -280,5 +340,8 @@
     if (code === undefined) logger.info({ service, token }, 'parts of quotas can be changed again')
     else logger.warn({ service, token, code }, 'parts of quotas cannot be changed: tasks start within those that are confirmed')
     this.failure = code
+    this.isStoreAway = error?.kind === 'unavailable'
+    // What is left to others could not be given back.
+    if (this.isStoreAway && this.book.releaseHolds()) this.opts.onChange()
   }
 }
