Names of accounts that are no well-formed text are refused, and have keys

encodeURIComponent throws at half of a character alone, which JSON can carry: the holder's step then rejected, and with it each term of a service that had a job of such an account, which locked out all others.

--- a/jobs/http/src/wire-format.ts
+++ b/jobs/http/src/wire-format.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { readBody } from '@wisteriaslip/core.http-limits'
 import { parseJson } from '@wisteriaslip/core.result'
+import { isWellFormed } from '@wisteriaslip/jobs.accounts'
 import { whyTooLarge } from '@wisteriaslip/jobs.model'
 import { z } from 'zod'
 
@@ -57,7 +58,7 @@
 })
 
 const accountSchema = z.strictObject({
-  name: z.string().min(1).max(MAX_NAME_CHARS),
+  name: z.string().min(1).max(MAX_NAME_CHARS).refine(isWellFormed, 'must be well-formed Unicode text'),
   keySha256: z.array(z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest in lower-case hex')).default([]),
   weight: safeNumber.positive().default(1),
   quota: resourcesSchema.default({})
--- a/jobs/quota/src/quota-book.ts
+++ b/jobs/quota/src/quota-book.ts
@@ -50,7 +50,7 @@
    * @returns key of its record
    */
   key (account: string): string {
-    return this.prefix + encodeURIComponent(account)
+    return this.prefix + encodeName(account)
   }
 
   /** @returns names of the accounts whose records are known */
@@ -195,13 +195,22 @@
 
   private accountOf (key: string): string | undefined {
     try {
-      return key.startsWith(this.prefix) ? decodeURIComponent(key.slice(this.prefix.length)) : undefined
+      return key.startsWith(this.prefix) ? decodeName(key.slice(this.prefix.length)) : undefined
     } catch {
       return undefined
     }
   }
 }
 
+/** Halves of a character alone, which `encodeURIComponent` throws at, have an escape of their own. */
+function encodeName (name: string): string {
+  return Array.from(name, char => /\p{Surrogate}/u.test(char) ? `%u${char.charCodeAt(0).toString(16)}` : encodeURIComponent(char)).join('')
+}
+
+function decodeName (encoded: string): string {
+  return decodeURIComponent(encoded.replace(/%u([0-9a-f]{4})/g, (_, hex: string) => String.fromCharCode(parseInt(hex, 16))))
+}
+
 /** Leaves what is not limited as it is. */
 function lowerOf (usable: Resources, bound: Resources | undefined): Resources {
   if (bound === undefined) return usable
