Tasks without room claim nothing of a quota

What waits now counts in total and atOnce only if a worker, or for a gang all together, could take it; a turn that isn't used for 1 s although the part is enough goes to the end. Without others that lack something, a part is still raised for all that waits.

--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -8,7 +8,7 @@
 import { collectWaiting, type WaitingWork } from './needs.ts'
 import { planPart, withPart, type Need, type Part, type QuotaRecord } from './parts.ts'
 import { QuotaBook } from './quota-book.ts'
-import { isSame, isWithin, least, most, nothing, plus } from './resources.ts'
+import { hasRoomFor, isSame, isWithin, least, most, nothing, plus } from './resources.ts'
 import { UseMetrics } from './use-metrics.ts'
 
 /** Interval at which parts are looked at although no task was refused. */
@@ -202,12 +202,14 @@
     const { tracked, most: upTo } = this.limits.use(account)
     const inUse = most(tracked, least(given, upTo))
     const kept = least(given, plus(inUse, waiting?.returning ?? nothing))
+    const atOnce = waiting?.atOnce ?? nothing
+    this.limits.noteClaim(account, !isSame(atOnce, nothing) && hasRoomFor(inUse, atOnce, given))
     if (waiting !== undefined || !isSame(upTo, nothing) || !this.busyAt.has(account)) this.busyAt.set(account, now)
     return {
       inUse: most(inUse, kept),
       total: plus(inUse, waiting?.demand ?? nothing),
       totalWithoutRoom: plus(inUse, waiting?.all ?? nothing),
-      atOnce: waiting?.atOnce ?? nothing,
+      atOnce,
       smallest: waiting?.smallest ?? nothing,
       idle: now - (this.busyAt.get(account) ?? now) >= IDLE_MS,
       progressed: this.limits.hasProgressed(account)
--- a/jobs/quota/src/limiter.ts
+++ b/jobs/quota/src/limiter.ts
@@ -8,6 +8,8 @@
 
 /** A job may come before the configuration that added its account: its tasks wait that long for it. */
 const UNKNOWN_ACCOUNT_WAIT_MS = 3_000
+/** A turn that is not used for as long goes to the next service. */
+const UNUSED_TURN_MS = 1_000
 
 /** Options of {@link QuotaLimiter}. */
 export interface QuotaLimiterOpts {
@@ -26,6 +28,8 @@
   hasBackfill: boolean
   /** A task was started since the part was last written. */
   progressed: boolean
+  /** Since when the part has been enough for the largest task, and none was started; by the injected clock. */
+  claimedSince: number | undefined
   /** When the account was first looked for in vain, by the injected clock. */
   missingSince: number | undefined
   /** What was computed from this quota and state of the book. */
@@ -72,7 +76,9 @@
     const state = this.stateOf(name)
     state.use.add(run)
     state.hasBackfill ||= run.task.step.spec.backfill
-    state.progressed ||= run.phase === 'sending'
+    if (run.phase !== 'sending') return
+    state.progressed = true
+    state.claimedSince = undefined
   }
 
   forgetRun (run: Run): void {
@@ -142,7 +148,7 @@
 
   /**
    * @param name - name of an account
-   * @returns whether a task of it was started since its part was last written
+   * @returns whether a task of it was started since its part was last written, or its turn has passed unused
    */
   hasProgressed (name: string): boolean {
     return this.stateOf(name).progressed
@@ -150,13 +156,26 @@
 
   /** @param name - name of an account whose part was written */
   forgetProgress (name: string): void {
-    this.stateOf(name).progressed = false
+    const state = this.stateOf(name)
+    state.progressed = false
+    state.claimedSince = undefined
+  }
+
+  /**
+   * @param name - name of an account
+   * @param isEnough - a task waits, and the part is enough for the largest
+   */
+  noteClaim (name: string, isEnough: boolean): void {
+    const state = this.stateOf(name)
+    const now = this.opts.clock.now()
+    state.claimedSince = isEnough ? state.claimedSince ?? now : undefined
+    if (now - (state.claimedSince ?? now) >= UNUSED_TURN_MS) state.progressed = true
   }
 
   private stateOf (name: string): AccountState {
     const known = this.states.get(name)
     if (known !== undefined) return known
-    const state: AccountState = { use: new AccountUse(), hasBackfill: false, progressed: false, missingSince: undefined, cached: undefined }
+    const state: AccountState = { use: new AccountUse(), hasBackfill: false, progressed: false, claimedSince: undefined, missingSince: undefined, cached: undefined }
     this.states.set(name, state)
     if (this.quotaOf(name, state) !== 'none') this.opts.onNeed()
     return state
--- a/jobs/quota/src/parts.ts
+++ b/jobs/quota/src/parts.ts
@@ -6,7 +6,7 @@
 export interface Wants {
   /** All that it would use now, with what is in use. */
   readonly total: Resources
-  /** Its largest task, or gang, that waits: less than that more may be of no use to it. */
+  /** Its largest task, or gang, that waits and has room: less than that more may be of no use to it. */
   readonly atOnce: Resources
   /** Whoever has the lower number is served first. */
   readonly turn: number
@@ -34,13 +34,13 @@
   readonly total: Resources
   /** The same for all that waits, whether it has room or not: room may come soon. */
   readonly totalWithoutRoom: Resources
-  /** Largest task or gang that waits; nothing if none does. */
+  /** Largest task or gang that waits and has room; nothing if none does. */
   readonly atOnce: Resources
-  /** Smallest task or gang that waits: a part that is raised by less is of no use. */
+  /** Smallest task or gang that waits and has room: a part that is raised by less is of no use. */
   readonly smallest: Resources
   /** Nothing has been in use or has waited for long. */
   readonly idle: boolean
-  /** A task was started since the part was last written. */
+  /** A task was started since the part was last written, or none was for long although the part was enough. */
   readonly progressed: boolean
 }
 
@@ -111,8 +111,8 @@
 
   function calmPart (): Resources {
     if (need.idle) return nothing
-    if (isWithin(total, before)) return before
     const later = limited(least(need.totalWithoutRoom, limits))
+    if (isWithin(most(total, later), before)) return before
     return least(free, most(before, plus(most(total, later), limited(each(dimension => Math.floor(limits[dimension] * HEADROOM))))))
   }
 
