Backfill of an account is known as soon as its job is tracked

It was noted only when a step asked for a start, which steps of earlier jobs don't while a new term doesn't know all runs: a successor then counted a silent worker's capacity, though no capacity bounds the processor time of backfill. The job table now tells the limiter of each job that is loaded or accepted. backfill-of-earlier-terms.test.ts failed before.

--- a/jobs/quota/src/limiter.ts
+++ b/jobs/quota/src/limiter.ts
@@ -63,19 +63,22 @@
     const state = this.stateOf(name)
     const usable = this.usableOf(name, state, { isLasting: step.spec.lasting })
     if (usable === 'none') return true
-    state.hasBackfill ||= step.spec.backfill
     const demand = runs === 1 ? step.spec.demand : times(step.spec.demand, runs)
     const fits = usable !== 'unknown' && (runs === 0 ? hasRoomFor(this.inUseOf(state), step.spec.demand, plus(usable, step.spec.demand)) : hasRoomFor(this.inUseOf(state), demand, usable))
     if (!fits) this.opts.onNeed()
     return fits
   }
 
+  noteJob (job: Job): void {
+    if (job.account === undefined || !job.steps.some(({ backfill }) => backfill)) return
+    this.stateOf(job.account).hasBackfill = true
+  }
+
   noteRun (run: Run): void {
     const name = run.task.step.job.job.account
     if (name === undefined) return
     const state = this.stateOf(name)
     state.use.add(run)
-    state.hasBackfill ||= run.task.step.spec.backfill
     if (run.phase !== 'sending') return
     state.progressed = true
     state.claimedSince = undefined
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -4,6 +4,7 @@
 import type { QueueLookup } from './step-priority.ts'
 import type { JobFailure, JobProgress } from './progress.ts'
 import type { Run } from './run.ts'
+import type { StartLimiter } from './start-limiter.ts'
 import { markDone, TrackedJob, type Task, type TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
 
@@ -23,6 +24,7 @@
   readonly queue: QueueLookup
   /** Called for runs that are no longer needed. */
   readonly onRunNotNeeded: (run: Run, reason: string) => void
+  readonly limiter?: Pick<StartLimiter, 'noteJob'> | undefined
 }
 
 /** The jobs of a service: their ready steps, their completions, and records that are not durable yet. */
@@ -53,6 +55,7 @@
     if (this.jobs.has(job.id)) return
     const tracked = new TrackedJob(job, { ...opts, firstSeenAt: this.opts.clock.now() })
     this.shares?.addJob(tracked)
+    this.opts.limiter?.noteJob(job)
     this.jobs.set(job.id, tracked)
     this.notStored.delete(job.id)
     if (this.cancelledBeforeAdded.delete(job.id)) this.cancel(job.id)
--- a/jobs/scheduler/src/start-limiter.ts
+++ b/jobs/scheduler/src/start-limiter.ts
@@ -33,6 +33,8 @@
    * @returns whether they may be started now
    */
   mayAdd (step: TrackedStep, runs: number): boolean
+  /** @param job - a job that is tracked from now on: earlier leaders may have started its tasks */
+  noteJob (job: Job): void
   /** @param run - a run that may be in progress from now on */
   noteRun (run: Run): void
   /** @param run - a run that neither is in progress nor can begin */
@@ -55,6 +57,7 @@
 export const noLimits: StartLimiter = {
   beginPass () {},
   mayAdd: () => true,
+  noteJob () {},
   noteRun () {},
   forgetRun () {},
   countWaiting: () => step => step.waiting,
