Test of a claim without room: enough tasks for the whole play

Its 400 tasks were done after 67 of 200 rounds, after which nothing was left to run. With 1,300 it fails on the code before the mend (no task ran for 9,700 ms) and passes now.

--- a/jobs/quota/test/claim-without-room.test.ts
+++ b/jobs/quota/test/claim-without-room.test.ts
@@ -9,7 +9,7 @@
   await site.work(3)
   assert.equal(site.usedBy('s0'), 7_000)
   site.accept('s0', { cpu: 6_000 })
-  site.accept('s1', { cpu: 1_000, tasks: 400 })
+  site.accept('s1', { cpu: 1_000, tasks: 1_300 })
   const idle: number[] = []
   let idleSince = site.now
   for (let round = 0; round < 200; round++) {
