A refused task makes the quota holder look at its account only

Cause: while a task waits for its quota, each 30 ms all accounts were looked at, also when nothing had changed or no write was left. Changed: nothing is collected without a write left. In between the looks at all accounts (each 250 ms) only those are looked at whose tasks were refused, whose records changed or whose change is due; one whose tasks wait and that needed no change rests until its record or use changes. In limiter.ts only: onNeed names the account. The model test with its mutations passes.

--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -4,6 +4,7 @@
 import type { Account, Resources } from '@wisteriaslip/jobs.model'
 import type { Scheduler, StartLimiter } from '@wisteriaslip/jobs.scheduler'
 import { splitChanges, toVersioned, type Change, type Guard, type Store, type StoreError, type WatchBatch } from '@wisteriaslip/store.client'
+import { DueAccounts } from './due-accounts.ts'
 import { QuotaLimiter } from './limiter.ts'
 import { collectWaiting, type WaitingWork } from './needs.ts'
 import { planPart, withPart, type Need, type Part, type QuotaRecord } from './parts.ts'
@@ -67,6 +68,7 @@
   private readonly wakeup = new Wakeup()
   private readonly useMetrics: UseMetrics
   private readonly order: WriteOrder
+  private readonly due = new DueAccounts(CHECK_INTERVAL_MS)
   private readonly busyAt = new Map<string, number>()
   private isNeeded = false
   private readRevision = 0
@@ -89,7 +91,7 @@
     this.heardAt = opts.clock.now()
     this.book = new QuotaBook(opts.service, opts.prefix)
     this.order = new WriteOrder(opts.service)
-    this.limits = new QuotaLimiter({ service: opts.service, clock: opts.clock, account: opts.account, book: this.book, onNeed: () => this.noteNeed() })
+    this.limits = new QuotaLimiter({ service: opts.service, clock: opts.clock, account: opts.account, book: this.book, onNeed: account => this.noteNeed(account) })
     this.useMetrics = new UseMetrics(opts, account => ({ use: this.limits.use(account).tracked, part: this.book.given(account) }))
   }
 
@@ -120,17 +122,19 @@
   async step (scheduler: Scheduler, signal?: AbortSignal): Promise<void> {
     if (this.mustRead && !await this.readAll(signal)) return
     // Determined anew for each write: what is in use may have changed during the one before.
-    for (let isMoreLeft = true, retries = 0; isMoreLeft;) {
+    for (let isMoreLeft = true, retries = 0; isMoreLeft && this.mayWrite();) {
       const all = this.collectChanges(scheduler)
       const changes = splitChanges(all, { commonGuards: 1 })[0]?.slice(0, this.changesPerWrite)
-      if (changes === undefined || !this.takeWrite()) return
+      if (changes === undefined) return
+      this.writesLeft -= 1
       const outcome = await this.write(changes, signal)
       if (outcome === 'conflict') retries += 1
       isMoreLeft = outcome === 'conflict' ? retries <= MAX_RETRIES && await this.readChanges(signal) !== undefined : outcome === 'written' && all.length > changes.length
     }
   }
 
-  private noteNeed (): void {
+  private noteNeed (account: string): void {
+    this.due.mark(account)
     this.isNeeded = true
     this.wakeup.wake()
   }
@@ -216,9 +220,17 @@
 
   private collectChanges (scheduler: Scheduler): PartChange[] {
     const now = this.opts.clock.now()
+    const state = (account: string) => ({ revision: this.book.entry(account)?.revision ?? 0, use: this.limits.use(account).tracked })
+    for (const account of this.book.takeChanged()) this.due.mark(account)
+    const accounts = this.due.take(() => new Set([...this.limits.accounts(), ...this.book.accounts()]), now, state)
+    if (accounts.length === 0) return []
     const waiting = collectWaiting(scheduler, this.limits, now)
-    const accounts = new Set([...this.limits.accounts(), ...this.book.accounts()])
-    const changes = [...accounts].map(account => this.nextChange(account, waiting.get(account), now)).filter(change => change !== undefined)
+    const changes: PartChange[] = []
+    for (const account of accounts) {
+      const change = this.nextChange(account, waiting.get(account), now)
+      if (change !== undefined) changes.push(change)
+      this.due.noteLook(account, { isDue: change !== undefined, isWaiting: waiting.has(account), state: state(account) })
+    }
     return this.order.sort(changes)
   }
 
@@ -259,14 +271,12 @@
     }
   }
 
-  /** Counts a write, unless the service has written too often of late. */
-  private takeWrite (): boolean {
+  /** Whether the service has not written too often of late. */
+  private mayWrite (): boolean {
     const now = this.opts.clock.now()
     this.writesLeft = Math.min(MAX_WRITES_AT_ONCE, this.writesLeft + (now - this.writesCountedAt) / 1_000 * WRITES_PER_S)
     this.writesCountedAt = now
-    if (this.writesLeft < 1) return false
-    this.writesLeft -= 1
-    return true
+    return this.writesLeft >= 1
   }
 
   /**
--- a/jobs/quota/src/limiter.ts
+++ b/jobs/quota/src/limiter.ts
@@ -17,7 +17,7 @@
   readonly account: (name: string) => Account | undefined
   readonly book: QuotaBook
   /** Called when a record is needed, or a part was too small. */
-  readonly onNeed: () => void
+  readonly onNeed: (account: string) => void
 }
 
 interface AccountState {
@@ -62,7 +62,7 @@
     state.hasBackfill ||= step.spec.backfill
     const demand = runs === 1 ? step.spec.demand : times(step.spec.demand, runs)
     const fits = usable !== 'unknown' && (runs === 0 ? hasRoomFor(this.inUseOf(state), step.spec.demand, plus(usable, step.spec.demand)) : hasRoomFor(this.inUseOf(state), demand, usable))
-    if (!fits) this.opts.onNeed()
+    if (!fits) this.opts.onNeed(name)
     return fits
   }
 
@@ -158,7 +158,7 @@
     if (known !== undefined) return known
     const state: AccountState = { use: new AccountUse(), hasBackfill: false, progressed: false, missingSince: undefined, cached: undefined }
     this.states.set(name, state)
-    if (this.quotaOf(name, state) !== 'none') this.opts.onNeed()
+    if (this.quotaOf(name, state) !== 'none') this.opts.onNeed(name)
     return state
   }
 
--- a/jobs/quota/src/quota-book.ts
+++ b/jobs/quota/src/quota-book.ts
@@ -29,6 +29,7 @@
   private readonly entries = new Map<string, BookEntry>()
   private readonly lowered = new Map<string, Lowered>()
   private readonly held = new Map<string, Resources>()
+  private changed = new Set<string>()
   /** The records have been read. */
   isRead = false
   /** Increases with each change of what may be used. */
@@ -58,6 +59,13 @@
     return [...this.entries.keys()]
   }
 
+  /** @returns names of the accounts whose records have been taken over or removed since the last call */
+  takeChanged (): ReadonlySet<string> {
+    const { changed } = this
+    this.changed = new Set()
+    return changed
+  }
+
   /** @returns number of the records that the store has */
   stored (): number {
     return [...this.entries.values()].filter(({ version, unreadable }) => version !== undefined || unreadable).length
@@ -94,6 +102,7 @@
     if (account === undefined || doc.modRevision < this.revisionOf(account)) return false
     const before = this.given(account)
     this.changes += 1
+    this.changed.add(account)
     this.entries.set(account, { record: value, version: doc, revision: doc.modRevision, unreadable: false })
     if (!isWithin(this.given(account), before)) this.raises += 1
     this.settleLowered(account)
@@ -109,6 +118,7 @@
     const account = this.accountOf(key)
     if (account === undefined || revision < this.revisionOf(account)) return
     this.changes += 1
+    this.changed.add(account)
     this.entries.set(account, { record: undefined, version: undefined, revision, unreadable: false })
     this.settleLowered(account)
   }
