--- a/core/http-limits/src/guarded-connection.ts
+++ b/core/http-limits/src/guarded-connection.ts
@@ -11,8 +11,9 @@
 /** In the smallest chunks this is about a millisecond of work. */
 const SLICE_BYTES = 4_096
 const HEAD_END = Buffer.from('\r\n\r\n')
-/** Longer than links are interrupted, in milliseconds. */
+/** A body of which nothing comes for this long is given up; interruptions of links are shorter. */
 const STALLED_MS = 15_000
+/** A response of which nothing is read for this long is given up. */
 const UNREAD_MS = 30_000
 
 type Listener = (chunk: Buffer) => void
--- a/jobs/accounts/src/call-gate.ts
+++ b/jobs/accounts/src/call-gate.ts
@@ -5,6 +5,11 @@
 import type { AccountDirectory, RefusalReason } from './account-directory.ts'
 import { RefusalLog } from './refusal-log.ts'
 
+/** Digits of a digest in the log: enough to tell keys apart. */
+const DIGEST_CHARS = 12
+/** Characters of a call's path in the log. */
+const MAX_PATH_CHARS = 128
+
 /** Whether a call may come in. */
 export type Admission =
   /**
@@ -62,7 +67,3 @@
     return { kind: 'refused', reason: known.reason }
   }
 }
-
-/** Enough to tell an operator's keys apart. */
-const DIGEST_CHARS = 12
-const MAX_PATH_CHARS = 128
--- a/jobs/interference/src/model.ts
+++ b/jobs/interference/src/model.ts
@@ -15,7 +15,7 @@
 /** Effects, as natural logarithms, from which on a pair is found (a rise by 28%) and below which it is dropped (by 10%). */
 const FOUND_ABOVE = 0.25
 const DROPPED_BELOW = 0.1
-/** Effects in standard errors: with some hundred pairs, chance reaches 4 hardly ever. */
+/** Effects in standard errors. Hundreds of pairs are tested at once, so that the bound for finding one is far above what chance reaches. */
 const FOUND_ABOVE_ERRORS = 4.5
 const DROPPED_BELOW_ERRORS = 1.5
 const LIKELY_ABOVE_ERRORS = 2
--- a/jobs/model/src/job.ts
+++ b/jobs/model/src/job.ts
@@ -124,7 +124,7 @@
 /** A client account: a team of callers. */
 export interface Account {
   readonly name: string
-  /** SHA-256 digests of its keys, in hex. The keys themselves are kept nowhere. */
+  /** SHA-256 digests of its keys, in hex; the keys themselves are no part of the model. */
   readonly keyDigests: readonly string[]
   /** Share when there is less room than work, and number of jobs a second that it is entitled to. */
   readonly weight: number
--- a/jobs/quota/src/holder.ts
+++ b/jobs/quota/src/holder.ts
@@ -17,11 +17,13 @@
 const CHECK_INTERVAL_MS = 250
 /** Demand that comes together goes into one write. */
 const MIN_GAP_MS = 30
-/** Writes of a service at most: this many at once, and this many a second. */
-const MAX_WRITES_AT_ONCE = 8
+/** Writes that a service may send in a row after a pause. */
+const MAX_WRITES_IN_A_ROW = 8
+/** Writes of a service per second in the long run. */
 const WRITES_PER_S = 8
 /** What an account has not used for as long goes back. */
 const IDLE_MS = 10_000
+/** Pause before a failed read or watch is repeated; interval of reads while the watch fails. */
 const READ_RETRY_MS = 200
 /** A watch that has shown nothing for as long may be dead. */
 const PROBE_MS = 2_000
@@ -80,7 +82,7 @@
   private batches = 0
   private endWatch = (): void => {}
   private changesPerWrite = Infinity
-  private writesLeft = MAX_WRITES_AT_ONCE
+  private writesLeft = MAX_WRITES_IN_A_ROW
   private writesCountedAt: number
   private failure: string | undefined
   private isStoreAway = false
@@ -212,7 +214,7 @@
     return true
   }
 
-  /** What others change concerns the holder, and seldom the tasks that wait here. */
+  /** Wakes the holder; the scheduler only if the service may use more. */
   private noteChange ({ isRaised }: { isRaised: boolean }): void {
     this.wakeup.wake()
     if (isRaised) this.opts.onChange()
@@ -276,7 +278,7 @@
   /** Whether the service has not written too often of late. */
   private mayWrite (): boolean {
     const now = this.opts.clock.now()
-    this.writesLeft = Math.min(MAX_WRITES_AT_ONCE, this.writesLeft + (now - this.writesCountedAt) / 1_000 * WRITES_PER_S)
+    this.writesLeft = Math.min(MAX_WRITES_IN_A_ROW, this.writesLeft + (now - this.writesCountedAt) / 1_000 * WRITES_PER_S)
     this.writesCountedAt = now
     return this.writesLeft >= 1
   }
--- a/jobs/quota/src/limiter.ts
+++ b/jobs/quota/src/limiter.ts
@@ -26,9 +26,9 @@
   readonly use: AccountUse
   /** The account has steps whose processor time does not count against the capacity of workers. */
   hasBackfill: boolean
-  /** A task was started since the part was last written. */
+  /** Its turn is over: a task was started since the part was last written, or the turn passed unused. */
   progressed: boolean
-  /** Since when the part has been enough for the largest task, and none was started; by the injected clock. */
+  /** Since when a task has waited although the part is enough for the largest that has room, by the injected clock; undefined if none does. */
   claimedSince: number | undefined
   /** When the account was first looked for in vain, by the injected clock. */
   missingSince: number | undefined
@@ -43,7 +43,7 @@
 export class QuotaLimiter implements StartLimiter {
   private readonly opts: QuotaLimiterOpts
   private readonly states = new Map<string, AccountState>()
-  /** What runs may take that the term does not know: anything before the first pass. */
+  /** What runs that the term does not know may take; infinite until the first pass has computed it. */
   private unknown: Resources = each(() => Infinity)
   private hasUnknown = true
 
--- a/jobs/scheduler/src/account-shares.ts
+++ b/jobs/scheduler/src/account-shares.ts
@@ -34,8 +34,9 @@
 }
 
 /**
- * What the client accounts of a service use of its room, and which of their jobs lie beyond their weights. Jobs without a known
- * account count as those of one more account of average weight.
+ * What the client accounts of a service use of its room, and which of their jobs lie beyond their weights. Jobs without an
+ * account count together as those of one more; those of an account that is no longer known, by its name; each with the mean weight of the
+ * known accounts that wait.
  */
 export class AccountShares {
   private readonly account: AccountLookup
@@ -86,7 +87,7 @@
 
   /**
    * Begins a pass: judges the jobs that were added.
-   * @param workers - workers of the service, whose capacity is its room
+   * @param workers - workers that take starts in this pass; their whole capacity is the room
    */
   beginPass (workers: Iterable<{ readonly registration: { readonly capacity: Resources } }>): void {
     this.judgeJobs()
--- a/jobs/scheduler/src/throttled-backfill.ts
+++ b/jobs/scheduler/src/throttled-backfill.ts
@@ -10,14 +10,14 @@
 const MIN_THROTTLED_MS = 5_000
 /** Gap between two moves of a service: the room that the first takes is seen by then. */
 const MIN_MOVE_GAP_MS = 1_000
-/** A task is moved for its company or as slow this often in all. */
+/** A task is moved at most this often, whether as slow or for its company. */
 const MAX_MOVES = 1
 
 /** Options of {@link ThrottledBackfill}. */
 export interface ThrottledBackfillOpts {
   readonly workers: ReadonlyMap<string, TrackedWorker>
   readonly company: CompanyCost
-  /** @returns whether the policy of the step's queue allows the worker */
+  /** @returns whether a run of the step may be replaced by one on the worker, by its account's quota and the policy of its queue */
   mayTake (step: TrackedStep, worker: TrackedWorker, now: number): boolean
 }
 
--- a/jobs/scheduler/src/tracked-job.ts
+++ b/jobs/scheduler/src/tracked-job.ts
@@ -25,7 +25,7 @@
   retryAt: number
   /** Ids of workers on which a run of the task failed. */
   readonly failedOn: Set<string>
-  /** Number of restarts on another worker because a run was slow. */
+  /** Number of restarts on another worker because a run was slow, or throttled beside a task that it disturbs. */
   slowRestarts: number
   /** Crashes of workers that it was on, as long as no other task is known to have caused them. */
   crashes: readonly Crash[]
