--- a/review/stand-ins-2/executors.mjs
+++ b/review/stand-ins-2/executors.mjs
@@ -13,7 +13,8 @@
 
   /**
    * @param opts - `id`, `host`, `service`, `machine`, `capacity`, `labels`, `store`, `bounds`, `answerMs`; `workMs` says for how long a
-   * work unit runs (Infinity: it lasts); `onEvent` is told of what begins and ends; `gang` finds the gang of a work unit
+   * work unit runs (Infinity: it lasts); `onEvent` is told of what begins and ends; `gang` finds the gang of a work unit;
+   * `isTicketValid` checks the ticket of a start
    */
   static async start (opts) {
     const executor = new Executor(opts)
@@ -33,12 +34,12 @@
     this.leaseUntil = 0
     this.sequence = 0
     this.waiting = new Set()
+    this.isUp = true
     this.server = await serveJson(this.opts.host, req => this.handle(req), this.port ?? 0)
     this.port = this.server.port
     this.register()
     this.beat = setInterval(() => this.register(), 1_000)
     this.leaseTimer = setInterval(() => this.checkLease(), 10)
-    this.isUp = true
   }
 
   /** Ends it without a word: what it runs is over, and it knows nothing of it in its next life. */
@@ -92,6 +93,7 @@
 
   async handle ({ url, headers, body }) {
     const { life } = this
+    if (!this.isUp) return undefined
     const answer = await this.answer(url.pathname, headers, body)
     if ((this.opts.answerMs ?? 0) > 0 && url.pathname !== '/-/hold') await delay(this.opts.answerMs)
     return life === this.life && this.isUp ? answer : undefined
@@ -114,7 +116,7 @@
     return { status: 404, body: {} }
   }
 
-  start ({ task, attempt, spec, deadlineMs }, said) {
+  start ({ task, attempt, spec, deadlineMs, ticket }, said) {
     const refuse = reason => ({ status: 409, body: said({ reason }) })
     if (deadlineMs <= this.clock()) return refuse('late')
     this.extend(deadlineMs)
@@ -125,6 +127,7 @@
     const wants = demand(task)
     const used = [...this.runs.values()].reduce((sum, run) => sum + run.cpu, 0)
     if (used + wants > capacity.cpu) return refuse('room')
+    if (this.opts.isTicketValid?.(task, this.opts.id, ticket) === false) return refuse('ticket')
     const run = { task, attempt, cpu: wants, startedAt: this.clock(), begunAt: this.clock() }
     this.runs.set(key, run)
     onEvent({ kind: 'start', executor: this.opts.id, task, attempt, spec })
--- a/review/stand-ins-2/site.mjs
+++ b/review/stand-ins-2/site.mjs
@@ -21,6 +21,8 @@
 export class Site {
   entries = []
   executors = []
+  /** Settings of the entries beside those that all cases have. */
+  moreSettings = {}
   startedAt = performance.now()
 
   /** @param recordFile - file that tells what was sent, answered and run */
@@ -39,7 +41,7 @@
   async start ({ manifest, entries = 3, executors }) {
     this.store = await Store.start(`${this.net}.1`)
     this.store.put('op/config', manifest)
-    for (const opts of executors) this.executors.push(await Executor.start({ host: `${this.net}.2`, bounds, store: this.store, onEvent: event => this.onRun(event), capacity: { cpu: 64_000, memMb: 131_072, gpu: 0 }, labels: ['a', 'r-1'], ...opts }))
+    for (const opts of executors) await this.startExecutor(opts)
     this.cloud = await Cloud.start(`${this.net}.3`, this.executors)
     for (let number = 0; number < entries; number++) await this.addEntry(number)
     for (const entry of this.entries) await this.untilReady(entry)
@@ -47,12 +49,21 @@
     this.note('ready')
   }
 
+  async startExecutor (opts) {
+    this.executors.push(await Executor.start({ host: `${this.net}.2`, bounds, store: this.store, onEvent: event => this.onRun(event), capacity: { cpu: 64_000, memMb: 131_072, gpu: 0 }, labels: ['a', 'r-1'], ...opts }))
+  }
+
+  async addExecutor (opts) {
+    await this.startExecutor(opts)
+    this.note(`executor ${opts.id} is added to ${opts.service}`)
+  }
+
   async addEntry (number) {
     const ip = `${this.net}.${10 + number}`
     const [front, ready, peers] = [await freePort(ip), await freePort(ip), await freePort(ip)]
     const name = `front-${number}`
     const settings = join(this.folder, `${name}.json`)
-    writeFileSync(settings, JSON.stringify({ nodeName: name, role: 'entry', machineClass: 'front', serves: ['front'], ip, zone: 'zone-a', region: 'here', zones: { 'zone-a': 'here' }, listen: { front: `${ip}:${front}`, ready: `${ip}:${ready}` }, portRange: [peers, peers + 15], seeds: [], bootstrap: true, countsAsLoss: false, limits: { cpuShare: 0.675, cores: 1, memoryMb: 350, maxFds: 4_100, linkMbps: 1_000, diskMb: 0 }, discovery: 'platform', entry: 'vip', heartbeatMs: 1_500, contracts: ['base', 'drain', 'config', 'cost', 'recover', 'sched', 'platform', 'advice', 'upkeep', 'sharing'], faultTolerance: { machines: 2, zones: 0, regions: 0 }, bounds, commands: 'invoke', platform: { address: this.store.address, form: 'kv', writesPerS: 400, readsPerS: 2_000, retentionS: 20, valueBytes: 1_048_576, minTtlMs: 1_000 }, cloudApi: { address: this.cloud.address, ratePerS: 64, duties: [], dutyPerS: 64 }, ...this.extraSettings }))
+    writeFileSync(settings, JSON.stringify({ nodeName: name, role: 'entry', machineClass: 'front', serves: ['front'], ip, zone: 'zone-a', region: 'here', zones: { 'zone-a': 'here' }, listen: { front: `${ip}:${front}`, ready: `${ip}:${ready}` }, portRange: [peers, peers + 15], seeds: [], bootstrap: true, countsAsLoss: false, limits: { cpuShare: 0.675, cores: 1, memoryMb: 350, maxFds: 4_100, linkMbps: 1_000, diskMb: 0 }, discovery: 'platform', entry: 'vip', heartbeatMs: 1_500, contracts: ['base', 'drain', 'config', 'cost', 'recover', 'sched', 'platform', 'advice', 'upkeep', 'sharing'], faultTolerance: { machines: 2, zones: 0, regions: 0 }, bounds, commands: 'invoke', platform: { address: this.store.address, form: 'kv', writesPerS: 400, readsPerS: 2_000, retentionS: 20, valueBytes: 1_048_576, minTtlMs: 1_000 }, cloudApi: { address: this.cloud.address, ratePerS: 64, duties: [], dutyPerS: 64 }, ...this.moreSettings }))
     const entry = { name, ip, front, ready, settings, log: join(this.folder, `${name}.log`) }
     this.entries[number] = entry
     this.startEntry(entry)
