Jobs are found by the address of their queue, whatever service it has

Cause: records were looked up, and the condition of a submission was set, under the service that the queue has in the newest configuration.

Now an index entry under the address of the queue (host and path prefix) and the id names the service that has the job. It is stored in the write of the job, which is accepted on the condition that there is none. Related paths: GET, DELETE, repeats, entries with an older configuration or just restarted, accounts, a change of leader, and the number of pending jobs, which is asked from all leaders. Jobs of the version before get their entry from the leader.

Store calls of an accepted job: one write as before, up to 8 jobs in one instead of 12; one read more when its records expire, which deletes the entry.

--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -168,7 +168,7 @@
       fleetTerm: () => this.fleetTerms.get(fleetResource),
       signal: this.stopping.signal
     })
-    this.leaderClient = new PeerLeaderClient({ leadership: this.leadership, members: this.members, clients: this.peerPort, localService: () => this.service, logger: topicLogger(logger, 'leader'), signal: this.stopping.signal })
+    this.leaderClient = new PeerLeaderClient({ leadership: this.leadership, members: this.members, clients: this.peerPort, services: () => this.site.servicesWithQueues(), localService: () => this.service, logger: topicLogger(logger, 'leader'), signal: this.stopping.signal })
     this.intake = new Intake({ records: this.records, leaderClient: this.leaderClient, clock, logger: topicLogger(logger, 'intake'), metrics, signal: this.stopping.signal })
   }
 
--- a/jobs/entry/src/leader-client.ts
+++ b/jobs/entry/src/leader-client.ts
@@ -1,6 +1,7 @@
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { Result } from '@wisteriaslip/core.result'
 import type { LeaderClient } from '@wisteriaslip/jobs.intake'
+import { addressOf, type Queue } from '@wisteriaslip/jobs.model'
 import type { ExplainRequest, JobPeerService, JobNotification, ServiceLoad, JobStateReply, WithdrawReply } from '@wisteriaslip/jobs.protocol'
 import type { Leadership, Members } from '@wisteriaslip/peers.membership'
 import type { PeerCaller, PeerError } from '@wisteriaslip/peers.protocol'
@@ -20,7 +21,7 @@
 
 /** Calls the leader of a service or of the fleet; when this entry is the leader, the call stays in the process. */
 export class PeerLeaderClient implements LeaderClient {
-  private readonly opts: { leadership: Leadership, members: Members, clients: PeerCaller<JobPeerService>, localService: () => JobPeerService, logger: Logger, signal: AbortSignal }
+  private readonly opts: { leadership: Leadership, members: Members, clients: PeerCaller<JobPeerService>, services: () => readonly string[], localService: () => JobPeerService, logger: Logger, signal: AbortSignal }
 
   constructor (opts: PeerLeaderClient['opts']) {
     this.opts = opts
@@ -42,8 +43,16 @@
     return await this.callServiceLeader(service, 'state', { service, id })
   }
 
-  async pending (service: string, queue: string): Promise<number | undefined> {
-    return (await this.callServiceLeader(service, 'pending', { service, queue }))?.pending
+  /** Asks each entry that leads a service once: any service may still have jobs of the queue. */
+  async pending (queue: Queue): Promise<number | undefined> {
+    const resource = serviceResource(queue.service)
+    const req = { service: queue.service, queue: queue.name, address: addressOf(queue) }
+    const ownLeader = this.opts.leadership.leaderOf(resource)?.record.id
+    const others = new Map(this.opts.services().map(service => [this.opts.leadership.leaderOf(serviceResource(service))?.record.id, serviceResource(service)]))
+    others.delete(ownLeader)
+    const [own, ...replies] = await Promise.all([resource, ...others.values()].map(async each => await this.callLeader(each, 'pending', req)))
+    if (own?.pending === undefined) return undefined
+    return replies.reduce((sum, reply) => sum + (reply?.elsewhere ?? 0), own.pending + (own.elsewhere ?? 0))
   }
 
   async load (service: string): Promise<ServiceLoad | undefined> {
--- a/jobs/entry/src/peer-service.ts
+++ b/jobs/entry/src/peer-service.ts
@@ -1,5 +1,5 @@
 import { err, ok, withTimeout } from '@wisteriaslip/core.result'
-import type { ExplainRequest, JobPeerService, JobNotification, PeerState, ServiceLoad, JobStateReply, WithdrawReply } from '@wisteriaslip/jobs.protocol'
+import type { ExplainRequest, JobPeerService, JobNotification, PeerState, PendingReply, ServiceLoad, JobStateReply, WithdrawReply } from '@wisteriaslip/jobs.protocol'
 import type { FleetTerm } from '@wisteriaslip/jobs.fleet'
 import type { StoreLayout } from '@wisteriaslip/jobs.model'
 import type { ServiceTerm } from '@wisteriaslip/jobs.service'
@@ -65,8 +65,10 @@
     return { kind: 'known', state, ...(account === undefined ? {} : { account }) }
   }
 
-  async pending (req: { service: string, queue: string }): Promise<{ pending: number | undefined }> {
-    return { pending: this.opts.term(req.service)?.pending(req.queue) }
+  async pending (req: { service: string, queue: string, address?: string | undefined }): Promise<PendingReply> {
+    const others = this.opts.serviceTerms().filter(term => term.service !== req.service)
+    const elsewhere = others.reduce((sum, term) => sum + (term.pending(req.queue, req.address) ?? 0), 0)
+    return { pending: this.opts.term(req.service)?.pending(req.queue, req.address), elsewhere }
   }
 
   async load (req: { service: string }): Promise<ServiceLoad | { kind: 'not-leader' }> {
--- a/jobs/http/src/job-server.ts
+++ b/jobs/http/src/job-server.ts
@@ -3,7 +3,7 @@
 import { formatIssues } from '@wisteriaslip/config.settings'
 import type { CallGate } from '@wisteriaslip/jobs.accounts'
 import type { Intake } from '@wisteriaslip/jobs.intake'
-import type { Queue } from '@wisteriaslip/jobs.model'
+import { addressOf, type Queue } from '@wisteriaslip/jobs.model'
 import type { ExplainResult } from '@wisteriaslip/jobs.protocol'
 import { accessErrors, jobAccessOf, operatorAccessOf, type Access } from './access.ts'
 import { configSchema, jobSchema, overload, readJson, sendJson } from './wire-format.ts'
@@ -90,7 +90,7 @@
   const access = jobAccessOf(req, queue, opts)
   if (access.kind === 'refused') return sendRefusal(res, access)
   const { account } = access
-  const result = await opts.intake.submit({ ...parsed.data, service: queue.service, attempts: queue.attempts, acceptedAt: Date.now(), ...(account === undefined ? {} : { account }) })
+  const result = await opts.intake.submit({ ...parsed.data, address: addressOf(queue), service: queue.service, attempts: queue.attempts, acceptedAt: Date.now(), ...(account === undefined ? {} : { account }) })
   if (result.kind === 'accepted') return sendJson(res, 202, { id: parsed.data.id, state: 'accepted' })
   if (result.kind === 'taken') return sendError(res, 409, 'JOB_ID_TAKEN', 'a job of another client account has this id', 'Choose another id.')
   if (result.kind === 'unknown') return sendError(res, 504, 'JOB_UNKNOWN', 'it is unknown whether the job was accepted', 'Submit it again with the same id: it remains one job.')
--- a/jobs/intake/src/intake.ts
+++ b/jobs/intake/src/intake.ts
@@ -2,7 +2,7 @@
 import { delay, type Clock } from '@wisteriaslip/core.result'
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { Metrics } from '@wisteriaslip/core.metrics'
-import { isFinal, type Job, type JobRequest, type JobState, type Queue } from '@wisteriaslip/jobs.model'
+import { addressOf, isFinal, type Job, type JobRequest, type JobState, type Queue } from '@wisteriaslip/jobs.model'
 import type { JobNotification, JobStateReply } from '@wisteriaslip/jobs.protocol'
 import type { JobRecords } from '@wisteriaslip/jobs.store'
 
@@ -25,8 +25,8 @@
   cancelled (service: string, id: string): Promise<boolean>
   /** @returns the leader's state of the job */
   state (service: string, id: string): Promise<JobStateReply | undefined>
-  /** @returns number of accepted jobs of the queue that have not started */
-  pending (service: string, queue: string): Promise<number | undefined>
+  /** @returns number of accepted jobs of the queue that have not started, also of those that other services have */
+  pending (queue: Queue): Promise<number | undefined>
 }
 
 /** Result of a job submission. */
@@ -42,6 +42,12 @@
 /** State of a job; `none` if there is no such job, `unavailable` if neither the leader nor the store responds. */
 export type JobStateResult = JobState | 'none' | 'unavailable'
 
+/** A job as found: the service that has it, which need not be the one that its queue has now. */
+interface FoundJob {
+  readonly service: string
+  readonly state: JobStateResult
+}
+
 /** Options of {@link Intake}. */
 export interface IntakeOpts {
   readonly records: JobRecords
@@ -55,8 +61,9 @@
 /** Accepts jobs, cancellations and status queries. Any entry does so for any queue. */
 export class Intake {
   private readonly opts: IntakeOpts
+  /** Accepted jobs that this entry knows of, by {@link jobKey}. */
   private readonly accepted = new Map<string, Pick<Job, 'service' | 'account'>>()
-  /** Jobs whose write got no response at this entry: it may still be applied. By id, with the account. */
+  /** Jobs whose write got no response at this entry: it may still be applied. By {@link jobKey}, with the account. */
   private readonly uncertain = new Map<string, string | undefined>()
   private readonly hidden: RefusalLog
 
@@ -72,24 +79,29 @@
    */
   async submit (req: JobRequest): Promise<SubmitResult> {
     const startedAt = this.opts.clock.now()
-    const earlier = this.accepted.get(req.id)
-    if (earlier?.service === req.service) return this.isHidden('submit', req.id, earlier.account, req.account) ? { kind: 'taken' } : { kind: 'accepted' }
-    const job: Job = { ...req, acceptedUnder: this.opts.leaderClient.token(req.service) }
+    const key = jobKey(req.address, req.id)
+    const earlier = this.accepted.get(key)
+    if (earlier !== undefined) return this.answerRepeat(req, earlier)
+    const job = { ...req, acceptedUnder: this.opts.leaderClient.token(req.service) }
     const stored = await this.opts.records.accept(job)
     this.opts.metrics.observe('job_accept_us', { queue: job.queue }, this.opts.clock.now() - startedAt)
     this.opts.metrics.count('jobs_handed_in_total', { queue: job.queue, result: stored.kind })
-    this.opts.logger.info({ job: job.id, queue: job.queue, service: job.service, account: job.account, result: stored.kind }, 'job submitted')
+    const knownAt = stored.kind === 'known' ? stored.entry.service : undefined
+    this.opts.logger.info({ job: job.id, queue: job.queue, service: job.service, account: job.account, result: stored.kind, knownAt }, 'job submitted')
     if (stored.kind === 'unknown') this.addUncertain(job)
-    if (stored.kind === 'unknown' || (stored.kind === 'not-stored' && this.uncertain.has(job.id))) return { kind: 'unknown' }
+    if (stored.kind === 'unknown' || (stored.kind === 'not-stored' && this.uncertain.has(key))) return { kind: 'unknown' }
     if (stored.kind === 'not-stored') return { kind: 'refused', retryAfterS: 1 }
-    if (stored.kind === 'known' && job.account !== undefined) {
-      const owner = await this.opts.records.accountOf(job.service, job.id)
-      if (!owner.ok) return { kind: 'unknown' }
-      if (this.isHidden('submit', job.id, owner.value, job.account)) return { kind: 'taken' }
-    }
-    this.uncertain.delete(job.id)
-    this.addAccepted(job)
-    if (stored.kind === 'stored') this.notifyInBackground(job.service, job.id, async () => await this.opts.leaderClient.push(job.service, { job }))
+    this.uncertain.delete(key)
+    if (stored.kind === 'known') return this.answerRepeat(req, stored.entry)
+    this.addAccepted(key, job)
+    this.notifyInBackground(job.service, job.id, async () => await this.opts.leaderClient.push(job.service, { job }))
+    return { kind: 'accepted' }
+  }
+
+  /** Answers the submission of a job that is stored already. */
+  private answerRepeat (req: JobRequest, stored: Pick<Job, 'service' | 'account'>): SubmitResult {
+    if (this.isHidden('submit', req.id, stored.account, req.account)) return { kind: 'taken' }
+    this.addAccepted(jobKey(req.address, req.id), stored)
     return { kind: 'accepted' }
   }
 
@@ -102,14 +114,14 @@
    * `unknown` if the cancellation may not be stored, or nobody can say whose job it is
    */
   async cancel (queue: Queue, id: string, account?: string): Promise<'cancelled' | 'none' | 'unknown'> {
-    const state = await this.state(queue, id, account)
-    if (state === 'unavailable' && account !== undefined && this.accepted.get(id)?.account !== account) return 'unknown'
-    if (state === 'none' && !this.mayYetBeStored(id, account)) return 'none'
+    const { service, state } = await this.find(queue, id, account)
+    if (state === 'unavailable' && !this.isKnownAt(service, queue, id, account)) return 'unknown'
+    if (state === 'none' && !this.mayYetBeStored(queue, id, account)) return 'none'
     if (state !== 'none' && state !== 'unavailable' && isFinal(state)) return 'cancelled'
-    const stored = await this.opts.records.cancel(queue.service, id)
-    this.opts.logger.info({ job: id, queue: queue.name, state, stored: stored.ok }, 'job cancelled')
+    const stored = await this.opts.records.cancel(service, id)
+    this.opts.logger.info({ job: id, queue: queue.name, service, state, stored: stored.ok }, 'job cancelled')
     if (!stored.ok) return 'unknown'
-    await this.opts.leaderClient.cancelled(queue.service, id) || this.notifyInBackground(queue.service, id, async () => await this.opts.leaderClient.cancelled(queue.service, id))
+    await this.opts.leaderClient.cancelled(service, id) || this.notifyInBackground(service, id, async () => await this.opts.leaderClient.cancelled(service, id))
     return 'cancelled'
   }
 
@@ -120,13 +132,34 @@
    * @returns state of the job from the leader, or from the store if the leader does not have it or does not respond
    */
   async state (queue: Queue, id: string, account?: string): Promise<JobStateResult> {
-    const reply = await this.opts.leaderClient.state(queue.service, id)
+    return (await this.find(queue, id, account)).state
+  }
+
+  /**
+   * Looks for a job where this entry last knew it, or else where the queue's jobs go now, and then where the index says that it is:
+   * the queue may have had another service when the job was accepted.
+   */
+  private async find (queue: Queue, id: string, account: string | undefined): Promise<FoundJob> {
+    const address = addressOf(queue)
+    const service = this.accepted.get(jobKey(address, id))?.service ?? queue.service
+    const state = await this.stateAt(service, id, account)
+    if (state !== 'none') return { service, state }
+    const entry = await this.opts.records.indexEntry(address, id)
+    if (!entry.ok) return { service, state: 'unavailable' }
+    if (entry.value === undefined || this.isHidden('ask', id, entry.value.account, account)) return { service, state }
+    this.addAccepted(jobKey(address, id), entry.value)
+    return { service: entry.value.service, state: await this.stateAt(entry.value.service, id, account) }
+  }
+
+  /** State of a job that the service has: from its leader, or from the store if the leader does not have it or does not respond. */
+  private async stateAt (service: string, id: string, account: string | undefined): Promise<JobStateResult> {
+    const reply = await this.opts.leaderClient.state(service, id)
     if (reply?.kind === 'known') return this.isHidden('ask', id, reply.account, account) ? 'none' : reply.state
-    const stored = await this.opts.records.state(queue.service, id)
+    const stored = await this.opts.records.state(service, id)
     if (!stored.ok) return 'unavailable'
     if (stored.value === undefined) return 'none'
     if (account === undefined) return stored.value
-    const owner = await this.opts.records.accountOf(queue.service, id)
+    const owner = await this.opts.records.accountOf(service, id)
     if (!owner.ok) return 'unavailable'
     return this.isHidden('ask', id, owner.value, account) ? 'none' : stored.value
   }
@@ -136,7 +169,7 @@
    * @returns number of accepted jobs that have not started, undefined if the leader is unavailable
    */
   async pending (queue: Queue): Promise<number | undefined> {
-    return await this.opts.leaderClient.pending(queue.service, queue.name)
+    return await this.opts.leaderClient.pending(queue)
   }
 
   /** Jobs without an account, as those stored by earlier versions, are visible to all. */
@@ -147,18 +180,25 @@
     return true
   }
 
-  private mayYetBeStored (id: string, account: string | undefined): boolean {
-    return this.uncertain.has(id) && !this.isHidden('ask', id, this.uncertain.get(id), account)
+  /** Whether the service is known to have the job, so that it may be cancelled there although nobody tells its state. */
+  private isKnownAt (service: string, queue: Queue, id: string, account: string | undefined): boolean {
+    const known = this.accepted.get(jobKey(addressOf(queue), id))
+    return known?.service === service && (account === undefined || known.account === account)
   }
 
-  private addUncertain ({ id, account }: Job): void {
-    this.uncertain.set(id, account)
+  private mayYetBeStored (queue: Queue, id: string, account: string | undefined): boolean {
+    const key = jobKey(addressOf(queue), id)
+    return this.uncertain.has(key) && !this.isHidden('ask', id, this.uncertain.get(key), account)
+  }
+
+  private addUncertain ({ address, id, account }: JobRequest): void {
+    this.uncertain.set(jobKey(address, id), account)
     const oldest = this.uncertain.keys().next()
     if (this.uncertain.size > MAX_REMEMBERED_JOBS && oldest.done !== true) this.uncertain.delete(oldest.value)
   }
 
-  private addAccepted (job: Job): void {
-    this.accepted.set(job.id, { service: job.service, account: job.account })
+  private addAccepted (key: string, { service, account }: Pick<Job, 'service' | 'account'>): void {
+    this.accepted.set(key, { service, account })
     const oldest = this.accepted.keys().next()
     if (this.accepted.size > MAX_REMEMBERED_JOBS && oldest.done !== true) this.accepted.delete(oldest.value)
   }
@@ -175,3 +215,8 @@
     run().catch(error => this.opts.logger.error({ err: error, job: id }, 'failed to notify leader'))
   }
 }
+
+/** Key of a job in memory. */
+function jobKey (address: string, id: string): string {
+  return `${address}\n${id}`
+}
--- a/jobs/model/src/job.ts
+++ b/jobs/model/src/job.ts
@@ -81,10 +81,15 @@
   readonly attempts?: number | undefined
   /** Name of the client account that submitted it; undefined in a queue without accounts, and in records of earlier versions. */
   readonly account?: string | undefined
+  /** Address of the queue at acceptance, see {@link addressOf}; undefined in records of earlier versions. */
+  readonly address?: string | undefined
 }
 
+/** A job as this version stores it. */
+export type AddressedJob = Job & { readonly address: string }
+
 /** A job as a caller submits it. */
-export type JobRequest = Omit<Job, 'acceptedUnder'>
+export type JobRequest = Omit<AddressedJob, 'acceptedUnder'>
 
 /** Job states that callers see. */
 export const jobStates = { queued: 'queued', running: 'running', completed: 'completed', failed: 'failed', cancelled: 'cancelled' } as const
@@ -121,6 +126,16 @@
   readonly public?: boolean | undefined
 }
 
+/**
+ * The address of a queue and the id of a job identify the job for callers: they keep both when the operators give the queue to
+ * another service or rename it.
+ * @param queue - a queue
+ * @returns host and path prefix of the queue, its name where it has neither
+ */
+export function addressOf ({ name, host, pathPrefix }: Pick<Queue, 'name' | 'host' | 'pathPrefix'>): string {
+  return host + pathPrefix === '' ? name : host + pathPrefix
+}
+
 /** A client account: a team of callers. */
 export interface Account {
   readonly name: string
--- a/jobs/protocol/src/index.ts
+++ b/jobs/protocol/src/index.ts
@@ -3,4 +3,4 @@
  * @module
  */
 export { createJobRouter } from './router.ts'
-export type { ExplainRequest, ExplainResult, JobPeerService, JobNotification, PeerState, ServiceLoad, JobStateReply, WithdrawReply, WorkerLoad } from './service.ts'
+export type { ExplainRequest, ExplainResult, JobPeerService, JobNotification, PeerState, PendingReply, ServiceLoad, JobStateReply, WithdrawReply, WorkerLoad } from './service.ts'
--- a/jobs/protocol/src/service.ts
+++ b/jobs/protocol/src/service.ts
@@ -52,6 +52,14 @@
   | { readonly kind: 'withdrawn', readonly empty: readonly string[], readonly token?: number | undefined }
   | { readonly kind: 'not-leader' }
 
+/** Jobs of a queue that have not started, as far as the entry leads services that have some. */
+export interface PendingReply {
+  /** Those of the service that the queue has now; undefined if the entry doesn't lead it, or has not loaded its records. */
+  readonly pending: number | undefined
+  /** Those of other services, which the queue had before. */
+  readonly elsewhere?: number | undefined
+}
+
 /** A request to explain the state of a job, worker, pool or wave. */
 export interface ExplainRequest {
   readonly kind: 'job' | 'worker' | 'pool' | 'wave'
@@ -84,7 +92,8 @@
   push (req: JobNotification): Promise<{ taken: boolean }>
   cancelled (req: { service: string, id: string }): Promise<{ taken: boolean }>
   state (req: { service: string, id: string }): Promise<JobStateReply>
-  pending (req: { service: string, queue: string }): Promise<{ pending: number | undefined }>
+  /** Counts jobs of a queue that have not started. Entries of earlier versions name no address, and count no jobs of other services. */
+  pending (req: { service: string, queue: string, address?: string | undefined }): Promise<PendingReply>
   load (req: { service: string }): Promise<ServiceLoad | { kind: 'not-leader' }>
   /** Withdraws workers for the fleet's leader, whose term has the token `fleetToken`; entries of earlier versions name none. */
   withdraw (req: { service: string, vms: readonly string[], fleetToken?: number | undefined }): Promise<WithdrawReply>
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -122,12 +122,15 @@
 
   /**
    * @param queue - name of a queue
+   * @param address - address of the queue, which it may have had under another name
    * @returns number of accepted jobs that have not started
    */
-  pending (queue: string): number {
+  pending (queue: string, address?: string): number {
     let count = 0
     for (const tracked of this.jobs.values()) {
-      if (tracked.job.queue === queue && !tracked.begun && !tracked.isFinished()) count += 1
+      const { job } = tracked
+      const isOfQueue = job.queue === queue || (address !== undefined && job.address === address)
+      if (isOfQueue && !tracked.begun && !tracked.isFinished()) count += 1
     }
     return count
   }
--- a/jobs/service/src/expired-jobs.ts
+++ b/jobs/service/src/expired-jobs.ts
@@ -1,5 +1,7 @@
+import type { Job } from '@wisteriaslip/jobs.model'
 import type { Scheduler } from '@wisteriaslip/jobs.scheduler'
-import type { Change } from '@wisteriaslip/store.client'
+import type { IndexEntry } from '@wisteriaslip/jobs.store'
+import type { Change, Versioned } from '@wisteriaslip/store.client'
 import type { ServiceTermOpts } from './ports.ts'
 import type { ProgressWriter } from './progress-writer.ts'
 
@@ -17,17 +19,32 @@
   const expired = [...scheduler.table.jobs.values()].filter(tracked => tracked.durableOutcome !== undefined && (tracked.endedAt ?? Infinity) < endedBefore)
   for (const tracked of expired.slice(0, MAX_JOBS_PER_CALL)) {
     const { id } = tracked.job
-    const { keys } = opts.records
-    const changes: Change[] = []
-    // Read again at each call: an earlier call whose outcome is unknown may have deleted the records.
-    for (const key of [keys.job(opts.service, id), keys.cancellation(opts.service, id), keys.progress(opts.service, id)]) {
-      const doc = await opts.store.get(key)
-      if (!doc.ok) return
-      if (doc.value !== undefined) changes.push({ key, prior: doc.value, value: undefined })
-    }
+    const docs = await readRecords(id, opts)
+    if (docs === undefined) return
+    const changes: Change[] = docs.map(doc => ({ key: doc.key, prior: doc, value: undefined }))
     const removed = changes.length === 0 || (await opts.store.update(changes, { guards: [opts.guard] })).ok
     if (!removed) return
     scheduler.table.removeJob(id)
     writer.removeJob(id)
   }
 }
+
+/**
+ * Reads the records of a job again at each call: an earlier call whose outcome is unknown may have deleted them. All are deleted at
+ * once, so that the index entry, whose key the job's record tells, is gone if that is.
+ * @returns the records that are stored, undefined after a store error
+ */
+async function readRecords (id: string, { service, store, records: { keys } }: ServiceTermOpts): Promise<Versioned[] | undefined> {
+  const docs: Versioned[] = []
+  for (const key of [keys.job(service, id), keys.cancellation(service, id), keys.progress(service, id)]) {
+    const doc = await store.get(key)
+    if (!doc.ok) return undefined
+    if (doc.value !== undefined) docs.push(doc.value)
+  }
+  const address = (docs.find(({ key }) => key === keys.job(service, id))?.value as Job | undefined)?.address
+  if (address === undefined) return docs
+  const entry = await store.get(keys.indexEntry(address, id))
+  if (!entry.ok) return undefined
+  const isOwn = (entry.value?.value as IndexEntry | undefined)?.service === service
+  return entry.value !== undefined && isOwn ? [...docs, entry.value] : docs
+}
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -6,6 +6,7 @@
 import type { ServiceRecords, TermRecord } from '@wisteriaslip/jobs.store'
 import { removeExpiredJobs } from './expired-jobs.ts'
 import { computeServiceLoad } from './load.ts'
+import { IndexBackfill } from './index-backfill.ts'
 import { LeadershipCheck, LEADERSHIP_OVERLAP_MS } from './leadership-check.ts'
 import { explainPairs, logCompany } from './company-log.ts'
 import { logLosses, logRestart } from './loss-log.ts'
@@ -49,6 +50,7 @@
   private readonly startWindow = new StartWindow()
   private readonly recordWriter: TermRecordWriter
   private readonly leadership: LeadershipCheck
+  private readonly indexBackfill: IndexBackfill
   private readonly quotas: QuotaHolder | undefined
   private readonly fleetTokens = new FleetTokens()
   /** Sessions and calls in progress. */
@@ -64,6 +66,7 @@
     this.token = opts.token
     this.recordWriter = new TermRecordWriter(opts)
     this.leadership = new LeadershipCheck(opts)
+    this.indexBackfill = new IndexBackfill(opts)
     this.quotas = createQuotaHolder(opts, () => this.wakeup.wake())
   }
 
@@ -83,6 +86,7 @@
       await allEnded([
         writer.run(termAbort.signal),
         requestWatcher.run(termAbort.signal),
+        this.indexBackfill.run(termAbort.signal),
         this.runSchedulingLoop(termAbort.signal),
         this.recordWriter.run(scheduler, () => this.onTermRecordWritten(), termAbort.signal),
         this.detectLostWorkers(scheduler, termAbort.signal),
@@ -114,6 +118,7 @@
    */
   push (job: Job): boolean {
     if (this.components === undefined) return false
+    this.indexBackfill.note(job)
     if (job.acceptedUnder > this.token) this.onNewerLeader({ job: job.id, acceptedUnder: job.acceptedUnder })
     else this.components.scheduler.addJob(job, { acceptedThisTerm: job.acceptedUnder === this.token })
     this.wakeup.wake()
@@ -152,10 +157,11 @@
 
   /**
    * @param queue - name of the queue
+   * @param address - address of the queue, which it may have had under another name
    * @returns number of accepted jobs that have not started, undefined while the records are not loaded
    */
-  pending (queue: string): number | undefined {
-    return this.components?.scheduler.table.pending(queue)
+  pending (queue: string, address?: string): number | undefined {
+    return this.components?.scheduler.table.pending(queue, address)
   }
 
   /** @returns whether the records are loaded, so that the term is at work */
@@ -229,6 +235,7 @@
     for (const id of all.unreadable) this.skipUnreadable(scheduler, id)
     for (const doc of all.jobs) {
       const { id } = doc.value
+      this.indexBackfill.note(doc.value)
       scheduler.table.addJob(doc.value, { acceptedThisTerm: doc.value.acceptedUnder === this.token, progress: all.progress.get(id)?.value })
       if (all.cancelled.has(id)) scheduler.table.cancel(id)
     }
--- a/jobs/service/test/expired-jobs.test.ts
+++ b/jobs/service/test/expired-jobs.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import { silentLogger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
-import type { Job, Queue } from '@wisteriaslip/jobs.model'
+import type { AddressedJob, Queue } from '@wisteriaslip/jobs.model'
 import { Scheduler } from '@wisteriaslip/jobs.scheduler'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { StoreClient } from '@wisteriaslip/store.client'
@@ -17,8 +17,8 @@
 const limits = { longestLeaseMs: 6_000, stopMs: 400, shutdownGraceMs: 6_000, keepMs: KEEP_MS, maintenanceMs: 2_000 }
 const queue: Queue = { name: 'q', host: '', pathPrefix: '', service: 's', priority: 0, attempts: 2, stretch: 1, objectiveMs: 0, timeoutMs: 0, needsPermit: false }
 
-function job (id: string): Job {
-  return { id, queue: 'q', service: 's', payload: '', steps: [plainStep({})], acceptedAt: 0, acceptedUnder: 1 }
+function job (id: string): AddressedJob {
+  return { id, queue: 'q', address: 'q', service: 's', payload: '', steps: [plainStep({})], acceptedAt: 0, acceptedUnder: 1 }
 }
 
 /** A leader with two cancelled jobs, whose records are stored and have expired. */
--- a/jobs/store/src/batch-writer.ts
+++ b/jobs/store/src/batch-writer.ts
@@ -10,19 +10,20 @@
 }
 
 interface PendingWrite {
-  readonly change: Change
+  readonly changes: readonly Change[]
   readonly settle: (result: Result<number, StoreError>) => void
   readonly reject: (error: unknown) => void
 }
 
 /**
- * Writes independent changes of different keys, each for a request of a caller, in batches. After a conflict or a rejected
- * write each change is written on its own, so that only the conflicting or rejected changes fail.
+ * Writes the changes of callers' requests in batches. The changes of a request are applied all or none. Requests are independent of
+ * each other: after a conflict or a rejected write each is written on its own, so that only the conflicting or rejected ones fail.
  */
 export class BatchWriter {
   private readonly store: Store
   private readonly opts: BatchWriterOpts
   private waiting: PendingWrite[] = []
+  private waitingChanges = 0
   private timerRunning = false
 
   constructor (store: Store, opts: BatchWriterOpts) {
@@ -31,15 +32,17 @@
   }
 
   /**
-   * Adds a change to the next batch.
-   * @param change - change of one key
+   * Adds the changes of a request to the next batch.
+   * @param changes - changes of different keys, at most `maxBatchChanges`
    * @returns store revision of the write, or the store's error
    * @throws what the store client throws unexpectedly
    */
-  async write (change: Change): Promise<Result<number, StoreError>> {
+  async write (changes: readonly Change[]): Promise<Result<number, StoreError>> {
     return await new Promise((resolve, reject) => {
-      this.waiting.push({ change, settle: resolve, reject })
-      if (this.waiting.length >= this.opts.maxBatchChanges) this.flush()
+      if (this.waitingChanges + changes.length > this.opts.maxBatchChanges) this.flush()
+      this.waiting.push({ changes, settle: resolve, reject })
+      this.waitingChanges += changes.length
+      if (this.waitingChanges >= this.opts.maxBatchChanges) this.flush()
       else if (!this.timerRunning) this.flushAfterWindow().catch(reject)
     })
   }
@@ -54,6 +57,7 @@
   private flush (): void {
     const batch = this.waiting
     this.waiting = []
+    this.waitingChanges = 0
     if (batch.length === 0) return
     this.commit(batch).catch(error => {
       for (const each of batch) each.reject(error)
@@ -61,13 +65,13 @@
   }
 
   private async commit (batch: readonly PendingWrite[]): Promise<void> {
-    const written = await this.store.update(batch.map(each => each.change), { forCaller: true })
+    const written = await this.store.update(batch.flatMap(each => each.changes), { forCaller: true })
     const canSplit = !written.ok && (written.error.kind === 'conflict' || written.error.kind === 'rejected')
     if (!canSplit || batch.length === 1) {
       for (const each of batch) each.settle(written)
       return
     }
-    await Promise.all(batch.map(async each => { each.settle(await this.store.update([each.change], { forCaller: true })) }))
+    await Promise.all(batch.map(async each => { each.settle(await this.store.update(each.changes, { forCaller: true })) }))
   }
 }
 
--- /dev/null
+++ b/jobs/store/src/index-entry.ts
@@ -0,0 +1,27 @@
+import type { Job } from '@wisteriaslip/jobs.model'
+import { z } from 'zod'
+
+const indexEntrySchema = z.object({ service: z.string(), account: z.string().optional() })
+
+/** Where the records of a job are, found by its address and id: the service that its queue had when it was accepted. */
+export interface IndexEntry {
+  readonly service: string
+  /** Name of the job's client account; undefined for none. */
+  readonly account?: string | undefined
+}
+
+/**
+ * @param job - a job
+ * @returns its index entry
+ */
+export function toIndexEntry ({ service, account }: Pick<Job, 'service' | 'account'>): IndexEntry {
+  return { service, ...(account === undefined ? {} : { account }) }
+}
+
+/**
+ * @param value - value of a stored index entry
+ * @returns whether it can be read; the entry of a later version may have more fields
+ */
+export function isIndexEntry (value: unknown): value is IndexEntry {
+  return indexEntrySchema.safeParse(value).success
+}
--- a/jobs/store/src/index.ts
+++ b/jobs/store/src/index.ts
@@ -4,5 +4,6 @@
  */
 export { jobIdFromKey, JobKeys } from './keys.ts'
 export { BatchWriter, type BatchWriterOpts } from './batch-writer.ts'
+export { type IndexEntry } from './index-entry.ts'
 export { isJob } from './record-schema.ts'
 export { JobRecords, type AcceptResult, type ServiceRecords, type TermRecord } from './records.ts'
--- a/jobs/store/src/keys.ts
+++ b/jobs/store/src/keys.ts
@@ -1,3 +1,8 @@
+import { createHash } from 'node:crypto'
+
+/** Characters of a digest that stands for an address in keys, whose length is limited. */
+const ADDRESS_DIGEST_CHARS = 32
+
 /** Store keys of jobs. They are outside the key ranges that every entry mirrors. */
 export class JobKeys {
   private readonly prefix: string
@@ -24,6 +29,16 @@
     return `${this.requestsPrefix(service)}jobs/${id}`
   }
 
+  /**
+   * @param address - address of the queue that the job was submitted to
+   * @param id - id of the job
+   * @returns key of the job's index entry, which does not depend on the service that the queue has now
+   */
+  indexEntry (address: string, id: string): string {
+    const digest = createHash('sha256').update(address).digest('hex').slice(0, ADDRESS_DIGEST_CHARS)
+    return `${this.prefix}-index/${digest}/${id}`
+  }
+
   /**
    * @param service - name of the service
    * @param id - id of the job
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -1,14 +1,16 @@
 import { err, ok, type Result } from '@wisteriaslip/core.result'
-import type { Job, JobState, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import type { AddressedJob, Job, JobState, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import { isFinal } from '@wisteriaslip/jobs.model'
 import type { JobProgress } from '@wisteriaslip/jobs.scheduler'
 import { toVersioned, type Guard, type Store, type StoreError, type Versioned } from '@wisteriaslip/store.client'
 import { BatchWriter } from './batch-writer.ts'
+import { isIndexEntry, toIndexEntry, type IndexEntry } from './index-entry.ts'
 import { jobIdFromKey, type JobKeys } from './keys.ts'
 import { isJob, isProgress } from './record-schema.ts'
 
 const BATCH_WINDOW_MS = 6
-const MAX_BATCH_CHANGES = 12
+/** A write may name 32 keys, each change once with its condition and once with its value. */
+const MAX_BATCH_CHANGES = 16
 
 /** Record of a leader's term for a service: its number and the workers that may have received work. */
 export interface TermRecord {
@@ -36,8 +38,8 @@
 /** Result of storing a job. */
 export type AcceptResult =
   | { readonly kind: 'stored' }
-  /** A job with this id is already stored. */
-  | { readonly kind: 'known' }
+  /** A job with this address and id is already stored. */
+  | { readonly kind: 'known', readonly entry: IndexEntry }
   /** Certainly not stored. */
   | { readonly kind: 'not-stored' }
   /** The outcome is unknown: the job may be stored, now or later. */
@@ -56,18 +58,60 @@
   }
 
   /**
-   * Stores a job. An id is stored only once.
+   * Stores a job and its index entry. An id is stored only once at an address, whatever service the queue has.
    * @param job - job as submitted
    * @returns whether the job is stored
    */
-  async accept (job: Job): Promise<AcceptResult> {
-    const written = await this.writer.write({ key: this.keys.job(job.service, job.id), prior: undefined, value: job })
+  async accept (job: AddressedJob): Promise<AcceptResult> {
+    const { service, id, address } = job
+    const written = await this.writer.write([
+      { key: this.keys.indexEntry(address, id), prior: undefined, value: toIndexEntry(job) },
+      { key: this.keys.job(service, id), prior: undefined, value: job }
+    ])
     if (written.ok) return { kind: 'stored' }
-    if (written.error.kind === 'conflict') return { kind: 'known' }
+    if (written.error.kind === 'conflict') return await this.known(address, { service, id })
     if (written.error.kind === 'unavailable' && written.error.maybeApplied) return { kind: 'unknown' }
     return { kind: 'not-stored' }
   }
 
+  /** Jobs that earlier versions have stored may have no index entry. */
+  private async known (address: string, job: Pick<Job, 'service' | 'id'>): Promise<AcceptResult> {
+    const entry = await this.indexEntry(address, job.id)
+    if (!entry.ok) return { kind: 'unknown' }
+    if (entry.value !== undefined) return { kind: 'known', entry: entry.value }
+    const account = await this.accountOf(job.service, job.id)
+    return account.ok ? { kind: 'known', entry: { service: job.service, account: account.value } } : { kind: 'unknown' }
+  }
+
+  /**
+   * @param address - address of the queue that the job was submitted to
+   * @param id - id of the job
+   * @returns the job's index entry, undefined if it has none or none that can be read
+   */
+  async indexEntry (address: string, id: string): Promise<Result<IndexEntry | undefined, StoreError>> {
+    const doc = await this.store.get(this.keys.indexEntry(address, id), { forCaller: true })
+    if (!doc.ok) return doc
+    return ok(isIndexEntry(doc.value?.value) ? doc.value.value : undefined)
+  }
+
+  /**
+   * Adds the index entry of a job that an earlier version has stored without, and its address to the job's record.
+   * @param job - `service` and `id` of the job, and the `address` of its queue
+   * @param guard - store condition that this entry leads the service
+   * @returns success also if there is nothing to add; a conflict if another job has the address and id, or the guard does not hold
+   */
+  async addIndexEntry ({ service, id, address }: Pick<AddressedJob, 'service' | 'id' | 'address'>, guard: Guard): Promise<Result<void, StoreError>> {
+    const doc = await this.job(service, id)
+    if (!doc.ok) return doc
+    if (doc.value === undefined || doc.value.value.address !== undefined) return ok(undefined)
+    const job: AddressedJob = { ...doc.value.value, address }
+    const written = await this.store.update([
+      { key: this.keys.indexEntry(address, id), prior: undefined, value: toIndexEntry(job) },
+      { key: this.keys.job(service, id), prior: doc.value, value: job }
+    ], { guards: [guard] })
+    return written.ok ? ok(undefined) : written
+  }
+
   /**
    * Stores the cancellation of a job.
    * @param service - service of the job
@@ -75,7 +119,7 @@
    * @returns success also if the cancellation was already stored, or the store's error
    */
   async cancel (service: string, id: string): Promise<Result<void, StoreError>> {
-    const written = await this.writer.write({ key: this.keys.cancellation(service, id), prior: undefined, value: {} })
+    const written = await this.writer.write([{ key: this.keys.cancellation(service, id), prior: undefined, value: {} }])
     if (written.ok || written.error.kind === 'conflict') return ok(undefined)
     return written
   }
--- a/jobs/store/test/records.test.ts
+++ b/jobs/store/test/records.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { Metrics } from '@wisteriaslip/core.metrics'
-import type { Job } from '@wisteriaslip/jobs.model'
+import type { AddressedJob } from '@wisteriaslip/jobs.model'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { StoreClient, type Store } from '@wisteriaslip/store.client'
 import { plainStep } from '@wisteriaslip/testing.jobs'
@@ -45,7 +45,7 @@
   const clock = new ManualClock()
   const client = new StoreClient(new MemoryDriver(), { readsPerSecond: 60, writesPerSecond: 30, metrics: new Metrics(), clock })
   const records = new JobRecords(client, KEYS)
-  const job: Job = { id: 'j', queue: 'q', service: 's', attempts: 1, payload: '', steps: [plainStep()], acceptedAt: 0, acceptedUnder: 1 }
+  const job: AddressedJob = { id: 'j', queue: 'q', address: 'q', service: 's', attempts: 1, payload: '', steps: [plainStep()], acceptedAt: 0, acceptedUnder: 1 }
   const refusedOf = async (calls: number, call: (id: string) => Promise<boolean>): Promise<number> => {
     const answers = await Promise.all(Array.from({ length: calls }, async (_, number) => await call(`j${number}`)))
     return answers.filter(succeeded => !succeeded).length
@@ -62,3 +62,19 @@
   assert.ok(await refusedOf(2_000, async id => (await records.cancel('s', id)).ok) > 0)
   assert.ok((await records.startTerm('s', () => ({ number: 2, workers: [] }), { key: 'leader', modRevision: 0 })).ok)
 })
+
+test('a job is accepted by one write, and no write names more than 32 keys', async () => {
+  const driver = new MemoryDriver()
+  const writes: number[] = []
+  const txn = driver.txn.bind(driver)
+  driver.txn = async call => {
+    writes.push(call.guards.length + call.puts.length + call.deletes.length)
+    return await txn(call)
+  }
+  const records = new JobRecords(new StoreClient(driver, { readsPerSecond: 0, writesPerSecond: 1e6, metrics: new Metrics() }), KEYS)
+  const job: AddressedJob = { id: 'j', queue: 'q', address: 'h/q/', service: 's', payload: '', steps: [plainStep()], acceptedAt: 0, acceptedUnder: 1 }
+  assert.deepEqual(await records.accept(job), { kind: 'stored' })
+  const accepted = await Promise.all(Array.from({ length: 20 }, async (_, number) => await records.accept({ ...job, id: `j${number}` })))
+  assert.ok(accepted.every(({ kind }) => kind === 'stored'))
+  assert.deepEqual(writes, [4, 32, 32, 16])
+})
--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -2,7 +2,7 @@
 import { recordingLogger, silentLogger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { Intake, type LeaderClient } from '@wisteriaslip/jobs.intake'
-import type { JobLimits, JobRequest, PermitClient, Queue, Step, Vm, WorkerChannel, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import { addressOf, type JobLimits, type JobRequest, type PermitClient, type Queue, type Step, type Vm, type WorkerChannel, type WorkerRegistration } from '@wisteriaslip/jobs.model'
 import { ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { StoreClient, type Driver, type DriverError, type DriverTxn } from '@wisteriaslip/store.client'
@@ -189,7 +189,7 @@
    * @returns a request to submit the job to the site's queue
    */
   request (id: string, steps: Step[], overrides: Partial<JobRequest> = {}): JobRequest {
-    return { id, queue: queue.name, service: SERVICE, payload: 'p', steps, acceptedAt: Date.now(), ...overrides }
+    return { id, queue: queue.name, address: addressOf(queue), service: SERVICE, payload: 'p', steps, acceptedAt: Date.now(), ...overrides }
   }
 
   /** Ends all terms and clears the timers of the runs. */
@@ -210,17 +210,17 @@
   }
 
   private createLeaderClient (): LeaderClient {
-    const reachableTerm = (): ServiceTerm | undefined => this.leader?.reachable === true ? this.leader.term : undefined
+    const reachableTerm = (service: string): ServiceTerm | undefined => service === SERVICE && this.leader?.reachable === true ? this.leader.term : undefined
     return {
-      token: () => this.leader?.token ?? 0,
-      push: async (_service, { job }) => reachableTerm()?.push(job) ?? false,
-      cancelled: async (_service, id) => reachableTerm()?.cancel(id) ?? false,
-      state: async (_service, id) => {
-        const state = reachableTerm()?.state(id) ?? 'not-ready'
+      token: service => service === SERVICE ? this.leader?.token ?? 0 : 0,
+      push: async (service, { job }) => reachableTerm(service)?.push(job) ?? false,
+      cancelled: async (service, id) => reachableTerm(service)?.cancel(id) ?? false,
+      state: async (service, id) => {
+        const state = reachableTerm(service)?.state(id) ?? 'not-ready'
         if (state === 'not-ready') return { kind: 'not-leader' }
-        return state === 'unknown' ? { kind: 'unknown' } : { kind: 'known', state, account: reachableTerm()?.accountOf(id) }
+        return state === 'unknown' ? { kind: 'unknown' } : { kind: 'known', state, account: reachableTerm(service)?.accountOf(id) }
       },
-      pending: async (_service, name) => reachableTerm()?.pending(name)
+      pending: async ({ service, name }) => reachableTerm(service)?.pending(name)
     }
   }
 
--- a/testing/jobs/test/contested-service.ts
+++ b/testing/jobs/test/contested-service.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { silentLogger, type Logger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
-import type { Job, Queue } from '@wisteriaslip/jobs.model'
+import type { AddressedJob, Queue } from '@wisteriaslip/jobs.model'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { StoreClient } from '@wisteriaslip/store.client'
 import { plainStep, VirtualProcess } from '@wisteriaslip/testing.jobs'
@@ -265,7 +265,7 @@
     this.submitted.add(id)
     const { tasks, cpu, runMs, needsPermit } = jobOf(id)
     const step = plainStep({ tasks, demand: { cpu, memMb: 100, accelerators: 0 }, lasting: runMs === Infinity, mayMiss: 1 })
-    const job: Job = { id, queue: needsPermit === true ? 'p' : 'q', service: 's', payload: '', steps: [step], acceptedAt: this.process.now(), acceptedUnder: 0 }
+    const job: AddressedJob = { id, address: 'q', queue: needsPermit === true ? 'p' : 'q', service: 's', payload: '', steps: [step], acceptedAt: this.process.now(), acceptedUnder: 0 }
     this.records.accept(job).then(() => {
       const entry = this.leader?.entry
       entry?.within(() => entry.term()?.push(job))
--- a/testing/jobs/test/faulty-service.ts
+++ b/testing/jobs/test/faulty-service.ts
@@ -2,7 +2,7 @@
 import { err, linkAbort, type Result } from '@wisteriaslip/core.result'
 import { silentLogger, type Logger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
-import type { Job, Queue, VmList, WorkerRegistration } from '@wisteriaslip/jobs.model'
+import type { AddressedJob, Queue, VmList, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import { ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { StoreClient, type Driver, type DriverError } from '@wisteriaslip/store.client'
@@ -247,7 +247,7 @@
     this.submitted.add(id)
     const { tasks, cpu, runMs } = this.jobOf(id)
     const step = plainStep({ tasks, demand: { cpu, memMb: 100, accelerators: 0 }, lasting: runMs === Infinity, mayMiss: 1 })
-    const job: Job = { id, queue: 'q', service: 's', payload: '', steps: [step], acceptedAt: this.process.now(), acceptedUnder: 0 }
+    const job: AddressedJob = { id, address: 'q', queue: 'q', service: 's', payload: '', steps: [step], acceptedAt: this.process.now(), acceptedUnder: 0 }
     new JobRecords(this.storeClient(this.driver), new JobKeys('w')).accept(job).then(() => this.terms.at(-1)?.term.push(job), assert.ifError)
   }
 
--- a/testing/jobs/test/overload.test.ts
+++ b/testing/jobs/test/overload.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import { silentLogger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
-import type { Job, Queue } from '@wisteriaslip/jobs.model'
+import type { AddressedJob, Job, Queue } from '@wisteriaslip/jobs.model'
 import { ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { StoreClient } from '@wisteriaslip/store.client'
@@ -77,7 +77,7 @@
    * @param step - its only step
    */
   submit (id: string, step: Job['steps'][number]): void {
-    const job: Job = { id, queue: 'q', service: 's', payload: '', steps: [step], acceptedAt: this.process.now(), acceptedUnder: 0 }
+    const job: AddressedJob = { id, address: 'q', queue: 'q', service: 's', payload: '', steps: [step], acceptedAt: this.process.now(), acceptedUnder: 0 }
     new JobRecords(this.store, new JobKeys('w')).accept(job).then(() => this.term?.push(job), assert.ifError)
   }
 
--- a/testing/simulation/src/site-jobs.ts
+++ b/testing/simulation/src/site-jobs.ts
@@ -63,7 +63,7 @@
   const { service, tasks, cpu, memMb = LITTLE_MEMORY_MB, perWorker = 0, runMs } = specOf(id)
   const isLasting = runMs === Infinity
   const step = plainStep({ tasks, demand: { cpu, memMb, accelerators: 0 }, estimateMs: isLasting ? 1_000 : runMs, lasting: isLasting, mayMiss: 1, perWorker })
-  return { id, queue: service, service, payload: '', steps: [step], acceptedAt, attempts: 3 }
+  return { id, queue: service, address: service, service, payload: '', steps: [step], acceptedAt, attempts: 3 }
 }
 
 /** @returns the operators' configuration, as text */
