A cancelled id stays cancelled for submissions that are still under way

Now such a cancellation stores a tombstone in place of the index entry, on the condition that no job is stored; the job's write has the condition that there is neither, so that the store decides which was first. Tombstones are under a lease that is never renewed: anyone may cancel any id, and they end by themselves. They bind the account that has cancelled. Related paths: a job that is stored between the look for it and the answer, a moved queue, a change of leader, and jobs that entries of the version before store.

To accept what never runs is no better for the caller than to refuse it, and to a caller that cancels an id first and submits it later it would say that the job was accepted.

--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -149,7 +149,7 @@
     this.leadership = new Leadership({ store: this.store, mirror, members: this.members, lease: this.lease, keys: this.keys, clock, logger: topicLogger(logger, 'leadership'), mayRelease: resource => this.serviceTerms.get(resource)?.isSettled() !== false })
     this.election = new Election({ members: this.members, lease: this.lease, leadership: this.leadership, store: this.store, resources: () => this.resources(), onStep: () => this.reconcileTerms(), clock, logger })
     this.peerPort = opts.peerPort ?? new HttpPeerPort({ address: opts.peers, key: opts.peerKey, metrics })
-    this.records = new JobRecords(this.store, new JobKeys(opts.keyPrefix))
+    this.records = new JobRecords(this.store, new JobKeys(opts.keyPrefix), { clock, tombstoneTtlMs: 2 * opts.limits.keepMs })
     this.peerSync = new PeerSync({ members: this.members, mirror, site: this.site, clients: this.peerPort, clock, hasStoreAccess: () => this.hasStoreAccess() })
     this.confirmation = new LeadershipConfirmation({ lease: this.lease, leadership: this.leadership, peerSync: this.peerSync, isLeader: () => this.serviceTerms.all().length > 0, clock })
     const termOpts = { logger, signal: this.leaving.signal, giveUp: async (resource: string, token: number) => await this.leadership.giveUp(resource, token) }
--- a/jobs/intake/src/intake.ts
+++ b/jobs/intake/src/intake.ts
@@ -9,6 +9,8 @@
 /** More attempts would add to the load of a leader that is too busy to reply; it also finds the request in the store. */
 const MAX_NOTIFY_ATTEMPTS = 2
 const NOTIFY_RETRY_MS = 500
+/** A job may be stored between the look for it and the cancellation of its id. */
+const MAX_CANCEL_ATTEMPTS = 2
 /**
  * Maximum number of accepted jobs whose repeated submissions are answered without any call, and of jobs whose acceptance
  * has an unknown outcome.
@@ -46,6 +48,8 @@
 interface FoundJob {
   readonly service: string
   readonly state: JobStateResult
+  /** There is no such job, and none can be stored by a call that is under way; undefined if that is not certain. */
+  readonly isSettled?: boolean | undefined
 }
 
 /** Options of {@link Intake}. */
@@ -92,6 +96,7 @@
     if (stored.kind === 'unknown' || (stored.kind === 'not-stored' && this.uncertain.has(key))) return { kind: 'unknown' }
     if (stored.kind === 'not-stored') return { kind: 'refused', retryAfterS: 1 }
     this.uncertain.delete(key)
+    if (stored.kind === 'cancelled') return { kind: 'refused', retryAfterS: Math.ceil(stored.retryAfterMs / 1_000) }
     if (stored.kind === 'known') return this.answerRepeat(req, stored.entry)
     this.addAccepted(key, job)
     this.notifyInBackground(job.service, job.id, async () => await this.opts.leaderClient.push(job.service, { job }))
@@ -110,13 +115,25 @@
    * @param queue - queue that the job was submitted to
    * @param id - id of the job
    * @param account - client account that asks, undefined where any may: jobs of others look like none
-   * @returns `cancelled` also if the job has already ended or may still be stored, `none` if there is no such job,
-   * `unknown` if the cancellation may not be stored, or nobody can say whose job it is
+   * @returns `cancelled` also if the job has already ended or its submission at this entry had an unknown outcome, `none` if there is no
+   * such job, and none will be stored by a submission that is still under way, `unknown` if the cancellation may not be stored, or nobody can say whose job it is
    */
   async cancel (queue: Queue, id: string, account?: string): Promise<'cancelled' | 'none' | 'unknown'> {
-    const { service, state } = await this.find(queue, id, account)
+    for (let tries = 0; tries < MAX_CANCEL_ATTEMPTS; tries++) {
+      const found = await this.find(queue, id, account)
+      if (found.state !== 'none') return await this.cancelFound(queue, id, account, found)
+      const answer = this.mayYetBeStored(queue, id, account) ? 'cancelled' : 'none'
+      if (found.isSettled === true) return answer
+      const stored = await this.opts.records.cancelUnknown({ service: found.service, address: addressOf(queue), id, account })
+      this.opts.logger.info({ job: id, queue: queue.name, account, stored: stored.ok }, 'id cancelled that no job has')
+      if (stored.ok) return answer
+      if (stored.error.kind !== 'conflict') return 'unknown'
+    }
+    return 'none'
+  }
+
+  private async cancelFound (queue: Queue, id: string, account: string | undefined, { service, state }: FoundJob): Promise<'cancelled' | 'unknown'> {
     if (state === 'unavailable' && !this.isKnownAt(service, queue, id, account)) return 'unknown'
-    if (state === 'none' && !this.mayYetBeStored(queue, id, account)) return 'none'
     if (state !== 'none' && state !== 'unavailable' && isFinal(state)) return 'cancelled'
     const stored = await this.opts.records.cancel(service, id)
     this.opts.logger.info({ job: id, queue: queue.name, service, state, stored: stored.ok }, 'job cancelled')
@@ -146,7 +163,8 @@
     if (state !== 'none') return { service, state }
     const entry = await this.opts.records.indexEntry(address, id)
     if (!entry.ok) return { service, state: 'unavailable' }
-    if (entry.value === undefined || this.isHidden('ask', id, entry.value.account, account)) return { service, state }
+    if (entry.value === undefined) return { service, state }
+    if (entry.value.cancelled === true || this.isHidden('ask', id, entry.value.account, account)) return { service, state, isSettled: true }
     this.addAccepted(jobKey(address, id), entry.value)
     return { service: entry.value.service, state: await this.stateAt(entry.value.service, id, account) }
   }
--- a/jobs/store/src/index-entry.ts
+++ b/jobs/store/src/index-entry.ts
@@ -1,13 +1,15 @@
 import type { Job } from '@wisteriaslip/jobs.model'
 import { z } from 'zod'
 
-const indexEntrySchema = z.object({ service: z.string(), account: z.string().optional() })
+const indexEntrySchema = z.object({ service: z.string(), account: z.string().optional(), cancelled: z.boolean().optional() })
 
 /** Where the records of a job are, found by its address and id: the service that its queue had when it was accepted. */
 export interface IndexEntry {
   readonly service: string
   /** Name of the job's client account; undefined for none. */
   readonly account?: string | undefined
+  /** A tombstone: the id was cancelled while no job had it, and none is stored under it for a while. Undefined is false. */
+  readonly cancelled?: boolean | undefined
 }
 
 /**
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -1,4 +1,4 @@
-import { err, ok, type Result } from '@wisteriaslip/core.result'
+import { err, ok, systemClock, type Clock, type Result } from '@wisteriaslip/core.result'
 import type { AddressedJob, Job, JobState, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import { isFinal } from '@wisteriaslip/jobs.model'
 import type { JobProgress } from '@wisteriaslip/jobs.scheduler'
@@ -7,8 +7,11 @@
 import { isIndexEntry, toIndexEntry, type IndexEntry } from './index-entry.ts'
 import { jobIdFromKey, type JobKeys } from './keys.ts'
 import { isJob, isProgress } from './record-schema.ts'
+import { RotatingLease } from './rotating-lease.ts'
 
 const BATCH_WINDOW_MS = 6
+/** Stores may grant no longer leases. */
+const MAX_LEASE_TTL_MS = 600_000
 /** A write may name 32 keys, each change once with its condition and once with its value. */
 const MAX_BATCH_CHANGES = 16
 
@@ -40,20 +43,39 @@
   | { readonly kind: 'stored' }
   /** A job with this address and id is already stored. */
   | { readonly kind: 'known', readonly entry: IndexEntry }
+  /** The id was cancelled by this client account, or by anybody where there is none, before the job was stored: it is not stored. */
+  | { readonly kind: 'cancelled', readonly retryAfterMs: number }
   /** Certainly not stored. */
   | { readonly kind: 'not-stored' }
   /** The outcome is unknown: the job may be stored, now or later. */
   | { readonly kind: 'unknown' }
 
+/** Options of {@link JobRecords}. */
+export interface JobRecordsOpts {
+  /** How long ids stay cancelled that no job had, in milliseconds: at least half of it, at most all of it. */
+  readonly tombstoneTtlMs?: number
+  /** The process's monotonic clock by default. */
+  readonly clock?: Clock
+}
+
 /** Reads and writes the durable records of jobs. */
 export class JobRecords {
   readonly keys: JobKeys
   private readonly store: Store
   private readonly writer: BatchWriter
+  private readonly tombstoneTtlMs: number
+  private readonly tombstoneLease: RotatingLease
 
-  constructor (store: Store, keys: JobKeys) {
+  /**
+   * @param store - holds the records
+   * @param keys - keys of the records
+   * @param opts - how long tombstones live
+   */
+  constructor (store: Store, keys: JobKeys, opts: JobRecordsOpts = {}) {
     this.store = store
     this.keys = keys
+    this.tombstoneTtlMs = Math.min(opts.tombstoneTtlMs ?? MAX_LEASE_TTL_MS, MAX_LEASE_TTL_MS)
+    this.tombstoneLease = new RotatingLease(store, { ttlMs: this.tombstoneTtlMs, clock: opts.clock ?? systemClock })
     this.writer = new BatchWriter(store, { batchWindowMs: BATCH_WINDOW_MS, maxBatchChanges: MAX_BATCH_CHANGES })
   }
 
@@ -69,33 +91,66 @@
       { key: this.keys.job(service, id), prior: undefined, value: job }
     ])
     if (written.ok) return { kind: 'stored' }
-    if (written.error.kind === 'conflict') return await this.known(address, { service, id })
+    if (written.error.kind === 'conflict') return await this.known(job)
     if (written.error.kind === 'unavailable' && written.error.maybeApplied) return { kind: 'unknown' }
     return { kind: 'not-stored' }
   }
 
   /** Jobs that earlier versions have stored may have no index entry. */
-  private async known (address: string, job: Pick<Job, 'service' | 'id'>): Promise<AcceptResult> {
-    const entry = await this.indexEntry(address, job.id)
-    if (!entry.ok) return { kind: 'unknown' }
-    if (entry.value !== undefined) return { kind: 'known', entry: entry.value }
+  private async known (job: AddressedJob): Promise<AcceptResult> {
+    const doc = await this.readIndex(job.address, job.id)
+    if (!doc.ok) return { kind: 'unknown' }
+    const entry = doc.value?.value
+    if (doc.value !== undefined && entry?.cancelled === true) {
+      return isOfAccount(entry, job) ? { kind: 'cancelled', retryAfterMs: this.tombstoneTtlMs } : await this.replaceTombstone(job, doc.value)
+    }
+    if (entry !== undefined) return { kind: 'known', entry }
     const account = await this.accountOf(job.service, job.id)
     return account.ok ? { kind: 'known', entry: { service: job.service, account: account.value } } : { kind: 'unknown' }
   }
 
+  /** An id is cancelled for the account that has cancelled it: it keeps that account's submissions out, and so does this job. */
+  private async replaceTombstone (job: AddressedJob, tombstone: Versioned<IndexEntry>): Promise<AcceptResult> {
+    const written = await this.store.update([
+      { key: tombstone.key, prior: tombstone, value: toIndexEntry(job) },
+      { key: this.keys.job(job.service, job.id), prior: undefined, value: job }
+    ], { forCaller: true })
+    return written.ok ? { kind: 'stored' } : { kind: 'unknown' }
+  }
+
   /**
    * @param address - address of the queue that the job was submitted to
    * @param id - id of the job
    * @returns the job's index entry, undefined if it has none or none that can be read
    */
   async indexEntry (address: string, id: string): Promise<Result<IndexEntry | undefined, StoreError>> {
+    const doc = await this.readIndex(address, id)
+    return doc.ok ? ok(doc.value?.value) : doc
+  }
+
+  private async readIndex (address: string, id: string): Promise<Result<Versioned<IndexEntry> | undefined, StoreError>> {
     const doc = await this.store.get(this.keys.indexEntry(address, id), { forCaller: true })
     if (!doc.ok) return doc
-    return ok(isIndexEntry(doc.value?.value) ? doc.value.value : undefined)
+    return ok(isIndexEntry(doc.value?.value) ? doc.value as Versioned<IndexEntry> : undefined)
+  }
+
+  /**
+   * Cancels an id that no job has: writes of a job with it that are still under way, and those of requests that some entry has yet to
+   * read, are not accepted for a while. The store deletes the tombstone by itself.
+   * @param job - `service` and `address` of the queue, the `id`, and the client `account` that cancels it
+   * @returns a conflict if a job has the id by now, or a tombstone is there already
+   */
+  async cancelUnknown ({ service, id, address, account }: Pick<AddressedJob, 'service' | 'id' | 'address' | 'account'>): Promise<Result<number, StoreError>> {
+    const tombstone: IndexEntry = { ...toIndexEntry({ service, account }), cancelled: true }
+    const key = this.keys.indexEntry(address, id)
+    // An earlier version stores jobs without an index entry.
+    const noJob: Guard = { key: this.keys.job(service, id), modRevision: 0 }
+    return await this.tombstoneLease.use(async leaseId => await this.store.update([{ key, prior: undefined, value: tombstone, leaseId }], { guards: [noJob], forCaller: true }))
   }
 
   /**
-   * Adds the index entry of a job that an earlier version has stored without, and its address to the job's record.
+   * Adds the index entry of a job that an earlier version has stored without, and its address to the job's record. Cancels the job if
+   * its id was cancelled before: an earlier version does not read the tombstone.
    * @param job - `service` and `id` of the job, and the `address` of its queue
    * @param guard - store condition that this entry leads the service
    * @returns success also if there is nothing to add; a conflict if another job has the address and id, or the guard does not hold
@@ -109,7 +164,10 @@
       { key: this.keys.indexEntry(address, id), prior: undefined, value: toIndexEntry(job) },
       { key: this.keys.job(service, id), prior: doc.value, value: job }
     ], { guards: [guard] })
-    return written.ok ? ok(undefined) : written
+    if (written.ok) return ok(undefined)
+    const entry = written.error.kind === 'conflict' ? await this.indexEntry(address, id) : written
+    if (!entry.ok) return entry
+    return entry.value?.cancelled === true && isOfAccount(entry.value, job) ? await this.cancel(service, id) : written
   }
 
   /**
@@ -240,3 +298,8 @@
     return ok(toVersioned({ key, prior, value }, written.value))
   }
 }
+
+/** Where one of the two has no account, anybody may have submitted or cancelled it. */
+function isOfAccount (entry: IndexEntry, { account }: Pick<Job, 'account'>): boolean {
+  return entry.account === undefined || account === undefined || entry.account === account
+}
--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -19,6 +19,9 @@
 
 const queue: Queue = { name: 'q', host: 'h', pathPrefix: '/q/', service: SERVICE, priority: 0, attempts: 3, stretch: 2, objectiveMs: 600, timeoutMs: 3_000, needsPermit: false }
 
+/** Fault of a write; `late`: it gets no reply, and takes effect when the test wants it to. */
+export type WriteFault = DriverFault | 'late'
+
 /** A leader of the site's only service. */
 export interface SiteLeader {
   readonly term: ServiceTerm
@@ -46,7 +49,9 @@
   /** The policy that permits must be requested from; no queue needs permits while it is undefined. */
   permitClient: PermitClient | undefined
   /** Faults of the next writes of the intake, in order; later writes succeed. */
-  readonly submitFaults: DriverFault[] = []
+  readonly submitFaults: WriteFault[] = []
+  /** Writes of the intake that met the fault `late`, which tests apply to `driver` when they want to. */
+  readonly lateWrites: DriverTxn[] = []
   /** Faults of the leaders' next writes of the term record, in order; later writes succeed. */
   readonly termRecordFaults: DriverFault[] = []
   /** Messages that the leaders have logged. */
@@ -71,7 +76,7 @@
 
   /** @returns the intake of one more entry */
   newIntake (): Intake {
-    return new Intake({ records: this.createRecords(withWriteFaults(this.driver, this.submitFaults, () => true)), leaderClient: this.createLeaderClient(), clock: systemClock, logger: silentLogger, metrics: new Metrics(), signal: this.shutdown.signal })
+    return new Intake({ records: this.createRecords(withWriteFaults(this.driver, this.submitFaults, () => true, this.lateWrites)), leaderClient: this.createLeaderClient(), clock: systemClock, logger: silentLogger, metrics: new Metrics(), signal: this.shutdown.signal })
   }
 
   /** @param ids - ids of workers to start, each on its own VM */
@@ -234,10 +239,11 @@
 }
 
 /** Wraps a driver: the writes that `applies` selects meet the given faults, in order. */
-function withWriteFaults (driver: Driver, faults: DriverFault[], applies: (txn: DriverTxn) => boolean): Driver {
+function withWriteFaults (driver: Driver, faults: WriteFault[], applies: (txn: DriverTxn) => boolean, lateWrites: DriverTxn[] = []): Driver {
   const txn: Driver['txn'] = async (call, signal) => {
     const fault = applies(call) ? faults.shift() ?? 'fine' : 'fine'
-    if (fault === 'lose-call') return await connectionLost()
+    if (fault === 'late') lateWrites.push(call)
+    if (fault === 'lose-call' || fault === 'late') return await connectionLost()
     const reply = await driver.txn(call, signal)
     return fault === 'lose-reply' ? await connectionLost() : reply
   }
