The timeout of a permit request follows from what it takes

Cause: a request was given up after 3 s whatever the configuration says that it takes (3.4 s for 30 workers), and repeated without end. The timeout also counted the time in line behind requests of other steps, and a request that was given up kept the service busy. A test with 30 workers from the beginning shows that it has nothing to do with workers that join.

Now the adapter reads the figures, the timeout is twice the time that a request takes and a second, and starts with its turn in the one line that all leaders of an entry share. A request names as many workers as take 1.5 s, one for a gang up to 100. After failures requests get smaller and may take longer until one is answered, as figures may be wrong or missing.

No deployment in force has such a queue.

--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -10,7 +10,7 @@
 import { Intake } from '@wisteriaslip/jobs.intake'
 import type { FleetClient, JobLimits, PermitClient, StoreLayout, VmList, Wave, WorkerClient } from '@wisteriaslip/jobs.model'
 import type { ExplainRequest, ExplainResult, JobPeerService, ServiceLoad } from '@wisteriaslip/jobs.protocol'
-import { ServiceTerm } from '@wisteriaslip/jobs.service'
+import { SerialPermitClient, ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { EntryLease, StoreKeys, Leadership, Members, type Member } from '@wisteriaslip/peers.membership'
 import { RelayDriver, type PeerAddress } from '@wisteriaslip/peers.protocol'
@@ -126,6 +126,8 @@
   private readonly serviceTerms: TermRunner<ServiceTerm>
   private readonly fleetTerms: TermRunner<FleetTerm>
   private readonly leaderlessMonitor: LeaderlessMonitor
+  /** Shared by all terms: the permit service handles one request of an entry at a time. */
+  private readonly permitClient: PermitClient | undefined
   private readonly service: JobPeerService
   private readonly callerConnections = new CallerConnections()
 
@@ -152,6 +154,7 @@
     this.records = new JobRecords(this.store, new JobKeys(opts.keyPrefix), { clock, tombstoneTtlMs: 2 * opts.limits.keepMs })
     this.peerSync = new PeerSync({ members: this.members, mirror, site: this.site, clients: this.peerPort, clock, hasStoreAccess: () => this.hasStoreAccess() })
     this.confirmation = new LeadershipConfirmation({ lease: this.lease, leadership: this.leadership, peerSync: this.peerSync, isLeader: () => this.serviceTerms.all().length > 0, clock })
+    this.permitClient = opts.permitClient && new SerialPermitClient(opts.permitClient)
     const termOpts = { logger, signal: this.leaving.signal, giveUp: async (resource: string, token: number) => await this.leadership.giveUp(resource, token) }
     this.serviceTerms = new TermRunner((resource, token) => this.createServiceTerm(resource, token), termOpts)
     this.fleetTerms = new TermRunner((_resource, token) => this.createFleetTerm(token), termOpts)
@@ -307,7 +310,7 @@
       store: this.store,
       records: this.records,
       workerClient: this.opts.workers,
-      permitClient: this.opts.permitClient,
+      permitClient: this.permitClient,
       registeredWorkers: () => this.site.workersOf(service),
       vms: async inner => await this.listVms(inner),
       queue: name => this.site.queue(name),
--- a/jobs/model/src/job.ts
+++ b/jobs/model/src/job.ts
@@ -105,6 +105,13 @@
   return state === 'completed' || state === 'failed' || state === 'cancelled'
 }
 
+/** Time that the permit service takes for a request. */
+export interface PermitCost {
+  readonly decisionMs: number
+  /** For each worker that the request names. */
+  readonly perWorkerMs: number
+}
+
 /** A queue of jobs of one kind, which run on the workers of one service. */
 export interface Queue {
   readonly name: string
@@ -122,6 +129,8 @@
   readonly timeoutMs: number
   /** Whether each start needs a permit from the permit service. */
   readonly needsPermit: boolean
+  /** What a request for permits takes; undefined if the configuration does not tell, and from entries of earlier versions. */
+  readonly permitCost?: PermitCost | undefined
   /** Calls need no key of a client account; undefined is false. */
   readonly public?: boolean | undefined
 }
--- a/jobs/model/src/worker.ts
+++ b/jobs/model/src/worker.ts
@@ -162,13 +162,25 @@
   connect (endpoint: WorkerEndpoint): WorkerChannel
 }
 
+/** Permits by worker id, valid for `validMs` milliseconds. */
+export interface Permits {
+  readonly permits: ReadonlyMap<string, string>
+  readonly validMs: number
+}
+
+/** Error of a request for permits; `busy`: the service has too many requests of this entry to handle. */
+export interface PermitError {
+  readonly kind: 'busy' | 'unknown'
+  readonly message: string
+}
+
 /** Client for permits: on which workers the policy of a queue allows a step to run. */
 export interface PermitClient {
   /**
    * @param step - name of the step, as `job.occurrence.step`
    * @param workers - ids of the workers
-   * @param signal - aborts the request
-   * @returns permits by worker id, valid for `validMs` milliseconds
+   * @param opts - `timeoutMs`: how long the service may take once the request is sent, in milliseconds; `signal` aborts the request
+   * @returns the permits, or why there are none
    */
-  requestPermits (step: string, workers: readonly string[], signal: AbortSignal): Promise<Result<{ permits: ReadonlyMap<string, string>, validMs: number }, { kind: 'busy' | 'unknown', message: string }>>
+  requestPermits (step: string, workers: readonly string[], opts: { readonly timeoutMs: number, readonly signal: AbortSignal }): Promise<Result<Permits, PermitError>>
 }
--- a/jobs/scheduler/src/permit-requester.ts
+++ b/jobs/scheduler/src/permit-requester.ts
@@ -1,10 +1,10 @@
 import type { Clock } from '@wisteriaslip/core.result'
+import { limitsOf } from './permit-limits.ts'
 import { needsPermit, type PermitRequest } from './permits.ts'
 import type { QueueLookup } from './step-priority.ts'
 import { isStartable, mayStart, type TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
 
-const MAX_WORKERS_PER_REQUEST = 100
 const MIN_REQUEST_INTERVAL_MS = 30
 
 /** Options of {@link PermitRequester}. */
@@ -20,6 +20,8 @@
 /** Decides which permits to request, and stores them with their steps. */
 export class PermitRequester {
   private readonly opts: PermitRequesterOpts
+  /** Requests that have failed since the last one that was answered. */
+  private failures = 0
 
   constructor (opts: PermitRequesterOpts) {
     this.opts = opts
@@ -34,10 +36,12 @@
       if (!mayStart(step) || !needsPermit(step, this.opts.queue) || permits.asked || permits.nextRequestAt > now || !step.tasks.some(task => isStartable(task, now))) continue
       const due = [...this.opts.workers.values()].filter(worker => worker.takesStarts(now) && permits.isRequestDue(worker, now))
       if (due.length === 0) continue
+      const { maxWorkers, timeoutMs } = limitsOf(step, this.opts.queue(job.job.queue)?.permitCost, this.failures)
       // The first ones may be due again before the others' turn.
-      if (due.length > MAX_WORKERS_PER_REQUEST) due.sort((a, b) => compare(permits.askAgainAt(a), permits.askAgainAt(b)))
+      if (due.length > maxWorkers) due.sort((a, b) => compare(permits.askAgainAt(a), permits.askAgainAt(b)))
+      const workers = due.slice(0, maxWorkers)
       permits.asked = true
-      requests.push({ step, name: `${job.job.id}.${occurrence.number}.${step.number}`, workers: due.slice(0, MAX_WORKERS_PER_REQUEST) })
+      requests.push({ step, name: `${job.job.id}.${occurrence.number}.${step.number}`, workers, timeoutMs: timeoutMs(workers.length) })
     }
     return requests
   }
@@ -52,6 +56,7 @@
     const now = this.opts.clock.now()
     permits.asked = false
     permits.nextRequestAt = now + MIN_REQUEST_INTERVAL_MS
+    this.failures = response === undefined ? this.failures + 1 : 0
     if (response === undefined) return
     const { validMs } = response
     permits.update(response.permits, { workers: request.workers, validUntil: now + validMs, askAgainAt: now + Math.max(validMs / 2, MIN_REQUEST_INTERVAL_MS) })
--- a/jobs/scheduler/src/permits.ts
+++ b/jobs/scheduler/src/permits.ts
@@ -98,6 +98,8 @@
   /** Name of the step: `job.occurrence.step`. */
   readonly name: string
   readonly workers: readonly TrackedWorker[]
+  /** How long the permit service may take for it, in milliseconds. */
+  readonly timeoutMs: number
 }
 
 /**
--- a/jobs/service/src/index.ts
+++ b/jobs/service/src/index.ts
@@ -4,5 +4,6 @@
  */
 export { computeServiceLoad } from './load.ts'
 export { endOldWithdrawals, withdrawWorkers } from './withdrawals.ts'
+export { SerialPermitClient } from './serial-permit-client.ts'
 export { ServiceTerm } from './term.ts'
 export type { ServiceTermOpts } from './ports.ts'
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -1,4 +1,4 @@
-import { allEnded, delay, linkAbort, Wakeup, withTimeout } from '@wisteriaslip/core.result'
+import { allEnded, delay, linkAbort, Wakeup } from '@wisteriaslip/core.result'
 import type { Job, JobState, WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { ExplainRequest, ServiceLoad } from '@wisteriaslip/jobs.protocol'
 import type { QuotaHolder } from '@wisteriaslip/jobs.quota'
@@ -33,8 +33,6 @@
 const JOB_EXPIRY_INTERVAL_MS = 5_000
 const LOST_WORKER_CHECK_INTERVAL_MS = 60
 const MAX_FLUSH_ATTEMPTS = 3
-/** The permit service takes a while to decide, and accepts one call at a time from each entry. */
-const PERMIT_TIMEOUT_MS = 3_000
 
 /** What has shown a newer leader: a worker that refused the token, a job accepted under a newer one, or the store. */
 type NewerLeaderSign = { worker: string } | { job: string, acceptedUnder: number } | { store: true }
@@ -328,9 +326,10 @@
     const { permitClient, logger } = this.opts
     if (permitClient === undefined) return
     const ids = request.workers.map(worker => worker.registration.id)
-    const response = await withTimeout(PERMIT_TIMEOUT_MS, signal, async inner => await permitClient.requestPermits(request.name, ids, inner))
+    const { timeoutMs } = request
+    const response = await permitClient.requestPermits(request.name, ids, { timeoutMs, signal })
       .catch((error: unknown) => logger.error({ err: error, step: request.name }, 'permit request failed unexpectedly'))
-    if (response?.ok === false) logger.info({ step: request.name, workers: ids.length, error: response.error }, 'failed to request permits')
+    if (response?.ok === false) logger.info({ step: request.name, workers: ids.length, timeoutMs, error: response.error }, 'failed to request permits')
     scheduler.permitRequester.handleResponse(request, response?.ok === true ? response.value : undefined)
     this.wakeup.wake()
   }
--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -2,8 +2,8 @@
 import { recordingLogger, silentLogger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import { Intake, type LeaderClient } from '@wisteriaslip/jobs.intake'
-import { addressOf, type JobLimits, type JobRequest, type PermitClient, type Queue, type Step, type Vm, type WorkerChannel, type WorkerRegistration } from '@wisteriaslip/jobs.model'
-import { ServiceTerm } from '@wisteriaslip/jobs.service'
+import { addressOf, type JobLimits, type JobRequest, type PermitClient, type PermitCost, type Queue, type Step, type Vm, type WorkerChannel, type WorkerRegistration } from '@wisteriaslip/jobs.model'
+import { SerialPermitClient, ServiceTerm } from '@wisteriaslip/jobs.service'
 import { JobKeys, JobRecords } from '@wisteriaslip/jobs.store'
 import { StoreClient, type Driver, type DriverError, type DriverTxn } from '@wisteriaslip/store.client'
 import { MemoryDriver, type DriverFault } from '@wisteriaslip/testing.stand-ins'
@@ -48,6 +48,8 @@
   readonly queue = queue
   /** The policy that permits must be requested from; no queue needs permits while it is undefined. */
   permitClient: PermitClient | undefined
+  /** What the configuration says that a request for permits takes. */
+  permitCost: PermitCost | undefined
   /** Faults of the next writes of the intake, in order; later writes succeed. */
   readonly submitFaults: WriteFault[] = []
   /** Writes of the intake that met the fault `late`, which tests apply to `driver` when they want to. */
@@ -146,13 +148,13 @@
       store: this.createStoreClient(driver),
       records: this.createRecords(driver),
       workerClient: { connect: endpoint => disconnectableChannel(this.workers.connect(endpoint), () => reachesWorkers && !lostWorkers.has(endpoint.id)) },
-      permitClient: this.permitClient,
+      permitClient: this.permitClient && new SerialPermitClient(this.permitClient),
       registeredWorkers: () => this.workers.registrations(),
       vms: async () => {
         this.beforeVmList()
         return link.up ? { vms: this.vms, unreadable: [], complete: true } : undefined
       },
-      queue: () => ({ ...queue, needsPermit: this.permitClient !== undefined }),
+      queue: () => ({ ...queue, needsPermit: this.permitClient !== undefined, permitCost: this.permitCost }),
       limits,
       clock: systemClock,
       wallClock: Date.now,
