Intake remembers jobs in one kind of map, and an index entry that cannot be decoded holds up no expiry

What it remembers of accepted jobs and of writes without an answer was bounded twice over. An undecodable index entry would have kept the records of all jobs that expire later; it is left alone.

--- a/jobs/intake/src/intake.ts
+++ b/jobs/intake/src/intake.ts
@@ -5,6 +5,7 @@
 import { addressOf, isFinal, type Job, type JobRequest, type JobState, type Queue } from '@wisteriaslip/jobs.model'
 import type { JobNotification, JobStateReply } from '@wisteriaslip/jobs.protocol'
 import type { JobRecords } from '@wisteriaslip/jobs.store'
+import { RecentJobs } from './recent-jobs.ts'
 
 /** More attempts would add to the load of a leader that is too busy to reply; it also finds the request in the store. */
 const MAX_NOTIFY_ATTEMPTS = 2
@@ -44,6 +45,9 @@
 /** State of a job; `none` if there is no such job, `unavailable` if neither the leader nor the store responds. */
 export type JobStateResult = JobState | 'none' | 'unavailable'
 
+/** Which service has a job, and whose it is. */
+type JobPlace = Pick<Job, 'service' | 'account'>
+
 /** A job as found: the service that has it, which need not be the one that its queue has now. */
 interface FoundJob {
   readonly service: string
@@ -65,10 +69,10 @@
 /** Accepts jobs, cancellations and status queries. Any entry does so for any queue. */
 export class Intake {
   private readonly opts: IntakeOpts
-  /** Accepted jobs that this entry knows of, by {@link jobKey}. */
-  private readonly accepted = new Map<string, Pick<Job, 'service' | 'account'>>()
-  /** Jobs whose write got no response at this entry: it may still be applied. By {@link jobKey}, with the account. */
-  private readonly uncertain = new Map<string, string | undefined>()
+  /** Accepted jobs that this entry knows of. */
+  private readonly accepted = new RecentJobs<JobPlace>(MAX_REMEMBERED_JOBS)
+  /** Jobs whose write got no response at this entry: it may still be applied. */
+  private readonly uncertain = new RecentJobs<Pick<Job, 'account'>>(MAX_REMEMBERED_JOBS)
   private readonly hidden: RefusalLog
 
   constructor (opts: IntakeOpts) {
@@ -83,8 +87,8 @@
    */
   async submit (req: JobRequest): Promise<SubmitResult> {
     const startedAt = this.opts.clock.now()
-    const key = jobKey(req.address, req.id)
-    const earlier = this.accepted.get(key)
+    const { address, id } = req
+    const earlier = this.accepted.get(address, id)
     if (earlier !== undefined) return this.answerRepeat(req, earlier)
     const job = { ...req, acceptedUnder: this.opts.leaderClient.token(req.service) }
     const stored = await this.opts.records.accept(job)
@@ -92,21 +96,21 @@
     this.opts.metrics.count('jobs_handed_in_total', { queue: job.queue, result: stored.kind })
     const knownAt = stored.kind === 'known' ? stored.entry.service : undefined
     this.opts.logger.info({ job: job.id, queue: job.queue, service: job.service, account: job.account, result: stored.kind, knownAt }, 'job submitted')
-    if (stored.kind === 'unknown') this.addUncertain(job)
-    if (stored.kind === 'unknown' || (stored.kind === 'not-stored' && this.uncertain.has(key))) return { kind: 'unknown' }
+    if (stored.kind === 'unknown') this.uncertain.add(address, id, { account: job.account })
+    if (stored.kind === 'unknown' || (stored.kind === 'not-stored' && this.uncertain.get(address, id) !== undefined)) return { kind: 'unknown' }
     if (stored.kind === 'not-stored') return { kind: 'refused', retryAfterS: 1 }
-    this.uncertain.delete(key)
+    this.uncertain.delete(address, id)
     if (stored.kind === 'cancelled') return { kind: 'refused', retryAfterS: Math.ceil(stored.retryAfterMs / 1_000) }
     if (stored.kind === 'known') return this.answerRepeat(req, stored.entry)
-    this.addAccepted(key, job)
+    this.accepted.add(address, id, placeOf(job))
     this.notifyInBackground(job.service, job.id, async () => await this.opts.leaderClient.push(job.service, { job }))
     return { kind: 'accepted' }
   }
 
   /** Answers the submission of a job that is stored already. */
-  private answerRepeat (req: JobRequest, stored: Pick<Job, 'service' | 'account'>): SubmitResult {
+  private answerRepeat (req: JobRequest, stored: JobPlace): SubmitResult {
     if (this.isHidden('submit', req.id, stored.account, req.account)) return { kind: 'taken' }
-    this.addAccepted(jobKey(req.address, req.id), stored)
+    this.accepted.add(req.address, req.id, placeOf(stored))
     return { kind: 'accepted' }
   }
 
@@ -158,14 +162,14 @@
    */
   private async find (queue: Queue, id: string, account: string | undefined): Promise<FoundJob> {
     const address = addressOf(queue)
-    const service = this.accepted.get(jobKey(address, id))?.service ?? queue.service
+    const service = this.accepted.get(address, id)?.service ?? queue.service
     const state = await this.stateAt(service, id, account)
     if (state !== 'none') return { service, state }
     const entry = await this.opts.records.indexEntry(address, id)
     if (!entry.ok) return { service, state: 'unavailable' }
     if (entry.value === undefined) return { service, state }
     if (entry.value.cancelled === true || this.isHidden('ask', id, entry.value.account, account)) return { service, state, isSettled: true }
-    this.addAccepted(jobKey(address, id), entry.value)
+    this.accepted.add(address, id, placeOf(entry.value))
     return { service: entry.value.service, state: await this.stateAt(entry.value.service, id, account) }
   }
 
@@ -200,25 +204,13 @@
 
   /** Whether the service is known to have the job, so that it may be cancelled there although nobody tells its state. */
   private isKnownAt (service: string, queue: Queue, id: string, account: string | undefined): boolean {
-    const known = this.accepted.get(jobKey(addressOf(queue), id))
+    const known = this.accepted.get(addressOf(queue), id)
     return known?.service === service && (account === undefined || known.account === account)
   }
 
   private mayYetBeStored (queue: Queue, id: string, account: string | undefined): boolean {
-    const key = jobKey(addressOf(queue), id)
-    return this.uncertain.has(key) && !this.isHidden('ask', id, this.uncertain.get(key), account)
-  }
-
-  private addUncertain ({ address, id, account }: JobRequest): void {
-    this.uncertain.set(jobKey(address, id), account)
-    const oldest = this.uncertain.keys().next()
-    if (this.uncertain.size > MAX_REMEMBERED_JOBS && oldest.done !== true) this.uncertain.delete(oldest.value)
-  }
-
-  private addAccepted (key: string, { service, account }: Pick<Job, 'service' | 'account'>): void {
-    this.accepted.set(key, { service, account })
-    const oldest = this.accepted.keys().next()
-    if (this.accepted.size > MAX_REMEMBERED_JOBS && oldest.done !== true) this.accepted.delete(oldest.value)
+    const uncertain = this.uncertain.get(addressOf(queue), id)
+    return uncertain !== undefined && !this.isHidden('ask', id, uncertain.account, account)
   }
 
   /** Notifies the leader in the background. If that fails, the leader finds the request by its watch of the store. */
@@ -234,7 +226,6 @@
   }
 }
 
-/** Key of a job in memory. */
-function jobKey (address: string, id: string): string {
-  return `${address}\n${id}`
+function placeOf ({ service, account }: JobPlace): JobPlace {
+  return { service, account }
 }
--- a/jobs/service/src/expired-jobs.ts
+++ b/jobs/service/src/expired-jobs.ts
@@ -44,7 +44,8 @@
   const address = (docs.find(({ key }) => key === keys.job(service, id))?.value as Job | undefined)?.address
   if (address === undefined) return docs
   const entry = await store.get(keys.indexEntry(address, id))
-  if (!entry.ok) return undefined
+  // One that cannot be decoded is left: it must not keep the records of later jobs.
+  if (!entry.ok) return entry.error.kind === 'corrupt' ? docs : undefined
   const isOwn = (entry.value?.value as IndexEntry | undefined)?.service === service
   return entry.value !== undefined && isOwn ? [...docs, entry.value] : docs
 }
