Jobs of a removed queue are started with permits if it needed them

Found by reading beside the cases of the review: whether a step needs permits was read from the configuration alone, so that tasks of a queue whose route was removed were started without, and refused by each worker without end. The job's record says it now, as it does for the attempts, with what a request takes.

--- a/jobs/model/src/job.ts
+++ b/jobs/model/src/job.ts
@@ -79,6 +79,12 @@
    * records of earlier versions.
    */
   readonly attempts?: number | undefined
+  /**
+   * Whether the queue needed permits at acceptance, and what a request took. As `attempts`, they apply while the leader's configuration
+   * lacks the queue: workers go on asking for permits. Undefined for no, and in records of earlier versions.
+   */
+  readonly needsPermit?: boolean | undefined
+  readonly permitCost?: PermitCost | undefined
   /** Name of the client account that submitted it; undefined in a queue without accounts, and in records of earlier versions. */
   readonly account?: string | undefined
   /** Address of the queue at acceptance, see {@link addressOf}; undefined in records of earlier versions. */
--- a/jobs/scheduler/src/explain.ts
+++ b/jobs/scheduler/src/explain.ts
@@ -3,6 +3,7 @@
 import { takeTurns } from './share-turns.ts'
 import { needsIsolation } from './crash.ts'
 import { unavailableReasonOf } from './left-out.ts'
+import { needsPermit } from './permits.ts'
 import { canPlace } from './placement.ts'
 import { countRoom } from './room-count.ts'
 import type { Scheduler } from './scheduler.ts'
@@ -151,8 +152,7 @@
   if (labelled.length === 0) return 'NO_WORKER_WITH_LABEL'
   const withCapacity = labelled.filter(worker => canPlace(step, worker))
   if (withCapacity.length === 0) return 'NO_ROOM'
-  const needsPermit = opts.queue(step.job.job.queue)?.needsPermit === true
-  if (needsPermit && !withCapacity.some(worker => step.permits.permitFor(worker, opts.now) !== undefined)) return 'NO_PERMIT'
+  if (needsPermit(step, opts.queue) && !withCapacity.some(worker => step.permits.permitFor(worker, opts.now) !== undefined)) return 'NO_PERMIT'
   const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0)
   return waiting.length > 0 && waiting.every(needsIsolation) ? 'SUSPECTED_OF_CRASHES' : 'UNSETTLED_OR_RESTING'
 }
--- a/jobs/scheduler/src/permit-requester.ts
+++ b/jobs/scheduler/src/permit-requester.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@wisteriaslip/core.result'
 import { limitsOf } from './permit-limits.ts'
-import { needsPermit, type PermitRequest } from './permits.ts'
+import { needsPermit, permitCostOf, type PermitRequest } from './permits.ts'
 import type { QueueLookup } from './step-priority.ts'
 import { isStartable, mayStart, type TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
@@ -36,7 +36,7 @@
       if (!mayStart(step) || !needsPermit(step, this.opts.queue) || permits.asked || permits.nextRequestAt > now || !step.tasks.some(task => isStartable(task, now))) continue
       const due = [...this.opts.workers.values()].filter(worker => worker.takesStarts(now) && permits.isRequestDue(worker, now))
       if (due.length === 0) continue
-      const { maxWorkers, timeoutMs } = limitsOf(step, this.opts.queue(job.job.queue)?.permitCost, this.failures)
+      const { maxWorkers, timeoutMs } = limitsOf(step, permitCostOf(step, this.opts.queue), this.failures)
       // The first ones may be due again before the others' turn.
       if (due.length > maxWorkers) due.sort((a, b) => compare(permits.askAgainAt(a), permits.askAgainAt(b)))
       const workers = due.slice(0, maxWorkers)
--- a/jobs/scheduler/src/permits.ts
+++ b/jobs/scheduler/src/permits.ts
@@ -1,3 +1,4 @@
+import type { Job, PermitCost } from '@wisteriaslip/jobs.model'
 import type { QueueLookup } from './step-priority.ts'
 import type { TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
@@ -108,5 +109,19 @@
  * @returns whether the policy of the step's queue allows only some workers to run it
  */
 export function needsPermit (step: TrackedStep, queue: QueueLookup): boolean {
-  return queue(step.job.job.queue)?.needsPermit ?? false
+  return settingsOf(step, queue).needsPermit ?? false
+}
+
+/**
+ * @param step - a step
+ * @param queue - looks up queues
+ * @returns what a request for permits of the step takes, undefined if that is unknown
+ */
+export function permitCostOf (step: TrackedStep, queue: QueueLookup): PermitCost | undefined {
+  return settingsOf(step, queue).permitCost
+}
+
+/** The settings of the step's queue, as they were at acceptance if the configuration lacks the queue. */
+function settingsOf ({ job: { job } }: TrackedStep, queue: QueueLookup): Pick<Job, 'needsPermit' | 'permitCost'> {
+  return queue(job.queue) ?? job
 }
--- a/jobs/scheduler/test/unknown-queue.test.ts
+++ b/jobs/scheduler/test/unknown-queue.test.ts
@@ -30,3 +30,18 @@
   harness.addJob({ attempts: 2 })
   assert.equal(failOneRun(harness, 1), 'failed')
 })
+
+// Tasks were started without a permit once the route of their queue was gone, and refused by each worker, again and again.
+test('a job whose queue the leader does not know is started with permits if its queue needed them at acceptance', () => {
+  const harness = new SchedulerHarness()
+  harness.queueKnown = false
+  harness.addWorkers(worker('w1'), worker('w2'))
+  harness.addJob({ needsPermit: true, permitCost: { decisionMs: 400, perWorkerMs: 1_000 } })
+  assert.deepEqual(harness.startReadyTasks(), [])
+  const [request] = harness.scheduler.permitRequester.collect()
+  assert.ok(request !== undefined)
+  assert.equal(request.workers.length, 1, 'what a request takes is known as well')
+  const [asked = ''] = request.workers.map(each => each.registration.id)
+  harness.scheduler.permitRequester.handleResponse(request, { permits: new Map([[asked, 'permit']]), validMs: 5_000 })
+  assert.deepEqual(harness.startReadyTasks().map(run => run.worker.registration.id), [asked])
+})
