An id that two client accounts have cancelled is refused to both

A tombstone binds the account that has cancelled. When another one cancelled the same id, its cancellation was answered although nothing kept its own submission out; now the tombstone binds all.

Test: 'an id that two accounts have cancelled is refused to both' in cancelled-before-stored.test.ts.

--- a/jobs/intake/src/intake.ts
+++ b/jobs/intake/src/intake.ts
@@ -168,7 +168,9 @@
     const entry = await this.opts.records.indexEntry(address, id)
     if (!entry.ok) return { service, state: 'unavailable' }
     if (entry.value === undefined) return { service, state }
-    if (entry.value.cancelled === true || this.isHidden('ask', id, entry.value.account, account)) return { service, state, isSettled: true }
+    const isHidden = this.isHidden('ask', id, entry.value.account, account)
+    if (entry.value.cancelled === true) return { service, state, isSettled: !isHidden }
+    if (isHidden) return { service, state, isSettled: true }
     this.accepted.add(address, id, placeOf(entry.value))
     return { service: entry.value.service, state: await this.stateAt(entry.value.service, id, account) }
   }
--- a/jobs/service/src/index-backfill.ts
+++ b/jobs/service/src/index-migration.ts
@@ -2,14 +2,14 @@
 import { addressOf, type Job } from '@wisteriaslip/jobs.model'
 import type { ServiceTermOpts } from './ports.ts'
 
-const BACKFILL_INTERVAL_MS = 1_000
+const MIGRATION_INTERVAL_MS = 1_000
 const MAX_JOBS_PER_PASS = 20
 
 /**
  * Gives index entries to jobs that entries of earlier versions have stored without, so that they are still found once their queue has
  * another service. A job whose queue is not in the configuration has no address, and callers cannot ask for it.
  */
-export class IndexBackfill {
+export class IndexMigration {
   private readonly opts: ServiceTermOpts
   private readonly jobs = new Map<string, Job>()
 
@@ -27,7 +27,7 @@
    * @param signal - ends the loop
    */
   async run (signal: AbortSignal): Promise<void> {
-    while (await delay(BACKFILL_INTERVAL_MS, signal)) await this.writeSome()
+    while (await delay(MIGRATION_INTERVAL_MS, signal)) await this.writeSome()
   }
 
   private async writeSome (): Promise<void> {
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -6,7 +6,7 @@
 import type { ServiceRecords, TermRecord } from '@wisteriaslip/jobs.store'
 import { removeExpiredJobs } from './expired-jobs.ts'
 import { computeServiceLoad } from './load.ts'
-import { IndexBackfill } from './index-backfill.ts'
+import { IndexMigration } from './index-migration.ts'
 import { LeadershipCheck, LEADERSHIP_OVERLAP_MS } from './leadership-check.ts'
 import { explainPairs, logCompany } from './company-log.ts'
 import { logLosses, logRestart } from './loss-log.ts'
@@ -48,7 +48,7 @@
   private readonly startWindow = new StartWindow()
   private readonly recordWriter: TermRecordWriter
   private readonly leadership: LeadershipCheck
-  private readonly indexBackfill: IndexBackfill
+  private readonly indexMigration: IndexMigration
   private readonly quotas: QuotaHolder | undefined
   private readonly fleetTokens = new FleetTokens()
   /** Sessions and calls in progress. */
@@ -64,7 +64,7 @@
     this.token = opts.token
     this.recordWriter = new TermRecordWriter(opts)
     this.leadership = new LeadershipCheck(opts)
-    this.indexBackfill = new IndexBackfill(opts)
+    this.indexMigration = new IndexMigration(opts)
     this.quotas = createQuotaHolder(opts, () => this.wakeup.wake())
   }
 
@@ -84,7 +84,7 @@
       await allEnded([
         writer.run(termAbort.signal),
         requestWatcher.run(termAbort.signal),
-        this.indexBackfill.run(termAbort.signal),
+        this.indexMigration.run(termAbort.signal),
         this.runSchedulingLoop(termAbort.signal),
         this.recordWriter.run(scheduler, () => this.onTermRecordWritten(), termAbort.signal),
         this.detectLostWorkers(scheduler, termAbort.signal),
@@ -116,7 +116,7 @@
    */
   push (job: Job): boolean {
     if (this.components === undefined) return false
-    this.indexBackfill.note(job)
+    this.indexMigration.note(job)
     if (job.acceptedUnder > this.token) this.onNewerLeader({ job: job.id, acceptedUnder: job.acceptedUnder })
     else this.components.scheduler.addJob(job, { acceptedThisTerm: job.acceptedUnder === this.token })
     this.wakeup.wake()
@@ -233,7 +233,7 @@
     for (const id of all.unreadable) this.skipUnreadable(scheduler, id)
     for (const doc of all.jobs) {
       const { id } = doc.value
-      this.indexBackfill.note(doc.value)
+      this.indexMigration.note(doc.value)
       scheduler.table.addJob(doc.value, { acceptedThisTerm: doc.value.acceptedUnder === this.token, progress: all.progress.get(id)?.value })
       if (all.cancelled.has(id)) scheduler.table.cancel(id)
     }
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -138,14 +138,26 @@
    * Cancels an id that no job has: writes of a job with it that are still under way, and those of requests that some entry has yet to
    * read, are not accepted for a while. The store deletes the tombstone by itself.
    * @param job - `service` and `address` of the queue, the `id`, and the client `account` that cancels it
-   * @returns a conflict if a job has the id by now, or a tombstone is there already
+   * @returns success also if it was cancelled before, a conflict if a job has the id by now
    */
-  async cancelUnknown ({ service, id, address, account }: Pick<AddressedJob, 'service' | 'id' | 'address' | 'account'>): Promise<Result<number, StoreError>> {
-    const tombstone: IndexEntry = { ...toIndexEntry({ service, account }), cancelled: true }
+  async cancelUnknown (job: Pick<AddressedJob, 'service' | 'id' | 'address' | 'account'>): Promise<Result<void, StoreError>> {
+    const written = await this.writeTombstone(job, undefined)
+    if (written.ok || written.error.kind !== 'conflict') return written
+    const doc = await this.readIndex(job.address, job.id)
+    if (!doc.ok) return doc
+    if (doc.value?.value.cancelled !== true) return written
+    if (isOfAccount(doc.value.value, job)) return ok(undefined)
+    // Two accounts have cancelled the id: it is cancelled for all.
+    return await this.writeTombstone({ ...job, account: undefined }, doc.value)
+  }
+
+  private async writeTombstone ({ service, id, address, account }: Pick<AddressedJob, 'service' | 'id' | 'address' | 'account'>, prior: Versioned<IndexEntry> | undefined): Promise<Result<void, StoreError>> {
+    const value: IndexEntry = { ...toIndexEntry({ service, account }), cancelled: true }
     const key = this.keys.indexEntry(address, id)
     // An earlier version stores jobs without an index entry.
     const noJob: Guard = { key: this.keys.job(service, id), modRevision: 0 }
-    return await this.tombstoneLease.use(async leaseId => await this.store.update([{ key, prior: undefined, value: tombstone, leaseId }], { guards: [noJob], forCaller: true }))
+    const written = await this.tombstoneLease.use(async leaseId => await this.store.update([{ key, prior, value, leaseId }], { guards: [noJob], forCaller: true }))
+    return written.ok ? ok(undefined) : written
   }
 
   /**
--- a/testing/jobs/test/cancelled-before-stored.test.ts
+++ b/testing/jobs/test/cancelled-before-stored.test.ts
@@ -83,6 +83,18 @@
   })
 })
 
+test('an id that two accounts have cancelled is refused to both', async () => {
+  await withSite(async site => {
+    await site.elect()
+    for (const account of ['b', 'a']) assert.equal(await site.newIntake().cancel(site.queue, ID, account), 'none')
+    for (const account of ['a', 'b']) {
+      const submitted = await site.newIntake().submit(site.request(ID, [plainStep({ estimateMs: 0 })], { account }))
+      assert.equal(submitted.kind, 'refused')
+    }
+    assert.equal(await isStored(site), false)
+  })
+})
+
 // Entries of the version before do not read the tombstone.
 test('a job that the version before stores after its cancellation is cancelled by the leader', async () => {
   await withSite(async site => {
