A submission is a repeat only of a job that is stored

A conflict whose cause has gone before it is read, a tombstone that expires in that moment, was answered as the repeat of an accepted job, and nothing was stored; the caller gets 504 now, and its next attempt is accepted. An unexpected error while a lease is granted is not remembered.

Tests: the last two of tombstones.test.ts; the first failed before (answered as known).

--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -104,9 +104,16 @@
     if (doc.value !== undefined && entry?.cancelled === true) {
       return isOfAccount(entry, job) ? { kind: 'cancelled', retryAfterMs: this.tombstoneTtlMs } : await this.replaceTombstone(job, doc.value)
     }
-    if (entry !== undefined) return { kind: 'known', entry }
-    const account = await this.accountOf(job.service, job.id)
-    return account.ok ? { kind: 'known', entry: { service: job.service, account: account.value } } : { kind: 'unknown' }
+    return entry === undefined ? await this.knownWithoutIndex(job) : { kind: 'known', entry }
+  }
+
+  private async knownWithoutIndex ({ service, id }: AddressedJob): Promise<AcceptResult> {
+    const doc = await this.store.get(this.keys.job(service, id), { forCaller: true })
+    if (!doc.ok) return doc.error.kind === 'corrupt' ? { kind: 'known', entry: { service } } : { kind: 'unknown' }
+    // What caused the conflict has gone since: a tombstone that has expired, or a job whose records were removed.
+    if (doc.value === undefined) return { kind: 'unknown' }
+    const { account } = (doc.value.value ?? {}) as Partial<Job>
+    return { kind: 'known', entry: { service, account } }
   }
 
   /** An id is cancelled for the account that has cancelled it: it keeps that account's submissions out, and so does this job. */
--- a/jobs/store/src/rotating-lease.ts
+++ b/jobs/store/src/rotating-lease.ts
@@ -43,16 +43,21 @@
     const lease = this.current()
     const id = await lease.id
     const written = id.ok ? await write(id.value) : id
-    const isUnusable = !id.ok || (!written.ok && written.error.kind === 'lease-lost')
-    if (isUnusable && this.latest === lease) this.latest = undefined
+    if (!id.ok || (!written.ok && written.error.kind === 'lease-lost')) this.drop(lease)
     return written
   }
 
   private current (): GrantedLease {
     const now = this.opts.clock.now()
     if (this.latest === undefined || now - this.latest.grantedAt >= this.opts.ttlMs / 2) {
-      this.latest = { id: this.store.grantLease(this.opts.ttlMs, NEVER_ABORTED), grantedAt: now }
+      const granted = { id: this.store.grantLease(this.opts.ttlMs, NEVER_ABORTED), grantedAt: now }
+      granted.id.catch(() => this.drop(granted))
+      this.latest = granted
     }
     return this.latest
   }
+
+  private drop (lease: GrantedLease): void {
+    if (this.latest === lease) this.latest = undefined
+  }
 }
--- a/jobs/store/test/tombstones.test.ts
+++ b/jobs/store/test/tombstones.test.ts
@@ -30,7 +30,7 @@
   const store = new StoreClient(driver, { readsPerSecond: 1e6, writesPerSecond: 1e6, metrics: new Metrics(), clock })
   const records = new JobRecords(store, new JobKeys('w'), { tombstoneTtlMs: TTL_MS, clock })
   const leasesUsed = () => writes.flatMap(({ puts }) => puts.map(({ leaseId }) => leaseId))
-  return { records, clock, leases, forgotten, writes, leasesUsed }
+  return { driver, records, clock, leases, forgotten, writes, leasesUsed }
 }
 
 // Anyone may cancel any id: what that stores has to end by itself, at whatever rate it comes.
@@ -63,3 +63,25 @@
   assert.deepEqual(leasesUsed().slice(-2), [undefined, undefined])
   assert.equal((await records.cancelUnknown({ ...job, account: 'b' })).ok, false)
 })
+
+// The submission was answered as a repeat of an accepted job, and nothing was stored.
+test('a submission whose obstacle has gone before it was read is not taken for a repeat', async () => {
+  const { driver, records } = createRecords()
+  assert.ok((await records.cancelUnknown(job)).ok)
+  const range = driver.range.bind(driver)
+  driver.range = async (key, opts) => {
+    await driver.txn({ guards: [], puts: [], deletes: [records.keys.indexEntry(job.address, job.id)] })
+    return await range(key, opts)
+  }
+  assert.deepEqual(await records.accept(job), { kind: 'unknown' })
+  assert.deepEqual(await records.accept(job), { kind: 'stored' })
+})
+
+test('an unexpected error of a lease does not outlast the call', async () => {
+  const { driver, records } = createRecords()
+  const grant = driver.grantLease.bind(driver)
+  driver.grantLease = async () => { throw new Error('injected') }
+  await assert.rejects(records.cancelUnknown(job))
+  driver.grantLease = grant
+  assert.ok((await records.cancelUnknown(job)).ok)
+})
