A job is told from one of another queue that has its id

Found when the whole change was read again: a job is identified by the address of its queue and its id, but was looked for by its id alone in the service that the index names. A submission whose id a job of another queue of its service had was answered as a repeat of that one, and never ran; where a queue moved to a service that had such a job, that one was shown and cancelled in its place.

A leader's answer names the queue and its address now, and what belongs to another queue is no job there; such a submission gets 409. Lookups become JobFinder, index entries and tombstones JobIndex: intake and records had both grown by them, and a search that ended in two conflicts was answered as if no submission could follow; it is 504 now. The limits of permit requests are two plain functions.

Store calls of an accepted job as before: one write.

--- a/jobs/entry/src/peer-service.ts
+++ b/jobs/entry/src/peer-service.ts
@@ -61,8 +61,8 @@
     const state = term?.state(req.id) ?? 'not-ready'
     if (state === 'not-ready') return { kind: 'not-leader' }
     if (state === 'unknown') return { kind: 'unknown' }
-    const account = term?.accountOf(req.id)
-    return { kind: 'known', state, ...(account === undefined ? {} : { account }) }
+    const { account, queue, address } = term?.job(req.id) ?? {}
+    return { kind: 'known', state, account, queue, address }
   }
 
   async pending (req: { service: string, queue: string, address?: string | undefined }): Promise<PendingReply> {
--- a/jobs/http/src/job-server.ts
+++ b/jobs/http/src/job-server.ts
@@ -92,7 +92,7 @@
   const { account } = access
   const result = await opts.intake.submit({ ...parsed.data, address: addressOf(queue), service: queue.service, attempts: queue.attempts, acceptedAt: Date.now(), ...(account === undefined ? {} : { account }) })
   if (result.kind === 'accepted') return sendJson(res, 202, { id: parsed.data.id, state: 'accepted' })
-  if (result.kind === 'taken') return sendError(res, 409, 'JOB_ID_TAKEN', 'a job of another client account has this id', 'Choose another id.')
+  if (result.kind === 'taken') return sendError(res, 409, 'JOB_ID_TAKEN', 'a job of another client account, or of another queue of the service, has this id', 'Choose another id.')
   if (result.kind === 'unknown') return sendError(res, 504, 'JOB_UNKNOWN', 'it is unknown whether the job was accepted', 'Submit it again with the same id: it remains one job.')
   sendJson(res, 503, { code: 'JOB_REFUSED', message: 'the job was not accepted; this request never runs it', hint: 'Submit it again later.' }, { 'retry-after': String(result.retryAfterS) })
 }
--- a/jobs/intake/src/intake.ts
+++ b/jobs/intake/src/intake.ts
@@ -1,10 +1,11 @@
-import { RefusalLog } from '@wisteriaslip/jobs.accounts'
 import { delay, type Clock } from '@wisteriaslip/core.result'
 import type { Logger } from '@wisteriaslip/core.logger'
 import type { Metrics } from '@wisteriaslip/core.metrics'
 import { addressOf, isFinal, type Job, type JobRequest, type JobState, type Queue } from '@wisteriaslip/jobs.model'
 import type { JobNotification, JobStateReply } from '@wisteriaslip/jobs.protocol'
 import type { JobRecords } from '@wisteriaslip/jobs.store'
+import { HiddenJobs } from './hidden-jobs.ts'
+import { JobFinder, type JobPlace } from './job-finder.ts'
 import { RecentJobs } from './recent-jobs.ts'
 
 /** More attempts would add to the load of a leader that is too busy to reply; it also finds the request in the store. */
@@ -35,7 +36,7 @@
 /** Result of a job submission. */
 export type SubmitResult =
   | { readonly kind: 'accepted' }
-  /** A job of another client account has this id. */
+  /** Another job has this id: one of another client account, or one that was submitted to another queue of the service. */
   | { readonly kind: 'taken' }
   /** Not accepted: the job never runs because of this request. */
   | { readonly kind: 'refused', readonly retryAfterS: number }
@@ -45,17 +46,6 @@
 /** State of a job; `none` if there is no such job, `unavailable` if neither the leader nor the store responds. */
 export type JobStateResult = JobState | 'none' | 'unavailable'
 
-/** Which service has a job, and whose it is. */
-type JobPlace = Pick<Job, 'service' | 'account'>
-
-/** A job as found: the service that has it, which need not be the one that its queue has now. */
-interface FoundJob {
-  readonly service: string
-  readonly state: JobStateResult
-  /** There is no such job, and none can be stored by a call that is under way; undefined if that is not certain. */
-  readonly isSettled?: boolean | undefined
-}
-
 /** Options of {@link Intake}. */
 export interface IntakeOpts {
   readonly records: JobRecords
@@ -73,11 +63,13 @@
   private readonly accepted = new RecentJobs<JobPlace>(MAX_REMEMBERED_JOBS)
   /** Jobs whose write got no response at this entry: it may still be applied. */
   private readonly uncertain = new RecentJobs<Pick<Job, 'account'>>(MAX_REMEMBERED_JOBS)
-  private readonly hidden: RefusalLog
+  private readonly hidden: HiddenJobs
+  private readonly finder: JobFinder
 
   constructor (opts: IntakeOpts) {
     this.opts = opts
-    this.hidden = new RefusalLog(opts.clock, opts.logger, 'job of another account')
+    this.hidden = new HiddenJobs(opts)
+    this.finder = new JobFinder({ ...opts, places: this.accepted, hidden: this.hidden })
   }
 
   /**
@@ -100,17 +92,18 @@
     if (stored.kind === 'unknown' || (stored.kind === 'not-stored' && this.uncertain.get(address, id) !== undefined)) return { kind: 'unknown' }
     if (stored.kind === 'not-stored') return { kind: 'refused', retryAfterS: 1 }
     this.uncertain.delete(address, id)
+    if (stored.kind === 'taken') return { kind: 'taken' }
     if (stored.kind === 'cancelled') return { kind: 'refused', retryAfterS: Math.ceil(stored.retryAfterMs / 1_000) }
     if (stored.kind === 'known') return this.answerRepeat(req, stored.entry)
-    this.accepted.add(address, id, placeOf(job))
+    this.accepted.add(address, id, { service: job.service, account: job.account })
     this.notifyInBackground(job.service, job.id, async () => await this.opts.leaderClient.push(job.service, { job }))
     return { kind: 'accepted' }
   }
 
   /** Answers the submission of a job that is stored already. */
   private answerRepeat (req: JobRequest, stored: JobPlace): SubmitResult {
-    if (this.isHidden('submit', req.id, stored.account, req.account)) return { kind: 'taken' }
-    this.accepted.add(req.address, req.id, placeOf(stored))
+    if (this.hidden.isHidden('submit', req.id, stored.account, req.account)) return { kind: 'taken' }
+    this.accepted.add(req.address, req.id, { service: stored.service, account: stored.account })
     return { kind: 'accepted' }
   }
 
@@ -124,23 +117,29 @@
    */
   async cancel (queue: Queue, id: string, account?: string): Promise<'cancelled' | 'none' | 'unknown'> {
     for (let tries = 0; tries < MAX_CANCEL_ATTEMPTS; tries++) {
-      const found = await this.find(queue, id, account)
-      if (found.state !== 'none') return await this.cancelFound(queue, id, account, found)
+      const found = await this.finder.find(queue, id, account)
+      if (found.kind === 'found') return isFinal(found.state) ? 'cancelled' : await this.cancelAt(found.service, id, { queue: queue.name, state: found.state })
+      if (found.kind === 'unavailable') return await this.cancelUnseen(queue, id, account)
       const answer = this.mayYetBeStored(queue, id, account) ? 'cancelled' : 'none'
-      if (found.isSettled === true) return answer
-      const stored = await this.opts.records.cancelUnknown({ service: found.service, address: addressOf(queue), id, account })
+      if (found.isSettled) return answer
+      const stored = await this.opts.records.index.cancelId({ service: found.service, address: addressOf(queue), id, account })
       this.opts.logger.info({ job: id, queue: queue.name, account, stored: stored.ok }, 'id cancelled that no job has')
       if (stored.ok) return answer
       if (stored.error.kind !== 'conflict') return 'unknown'
     }
-    return 'none'
+    return 'unknown'
+  }
+
+  /** Cancels a job whose state nobody tells, if this entry knows where it is and whose. */
+  private async cancelUnseen (queue: Queue, id: string, account: string | undefined): Promise<'cancelled' | 'unknown'> {
+    const place = this.accepted.get(addressOf(queue), id)
+    const isOwn = place !== undefined && (account === undefined || place.account === account)
+    return isOwn ? await this.cancelAt(place.service, id, { queue: queue.name }) : 'unknown'
   }
 
-  private async cancelFound (queue: Queue, id: string, account: string | undefined, { service, state }: FoundJob): Promise<'cancelled' | 'unknown'> {
-    if (state === 'unavailable' && !this.isKnownAt(service, queue, id, account)) return 'unknown'
-    if (state !== 'none' && state !== 'unavailable' && isFinal(state)) return 'cancelled'
+  private async cancelAt (service: string, id: string, logged: { readonly queue: string, readonly state?: JobState }): Promise<'cancelled' | 'unknown'> {
     const stored = await this.opts.records.cancel(service, id)
-    this.opts.logger.info({ job: id, queue: queue.name, service, state, stored: stored.ok }, 'job cancelled')
+    this.opts.logger.info({ ...logged, job: id, service, stored: stored.ok }, 'job cancelled')
     if (!stored.ok) return 'unknown'
     await this.opts.leaderClient.cancelled(service, id) || this.notifyInBackground(service, id, async () => await this.opts.leaderClient.cancelled(service, id))
     return 'cancelled'
@@ -153,39 +152,8 @@
    * @returns state of the job from the leader, or from the store if the leader does not have it or does not respond
    */
   async state (queue: Queue, id: string, account?: string): Promise<JobStateResult> {
-    return (await this.find(queue, id, account)).state
-  }
-
-  /**
-   * Looks for a job where this entry last knew it, or else where the queue's jobs go now, and then where the index says that it is:
-   * the queue may have had another service when the job was accepted.
-   */
-  private async find (queue: Queue, id: string, account: string | undefined): Promise<FoundJob> {
-    const address = addressOf(queue)
-    const service = this.accepted.get(address, id)?.service ?? queue.service
-    const state = await this.stateAt(service, id, account)
-    if (state !== 'none') return { service, state }
-    const entry = await this.opts.records.indexEntry(address, id)
-    if (!entry.ok) return { service, state: 'unavailable' }
-    if (entry.value === undefined) return { service, state }
-    const isHidden = this.isHidden('ask', id, entry.value.account, account)
-    if (entry.value.cancelled === true) return { service, state, isSettled: !isHidden }
-    if (isHidden) return { service, state, isSettled: true }
-    this.accepted.add(address, id, placeOf(entry.value))
-    return { service: entry.value.service, state: await this.stateAt(entry.value.service, id, account) }
-  }
-
-  /** State of a job that the service has: from its leader, or from the store if the leader does not have it or does not respond. */
-  private async stateAt (service: string, id: string, account: string | undefined): Promise<JobStateResult> {
-    const reply = await this.opts.leaderClient.state(service, id)
-    if (reply?.kind === 'known') return this.isHidden('ask', id, reply.account, account) ? 'none' : reply.state
-    const stored = await this.opts.records.state(service, id)
-    if (!stored.ok) return 'unavailable'
-    if (stored.value === undefined) return 'none'
-    if (account === undefined) return stored.value
-    const owner = await this.opts.records.accountOf(service, id)
-    if (!owner.ok) return 'unavailable'
-    return this.isHidden('ask', id, owner.value, account) ? 'none' : stored.value
+    const found = await this.finder.find(queue, id, account)
+    return found.kind === 'found' ? found.state : found.kind
   }
 
   /**
@@ -196,23 +164,9 @@
     return await this.opts.leaderClient.pending(queue)
   }
 
-  /** Jobs without an account, as those stored by earlier versions, are visible to all. */
-  private isHidden (reason: 'ask' | 'submit', id: string, owner: string | undefined, account: string | undefined): boolean {
-    if (owner === undefined || account === undefined || owner === account) return false
-    this.opts.metrics.count('jobs_hidden_total', { reason })
-    this.hidden.note({ reason, job: id, account })
-    return true
-  }
-
-  /** Whether the service is known to have the job, so that it may be cancelled there although nobody tells its state. */
-  private isKnownAt (service: string, queue: Queue, id: string, account: string | undefined): boolean {
-    const known = this.accepted.get(addressOf(queue), id)
-    return known?.service === service && (account === undefined || known.account === account)
-  }
-
   private mayYetBeStored (queue: Queue, id: string, account: string | undefined): boolean {
     const uncertain = this.uncertain.get(addressOf(queue), id)
-    return uncertain !== undefined && !this.isHidden('ask', id, uncertain.account, account)
+    return uncertain !== undefined && !this.hidden.isHidden('ask', id, uncertain.account, account)
   }
 
   /** Notifies the leader in the background. If that fails, the leader finds the request by its watch of the store. */
@@ -227,7 +181,3 @@
     run().catch(error => this.opts.logger.error({ err: error, job: id }, 'failed to notify leader'))
   }
 }
-
-function placeOf ({ service, account }: JobPlace): JobPlace {
-  return { service, account }
-}
--- a/jobs/model/src/job.ts
+++ b/jobs/model/src/job.ts
@@ -151,6 +151,16 @@
   return host + pathPrefix === '' ? name : host + pathPrefix
 }
 
+/**
+ * @param job - where a job was submitted
+ * @param queue - name and address of a queue
+ * @returns whether the job may be one of the queue, which may have had another name or another address since; a record of an earlier
+ * version does not tell the address
+ */
+export function isOfQueue (job: Pick<Job, 'queue' | 'address'>, queue: { readonly queue: string, readonly address: string }): boolean {
+  return job.address === undefined || job.address === queue.address || job.queue === queue.queue
+}
+
 /** A client account: a team of callers. */
 export interface Account {
   readonly name: string
--- a/jobs/protocol/src/service.ts
+++ b/jobs/protocol/src/service.ts
@@ -9,8 +9,11 @@
 
 /** A leader's reply to a query for a job's state; `not-leader` when the entry does not lead the service. */
 export type JobStateReply =
-  /** `account` is whose job it is; entries of earlier versions, and jobs without an account, name none. */
-  | { readonly kind: 'known', readonly state: JobState, readonly account?: string | undefined }
+  /**
+   * `account` is whose job it is, `queue` and `address` where it was submitted; entries of earlier versions name none, nor an address for
+   * jobs that earlier versions have stored.
+   */
+  | { readonly kind: 'known', readonly state: JobState } & Partial<Pick<Job, 'account' | 'queue' | 'address'>>
   | { readonly kind: 'unknown' }
   | { readonly kind: 'not-leader' }
 
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -112,14 +112,6 @@
     return tracked.durableOutcome ?? (tracked.begun ? 'running' : 'queued')
   }
 
-  /**
-   * @param id - id of a job
-   * @returns its client account, undefined for none or when the job is not tracked
-   */
-  accountOf (id: string): string | undefined {
-    return this.jobs.get(id)?.job.account
-  }
-
   /**
    * @param queue - name of a queue
    * @param address - address of the queue, which it may have had under another name
--- a/jobs/scheduler/src/permit-limits.ts
+++ b/jobs/scheduler/src/permit-limits.ts
@@ -11,32 +11,30 @@
 const MAX_BACKOFF_TIMEOUT_MS = 12_000
 const MAX_HALVINGS = 7
 
-/** Limits of a request for permits. */
-export interface PermitLimits {
-  readonly maxWorkers: number
-  /** @returns timeout of a request that names this many workers, in milliseconds */
-  timeoutMs (workers: number): number
-}
-
 /**
- * Limits a request by what it takes the permit service: the timeout follows from that, and a request names fewer workers when many would
- * keep the step waiting. The configured cost may be wrong or unknown, so that after failures requests get smaller and may take longer,
- * until one is answered.
+ * A request names fewer workers when many would keep its step waiting. The configured cost may be wrong or unknown, so that requests get
+ * smaller after failures, until one is answered.
  * @param step - the step that needs permits
  * @param cost - what a request takes; undefined if that is unknown
  * @param failures - requests that have failed since the last one that was answered
- * @returns the limits of its next request
+ * @returns how many workers its next request may name
  */
-export function limitsOf (step: TrackedStep, cost: PermitCost | undefined, failures: number): PermitLimits {
+export function maxWorkersOf (step: TrackedStep, cost: PermitCost | undefined, failures: number): number {
   const most = step.spec.gang ? MAX_WORKERS_PER_REQUEST : workersInTime(cost)
-  return {
-    maxWorkers: Math.max(1, most >> Math.min(failures, MAX_HALVINGS)),
-    timeoutMs: workers => {
-      const expected = cost === undefined ? 0 : cost.decisionMs + cost.perWorkerMs * workers
-      const base = Math.max(MIN_TIMEOUT_MS, 2 * expected + TIMEOUT_MARGIN_MS)
-      return Math.max(base, Math.min(MAX_BACKOFF_TIMEOUT_MS, base * 2 ** failures))
-    }
-  }
+  return Math.max(1, most >> Math.min(failures, MAX_HALVINGS))
+}
+
+/**
+ * The timeout of a request follows from what it takes, and grows after failures.
+ * @param workers - number of workers that the request names
+ * @param cost - what a request takes; undefined if that is unknown
+ * @param failures - requests that have failed since the last one that was answered
+ * @returns the timeout in milliseconds
+ */
+export function timeoutMsOf (workers: number, cost: PermitCost | undefined, failures: number): number {
+  const expectedMs = cost === undefined ? 0 : cost.decisionMs + cost.perWorkerMs * workers
+  const baseMs = Math.max(MIN_TIMEOUT_MS, 2 * expectedMs + TIMEOUT_MARGIN_MS)
+  return Math.max(baseMs, Math.min(MAX_BACKOFF_TIMEOUT_MS, baseMs * 2 ** failures))
 }
 
 /**
--- a/jobs/scheduler/src/permit-requester.ts
+++ b/jobs/scheduler/src/permit-requester.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@wisteriaslip/core.result'
-import { limitsOf } from './permit-limits.ts'
+import { maxWorkersOf, timeoutMsOf } from './permit-limits.ts'
 import { needsPermit, permitCostOf, type PermitRequest } from './permits.ts'
 import type { QueueLookup } from './step-priority.ts'
 import { isStartable, mayStart, type TrackedStep } from './tracked-job.ts'
@@ -36,12 +36,13 @@
       if (!mayStart(step) || !needsPermit(step, this.opts.queue) || permits.asked || permits.nextRequestAt > now || !step.tasks.some(task => isStartable(task, now))) continue
       const due = [...this.opts.workers.values()].filter(worker => worker.takesStarts(now) && permits.isRequestDue(worker, now))
       if (due.length === 0) continue
-      const { maxWorkers, timeoutMs } = limitsOf(step, permitCostOf(step, this.opts.queue), this.failures)
+      const cost = permitCostOf(step, this.opts.queue)
+      const maxWorkers = maxWorkersOf(step, cost, this.failures)
       // The first ones may be due again before the others' turn.
       if (due.length > maxWorkers) due.sort((a, b) => compare(permits.askAgainAt(a), permits.askAgainAt(b)))
       const workers = due.slice(0, maxWorkers)
       permits.asked = true
-      requests.push({ step, name: `${job.job.id}.${occurrence.number}.${step.number}`, workers, timeoutMs: timeoutMs(workers.length) })
+      requests.push({ step, name: `${job.job.id}.${occurrence.number}.${step.number}`, workers, timeoutMs: timeoutMsOf(workers.length, cost, this.failures) })
     }
     return requests
   }
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -147,10 +147,10 @@
 
   /**
    * @param id - id of the job
-   * @returns the client account of the job, undefined for none or if this leader has no such job
+   * @returns the job as it was submitted, undefined if this leader has no such job
    */
-  accountOf (id: string): string | undefined {
-    return this.components?.scheduler.table.accountOf(id)
+  job (id: string): Job | undefined {
+    return this.components?.scheduler.table.jobs.get(id)?.job
   }
 
   /**
--- a/jobs/store/src/index-entry.ts
+++ b/jobs/store/src/index-entry.ts
@@ -1,4 +1,3 @@
-import type { Job } from '@wisteriaslip/jobs.model'
 import { z } from 'zod'
 
 const indexEntrySchema = z.object({ service: z.string(), account: z.string().optional(), cancelled: z.boolean().optional() })
@@ -12,14 +11,6 @@
   readonly cancelled?: boolean | undefined
 }
 
-/**
- * @param job - a job
- * @returns its index entry
- */
-export function toIndexEntry ({ service, account }: Pick<Job, 'service' | 'account'>): IndexEntry {
-  return { service, ...(account === undefined ? {} : { account }) }
-}
-
 /**
  * @param value - value of a stored index entry
  * @returns whether it can be read; the entry of a later version may have more fields
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -1,17 +1,15 @@
-import { err, ok, systemClock, type Clock, type Result } from '@wisteriaslip/core.result'
+import { err, ok, type Result } from '@wisteriaslip/core.result'
 import type { AddressedJob, Job, JobState, WorkerRegistration } from '@wisteriaslip/jobs.model'
-import { isFinal } from '@wisteriaslip/jobs.model'
+import { isFinal, isOfQueue } from '@wisteriaslip/jobs.model'
 import type { JobProgress } from '@wisteriaslip/jobs.scheduler'
-import { toVersioned, type Guard, type Store, type StoreError, type Versioned } from '@wisteriaslip/store.client'
+import { toVersioned, type Change, type Guard, type Store, type StoreError, type Versioned } from '@wisteriaslip/store.client'
 import { BatchWriter } from './batch-writer.ts'
-import { isIndexEntry, toIndexEntry, type IndexEntry } from './index-entry.ts'
+import type { IndexEntry } from './index-entry.ts'
+import { JobIndex, mayBeOfAccount, type JobIndexOpts } from './job-index.ts'
 import { jobIdFromKey, type JobKeys } from './keys.ts'
 import { isJob, isProgress } from './record-schema.ts'
-import { RotatingLease } from './rotating-lease.ts'
 
 const BATCH_WINDOW_MS = 6
-/** Stores may grant no longer leases. */
-const MAX_LEASE_TTL_MS = 600_000
 /** A write may name 32 keys, each change once with its condition and once with its value. */
 const MAX_BATCH_CHANGES = 16
 
@@ -43,6 +41,8 @@
   | { readonly kind: 'stored' }
   /** A job with this address and id is already stored. */
   | { readonly kind: 'known', readonly entry: IndexEntry }
+  /** Another job of the service has this id, submitted to another queue: it is not stored. */
+  | { readonly kind: 'taken' }
   /** The id was cancelled by this client account, or by anybody where there is none, before the job was stored: it is not stored. */
   | { readonly kind: 'cancelled', readonly retryAfterMs: number }
   /** Certainly not stored. */
@@ -50,32 +50,25 @@
   /** The outcome is unknown: the job may be stored, now or later. */
   | { readonly kind: 'unknown' }
 
-/** Options of {@link JobRecords}. */
-export interface JobRecordsOpts {
-  /** How long ids stay cancelled that no job had, in milliseconds: at least half of it, at most all of it. */
-  readonly tombstoneTtlMs?: number
-  /** The process's monotonic clock by default. */
-  readonly clock?: Clock
-}
+/** What tells whose a stored job is, and which queue it was submitted to. */
+export type JobOrigin = Pick<Job, 'queue' | 'address' | 'account'>
 
 /** Reads and writes the durable records of jobs. */
 export class JobRecords {
   readonly keys: JobKeys
+  readonly index: JobIndex
   private readonly store: Store
   private readonly writer: BatchWriter
-  private readonly tombstoneTtlMs: number
-  private readonly tombstoneLease: RotatingLease
 
   /**
    * @param store - holds the records
    * @param keys - keys of the records
-   * @param opts - how long tombstones live
+   * @param opts - how long tombstones of the index live
    */
-  constructor (store: Store, keys: JobKeys, opts: JobRecordsOpts = {}) {
+  constructor (store: Store, keys: JobKeys, opts: JobIndexOpts = {}) {
     this.store = store
     this.keys = keys
-    this.tombstoneTtlMs = Math.min(opts.tombstoneTtlMs ?? MAX_LEASE_TTL_MS, MAX_LEASE_TTL_MS)
-    this.tombstoneLease = new RotatingLease(store, { ttlMs: this.tombstoneTtlMs, clock: opts.clock ?? systemClock })
+    this.index = new JobIndex(store, keys, opts)
     this.writer = new BatchWriter(store, { batchWindowMs: BATCH_WINDOW_MS, maxBatchChanges: MAX_BATCH_CHANGES })
   }
 
@@ -85,88 +78,41 @@
    * @returns whether the job is stored
    */
   async accept (job: AddressedJob): Promise<AcceptResult> {
-    const { service, id, address } = job
-    const written = await this.writer.write([
-      { key: this.keys.indexEntry(address, id), prior: undefined, value: toIndexEntry(job) },
-      { key: this.keys.job(service, id), prior: undefined, value: job }
-    ])
+    const written = await this.writer.write([this.index.entryChange(job), this.recordChange(job)])
     if (written.ok) return { kind: 'stored' }
-    if (written.error.kind === 'conflict') return await this.known(job)
+    if (written.error.kind === 'conflict') return await this.explainConflict(job)
     if (written.error.kind === 'unavailable' && written.error.maybeApplied) return { kind: 'unknown' }
     return { kind: 'not-stored' }
   }
 
-  /** Jobs that earlier versions have stored may have no index entry. */
-  private async known (job: AddressedJob): Promise<AcceptResult> {
-    const doc = await this.readIndex(job.address, job.id)
+  private recordChange (job: AddressedJob): Change {
+    return { key: this.keys.job(job.service, job.id), prior: undefined, value: job }
+  }
+
+  private async explainConflict (job: AddressedJob): Promise<AcceptResult> {
+    const doc = await this.index.find(job.address, job.id)
     if (!doc.ok) return { kind: 'unknown' }
-    const entry = doc.value?.value
-    if (doc.value !== undefined && entry?.cancelled === true) {
-      return isOfAccount(entry, job) ? { kind: 'cancelled', retryAfterMs: this.tombstoneTtlMs } : await this.replaceTombstone(job, doc.value)
-    }
-    return entry === undefined ? await this.knownWithoutIndex(job) : { kind: 'known', entry }
+    if (doc.value === undefined) return await this.explainConflictWithRecord(job)
+    if (doc.value.value.cancelled !== true) return { kind: 'known', entry: doc.value.value }
+    return mayBeOfAccount(doc.value.value, job) ? { kind: 'cancelled', retryAfterMs: this.index.tombstoneTtlMs } : await this.replaceTombstone(job, doc.value)
   }
 
-  private async knownWithoutIndex ({ service, id }: AddressedJob): Promise<AcceptResult> {
-    const doc = await this.store.get(this.keys.job(service, id), { forCaller: true })
-    if (!doc.ok) return doc.error.kind === 'corrupt' ? { kind: 'known', entry: { service } } : { kind: 'unknown' }
+  /** A job of the service has the id, but no index entry at the address: it was submitted to another queue, or stored by an earlier version. */
+  private async explainConflictWithRecord (job: AddressedJob): Promise<AcceptResult> {
+    const { service, id } = job
+    const origin = await this.originOf(service, id)
+    if (!origin.ok) return origin.error.kind === 'corrupt' ? { kind: 'known', entry: { service } } : { kind: 'unknown' }
     // What caused the conflict has gone since: a tombstone that has expired, or a job whose records were removed.
-    if (doc.value === undefined) return { kind: 'unknown' }
-    const { account } = (doc.value.value ?? {}) as Partial<Job>
-    return { kind: 'known', entry: { service, account } }
+    if (origin.value === undefined) return { kind: 'unknown' }
+    return isOfQueue(origin.value, job) ? { kind: 'known', entry: { service, account: origin.value.account } } : { kind: 'taken' }
   }
 
   /** An id is cancelled for the account that has cancelled it: it keeps that account's submissions out, and so does this job. */
   private async replaceTombstone (job: AddressedJob, tombstone: Versioned<IndexEntry>): Promise<AcceptResult> {
-    const written = await this.store.update([
-      { key: tombstone.key, prior: tombstone, value: toIndexEntry(job) },
-      { key: this.keys.job(job.service, job.id), prior: undefined, value: job }
-    ], { forCaller: true })
+    const written = await this.store.update([this.index.entryChange(job, tombstone), this.recordChange(job)], { forCaller: true })
     return written.ok ? { kind: 'stored' } : { kind: 'unknown' }
   }
 
-  /**
-   * @param address - address of the queue that the job was submitted to
-   * @param id - id of the job
-   * @returns the job's index entry, undefined if it has none or none that can be read
-   */
-  async indexEntry (address: string, id: string): Promise<Result<IndexEntry | undefined, StoreError>> {
-    const doc = await this.readIndex(address, id)
-    return doc.ok ? ok(doc.value?.value) : doc
-  }
-
-  private async readIndex (address: string, id: string): Promise<Result<Versioned<IndexEntry> | undefined, StoreError>> {
-    const doc = await this.store.get(this.keys.indexEntry(address, id), { forCaller: true })
-    if (!doc.ok) return doc
-    return ok(isIndexEntry(doc.value?.value) ? doc.value as Versioned<IndexEntry> : undefined)
-  }
-
-  /**
-   * Cancels an id that no job has: writes of a job with it that are still under way, and those of requests that some entry has yet to
-   * read, are not accepted for a while. The store deletes the tombstone by itself.
-   * @param job - `service` and `address` of the queue, the `id`, and the client `account` that cancels it
-   * @returns success also if it was cancelled before, a conflict if a job has the id by now
-   */
-  async cancelUnknown (job: Pick<AddressedJob, 'service' | 'id' | 'address' | 'account'>): Promise<Result<void, StoreError>> {
-    const written = await this.writeTombstone(job, undefined)
-    if (written.ok || written.error.kind !== 'conflict') return written
-    const doc = await this.readIndex(job.address, job.id)
-    if (!doc.ok) return doc
-    if (doc.value?.value.cancelled !== true) return written
-    if (isOfAccount(doc.value.value, job)) return ok(undefined)
-    // Two accounts have cancelled the id: it is cancelled for all.
-    return await this.writeTombstone({ ...job, account: undefined }, doc.value)
-  }
-
-  private async writeTombstone ({ service, id, address, account }: Pick<AddressedJob, 'service' | 'id' | 'address' | 'account'>, prior: Versioned<IndexEntry> | undefined): Promise<Result<void, StoreError>> {
-    const value: IndexEntry = { ...toIndexEntry({ service, account }), cancelled: true }
-    const key = this.keys.indexEntry(address, id)
-    // An earlier version stores jobs without an index entry.
-    const noJob: Guard = { key: this.keys.job(service, id), modRevision: 0 }
-    const written = await this.tombstoneLease.use(async leaseId => await this.store.update([{ key, prior, value, leaseId }], { guards: [noJob], forCaller: true }))
-    return written.ok ? ok(undefined) : written
-  }
-
   /**
    * Adds the index entry of a job that an earlier version has stored without, and its address to the job's record. Cancels the job if
    * its id was cancelled before: an earlier version does not read the tombstone.
@@ -179,14 +125,11 @@
     if (!doc.ok) return doc
     if (doc.value === undefined || doc.value.value.address !== undefined) return ok(undefined)
     const job: AddressedJob = { ...doc.value.value, address }
-    const written = await this.store.update([
-      { key: this.keys.indexEntry(address, id), prior: undefined, value: toIndexEntry(job) },
-      { key: this.keys.job(service, id), prior: doc.value, value: job }
-    ], { guards: [guard] })
+    const written = await this.store.update([this.index.entryChange(job), { ...this.recordChange(job), prior: doc.value }], { guards: [guard] })
     if (written.ok) return ok(undefined)
-    const entry = written.error.kind === 'conflict' ? await this.indexEntry(address, id) : written
+    const entry = written.error.kind === 'conflict' ? await this.index.find(address, id) : written
     if (!entry.ok) return entry
-    return entry.value?.cancelled === true && isOfAccount(entry.value, job) ? await this.cancel(service, id) : written
+    return entry.value?.value.cancelled === true && mayBeOfAccount(entry.value.value, job) ? await this.cancel(service, id) : written
   }
 
   /**
@@ -233,11 +176,14 @@
   /**
    * @param service - service of the job
    * @param id - id of the job
-   * @returns the client account of the job, undefined for none and if the job is not stored
+   * @returns where the job comes from, undefined if it is not stored; an earlier version stores no address
    */
-  async accountOf (service: string, id: string): Promise<Result<string | undefined, StoreError>> {
-    const job = await this.store.get(this.keys.job(service, id), { forCaller: true })
-    return job.ok ? ok((job.value?.value as Partial<Job> | null | undefined)?.account) : job
+  async originOf (service: string, id: string): Promise<Result<JobOrigin | undefined, StoreError>> {
+    const doc = await this.store.get(this.keys.job(service, id), { forCaller: true })
+    if (!doc.ok) return doc
+    if (doc.value === undefined) return ok(undefined)
+    const { queue = '', address, account } = (doc.value.value ?? {}) as Partial<Job>
+    return ok({ queue, address, account })
   }
 
   /** The job may have ended before its cancellation was stored, since its progress was read. */
@@ -317,8 +263,3 @@
     return ok(toVersioned({ key, prior, value }, written.value))
   }
 }
-
-/** Where one of the two has no account, anybody may have submitted or cancelled it. */
-function isOfAccount (entry: IndexEntry, { account }: Pick<Job, 'account'>): boolean {
-  return entry.account === undefined || account === undefined || entry.account === account
-}
--- a/jobs/store/test/tombstones.test.ts
+++ b/jobs/store/test/tombstones.test.ts
@@ -37,7 +37,7 @@
 test('each tombstone is one key under a lease that expires by itself, and few leases serve many', async () => {
   const { records, clock, leases, writes, leasesUsed } = createRecords()
   for (let number = 0; number < 40; number++) {
-    assert.ok((await records.cancelUnknown({ ...job, id: `j${number}` })).ok)
+    assert.ok((await records.index.cancelId({ ...job, id: `j${number}` })).ok)
     clock.advance(TTL_MS / 20)
   }
   assert.deepEqual(leases, [TTL_MS, TTL_MS, TTL_MS, TTL_MS])
@@ -48,26 +48,26 @@
 
 test('a tombstone is stored under another lease when the store has lost the first', async () => {
   const { records, forgotten, leasesUsed } = createRecords()
-  assert.ok((await records.cancelUnknown(job)).ok)
+  assert.ok((await records.index.cancelId(job)).ok)
   forgotten.add('lease-1')
-  const both = await Promise.all(['j1', 'j2'].map(async id => await records.cancelUnknown({ ...job, id })))
+  const both = await Promise.all(['j1', 'j2'].map(async id => await records.index.cancelId({ ...job, id })))
   assert.ok(both.every(({ ok }) => ok))
   assert.deepEqual(leasesUsed().slice(1), ['lease-2', 'lease-2'])
 })
 
 test('a job that replaces the tombstone of another account does not end with its lease', async () => {
   const { records, leasesUsed } = createRecords()
-  assert.ok((await records.cancelUnknown({ ...job, account: 'b' })).ok)
+  assert.ok((await records.index.cancelId({ ...job, account: 'b' })).ok)
   assert.equal((await records.accept({ ...job, account: 'b' })).kind, 'cancelled')
   assert.equal((await records.accept({ ...job, account: 'a' })).kind, 'stored')
   assert.deepEqual(leasesUsed().slice(-2), [undefined, undefined])
-  assert.equal((await records.cancelUnknown({ ...job, account: 'b' })).ok, false)
+  assert.equal((await records.index.cancelId({ ...job, account: 'b' })).ok, false)
 })
 
 // The submission was answered as a repeat of an accepted job, and nothing was stored.
 test('a submission whose obstacle has gone before it was read is not taken for a repeat', async () => {
   const { driver, records } = createRecords()
-  assert.ok((await records.cancelUnknown(job)).ok)
+  assert.ok((await records.index.cancelId(job)).ok)
   const range = driver.range.bind(driver)
   driver.range = async (key, opts) => {
     await driver.txn({ guards: [], puts: [], deletes: [records.keys.indexEntry(job.address, job.id)] })
@@ -81,7 +81,7 @@
   const { driver, records } = createRecords()
   const grant = driver.grantLease.bind(driver)
   driver.grantLease = async () => { throw new Error('injected') }
-  await assert.rejects(records.cancelUnknown(job))
+  await assert.rejects(records.index.cancelId(job))
   driver.grantLease = grant
-  assert.ok((await records.cancelUnknown(job)).ok)
+  assert.ok((await records.index.cancelId(job)).ok)
 })
--- a/testing/jobs/src/job-site.ts
+++ b/testing/jobs/src/job-site.ts
@@ -225,7 +225,9 @@
       state: async (service, id) => {
         const state = reachableTerm(service)?.state(id) ?? 'not-ready'
         if (state === 'not-ready') return { kind: 'not-leader' }
-        return state === 'unknown' ? { kind: 'unknown' } : { kind: 'known', state, account: reachableTerm(service)?.accountOf(id) }
+        if (state === 'unknown') return { kind: 'unknown' }
+        const { account, queue, address } = reachableTerm(service)?.job(id) ?? {}
+        return { kind: 'known', state, account, queue, address }
       },
       pending: async ({ service, name }) => reachableTerm(service)?.pending(name)
     }
--- a/testing/jobs/test/job-accounts.test.ts
+++ b/testing/jobs/test/job-accounts.test.ts
@@ -41,7 +41,7 @@
     await (await site.elect()).releaseLeadership()
     await submit(site, ID, 'a')
     const { term } = await site.elect()
-    await waitUntil('the leader has the job', () => term.accountOf(ID) === 'a')
+    await waitUntil('the leader has the job', () => term.job(ID)?.account === 'a')
     assert.equal(await site.intake.state(site.queue, ID, 'b'), 'none')
   })
 })
--- a/testing/jobs/test/moved-queue.test.ts
+++ b/testing/jobs/test/moved-queue.test.ts
@@ -82,6 +82,40 @@
   })
 })
 
+// It was answered as a repeat of the other queue's job, and nothing of it ever ran.
+test('a job with the id of another queue of its service is refused, not taken for a repeat', async () => {
+  await withSite(async site => {
+    await site.elect()
+    await site.intake.submit(site.request(ID, [plainStep({ estimateMs: 0 })]))
+    const other = site.request(ID, [plainStep()], { queue: 'other', address: 'h/other/' })
+    for (const intake of [site.intake, site.newIntake()]) assert.deepEqual(await intake.submit(other), { kind: 'taken' })
+  })
+})
+
+// The queue came to a service that had a job of another queue with the same id: that one was shown in its place, and cancelled.
+test('a job of another queue with the same id is neither shown nor cancelled, with a leader and without one', async () => {
+  for (const disconnect of [false, true]) {
+    await withSite(async site => {
+      const leader = await site.elect()
+      site.plan = () => ({ runMs: 600_000 })
+      await site.intake.submit(site.request(ID, [plainStep({ estimateMs: 0 })]))
+      await untilState(site, ID, 'running')
+      await site.intake.submit(site.request(ID, [plainStep()], { queue: 'other', address: 'h/other/', service: 't' }))
+      if (disconnect) leader.disconnectFromStore()
+      const [other, none] = ['other', 'none'].map(name => ({ ...site.queue, name, pathPrefix: `/${name}/` }))
+      assert.ok(other !== undefined && none !== undefined)
+      for (const intake of [site.intake, site.newIntake()]) {
+        assert.equal(await intake.state(other, ID), 'queued')
+        assert.equal(await intake.state(none, ID), 'none')
+        assert.equal(await intake.cancel(none, ID), 'none')
+      }
+      assert.equal(await site.newIntake().cancel(other, ID), 'cancelled')
+      assert.equal(await site.newIntake().state(other, ID), 'cancelled')
+      assert.notEqual(await site.newIntake().state(site.queue, ID), 'cancelled')
+    })
+  }
+})
+
 // Records of the version before have neither an index entry nor an address.
 test('a job that the version before has stored is found, and found after its queue has moved once a leader has begun', async () => {
   await withSite(async site => {
