One record that cannot be written holds up no other job's index entry

Found by reading: the migration of jobs of the version before stopped at each error but a conflict, so that a record that the store rejects would have been tried again without end while later jobs got no entry. Only what may pass is tried again. The log tells what was added from what was not.

--- a/jobs/service/src/index-migration.ts
+++ b/jobs/service/src/index-migration.ts
@@ -1,9 +1,12 @@
 import { delay } from '@wisteriaslip/core.result'
 import { addressOf, type Job } from '@wisteriaslip/jobs.model'
+import type { StoreError } from '@wisteriaslip/store.client'
 import type { ServiceTermOpts } from './ports.ts'
 
 const MIGRATION_INTERVAL_MS = 1_000
 const MAX_JOBS_PER_PASS = 20
+/** Any other error would come again, and must not hold up other jobs. */
+const RETRIED_ERRORS: ReadonlySet<StoreError['kind']> = new Set<StoreError['kind']>(['unavailable', 'over-budget'])
 
 /**
  * Gives index entries to jobs that entries of earlier versions have stored without, so that they are still found once their queue has
@@ -44,13 +47,14 @@
     this.jobs.set(job.id, job)
   }
 
-  /** @returns false after a store error, so that the next pass tries again */
+  /** @returns false while the store cannot be written, so that the next pass tries again */
   private async write (id: string, address: string): Promise<boolean> {
     const { service, records, guard, logger } = this.opts
     const written = await records.addIndexEntry({ service, id, address }, guard)
-    if (!written.ok && written.error.kind !== 'conflict') return false
+    if (!written.ok && RETRIED_ERRORS.has(written.error.kind)) return false
     this.jobs.delete(id)
-    logger.info({ service, job: id, written: written.ok }, 'index entry added for a job of an earlier version')
+    if (written.ok) logger.info({ service, job: id }, 'index entry added for a job of an earlier version')
+    else logger.warn({ service, job: id, code: written.error.code }, 'no index entry added for a job of an earlier version: it is not found if its queue gets another service')
     return true
   }
 }
