A new leader waits only for workers that earlier leaders can have used

Cause: the end of the wait was that of the term for every worker that is tracked. But no worker gets a start or a lease before the record of the term names it, and a record that a replaced leader writes is refused. So a worker whose id the record of the term before lacks has nothing of an earlier leader, but for one that had left that record. It leaves it when nothing runs there any more: its incarnation has ended, or all its leases have.

--- a/jobs/scheduler/src/earlier-runs.ts
+++ b/jobs/scheduler/src/earlier-runs.ts
@@ -5,6 +5,16 @@
   /** The time for workers of which nothing else is known. */
   until = Number.NEGATIVE_INFINITY
   private readonly knownUntil = new Map<string, number>()
+  /** Ids of all workers that earlier leaders may have used; undefined if any worker may be one of them. */
+  private usedIds: ReadonlySet<string> | undefined
+
+  /**
+   * Notes which workers earlier leaders may have used: an id that is not among them has never got a start or a lease.
+   * @param ids - ids of these workers
+   */
+  limitTo (ids: Iterable<string>): void {
+    this.usedIds = new Set(ids)
+  }
 
   /**
    * Takes over what earlier leaders knew, as far as it can be read.
@@ -17,9 +27,10 @@
 
   /**
    * @param registration - registration of a worker
-   * @returns until when this incarnation may execute such runs
+   * @returns until when this incarnation may execute such runs; negative infinity if it never did
    */
   untilAt (registration: WorkerRegistration): number {
+    if (this.usedIds?.has(registration.id) === false) return Number.NEGATIVE_INFINITY
     return Math.min(this.until, this.knownUntil.get(incarnationKey(registration)) ?? Infinity)
   }
 }
--- a/jobs/scheduler/test/earlier-runs.test.ts
+++ b/jobs/scheduler/test/earlier-runs.test.ts
@@ -3,8 +3,9 @@
 import { SchedulerHarness, worker } from './harness.ts'
 
 /** A leader that has taken over w1 and w2, of which w2 has responded. */
-function takeOver (unknownRunsMs: Record<string, number> = {}): SchedulerHarness {
+function takeOver (unknownRunsMs: Record<string, number> = {}, usedIds?: string[]): SchedulerHarness {
   const harness = new SchedulerHarness({ term: 1 })
+  if (usedIds !== undefined) harness.scheduler.earlierRuns.limitTo(usedIds)
   harness.scheduler.earlierRuns.takeOver(unknownRunsMs, harness.now)
   harness.scheduler.setWorkers([worker('w1'), worker('w2')], { unknownRunsUntil: harness.now + 5_700 })
   harness.report('w2')
@@ -29,6 +30,21 @@
   assert.equal(harness.scheduler.mayHaveUnknownRuns(), true)
 })
 
+// A worker that joined after a change of leader kept tasks waiting until it responded, although nobody can have used it before.
+test('a leader does not wait for a worker that no earlier leader can have used', () => {
+  const harness = takeOver({}, ['w2'])
+  assert.equal(harness.scheduler.mayHaveUnknownRuns(), false)
+  assert.equal(harness.worker('w1').unknownRunsMs(harness.now), 0)
+})
+
+test('a leader waits for a worker that an earlier one may have used, whichever incarnation it is now', () => {
+  const { born } = worker('w1')
+  const harness = takeOver({}, ['w1', 'w2'])
+  assert.equal(harness.scheduler.mayHaveUnknownRuns(), true)
+  harness.scheduler.setWorkers([worker('w1', { born: born + 1 }), worker('w2')], { unknownRunsUntil: harness.now + 5_700 })
+  assert.equal(harness.scheduler.mayHaveUnknownRuns(), true)
+})
+
 test('for a worker that has not responded, runs of earlier leaders are unknown for the rest of the wait', () => {
   const harness = takeOver()
   assert.equal(harness.worker('w1').unknownRunsMs(harness.now), 5_700)
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -239,6 +239,8 @@
     }
     this.unknownRunsUntil = clock.now() + LEADERSHIP_OVERLAP_MS + maxEarlierLeaseMs
     scheduler.earlierRuns.takeOver(term.unknownRunsMs ?? {}, clock.now())
+    // The first leader waits for all workers that it can reach, so that those that respond first don't get all tasks.
+    if (term.number > 0) scheduler.earlierRuns.limitTo(term.workers.map(({ id }) => id))
     scheduler.setWorkers(term.workers, { unknownRunsUntil: this.unknownRunsUntil })
     this.updateWorkers(scheduler)
     const { store, records } = this.opts
