Times of a leader's calls and leases are in jobs/model, and those of holds are exported

What callers see does not change: the numbers are the same, and stand once. A catalogue of what holds tasks needs them from jobs/service, jobs/quota and jobs/scheduler, and jobs/scheduler cannot import the other two.

--- a/jobs/model/src/index.ts
+++ b/jobs/model/src/index.ts
@@ -6,4 +6,5 @@
 export { compareRevisions, incarnationKey, mayBeSameIncarnation, runOutcomes, UNKNOWN_BORN, type ActiveRun, type AddressedWorkerCalls, type EndedRun, type PermitClient, type PermitError, type Permits, type RunOutcome, type StartCommand, type WorkerCalls, type WorkerChannel, type WorkerClient, type WorkerEndpoint, type WorkerError, type WorkerRegistration, type WorkerReport } from './worker.ts'
 export { vmStates, type FleetClient, type FleetError, type Vm, type VmList, type Wave, type WaveSpec } from './fleet.ts'
 export type { JobLimits } from './limits.ts'
+export { CLOCK_DRIFT_FACTOR, COMMAND_TIMEOUT_MS, LEADERSHIP_OVERLAP_MS, MAX_RESPONSE_AGE_FOR_LEASE_MS, POLL_TIMEOUT_MARGIN_MS, POLL_WAIT_IDLE_MS, WORKER_LEASE_MS } from './term-times.ts'
 export type { StoreLayout } from './store-layout.ts'
--- a/jobs/quota/src/limiter.ts
+++ b/jobs/quota/src/limiter.ts
@@ -1,13 +1,11 @@
 import type { Account, Job, Resources } from '@wisteriaslip/jobs.model'
-import type { LimitFigures, Run, StartLimiter, TrackedStep } from '@wisteriaslip/jobs.scheduler'
+import { UNKNOWN_ACCOUNT_WAIT_MS, type LimitFigures, type Run, type StartLimiter, type TrackedStep } from '@wisteriaslip/jobs.scheduler'
 import type { Clock } from '@wisteriaslip/core.result'
 import { AccountUse } from './account-use.ts'
 import { givenToOthers } from './parts.ts'
 import type { QuotaBook } from './quota-book.ts'
 import { each, hasRoomFor, isSame, limitsOf, minus, nothing, plus, times } from './resources.ts'
 
-/** A job may come before the configuration that added its account: its tasks wait that long for it. */
-const UNKNOWN_ACCOUNT_WAIT_MS = 3_000
 /** A turn that is not used for as long goes to the next service. */
 const UNUSED_TURN_MS = 1_000
 
--- a/jobs/scheduler/src/failed-runs.ts
+++ b/jobs/scheduler/src/failed-runs.ts
@@ -3,7 +3,7 @@
 
 /** Consecutive failed runs after which a worker gets no starts for `FAILURE_COOLDOWN_MS`. */
 const FAILURES_BEFORE_COOLDOWN = 2
-const FAILURE_COOLDOWN_MS = 3_000
+export const FAILURE_COOLDOWN_MS = 3_000
 
 /**
  * Records a failed run: the task prefers other workers from now on, and the worker gets no starts for a while if it fails several in a row.
--- a/jobs/scheduler/src/isolation.ts
+++ b/jobs/scheduler/src/isolation.ts
@@ -10,13 +10,13 @@
 /** How long a suspected task waits for a worker without other work. */
 const MAX_EMPTY_WAIT_MS = 1_000
 /** How long it waits for a worker on which all other runs have settled, and no other suspected task runs. */
-const MAX_SETTLED_WAIT_MS = 2_000
+export const MAX_SETTLED_WAIT_MS = 2_000
 /** How long other suspected tasks of a job wait until an isolated run shows whether it crashes its worker. */
 const MAX_VERDICT_WAIT_MS = 2_000
 /** Tasks of a job that are still suspected then are started like others: each is started within that time of a crash. */
-const MAX_SUSPICION_WAIT_MS = 4_000
+export const MAX_SUSPICION_WAIT_MS = 4_000
 /** A worker gets no other starts until the isolated run of a task with several crashes has been in progress for this long. */
-const MAX_CLOSED_MS = 2_000
+export const MAX_CLOSED_MS = 2_000
 /** Weights of runs that would be lost with the worker: a long-running task is costly, and no task should be hit again. */
 const LASTING_RUN_WEIGHT = 20
 const CRASH_WEIGHT = 3
--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -8,7 +8,7 @@
 import { markDone, TrackedJob, type Task, type TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
 
-const FAILED_TASK_RETRY_DELAY_MS = 100
+export const FAILED_TASK_RETRY_DELAY_MS = 100
 /** Occurrences of a job that are open at once: a leader must bear a job of which very many are due. */
 const MAX_OPEN_OCCURRENCES = 100
 
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -29,9 +29,9 @@
 import { describeSilence, lossCauses, toLostRun, type LossCause, type WorkerLoss } from './worker-loss.ts'
 
 /** Cooldown of a worker that rejected a start for lack of capacity or could not be sent one, or that is unhealthy. */
-const NO_CAPACITY_COOLDOWN_MS = 200
-const UNHEALTHY_COOLDOWN_MS = 600
-const REFUSED_RETRY_DELAY_MS = 30
+export const NO_CAPACITY_COOLDOWN_MS = 200
+export const UNHEALTHY_COOLDOWN_MS = 600
+export const REFUSED_RETRY_DELAY_MS = 30
 /** How long a worker whose lease has expired is tracked to find out whether it has crashed. */
 const EXPIRED_RUNS_KEPT_MS = 10_000
 
--- a/jobs/scheduler/src/slow-runs.ts
+++ b/jobs/scheduler/src/slow-runs.ts
@@ -6,7 +6,7 @@
 import type { TrackedWorker } from './tracked-worker.ts'
 
 /** Cooldown of a worker on which runs of several jobs are slow. */
-const SLOW_WORKER_COOLDOWN_MS = 1_500
+export const SLOW_WORKER_COOLDOWN_MS = 1_500
 
 /** What the restarts of slow runs depend on. */
 export interface SlowRunsOpts {
--- a/jobs/scheduler/src/start-limiter.ts
+++ b/jobs/scheduler/src/start-limiter.ts
@@ -3,6 +3,9 @@
 import type { TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
 
+/** A job may come before the configuration that added its account: its tasks wait that long for it. */
+export const UNKNOWN_ACCOUNT_WAIT_MS = 3_000
+
 /** What keeps a step from being started beyond the room of the workers, for `explain` and the log. */
 export interface LimitFigures {
   readonly account: string
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -3,11 +3,11 @@
 import type { TrackedStep } from './tracked-job.ts'
 
 /** Slowest rate of a worker's monotonic clock that is allowed for, relative to the local clock. */
-const MIN_CLOCK_RATE = 0.98
+export const MIN_CLOCK_RATE = 0.98
 /** Readings are whole milliseconds. */
 const CLOCK_ROUNDING_MS = 2
 /** How long a withdrawal holds after it was last asked for: a pass of the fleet's leader takes less, also if its calls are slow. */
-const WITHDRAWAL_TTL_MS = 5_000
+export const WITHDRAWAL_TTL_MS = 5_000
 
 /** A worker's clock as a response to a command shows it. */
 export interface ClockReading {
--- a/jobs/scheduler/src/withdrawn-room.ts
+++ b/jobs/scheduler/src/withdrawn-room.ts
@@ -11,7 +11,7 @@
  * The fleet's leader asks for the maintenance or move of a VM within 1 s after it was told that nothing runs there, and its call ends
  * after 1.5 s, or twice that in a process that is held up.
  */
-const MAY_GO_DOWN_MS = 4_000
+export const MAY_GO_DOWN_MS = 4_000
 /** A worker that has been silent for longer may be lost with its runs: the wait for room begins before that is certain. */
 const MIN_SILENCE_MS = 300
 
--- a/jobs/scheduler/test/runs-model.ts
+++ b/jobs/scheduler/test/runs-model.ts
@@ -1,7 +1,6 @@
 import fc from 'fast-check'
-import type { EndedRun, Job, WorkerError, WorkerRegistration, WorkerReport } from '@wisteriaslip/jobs.model'
+import { LEADERSHIP_OVERLAP_MS, type EndedRun, type Job, type WorkerError, type WorkerRegistration, type WorkerReport } from '@wisteriaslip/jobs.model'
 import { Scheduler, toProgress, type JobProgress, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
-import { LEADERSHIP_OVERLAP_MS } from '../../service/src/leadership-check.ts'
 import { job, limits, step, worker } from './harness.ts'
 
 const LEASE_MS = 4_000
--- a/jobs/service/src/leadership-check.ts
+++ b/jobs/service/src/leadership-check.ts
@@ -1,11 +1,6 @@
+import { LEADERSHIP_OVERLAP_MS } from '@wisteriaslip/jobs.model'
 import type { ServiceTermOpts } from './ports.ts'
 
-/**
- * How long a leader acts after its leadership was last confirmed. Its successor allows for as much: from its first moment on,
- * leases and starts of earlier leaders may still be sent for this long.
- */
-export const LEADERSHIP_OVERLAP_MS = 1_500
-
 /**
  * Says whether a term may start runs, grant leases and call VMs drained. A leader that is cut off is replaced without being told so; what it does
  * after {@link LEADERSHIP_OVERLAP_MS} its successor does not reckon with.
--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -1,10 +1,9 @@
 import { delay, Wakeup, type Result } from '@wisteriaslip/core.result'
-import { incarnationKey, type WorkerRegistration } from '@wisteriaslip/jobs.model'
+import { incarnationKey, WORKER_LEASE_MS, type WorkerRegistration } from '@wisteriaslip/jobs.model'
 import type { Scheduler, TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import type { TermRecord } from '@wisteriaslip/jobs.store'
 import type { StoreError, Versioned } from '@wisteriaslip/store.client'
 import type { ServiceTermOpts } from './ports.ts'
-import { WORKER_LEASE_MS } from './worker-session.ts'
 
 /**
  * Interval at which workers that are gone (ended without starts that may still be carried out, or no longer tracked) are removed
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -1,30 +1,21 @@
 import { delay, linkAbort, Wakeup, withTimeout, type LinkedAbort, type Result } from '@wisteriaslip/core.result'
-import { UNKNOWN_BORN, type StartCommand, type WorkerChannel, type WorkerEndpoint, type WorkerError, type WorkerReport } from '@wisteriaslip/jobs.model'
+import { CLOCK_DRIFT_FACTOR, COMMAND_TIMEOUT_MS, MAX_RESPONSE_AGE_FOR_LEASE_MS, POLL_TIMEOUT_MARGIN_MS, POLL_WAIT_IDLE_MS, UNKNOWN_BORN, WORKER_LEASE_MS, type StartCommand, type WorkerChannel, type WorkerEndpoint, type WorkerError, type WorkerReport } from '@wisteriaslip/jobs.model'
 import { chooseBackfillSpeeds, SETTLE_MS, type OrphanedRun, type Run, type Scheduler, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import { CommandChannel } from './command-channel.ts'
 import type { ServiceTermOpts } from './ports.ts'
 
-/** Duration of a worker's lease. It outlasts a change of leader; the tasks of a lost worker are freed when it expires. */
-export const WORKER_LEASE_MS = 4_000
 /**
  * How long a poll waits for a completion. Frequent polls are only useful for runs that end by themselves or whose load
  * matters.
  */
 const POLL_WAIT_MS = 500
 const POLL_WAIT_LONG_RUNNING_MS = 1_000
-const POLL_WAIT_IDLE_MS = 2_000
 /** Minimum gap after a poll with completions, per worker of the service: many workers must not overload the leader. */
 const MIN_POLL_GAP_MS_PER_WORKER = 0.4
 /** The gap also grows with the lag of the leader's event loop, by this factor and up to a limit that keeps leases alive. */
 const POLL_GAP_PER_LAG = 4
 const MAX_LAG_POLL_GAP_MS = 600
-const POLL_TIMEOUT_MARGIN_MS = 700
-const COMMAND_TIMEOUT_MS = 800
 const POLL_RETRY_MS = 150
-/** The clock of a worker may be slow, by less than this factor. */
-export const CLOCK_DRIFT_FACTOR = 1.05
-/** The lease of a worker that has not responded for this long is not extended until it responds. */
-const MAX_RESPONSE_AGE_FOR_LEASE_MS = 3_000
 /** After a poll that returned completions, the next poll is delayed by at most this long until they are durable. */
 const MAX_RECORD_WAIT_MS = 120
 
