One catalogue of what holds a task, which explain and the log read

What callers saw: nothing yet; operators saw one reason for a step, others for workers and a rest of the task, from three places in the code, and none of them said whose hold it was, what ends it, or how long it may last.

Cause: `WaitReason`, `UnavailableReason`, `LeftOutReason`, the holds of a task and the phases of its runs were unions of strings of their own, and what a new leader or a client account waits for had no code.

Change: `holds.ts` has one entry for each code: owner, what ends it, the longest time as computed from the constants that the code decides by, or why there is none, and a hint. `findHolds` says for one task which of them keep it, since when, and when each ends at the latest; `jobs explain` and the line of long-running tasks show that as `holds`. Their other fields and codes are as before, and no decision reads any of it.

Evidence: `holds.test.ts` makes the hold of each code (the types allow no code beyond the catalogue; the test finds one of the catalogue that nothing produces); those of an entry are compared in `leaderless-monitor.test.ts`.

--- a/jobs/entry/src/leaderless-monitor.ts
+++ b/jobs/entry/src/leaderless-monitor.ts
@@ -1,5 +1,6 @@
 import { delay, type Clock } from '@wisteriaslip/core.result'
 import type { Logger } from '@wisteriaslip/core.logger'
+import type { serviceHolds } from '@wisteriaslip/jobs.scheduler'
 import type { Leadership, Members } from '@wisteriaslip/peers.membership'
 import { serviceResource } from './resources.ts'
 
@@ -7,7 +8,7 @@
 const LOG_INTERVAL_MS = 5_000
 const CHECK_INTERVAL_MS = 500
 
-/** What a service lacks for a leader at work, as one entry sees it. */
+/** What a service lacks for a leader at work, as one entry sees it: codes of {@link serviceHolds}. */
 export const missingParts = {
   /** No entry is recorded as its leader. */
   leader: 'NO_LEADER',
@@ -21,7 +22,7 @@
   records: 'RECORDS_NOT_READ',
   /** The term has ended, and the leadership is not given up yet. */
   release: 'TERM_ENDED'
-} as const
+} as const satisfies Record<string, keyof typeof serviceHolds>
 
 /** One of {@link missingParts}. */
 export type MissingPart = typeof missingParts[keyof typeof missingParts]
--- a/jobs/entry/test/leaderless-monitor.test.ts
+++ b/jobs/entry/test/leaderless-monitor.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { recordingLogger } from '@wisteriaslip/core.logger'
+import { serviceHolds } from '@wisteriaslip/jobs.scheduler'
 import { ManualClock } from '@wisteriaslip/testing.stand-ins'
-import { LeaderlessMonitor } from '../src/leaderless-monitor.ts'
+import { LeaderlessMonitor, missingParts } from '../src/leaderless-monitor.ts'
 
 const GONE = 'a leader is at work again'
 const SEEN = 'no leader is at work for the service'
@@ -102,3 +103,7 @@
   pass(10_000)
   assert.equal(lines.length, 1)
 })
+
+test('what a service lacks is in the catalogue of holds', () => {
+  assert.deepEqual(Object.values(missingParts).sort(), Object.keys(serviceHolds).sort())
+})
--- a/jobs/quota/src/limiter.ts
+++ b/jobs/quota/src/limiter.ts
@@ -117,6 +117,7 @@
     return {
       account: name,
       quota: quota === 'unknown' ? undefined : quota.quota,
+      isRead: this.opts.book.isRead,
       part: this.opts.book.given(name),
       inUse: state.use.total(),
       mayHaveMore: this.hasUnknown,
--- a/jobs/scheduler/src/left-out.ts
+++ b/jobs/scheduler/src/left-out.ts
@@ -1,3 +1,4 @@
+import type { roomHolds, workerHolds } from './holds.ts'
 import { needsPermit } from './permits.ts'
 import type { QueueLookup } from './step-priority.ts'
 import type { Scheduler } from './scheduler.ts'
@@ -5,10 +6,10 @@
 import type { TrackedWorker } from './tracked-worker.ts'
 
 /** Reason why a worker gets no starts at all. */
-export type UnavailableReason = 'LIFE_ENDED' | 'NOT_MET' | 'NO_ANSWER' | 'NO_COMMAND_CHANNEL' | 'LEASE_NOT_RECORDED' | 'HAS_UNTRACKED_RUNS' | 'NOT_REGISTERED' | 'DRAINING' | 'BEING_EMPTIED' | 'RESTS' | 'NO_CLOCK'
+export type UnavailableReason = keyof typeof workerHolds
 
 /** Reason why a worker with free capacity for a task doesn't get it. */
-export type LeftOutReason = UnavailableReason | 'CLAIMED' | 'NO_LABEL' | 'PER_WORKER' | 'REFUSED_BY_POLICY' | 'NO_PERMIT' | 'CLOSED_BY_ISOLATED_RUN' | 'RESERVED_FOR_ANOTHER'
+export type LeftOutReason = UnavailableReason | keyof typeof roomHolds | 'NO_PERMIT'
 
 /**
  * @param worker - a worker
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -8,6 +8,8 @@
 import { DemandEstimator } from './demand-estimator.ts'
 import { EarlierRuns } from './earlier-runs.ts'
 import { chooseRegistration, Incarnations, isOfTracked } from './incarnations.ts'
+import { HoldAges } from './hold-ages.ts'
+import type { HoldTimes } from './holds.ts'
 import { Isolation } from './isolation.ts'
 import { JobTable } from './job-table.ts'
 import type { QueueLookup } from './step-priority.ts'
@@ -79,6 +81,8 @@
   readonly limiter: StartLimiter
   /** Which tasks slow each other down. */
   readonly company = new Company()
+  /** Since when holds have been seen: for the log, no decision rests on them. */
+  readonly holdAges = new HoldAges()
   private readonly opts: SchedulerOpts
   private readonly runsToStop = new Set<Run>()
   private losses: WorkerLoss[] = []
@@ -339,6 +343,11 @@
     return Math.min(this.opts.clock.now(), this.opts.leadershipConfirmedAt())
   }
 
+  /** @returns what the longest times of holds depend on */
+  holdTimes (): HoldTimes {
+    return { longestLeaseMs: this.opts.limits.longestLeaseMs, maxEarlierLeaseMs: this.opts.maxEarlierLeaseMs }
+  }
+
   /** @returns whether some worker may execute runs of earlier leaders that are not tracked here */
   mayHaveUnknownRuns (): boolean {
     return this.workersWithUnknownRuns().length > 0
--- a/jobs/scheduler/src/start-limiter.ts
+++ b/jobs/scheduler/src/start-limiter.ts
@@ -11,6 +11,8 @@
   readonly account: string
   /** What the account may have running on all workers of all services, 0 for no limit; undefined while that isn't known. */
   readonly quota: Resources | undefined
+  /** The parts have been read in this term: without that nothing is known of them. */
+  readonly isRead: boolean
   /** What this service may have running of that. */
   readonly part: Resources
   /** What the account's runs take here that the term tracks. */
--- a/jobs/scheduler/src/unserved-tasks.ts
+++ b/jobs/scheduler/src/unserved-tasks.ts
@@ -1,17 +1,12 @@
-import { explainHold, waitReasonOf, withdrawnWithRoom, type TaskHold, type WaitReason } from './explain.ts'
 import { countRoom, type RoomCount } from './room-count.ts'
 import type { Scheduler } from './scheduler.ts'
-import type { LimitFigures } from './start-limiter.ts'
-import type { QueueLookup } from './step-priority.ts'
+import { describeHolds, type HoldOpts, type TaskHolds } from './task-holds.ts'
 import type { Task } from './tracked-job.ts'
+import { withdrawnWithRoom } from './wait-reason.ts'
 
 /** A long-running task that no worker is known to run, and what keeps it from running. */
-export interface UnservedTask extends TaskHold {
+export interface UnservedTask extends TaskHolds {
   readonly task: string
-  /** Why it is not started; undefined while it has runs that may be in progress. */
-  readonly waitsFor: WaitReason | undefined
-  /** Its account's quota, if it waits for that. */
-  readonly quota?: LimitFigures | undefined
   /** Runs that may be in progress. */
   readonly runs: ReadonlyArray<{ readonly worker: string, readonly attempt: number, readonly phase: string, readonly stopReason: string | undefined, readonly startedMsAgo: number, readonly stopAcknowledged: boolean }>
   /** Room that the service has for it, and why it isn't used; undefined while it has runs that may be in progress. */
@@ -34,18 +29,15 @@
 /**
  * @param scheduler - scheduler of the service
  * @param task - a task without a run that a worker in touch has shown
- * @param opts - `queue`: looks up queues; `now`: time of the injected clock
+ * @param opts - as for {@link describeHolds}
  * @returns what keeps it from running
  */
-export function describeUnserved (scheduler: Scheduler, task: Task, opts: { queue: QueueLookup, now: number }): UnservedTask {
+export function describeUnserved (scheduler: Scheduler, task: Task, opts: HoldOpts): UnservedTask {
   const withRoom = withdrawnWithRoom(scheduler, task.step, opts.now)
   const waits = task.runs.length === 0
-  const quota = waits ? scheduler.limiter.whyNot(task.step) : undefined
   return {
     task: task.name,
-    ...explainHold(scheduler, task, opts.now),
-    ...(quota === undefined ? {} : { quota }),
-    waitsFor: waits ? waitReasonOf(scheduler, task.step, opts) : undefined,
+    ...describeHolds(scheduler, task, opts),
     room: waits ? countRoom(scheduler, task, opts) : undefined,
     runs: task.runs.map(({ worker, attempt, phase, stopReason, startedAt, stopAcknowledgedAt }) => ({ worker: worker.registration.id, attempt, phase, stopReason, startedMsAgo: Math.round(opts.now - startedAt), stopAcknowledged: stopAcknowledgedAt !== undefined })),
     withdrawnWithRoom: withRoom.slice(0, MAX_LISTED_WORKERS).map(worker => ({ worker: worker.registration.id, ...worker.withdrawalAges(opts.now) }))
