--- a/jobs/scheduler/src/start-limiter.ts
+++ b/jobs/scheduler/src/start-limiter.ts
@@ -3,11 +3,16 @@
 import type { TrackedStep } from './tracked-job.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
 
+/** A job may come before the configuration that added its account: its tasks wait that long for it. */
+export const UNKNOWN_ACCOUNT_WAIT_MS = 3_000
+
 /** What keeps a step from being started beyond the room of the workers, for `explain` and the log. */
 export interface LimitFigures {
   readonly account: string
   /** What the account may have running on all workers of all services, 0 for no limit; undefined while that isn't known. */
   readonly quota: Resources | undefined
+  /** The parts have been read in this term: without that nothing is known of them. */
+  readonly isRead: boolean
   /** What this service may have running of that. */
   readonly part: Resources
   /** What the account's runs take here that the term tracks. */
