Lists that leave a VM out count while the registration of its worker expires

What callers saw: workers go for good and their leader ends within a second of that.

Cause: a VM that no list of the term has shown proves the end of its worker only if the worker is no longer registered, and complete lists leave it out for 1.5 s. The lists began to count only once the registration had expired, some 4.5 s after the worker was lost, so that the second wait followed the first one, although the VM was in no list all the while.

Now lists count from the first one that leaves the VM out, and the proof is complete when both are there. What has to be shown is the same.

Evidence: lost-before-term.test.ts: two tests that failed before; a worker that has just joined and loses its registration is still not taken for lost before 1.5 s of lists.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -122,20 +122,21 @@
       const vmId = worker.registration.vm
       const vm = byId.get(vmId)
       suspect.confirmations = provesLoss(proof, vm, worker) ? suspect.confirmations + 1 : 0
-      const isExpected = this.listedVms.has(vmId) || (proof === 'ended' && worker.deregistered && vmId !== '' && showsOthers)
+      const isExpected = this.listedVms.has(vmId) || (proof === 'ended' && vmId !== '' && showsOthers)
       const isAbsent = coverage.complete && !shown.has(vmId) && isExpected
       const isVacant = isAbsent || (coverage.complete && vm !== undefined && vm.worker === '')
       suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt : undefined
       suspect.vacantSince = isVacant ? suspect.vacantSince ?? requestedAt : undefined
       suspect.vacantLists = isVacant ? suspect.vacantLists + 1 : 0
-      const vacantSince = provenVacantSince(suspect, requestedAt)
+      const mayBeGone = this.listedVms.has(vmId) || worker.deregistered
+      const vacantSince = mayBeGone ? provenVacantSince(suspect, requestedAt) : undefined
       const offSince = observeOff(suspect, { isOff: vm !== undefined && cannotRun(vm, worker), requestedAt }) ?? vacantSince
       if (offSince !== undefined && (proof === 'replaced' || vacantSince !== undefined)) {
         const unansweredStarts = this.scheduler.releaseOverRuns(worker, offSince)
         if (unansweredStarts > 0) lost.push({ worker, proof: 'off', unansweredStarts, vmState: vm?.state })
         if (proof === 'replaced' && worker.runs.size === 0) continue
       }
-      if (isGone(suspect, requestedAt)) this.listedVms.add(vmId)
+      if (mayBeGone && isGone(suspect, requestedAt)) this.listedVms.add(vmId)
       else if (suspect.confirmations < REQUIRED_VM_LISTS) continue
       if (proof === 'ended') this.endIncarnation(worker, { planned: isPlanned(vm, worker), offSince })
       lost.push({ worker, proof, unansweredStarts: worker.runs.size, vmState: vm?.state })
@@ -147,8 +148,8 @@
 
   /**
    * Returns whether a list shows a worker of the service that responds on the VM that it names: then it would show the VMs of
-   * the others, too. A VM that was lost before this term is in none of its lists, and its worker is no longer registered; one that has
-   * just joined may not be listed yet.
+   * the others, too. A VM that was lost before this term is in none of its lists, and its worker's registration expires meanwhile, so that
+   * lists count before that; one that has just joined may not be listed yet.
    */
   private showsRespondingWorkers (byId: ReadonlyMap<string, Vm>): boolean {
     return [...this.scheduler.workers.values()].some(({ registration, fenced, reachable, ended }) => fenced && reachable && !ended && byId.get(registration.vm)?.worker === registration.id)
--- a/jobs/scheduler/test/lost-before-term.test.ts
+++ b/jobs/scheduler/test/lost-before-term.test.ts
@@ -48,6 +48,25 @@
   assert.deepEqual(leader.harness.startReadyTasks().map(run => run.task.name), [TASK])
 })
 
+// Lists that left a VM out began to count only when the registration of its worker had expired, so that tasks waited for both in turn.
+test('lists that do not show a VM count while the registration of its worker expires', () => {
+  const leader = takeOver(undefined, { registered: true })
+  const others = { vms: [vm('vm-w2', 'w2')] }
+  assert.equal(applyLists(leader, 2 * LISTS_BEFORE_PROOF, others), 0)
+  deregisterAllBut(leader.harness, 'w2')
+  assert.equal(applyLists(leader, 1, others), 1)
+  assert.deepEqual(leader.harness.startReadyTasks().map(run => run.task.name), [TASK])
+})
+
+test('a worker that has lost its registration just after it joined is not taken for lost before lists have left its VM out for long', () => {
+  const leader = takeOver(undefined, { registered: true })
+  const others = { vms: [vm('vm-w2', 'w2')] }
+  assert.equal(applyLists(leader, 2, others), 0)
+  deregisterAllBut(leader.harness, 'w2')
+  assert.equal(applyLists(leader, LISTS_BEFORE_PROOF - 2, others), 0)
+  assert.equal(applyLists(leader, 1, others), 1)
+})
+
 // Starts without a response on a worker that proved to be gone were kept for twice the longest lease, as its VM had never been listed.
 test('unanswered starts on a worker that is gone are released although its VM was never listed', () => {
   const leader = takeOver(undefined, { registered: true })
