The line of a task without a run can be read over terms

What operators saw: `forMs` counts within one term, so that a wait over three terms looked like three short ones.

Cause: nothing durable says when a task last ran, and a write for each run is not worth it.

Change: each task of the line has `acceptedMsAgo`, the time since its job was accepted or its occurrence became due, and `ranInThisTerm`: without a run that the term has known, the task may have been without one for that long.

Evidence: a test in `overdue-holds.test.ts`: a task that was accepted 8 s before the term has waited for up to 11.1 s, and says that no run was known; after a lost run it says that one was.

--- a/jobs/scheduler/src/job-table.ts
+++ b/jobs/scheduler/src/job-table.ts
@@ -64,6 +64,14 @@
     else this.scheduledJobs.add(tracked)
   }
 
+  /**
+   * @param step - a step of a tracked job
+   * @returns how long ago the job was accepted, or the occurrence became due, if that was later, in milliseconds by the time of day
+   */
+  acceptedMsAgo ({ job, occurrence }: TrackedStep): number {
+    return Math.max(0, Math.round(this.opts.wallClock() - Math.max(job.job.acceptedAt, job.dueAt(occurrence.number))))
+  }
+
   /**
    * Marks a job as not stored, so that it is not looked up again.
    * @param id - id of the job
--- a/jobs/scheduler/src/unserved-tasks.ts
+++ b/jobs/scheduler/src/unserved-tasks.ts
@@ -7,6 +7,10 @@
 /** A long-running task that no worker is known to run, and what keeps it from running. */
 export interface UnservedTask extends TaskHolds {
   readonly task: string
+  /** How long ago its job was accepted, or its occurrence became due, if that was later. */
+  readonly acceptedMsAgo: number
+  /** A run of it was known in this term: without one it may have been without a run since before the term. */
+  readonly ranInThisTerm: boolean
   /** Runs that may be in progress. */
   readonly runs: ReadonlyArray<{ readonly worker: string, readonly attempt: number, readonly phase: string, readonly stopReason: string | undefined, readonly startedMsAgo: number, readonly stopAcknowledged: boolean }>
   /** Room that the service has for it, and why it isn't used; undefined while it has runs that may be in progress. */
@@ -37,6 +41,8 @@
   const waits = task.runs.length === 0
   return {
     task: task.name,
+    acceptedMsAgo: scheduler.table.acceptedMsAgo(task.step),
+    ranInThisTerm: task.runs.length > 0 || task.idleSince !== undefined,
     ...describeHolds(scheduler, task, opts),
     room: waits ? countRoom(scheduler, task, opts) : undefined,
     runs: task.runs.map(({ worker, attempt, phase, stopReason, startedAt, stopAcknowledgedAt }) => ({ worker: worker.registration.id, attempt, phase, stopReason, startedMsAgo: Math.round(opts.now - startedAt), stopAcknowledged: stopAcknowledgedAt !== undefined })),
--- a/jobs/service/test/overdue-holds.test.ts
+++ b/jobs/service/test/overdue-holds.test.ts
@@ -71,3 +71,20 @@
   assert.deepEqual(overdue(), [])
   assert.deepEqual(listed()[0]?.holds, [{ code: 'NO_ROOM', owner: 'step', forMs: 57_000 }])
 })
+
+// `forMs` begins anew with each term, so that a wait over three terms looked like three short ones.
+test('the line says how long ago the job was accepted, and whether a run was known in this term', () => {
+  const { harness, pass, listed } = createService()
+  const acceptedAt = harness.now - 8_000
+  harness.addJob({ acceptedAt, steps: [step({ lasting: true })] }, { acceptedThisTerm: false })
+  pass(4_000)
+  const waiting = listed()[0]
+  assert.deepEqual({ acceptedMsAgo: waiting?.acceptedMsAgo, ranInThisTerm: waiting?.ranInThisTerm }, { acceptedMsAgo: harness.now - acceptedAt - 900, ranInThisTerm: false })
+  assert.ok(Number(waiting?.forMs) < 4_000)
+
+  harness.addWorkers(worker('w1'))
+  harness.startReadyTasks()
+  harness.scheduler.endIncarnation(harness.worker('w1'))
+  pass(4_000)
+  assert.equal(listed()[0]?.ranInThisTerm, true)
+})
