A worker that falls silent stops counting against quotas once its leases are over

What callers saw: tasks of accounts with quotas waited for the rest of a term (QUOTA), although their quota was free.

Cause: a worker that has shown runs of jobs that are not stored, or whose look-up has failed, counts with all its free capacity against each account, as such a run may be one of it. If it fell silent then, and stayed registered, nothing ended that: the limit in time is for workers that have not responded in the term.

Why it works: the runs end with the leases that the worker holds, as those that are tracked do: those of this leader, by the worker's clock, and those of earlier ones, by the time that the term waits for all of them. It responds: it counts as before.

--- a/jobs/scheduler/src/holds.ts
+++ b/jobs/scheduler/src/holds.ts
@@ -86,7 +86,7 @@
 export const quotaHolds = {
   QUOTA_NOT_READ: { owner: 'term', ends: ['store'], longest: unbounded('as long as the store does not list the parts'), hint: 'see `quota_failures_total`' },
   QUOTA_NOT_KNOWN: { owner: 'step', ends: ['store', 'time'], longest: bounded(UNKNOWN_ACCOUNT_WAIT_MS), hint: 'see whether the leader reads the quotas, and the configuration has the account' },
-  QUOTA_OF_SILENT_WORKERS: { owner: 'term', ends: ['report', 'proof', 'time'], longest: bounded(earlierRunsMs), hint: 'look for workers that are silent, or run tasks of jobs that are not stored' }
+  QUOTA_OF_SILENT_WORKERS: { owner: 'term', ends: ['report', 'proof', 'time'], longest: bounded(times => Math.max(earlierRunsMs(times), silentWorkerMs(times))), hint: 'look for workers that are silent, or run tasks of jobs that are not stored' }
 } as const satisfies Record<string, HoldKind>
 
 /** What keeps one task, beside its step and its workers. */
--- a/jobs/scheduler/src/start-limiter.ts
+++ b/jobs/scheduler/src/start-limiter.ts
@@ -79,7 +79,7 @@
 export function capacityOfUnknownRuns (workers: Iterable<TrackedWorker>, leasesKnownAt: number): Resources {
   const sum = { cpu: 0, memMb: 0, accelerators: 0 }
   for (const worker of workers) {
-    if (!worker.mayHaveUnknownRuns(leasesKnownAt) && !(worker.hasUntrackedRuns && !worker.ended)) continue
+    if (!worker.mayHaveUnknownRuns(leasesKnownAt) && !worker.mayHaveUntrackedRuns(leasesKnownAt)) continue
     const free = worker.free()
     sum.cpu += Math.max(0, free.cpu)
     sum.memMb += Math.max(0, free.memMb)
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -194,6 +194,17 @@
     return now < this.unknownRunsUntil || (this.hasUnlistedCompletions && !this.haveLeasesExpired(now))
   }
 
+  /**
+   * Runs that its last report listed and that are not tracked here end with their leases, as all others do, if it falls silent: this leader's,
+   * and those of earlier ones.
+   * @param now - time of the injected clock for which it is known which leases it holds
+   * @returns whether such runs may be in progress
+   */
+  mayHaveUntrackedRuns (now: number): boolean {
+    if (!this.hasUntrackedRuns || this.ended) return false
+    return this.reachable || now < this.unknownRunsUntil || !this.haveLeasesExpired(now)
+  }
+
   /**
    * @param now - time of the injected clock for which it is known which leases it holds
    * @returns for how long runs may still be in progress there, in milliseconds, if this term has granted it no lease, or none that
