The page of the states that hold a task is that of today's code, a row for each code

It stood as it was read a month ago: leases of 2 L after restarts and starts that are carried over, which incidents 11, 14 and 18 have ended, and nothing of quotas, permits in line, connections for commands, terms and services.

A test checks that each code has a row with its owner, that no row has another code, and that the tests that are named exist.

--- a/jobs/scheduler/test/holds.test.ts
+++ b/jobs/scheduler/test/holds.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict'
+import { readdirSync, readFileSync } from 'node:fs'
 import { test } from 'node:test'
 import type { Queue } from '@wisteriaslip/jobs.model'
 import { findHolds, findUnserved, holds, longestMsOf, noLimits, serviceHolds, type HoldCode, type HoldKind, type LimitFigures, type Task } from '@wisteriaslip/jobs.scheduler'
@@ -11,6 +12,10 @@
 const figures: LimitFigures = { account: 'a', quota: nothing, isRead: true, part: nothing, inUse: nothing, mayHaveMore: false, elsewhere: nothing, neverFits: false }
 const times = { longestLeaseMs: limits.longestLeaseMs, maxEarlierLeaseMs: limits.longestLeaseMs }
 
+const root = new URL('../../../', import.meta.url)
+const page = readFileSync(new URL('docs/incidents/states-that-hold-a-task.md', root), 'utf8')
+const testFiles = new Set(['jobs', 'testing'].flatMap(folder => readdirSync(new URL(folder, root), { recursive: true, encoding: 'utf8' })).map(path => path.split(/[\\/]/).at(-1)))
+
 /** A long-running task that waits. */
 function addTask (harness: SchedulerHarness, overrides: Parameters<typeof step>[0] = {}, opts: { acceptedThisTerm?: boolean } = {}): Task {
   harness.addJob({ steps: [step({ lasting: true, ...overrides })] }, opts)
@@ -254,3 +259,13 @@
   assert.deepEqual({ code: hold?.code, owner: hold?.owner, name: hold?.name, since: hold?.since }, { code: 'RUN_ON_SILENT_WORKER', owner: 'worker', name: 'w1', since: silentAt })
   assert.equal(hold?.until, silentAt + (longestMsOf('RUN_ON_SILENT_WORKER', { times, isLasting: true }) ?? NaN))
 })
+
+// The page of the states was right when it was written, and old a month later.
+test('each code has a row on the page of the states, each row a code or none, and the tests that it names exist', () => {
+  const rows = page.split('\n').filter(line => line.startsWith('| ')).map(line => line.split('|').slice(1, -1).map(cell => cell.trim()))
+  const coded = rows.filter(cells => cells.length === 7 && cells[0] !== 'code' && !cells[0]?.startsWith('---'))
+  assert.deepEqual(coded.map(([code]) => code).sort(), Object.keys(holds).sort())
+  for (const [code, owner] of coded) assert.equal(owner, holds[code as HoldCode].owner, code)
+  const missing = [...new Set(page.match(/[\w.-]+\.test\.ts/g))].filter(name => !testFiles.has(name))
+  assert.deepEqual(missing, [])
+})
