Simulation: the time without a run of a long-running task is measured over all terms

What callers saw: a long-running task without a run for 20 s, over two changes of leader. What measures that counted in one term only, or excused each change of leader, as the users' rule does.

RunGaps takes each time without a run from what ran on the workers, and how much of it there was room twice over, a leader was at work, or all was calm, and how many leaders changed. Its bound does not grow with waits: one whole wait for a silent worker (1.5 s for which the leader before may act, a lease of 4 s x 1.05, and a renewal of 0.75 s that confirms the leadership for so long), and for each change, or outage of the store, an election (lease of 2.25 s, 0.8 s after a start, 1 s for a rank) and a proof by lists (1.9 s). A leader at work gets the same without elections. The constants are those of the code, which exports them.

--- a/jobs/entry/src/election.ts
+++ b/jobs/entry/src/election.ts
@@ -7,8 +7,8 @@
 const ELECTION_INTERVAL_MS = 150
 /** Longest wait between steps otherwise; a change of members or leaders ends it early. */
 const STABLE_ELECTION_INTERVAL_MS = 1_000
-/** Lets entries that start together discover each other, so that the first one does not acquire every resource. */
-const INITIAL_ELECTION_DELAY_MS = 800
+/** Lets entries that start together discover each other, so that the first one does not acquire every resource, in milliseconds. */
+export const INITIAL_ELECTION_DELAY_MS = 800
 
 /** Options of {@link Election}. */
 export interface ElectionOpts {
--- a/jobs/entry/src/entry.ts
+++ b/jobs/entry/src/entry.ts
@@ -37,7 +37,8 @@
 const LEASE_TTL_MS = 1_500
 /** An entry with less than this many cores may be held up for longer between two renewals. */
 const MIN_CORES_FOR_SHORT_LEASE = 0.25
-const LONG_LEASE_TTL_MS = 2_250
+/** The longest lease of an entry in milliseconds. */
+export const LONG_LEASE_TTL_MS = 2_250
 /** Within this time the load balancer notices that this entry accepts no new connections. */
 const BALANCER_NOTICE_MS = 3_200
 /** Leadership that is not released within this time ends when its lease expires. */
--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -20,6 +20,8 @@
 const MIN_VACANCY_MS = 1_500
 /** Number of such lists: two that are far apart do not show what was between them. */
 const MIN_VACANT_LISTS = 4
+/** Longest time in milliseconds from a worker's silence until lists prove that it has ended, if all of them leave out its VM. */
+export const LOSS_PROOF_MS = VM_LIST_CHECK_AFTER_MS + MIN_ABSENCE_OF_ENDED_MS + LIST_INTERVAL_MS
 
 /** What a list of VMs tells about VMs that it has no readable entry of. */
 export interface VmListCoverage {
--- a/peers/membership/src/index.ts
+++ b/peers/membership/src/index.ts
@@ -3,7 +3,7 @@
  * fencing tokens.
  * @module
  */
-export { EntryLease } from './lease.ts'
+export { EntryLease, RENEWALS_PER_TTL } from './lease.ts'
 export { Members, type Member } from './members.ts'
-export { Leadership, type LeaderRecord } from './leadership.ts'
+export { Leadership, TAKEOVER_DELAY_PER_RANK_MS, type LeaderRecord } from './leadership.ts'
 export { StoreKeys } from './store-keys.ts'
--- a/peers/membership/src/leadership.ts
+++ b/peers/membership/src/leadership.ts
@@ -8,8 +8,8 @@
 import type { Member, Members } from './members.ts'
 import { isLeaderRecord } from './record-schema.ts'
 
-/** A member waits this long for each better-ranked member before it acquires a vacant resource. */
-const TAKEOVER_DELAY_PER_RANK_MS = 1_000
+/** A member waits this long for each better-ranked member before it acquires a vacant resource, in milliseconds. */
+export const TAKEOVER_DELAY_PER_RANK_MS = 1_000
 const REBALANCE_INTERVAL_MS = 5_000
 const MAX_RELEASES_PER_REBALANCE = 8
 /** Leadership is released to a member only after the member has been present for this long. */
--- a/peers/membership/src/lease.ts
+++ b/peers/membership/src/lease.ts
@@ -4,7 +4,8 @@
 
 /** The holder stops using the lease this long before it can expire. */
 const LEASE_SAFETY_MARGIN_MS = 500
-const RENEWALS_PER_TTL = 3
+/** How often a lease is renewed in the time to live that it has without that. */
+export const RENEWALS_PER_TTL = 3
 /** A renewal without a response is repeated after this share of the lease, so that one lost response does not end it. */
 const RENEWAL_TIMEOUT_SHARE = 0.25
 const FAILED_RENEWAL_RETRY_MS = 50
--- a/testing/simulation/src/leader-log.ts
+++ b/testing/simulation/src/leader-log.ts
@@ -49,6 +49,14 @@
   since (resource: string, from: number): SeenTerm[] {
     return this.terms.filter(term => term.resource === resource && term.to >= from)
   }
+
+  /** @returns how often the leader of a resource has changed in a time, or has ended without a successor */
+  changes (resource: string, from: number, to: number): number {
+    const terms = this.since(resource, from)
+    const begun = terms.filter(term => term.from > from && term.from <= to).length
+    const ended = terms.filter(term => term.to <= to).length
+    return Math.max(begun, ended)
+  }
 }
 
 function entryOf (value: string): string {
--- a/testing/simulation/src/lost-watch.ts
+++ b/testing/simulation/src/lost-watch.ts
@@ -1,8 +1,8 @@
 import type { VirtualProcess } from '@wisteriaslip/testing.jobs'
 import { Disturbances } from './disturbances.ts'
 import type { LeaderLog } from './leader-log.ts'
+import { roomFor } from './room.ts'
 import type { VirtualFleet } from './virtual-fleet.ts'
-import type { Incarnation } from './worker-machine.ts'
 
 const SAMPLE_MS = 100
 /** A long-running task may be without a run for less than this, if there is room for it and nothing is disturbed. */
@@ -126,7 +126,7 @@
       return
     }
     const isDue = now - wait.lastAt >= (wait.hasRun ? RESTART_MS : 0)
-    const hasRoom = this.roomFor(job) >= ROOM_FOR_RUNS
+    const hasRoom = roomFor(this.opts.fleet.soundWorkers(), job) >= ROOM_FOR_RUNS
     if (hasRoom) this.slowestRecoveryMs = Math.max(this.slowestRecoveryMs, Math.min(now - wait.lastAt, this.disturbances.calmMs()))
     if (!isDue || !isCalm || !hasRoom) {
       Object.assign(wait, { waitsSince: undefined, lost: undefined })
@@ -147,14 +147,4 @@
     }
     wait.lost.to = now
   }
-
-  /** @returns how many more runs of the job's tasks fit on sound workers of its service */
-  private roomFor ({ id, service, cpu, memMb, perWorker }: WatchedJob): number {
-    const workers = this.opts.fleet.soundWorkers().filter(({ registration }) => registration.service === service)
-    const fitting = (worker: Incarnation): number => {
-      const others = [...worker.runs.keys()].filter(task => task.startsWith(`${id}.`)).length
-      return Math.min(Math.floor(worker.freeCpu() / cpu), Math.floor(worker.freeMemMb() / memMb), perWorker === 0 ? Infinity : Math.max(0, perWorker - others))
-    }
-    return workers.reduce((sum, worker) => sum + fitting(worker), 0)
-  }
 }
--- a/testing/simulation/src/play-day.ts
+++ b/testing/simulation/src/play-day.ts
@@ -2,6 +2,7 @@
 import type { Day } from './day-events.ts'
 import { DayPlayer } from './day-player.ts'
 import type { LostTask } from './lost-watch.ts'
+import type { RunGap } from './run-gaps.ts'
 import { Simulation } from './simulation.ts'
 
 /** What a scenario has shown. */
@@ -14,6 +15,8 @@
   /** The longest time that was calm from its beginning after which a task had no run although there was room. */
   readonly slowestRecoveryMs: number
   readonly calmMs: number
+  /** Times in which long-running tasks had no run. */
+  readonly gaps: readonly RunGap[]
   /** The longest time that a task which ends by itself waited for its first run, or waits still, in milliseconds. */
   readonly longestStartMs: number
   /** Number of VMs whose maintenance has begun, by wave. */
@@ -32,7 +35,7 @@
     new DayPlayer(site).schedule(day)
     await site.process.run(day.endMs)
     const { lost, longestWaitMs, slowestRecoveryMs, calmMs } = site.watch
-    return { lost, violations: site.violations(), longestWaitMs, slowestRecoveryMs, calmMs, longestStartMs: site.longestStartMs(), maintained: site.fleet.maintained() }
+    return { lost, violations: site.violations(), longestWaitMs, slowestRecoveryMs, calmMs, gaps: site.gaps.all(), longestStartMs: site.longestStartMs(), maintained: site.fleet.maintained() }
   } finally {
     site.close()
   }
--- a/testing/simulation/src/run-history.ts
+++ b/testing/simulation/src/run-history.ts
@@ -56,6 +56,11 @@
     return this.runs.find(run => run.task === task)?.startedAt
   }
 
+  /** @returns begin and end of the latest run of a task, infinite while it runs; undefined if it has had none */
+  lastRunOf (task: string): { readonly startedAt: number, readonly endedAt: number } | undefined {
+    return this.runs.findLast(run => run.task === task)
+  }
+
   /** @returns descriptions of all runs of a task */
   runsOf (task: string): string[] {
     return this.runs.filter(run => run.task === task).map(describe)
--- a/testing/simulation/src/simulation.ts
+++ b/testing/simulation/src/simulation.ts
@@ -6,6 +6,7 @@
 import { JobCaller } from './job-caller.ts'
 import { LeaderLog } from './leader-log.ts'
 import { LostWatch, type WatchedJob } from './lost-watch.ts'
+import { RunGaps } from './run-gaps.ts'
 import { SimulatedEntry, type SimulatedEntryOpts } from './simulated-entry.ts'
 import { demandOf, jobRequest, siteConfig, watchedJob } from './site-jobs.ts'
 import { simulatedLayout, SITE_PREFIX } from './store-layout.ts'
@@ -13,6 +14,7 @@
 import { VirtualPeers } from './virtual-peers.ts'
 import { VirtualStore } from './virtual-store.ts'
 import type { VirtualPool } from './virtual-vm.ts'
+import type { Incarnation } from './worker-machine.ts'
 import { LONGEST_LEASE_MS } from './worker-runs.ts'
 
 const ZONES = 2
@@ -44,6 +46,8 @@
   readonly entries: readonly SimulatedEntry[]
   readonly leaders: LeaderLog
   readonly watch: LostWatch
+  /** Times in which long-running tasks had no run. */
+  readonly gaps: RunGaps
   readonly draw: Draw
   private readonly accepted: WatchedJob[] = []
   private readonly callers: JobCaller
@@ -73,6 +77,17 @@
     this.leaders = new LeaderLog(this.store)
     this.watch = new LostWatch(process, { fleet: this.fleet, leaders: this.leaders, jobs: () => this.accepted, unsettled: () => this.unsettled() })
     this.watch.start()
+    this.gaps = new RunGaps(process, {
+      jobs: () => this.accepted,
+      history: this.fleet.history,
+      leaders: this.leaders,
+      disturbances: this.watch.disturbances,
+      usableWorkers: () => this.usableWorkers(),
+      isStoreUp: () => this.store.faults.down === undefined,
+      isAnyEntryUp: () => this.entries.some(entry => entry.isUp()),
+      canAct: id => this.entries.some(entry => entry.id === id && entry.ready() && entry.link().storeCut === undefined)
+    })
+    this.gaps.start()
     for (const entry of this.entries) entry.start()
   }
 
@@ -122,6 +137,11 @@
     return this.fleet.isSettled() ? undefined : 'registrations'
   }
 
+  /** @returns sound workers that no entry is cut from */
+  private usableWorkers (): Incarnation[] {
+    return this.fleet.soundWorkers().filter(({ registration }) => !this.entries.some(entry => entry.link().vmCuts.has(registration.vm)))
+  }
+
   private createEntry (id: string, zone: string): SimulatedEntry {
     const { process, peers } = this
     return new SimulatedEntry({ id, zone, process, peers, graceMs: LIMITS.shutdownGraceMs, connect: link => this.connect(link) })
