--- a/testing/simulation/src/index.ts
+++ b/testing/simulation/src/index.ts
@@ -26,4 +26,5 @@
 export { drawHandoverDay, drawJoiningDay, drawOutageDay, drawPowerLossDay } from './handover-days.ts'
 export type { Day, DayEvent } from './day-events.ts'
 export { playDay, type DayResult } from './play-day.ts'
+export { gapChecks, playScenarios, type GapRule, type ScenarioOpts } from './play-scenarios.ts'
 export { shorten } from './shorten.ts'
