Soak: what a play has shown stays beside its report

seen.json holds the runs, workers, jobs and disturbances that the checks have judged, so that a check is traced, and tried again when it has changed, on the very play that failed. A job says when it was asked for the state that it shows, and a run whether its worker's lease has lapsed since its end, noted or not.

--- a/testing/soak/src/callers.ts
+++ b/testing/soak/src/callers.ts
@@ -29,6 +29,8 @@
   cancelled: boolean
   /** State that was shown last: `none` if no such job is known, undefined without an answer. */
   state: string | undefined
+  /** When the request that was answered with this state was sent, by the run log. */
+  askedAt?: number
 }
 
 /** Mean time between two jobs, and kinds of jobs. */
@@ -103,7 +105,7 @@
     if (job.state === 'none') return
     const sentAt = this.log.now()
     const response = await this.call('GET', job)
-    if (response?.status === 200) job.state = String(response.body.state)
+    if (response?.status === 200) Object.assign(job, { state: String(response.body.state), askedAt: sentAt })
     else if (response?.status === 410 && sentAt - (job.acceptedAt ?? Infinity) > VISIBLE_MS) job.state = 'none'
   }
 
--- a/testing/soak/src/check.ts
+++ b/testing/soak/src/check.ts
@@ -36,7 +36,7 @@
     for (const earlier of runs.slice(0, number)) {
       const pair = { task, runs: [earlier, run] }
       if (run.startedAt < (earlier.endedAt ?? Infinity)) violations.push({ ...pair, rule: 'twice at once', details: '' })
-      else if (earlier.how === 'done' && earlier.notedAt !== undefined && earlier.notedAfterLapse !== true) violations.push({ ...pair, rule: 'twice after its end', details: '' })
+      else if (earlier.how === 'done' && earlier.notedAt !== undefined && earlier.lapsedBeforeNoted !== true) violations.push({ ...pair, rule: 'twice after its end', details: '' })
     }
   }
   return violations
@@ -45,7 +45,7 @@
 function checkAttempts (task: string, runs: readonly RunRecord[], job: SubmittedJob | undefined, attempts: number): Violation[] {
   if (job?.plan.runMs === 0) return []
   return runs.flatMap(run => {
-    const failed = runs.filter(each => each.how === 'failed' && each.notedAt !== undefined && each.notedAfterLapse !== true && (each.endedAt ?? Infinity) <= run.startedAt)
+    const failed = runs.filter(each => each.how === 'failed' && each.notedAt !== undefined && each.lapsedBeforeNoted !== true && (each.endedAt ?? Infinity) <= run.startedAt)
     return failed.length < attempts ? [] : [{ rule: 'more attempts than allowed' as const, task, runs: [...failed, run], details: '' }]
   })
 }
--- a/testing/soak/src/main.ts
+++ b/testing/soak/src/main.ts
@@ -47,7 +47,10 @@
   if (stop.signal.aborted) process.stdout.write(`seed ${seed} was stopped early\n`)
   process.stdout.write(`${summary}${counts.size === 0 ? '' : `; ${folder}`}\n`)
   if (counts.size === 0 && !values.keep) await rm(folder, { recursive: true })
-  else await writeFile(join(folder, 'report.txt'), `${summary}\n${result.report}\n`)
+  else {
+    await writeFile(join(folder, 'report.txt'), `${summary}\n${result.report}\n`)
+    await writeFile(join(folder, 'seen.json'), JSON.stringify(result.seen))
+  }
   return counts.size === 0
 }
 
--- a/testing/soak/src/play.ts
+++ b/testing/soak/src/play.ts
@@ -4,7 +4,7 @@
 import { watchCalm } from './calm-watch.ts'
 import { checkRuns, type Violation } from './check.ts'
 import { checkCompletion } from './check-completion.ts'
-import { checkWaits, countCalmMs, findWaits } from './check-waits.ts'
+import { checkWaits, countCalmMs, findWaits, type Seen } from './check-waits.ts'
 import { describePlay } from './report.ts'
 import type { RunRecord } from './run-log.ts'
 import type { Scenario } from './scenario.ts'
@@ -23,6 +23,8 @@
 export interface PlayResult {
   readonly jobs: readonly SubmittedJob[]
   readonly runs: readonly RunRecord[]
+  /** What the checks have judged. */
+  readonly seen: Seen
   readonly violations: readonly Violation[]
   /** Longest time in milliseconds for which the machine held up the rig or an entry after the faults. */
   readonly heldUpMs: number
@@ -61,14 +63,14 @@
     closed.abort()
     await watch
     const { log, vmPlatform } = site
-    const seen = { ...log, jobs: callers.jobs, disturbances: log.faults.disturbances, until: log.now() }
+    const seen = { runs: log.runs, lives: log.lives, jobs: callers.jobs, disturbances: log.faults.disturbances, until: log.now() }
     const violations = [
       ...checkRuns(log.runs, callers.jobs, ATTEMPTS),
       ...(scenario.finishMs === undefined || opts.signal.aborted ? [] : checkCompletion(seen, ATTEMPTS)),
       ...checkWaits(seen),
       ...vmPlatform.check()
     ]
-    return { heldUpMs, calmMs: countCalmMs(seen), longestWaitMs: Math.round(Math.max(0, ...findWaits(seen).map(({ from, to }) => to - from))), jobs: callers.jobs, runs: log.runs, violations, report: await describePlay(site, violations) }
+    return { heldUpMs, calmMs: countCalmMs(seen), longestWaitMs: Math.round(Math.max(0, ...findWaits(seen).map(({ from, to }) => to - from))), jobs: callers.jobs, runs: log.runs, seen, violations, report: await describePlay(site, violations) }
   } finally {
     closed.abort()
     await site.close()
--- a/testing/soak/src/report.ts
+++ b/testing/soak/src/report.ts
@@ -25,7 +25,7 @@
 
 function formatRun (run: RunRecord, site: SoakSite): string {
   const entry = site.entries[run.entry ?? -1]?.id ?? '?'
-  const noted = run.notedAt === undefined ? 'not noted' : `noted ${formatSeconds(run.notedAt)} by entry-${run.notedBy?.entry ?? '?'} token ${run.notedBy?.token ?? '?'}${run.notedAfterLapse === true ? ' after a lapse' : ''}`
+  const noted = run.notedAt === undefined ? 'not noted' : `noted ${formatSeconds(run.notedAt)} by entry-${run.notedBy?.entry ?? '?'} token ${run.notedBy?.token ?? '?'}${run.lapsedBeforeNoted === true ? ' after a lapse' : ''}`
   return `run ${run.attempt} on ${run.worker} from ${entry} token ${run.token}: ${formatSeconds(run.startedAt)} to ${formatSeconds(run.endedAt)} ${run.how ?? 'running'}, ${noted}`
 }
 
--- a/testing/soak/src/run-log.ts
+++ b/testing/soak/src/run-log.ts
@@ -24,8 +24,8 @@
   notedAt?: number
   /** Index of the entry that acknowledged the end, and its fencing token. */
   notedBy?: { readonly entry: number | undefined, readonly token: number }
-  /** The worker's lease had lapsed between the end and `notedAt`. */
-  notedAfterLapse?: boolean
+  /** The worker's lease has lapsed after the end, and before `notedAt` if it was noted at all. */
+  lapsedBeforeNoted?: boolean
 }
 
 /** One incarnation of a worker, in milliseconds since the log began. */
--- a/testing/soak/src/worker.ts
+++ b/testing/soak/src/worker.ts
@@ -19,7 +19,7 @@
 }
 
 interface ActiveRun { readonly record: RunRecord, readonly plan: TaskPlan, timer?: NodeJS.Timeout, stopping: boolean }
-interface ListedEnd { readonly seq: number, readonly record: RunRecord, readonly lapses: number }
+interface ListedEnd { readonly seq: number, readonly record: RunRecord }
 
 /** Options of {@link Worker}. */
 export interface WorkerOpts {
@@ -44,7 +44,6 @@
   private token = 0
   private leaseUntilMs = 0
   private leaseTimer: NodeJS.Timeout | undefined
-  private lapses = 0
   private seq = 0
   private up = true
   private readonly active = new Map<string, ActiveRun>()
@@ -179,14 +178,12 @@
     if (this.leaseUntilMs === 0 || this.clockMs() < this.leaseUntilMs) return
     this.leaseUntilMs = 0
     for (const run of [...this.active.values()]) this.end(run, 'lapsed')
-    this.lapses += 1
+    for (const { record } of this.ends) record.lapsedBeforeNoted = true
   }
 
   private forget (lastSeen: number, notedBy: { entry: number | undefined, token: number }): void {
     this.noteLapse()
-    for (const { record, lapses } of this.ends.filter(({ seq }) => seq <= lastSeen)) {
-      Object.assign(record, { notedAt: this.opts.log.now(), notedBy, notedAfterLapse: this.lapses > lapses })
-    }
+    for (const { record } of this.ends.filter(({ seq }) => seq <= lastSeen)) Object.assign(record, { notedAt: this.opts.log.now(), notedBy })
     this.ends = this.ends.filter(({ seq }) => seq > lastSeen)
   }
 
@@ -195,7 +192,7 @@
     this.endRecord(run, how)
     this.block(run.record.task, run.record.attempt)
     this.seq += 1
-    this.ends.push({ seq: this.seq, record: run.record, lapses: this.lapses })
+    this.ends.push({ seq: this.seq, record: run.record })
     this.ended.abort()
     this.ended = new AbortController()
   }
--- a/testing/soak/test/check.test.ts
+++ b/testing/soak/test/check.test.ts
@@ -11,7 +11,7 @@
 }
 
 function run (overrides: Partial<RunRecord> = {}): RunRecord {
-  return { task: TASK, attempt: 1, spec: JSON.stringify(plan), worker: 'w1', born: 1, entry: 0, token: 5, startedAt: 0, endedAt: 1_000, how: 'done', notedAt: 1_010, notedAfterLapse: false, ...overrides }
+  return { task: TASK, attempt: 1, spec: JSON.stringify(plan), worker: 'w1', born: 1, entry: 0, token: 5, startedAt: 0, endedAt: 1_000, how: 'done', notedAt: 1_010, lapsedBeforeNoted: false, ...overrides }
 }
 
 function rules (runs: RunRecord[], jobs = [job()], overrides: Partial<Seen> = {}): string[] {
@@ -39,7 +39,7 @@
   const second = run({ attempt: 2, worker: 'w2', startedAt: 1_500, endedAt: 2_500 })
   const { notedAt: _notedAt, ...notNoted } = run()
   assert.deepEqual(rules([notNoted, second]), [])
-  assert.deepEqual(rules([run({ notedAfterLapse: true }), second]), [])
+  assert.deepEqual(rules([run({ lapsedBeforeNoted: true }), second]), [])
 })
 
 test('a run after a stop, a lapse or a crash is allowed', () => {
