Soak: the time between two runs of a long-running task, over terms

A wait that begins anew in each term looks like short ones in the logs, as each leader counts from its own start. Each play now tells the longest time between two runs of such a task, by what the workers ran, and how many terms of its service began in it, as the store's records of leaders show; the report lists five of them. What is owed stays as it was: 3 s in calm times with room for two, from 6 s after the last run, from the same list of gaps now.

--- a/testing/soak/src/check-waits.ts
+++ b/testing/soak/src/check-waits.ts
@@ -1,7 +1,8 @@
 import type { SubmittedJob } from './callers.ts'
 import type { Violation } from './check.ts'
 import type { Disturbance } from './fault-record.ts'
-import type { RunRecord, WorkerLife } from './run-log.ts'
+import { findGaps, type RunGap } from './run-gaps.ts'
+import type { RunRecord, TermRecord, WorkerLife } from './run-log.ts'
 import { formatSeconds, longestPart, STEP_MS, type Span } from './spans.ts'
 import { ROOM_FOR_RUNS, WorkerRoom } from './worker-room.ts'
 
@@ -16,6 +17,8 @@
 export interface Seen {
   readonly runs: readonly RunRecord[]
   readonly lives: readonly WorkerLife[]
+  /** Terms of all leaders. */
+  readonly terms: readonly TermRecord[]
   readonly jobs: readonly SubmittedJob[]
   readonly disturbances: readonly Disturbance[]
   /** End of the play in milliseconds of the run log. */
@@ -39,11 +42,17 @@
  */
 export function findWaits (seen: Seen): Wait[] {
   const room = new WorkerRoom(seen)
-  return seen.jobs.filter(job => job.plan.runMs === 0).flatMap(job => tasksOf(job).flatMap(task => {
+  return findGaps(seen).flatMap(gap => {
+    const { job, task } = gap
     const mayWait = (at: number): boolean => isCalm(seen, at) && room.runsThatFit(job, at) >= ROOM_FOR_RUNS
-    const gaps = gapsOf(job, seen.runs.filter(run => run.task === task), seen.until)
-    return gaps.flatMap(gap => longestPart(gap, mayWait) ?? []).map(part => ({ job, task, ...part, room: `for ${room.runsThatFit(job, part.from)} on ${room.describe(job, part.from)}` }))
-  }))
+    const part = longestPart(owedSpan(gap), mayWait)
+    return part === undefined ? [] : [{ job, task, ...part, room: `for ${room.runsThatFit(job, part.from)} on ${room.describe(job, part.from)}` }]
+  })
+}
+
+/** @returns the part of a gap in which the task should run */
+function owedSpan ({ from, to, runsBefore, job }: RunGap): Span {
+  return runsBefore === 0 ? { from, to } : { from: Math.max(job.acceptedAt ?? from, from + RESTART_MS), to }
 }
 
 /**
@@ -59,10 +68,6 @@
   }))
 }
 
-function tasksOf ({ id, tasks }: SubmittedJob): string[] {
-  return Array.from({ length: tasks }, (_, index) => `${id}.0.0.${index}`)
-}
-
 /** @returns for how many milliseconds of a play waits counted */
 export function countCalmMs (seen: Seen): number {
   let calmMs = 0
@@ -73,16 +78,3 @@
 function isCalm ({ disturbances }: Seen, at: number): boolean {
   return disturbances.every(({ from, to }) => from > at || (to ?? Infinity) < at - CALM_BEFORE_MS)
 }
-
-/** @returns the times in which a task has no run and should have one */
-function gapsOf (job: SubmittedJob, runs: readonly RunRecord[], until: number): Span[] {
-  if (job.acceptedAt === undefined) return []
-  const end = Math.min(until, job.cancelSentAt ?? Infinity)
-  const gaps: Span[] = []
-  let from = job.acceptedAt
-  for (const run of [...runs].sort((a, b) => a.startedAt - b.startedAt)) {
-    gaps.push({ from, to: Math.min(run.startedAt, end) })
-    from = Math.max(from, (run.endedAt ?? Infinity) + RESTART_MS)
-  }
-  return [...gaps, { from, to: end }]
-}
--- a/testing/soak/src/play.ts
+++ b/testing/soak/src/play.ts
@@ -6,6 +6,7 @@
 import { checkCompletion } from './check-completion.ts'
 import { checkWaits, countCalmMs, findWaits, type Seen } from './check-waits.ts'
 import { describePlay } from './report.ts'
+import { findGaps, longestGap, type RunGap } from './run-gaps.ts'
 import type { RunRecord } from './run-log.ts'
 import type { Scenario } from './scenario.ts'
 import { ATTEMPTS, SoakSite } from './site.ts'
@@ -32,6 +33,8 @@
   readonly calmMs: number
   /** How long a task that lasts waited in calm times with room for it, from 6 s after its last run. */
   readonly longestWaitMs: number
+  /** Longest time between two runs of a task that lasts, undefined if each has one run only. */
+  readonly longestGap: RunGap | undefined
   /** Violations with times and log lines, for reading. */
   readonly report: string
 }
@@ -63,14 +66,15 @@
     closed.abort()
     await watch
     const { log, vmPlatform } = site
-    const seen = { runs: log.runs, lives: log.lives, jobs: callers.jobs, disturbances: log.faults.disturbances, until: log.now() }
+    // A copy: the end of the site ends all that runs.
+    const seen = structuredClone({ runs: log.runs, lives: log.lives, terms: log.terms, jobs: callers.jobs, disturbances: log.faults.disturbances, until: log.now() })
     const violations = [
-      ...checkRuns(log.runs, callers.jobs, ATTEMPTS),
+      ...checkRuns(seen.runs, seen.jobs, ATTEMPTS),
       ...(scenario.finishMs === undefined || opts.signal.aborted ? [] : checkCompletion(seen, ATTEMPTS)),
       ...checkWaits(seen),
       ...vmPlatform.check()
     ]
-    return { heldUpMs, calmMs: countCalmMs(seen), longestWaitMs: Math.round(Math.max(0, ...findWaits(seen).map(({ from, to }) => to - from))), jobs: callers.jobs, runs: log.runs, seen, violations, report: await describePlay(site, violations) }
+    return { heldUpMs, calmMs: countCalmMs(seen), longestWaitMs: Math.round(Math.max(0, ...findWaits(seen).map(({ from, to }) => to - from))), longestGap: longestGap(findGaps(seen)), jobs: seen.jobs, runs: seen.runs, seen, violations, report: await describePlay(site, seen, violations) }
   } finally {
     closed.abort()
     await site.close()
--- a/testing/soak/src/report.ts
+++ b/testing/soak/src/report.ts
@@ -1,19 +1,30 @@
 import { readFile } from 'node:fs/promises'
 import type { Violation } from './check.ts'
+import type { Seen } from './check-waits.ts'
+import { findGaps, lengthOf, type RunGap } from './run-gaps.ts'
 import type { RunRecord } from './run-log.ts'
 import type { SoakSite } from './site.ts'
 
 const MAX_LOG_LINES_PER_VIOLATION = 60
+const MAX_GAPS = 5
 
 /**
  * @param site - a site that has been played
+ * @param seen - what it has shown
  * @param violations - what it broke
- * @returns for each violation its runs and the log lines about them, and what was disturbed when
+ * @returns for each violation its runs and the log lines about them; the longest times between runs of tasks that last; what was disturbed when
  */
-export async function describePlay (site: SoakSite, violations: readonly Violation[]): Promise<string> {
+export async function describePlay (site: SoakSite, seen: Seen, violations: readonly Violation[]): Promise<string> {
   const logs = await Promise.all(site.entries.map(async ({ logFile }) => (await readFile(logFile, 'utf8')).split('\n')))
   const disturbed = site.log.faults.disturbances.map(({ name, from, to }) => `  ${formatSeconds(from)} to ${formatSeconds(to)} ${name}`)
-  return [...violations.map(each => describe(each, site, logs.flat())), 'disturbed:', ...disturbed].join('\n')
+  const gaps = findGaps(seen).filter(({ runsBefore }) => runsBefore > 0).sort((a, b) => lengthOf(b) - lengthOf(a))
+  const longest = gaps.slice(0, MAX_GAPS).map(gap => `  ${formatSeconds(gap.from)} to ${formatSeconds(gap.to)} ${formatGap(gap)}`)
+  return [...violations.map(each => describe(each, site, logs.flat())), 'longest gaps:', ...longest, 'disturbed:', ...disturbed].join('\n')
+}
+
+/** @returns how long a task that lasts had no run, and over how many terms, for reading */
+export function formatGap (gap: RunGap): string {
+  return `${formatSeconds(lengthOf(gap))} s without a run of ${gap.task} in ${gap.job.service}, ${gap.terms} new terms`
 }
 
 function describe ({ rule, task, runs, details }: Violation, site: SoakSite, logLines: readonly string[]): string {
--- a/testing/soak/src/run-log.ts
+++ b/testing/soak/src/run-log.ts
@@ -40,10 +40,19 @@
   endedAt?: number
 }
 
-/** Everything that the workers of a site have run, and what disturbed it. */
+/** A term of a leader by the store's records, in milliseconds since the log began. */
+export interface TermRecord {
+  /** What it leads. */
+  readonly resource: string
+  readonly token: number
+  readonly startedAt: number
+}
+
+/** Everything that the workers of a site have run, who led them, and what disturbed it. */
 export class RunLog {
   readonly runs: RunRecord[] = []
   readonly lives: WorkerLife[] = []
+  readonly terms: TermRecord[] = []
   readonly faults = new FaultRecord(() => this.now())
   /** Unix time of the beginning in milliseconds; the logs of entries tell this time. */
   readonly beganAt = Date.now()
--- a/testing/soak/src/site.ts
+++ b/testing/soak/src/site.ts
@@ -54,6 +54,7 @@
     this.queues = pools.filter(pool => pool.standby !== true).map(({ name }) => ({ service: name, path: `/q-${name}/` }))
     this.storeServer = new StoreServer(this.store, addresses, this.random)
     this.vmPlatform = new VmPlatform(this.hosts, pools, this.store)
+    this.store.subscribe(() => this.recordTerms())
   }
 
   /**
@@ -131,6 +132,15 @@
     if (lease !== 0) this.store.end(lease)
   }
 
+  /** Records each term with its first change of the store: its token is the revision in which the leader's key was created. */
+  private recordTerms (): void {
+    const { terms } = this.log
+    for (const resource of this.resources()) {
+      const token = this.store.get(LEADER_KEY_PREFIX + resource)?.created
+      if (token !== undefined && !terms.some(term => term.resource === resource && term.token === token)) terms.push({ resource, token, startedAt: this.log.now() })
+    }
+  }
+
   private link (entry: number, host: number): FaultProxy {
     const link = this.links.get(`${entry}-${host}`)
     if (link === undefined) throw new Error(`no link from entry ${entry} to host ${host}`)
--- a/testing/soak/test/check-completion.test.ts
+++ b/testing/soak/test/check-completion.test.ts
@@ -26,7 +26,7 @@
 }
 
 function check (overrides: Partial<Seen>, jobOverrides: Partial<SubmittedJob> = {}): string[] {
-  const seen: Seen = { runs: [], lives: [life('w1')], jobs: [job(jobOverrides)], disturbances: [], until: UNTIL, ...overrides }
+  const seen: Seen = { runs: [], lives: [life('w1')], jobs: [job(jobOverrides)], disturbances: [], terms: [], until: UNTIL, ...overrides }
   return checkCompletion(seen, ATTEMPTS).map(({ rule }) => rule)
 }
 
--- a/testing/soak/test/check.test.ts
+++ b/testing/soak/test/check.test.ts
@@ -15,7 +15,7 @@
 }
 
 function rules (runs: RunRecord[], jobs = [job()], overrides: Partial<Seen> = {}): string[] {
-  const seen: Seen = { runs, jobs, lives: [], disturbances: [], until: 20_000, ...overrides }
+  const seen: Seen = { runs, jobs, lives: [], disturbances: [], terms: [], until: 20_000, ...overrides }
   return [...checkRuns(runs, jobs, ATTEMPTS), ...checkCompletion(seen, ATTEMPTS)].map(({ rule }) => rule)
 }
 
@@ -86,6 +86,7 @@
     runs: [lastingRun(), lastingRun({ attempt: 2, startedAt: 11_000, endedAt: 20_000 })],
     lives: [life()],
     disturbances: [],
+    terms: [],
     until: 20_000,
     ...overrides
   }
