Soak: a job is judged by the ends that a leader knew when it was asked for

The answers were true: the check set runs against a state that had been asked for before they ended.

Now a task is done if its end was noted, without a lapse, before the job was asked for; or if its worker, still up, had listed it for 3 s by then, noted or not. A job of such tasks must be shown as completed, as before. A task that is due again must not wait for 3 s with room, like any other, which was not asked of such jobs before.

--- a/testing/soak/src/check-completion.ts
+++ b/testing/soak/src/check-completion.ts
@@ -11,6 +11,8 @@
 const BUSY_SHARE = 0.5
 /** How far before the end of a play waits are looked for: traffic and faults ended longer ago. */
 const LOOK_BACK_MS = 10_000
+/** An end that a worker lists must have reached a leader within this time. */
+const MAX_NOTE_MS = 3_000
 /** A job in any other state has nothing to wait for, so that it is shown wrongly unless it is completed or has failed. */
 const OPEN_STATES: ReadonlyArray<string | undefined> = ['queued', 'running']
 
@@ -19,7 +21,8 @@
  * shown as cancelled, or as failed or completed without cause, breaks the promise, whatever runs. A job that lasts must run. Any
  * other one must be completed, or have failed as often as it may. One that still has tasks to do must not have had nothing running for 3 s, with room for a task twice
  * over and under half of the service's cores in use; nor with that room while nothing but tasks that last ran in the service: these
- * may use over half of workers that a drain has withdrawn, and go on for ever.
+ * may use over half of workers that a drain has withdrawn, and go on for ever. A task is done once a leader has taken note of its end,
+ * or must have, before the state was asked for: without that its worker's loss, or a lapse of its lease, makes it due again.
  * @param seen - what the play has shown
  * @param attempts - how often a task is tried
  * @returns all violations
@@ -47,15 +50,17 @@
   if (job.state === 'failed') return tasks.some(task => countEnded(task, 'failed') >= attempts) ? [] : [first, ...undone.slice(1)].map(task => lost(task))
   if (!OPEN_STATES.includes(job.state)) return [lost(first)]
   if (lasts) return []
-  if (undone.length === 0) return tasks.some(isRunning) ? [] : [{ ...lost(first), runs: tasks.flatMap(({ runs }) => runs) }]
+  const due = tasks.filter(({ runs }) => !runs.some(run => isNoted(run, job.askedAt ?? seen.until, seen)))
+  if (due.length === 0) return tasks.some(isRunning) ? [] : [{ ...lost(first), runs: tasks.flatMap(({ runs }) => runs) }]
   const wait = findWait(job, tasks, seen, room)
-  return wait === undefined ? [] : [lost(first, `, nothing of it runs from ${formatSeconds(wait.from)} to ${formatSeconds(wait.to)} in ${job.service}, with room on ${room.describe(job, wait.from)} and ${Math.round(room.usedShare(job.service, wait.from) * 100)}% of the cores in use`)]
+  return wait === undefined ? [] : [lost(due[0] ?? first, `, nothing of it runs from ${formatSeconds(wait.from)} to ${formatSeconds(wait.to)} in ${job.service}, with room on ${room.describe(job, wait.from)} and ${Math.round(room.usedShare(job.service, wait.from) * 100)}% of the cores in use`)]
 }
 
 /** @returns a time in which a job had nothing running although its service had room for it, if that was too long */
 function findWait (job: SubmittedJob, tasks: readonly TaskRuns[], { until }: Seen, room: WorkerRoom): Span | undefined {
   const runs = tasks.flatMap(({ runs }) => runs)
-  const span = { from: Math.max(job.acceptedAt ?? 0, until - LOOK_BACK_MS), to: until }
+  const to = job.askedAt ?? until
+  const span = { from: Math.max(job.acceptedAt ?? 0, to - LOOK_BACK_MS), to }
   const wait = longestPart(span, at => !runs.some(run => run.startedAt <= at && at < (run.endedAt ?? Infinity)) && mustStart(job, at, room))
   return wait !== undefined && wait.to - wait.from >= MAX_WAIT_MS ? wait : undefined
 }
@@ -64,6 +69,14 @@
   return room.runsThatFit(job, at) >= ROOM_FOR_RUNS && (room.usedShare(job.service, at) < BUSY_SHARE || !room.isServing(job.service, at))
 }
 
+/** @returns whether a leader had taken note by some time that a run was done, or should have: its worker has listed the end for long enough */
+function isNoted ({ how, worker, born, endedAt = Infinity, notedAt = Infinity, lapsedBeforeNoted }: RunRecord, at: number, { lives }: Seen): boolean {
+  if (how !== 'done' || lapsedBeforeNoted === true) return false
+  const life = lives.find(each => each.worker === worker && each.born === born)
+  const isListed = life !== undefined && at < (life.endedAt ?? Infinity)
+  return notedAt <= at || (isListed && endedAt + MAX_NOTE_MS <= at)
+}
+
 function isRunning ({ runs }: TaskRuns): boolean {
   return runs.some(run => run.endedAt === undefined)
 }
--- a/testing/soak/test/check-completion.test.ts
+++ b/testing/soak/test/check-completion.test.ts
@@ -144,3 +144,30 @@
   }
   assert.deepEqual(broken, [])
 })
+
+/** The only run of the job: it is done at 57 s, and its state is asked for at 58 s. */
+function checkDone (runOverrides: Partial<RunRecord>, { lives = [life('w1')], runs = [] }: Partial<Seen> = {}): string[] {
+  const done = own({ startedAt: 55_000, endedAt: 57_000, how: 'done', ...runOverrides })
+  return check({ lives, runs: [done, ...runs] }, { acceptedAt: done.startedAt, state: 'running', askedAt: 58_000 })
+}
+
+// Guards against: a job whose state was asked for just before its last end was noted counted as lost (seeds 1009, 3004).
+test('a job whose last end is noted after its state was asked for may be shown as open, for 3 s', () => {
+  assert.deepEqual(checkDone({ notedAt: 58_001 }), [])
+  assert.deepEqual(checkDone({ notedAt: 57_999 }), ['lost'])
+  assert.deepEqual(checkDone({ startedAt: 52_000, endedAt: 55_001, notedAt: 58_001 }), [])
+  assert.deepEqual(checkDone({ startedAt: 52_000, endedAt: 55_000, notedAt: 58_001 }), ['lost'])
+  assert.deepEqual(checkDone({ startedAt: 52_000, endedAt: 55_000 }), ['lost'])
+})
+
+// Guards against: a task whose end nobody took note of before its worker was gone, or its lease lapsed, counted as done (seed 1013).
+test('a task whose end was lost with its worker, or noted only after a lapse, is due again: it may wait where any other may', () => {
+  const lives = [life('w1', { endedAt: 45_000 }), life('w2')]
+  const lostEnd = { startedAt: 40_000, endedAt: 42_000 }
+  const lapsed = { ...lostEnd, notedAt: 50_000, lapsedBeforeNoted: true }
+  for (const end of [lostEnd, lapsed, { ...lostEnd, lapsedBeforeNoted: true }]) {
+    assert.deepEqual(checkDone(end, { lives }), ['lost'], 'with room')
+    assert.deepEqual(checkDone(end, { lives, runs: [use('w2', 2_000)] }), [], 'half in use')
+  }
+  assert.deepEqual(checkDone({ ...lostEnd, notedAt: 43_000 }, { lives, runs: [use('w2', 2_000)] }), ['lost'], 'noted in time')
+})
