Soak: the check of what is left counts calm times only

Traced: entries waited for a processor in most seconds from 87 to 121 s of the play; entry-2, which led, did not run for 3.7 s until 119.219 s, the leases of the other two had run out at 109.7 and 114.5 s, and its successor's terms began at 118.6 s. The check looked at the last 10 s before 124.4 s and found nothing running from 114.3 to 119.8 s.

Waits at the end are now looked for in the last 10 s that are calm, as those of long-running tasks are all along, back to the end of traffic and faults: no less time is judged than before, if there is as much. A long-running task that has no run at the end is lost from 6 s after its last one and 3 calm seconds on.

--- a/testing/soak/src/check-completion.ts
+++ b/testing/soak/src/check-completion.ts
@@ -1,15 +1,13 @@
 import type { SubmittedJob } from './callers.ts'
 import type { Violation } from './check.ts'
-import type { Seen } from './check-waits.ts'
+import { countCalmMs, isCalm, MAX_WAIT_MS, RESTART_MS, type Seen } from './check-waits.ts'
 import type { RunRecord } from './run-log.ts'
-import { formatSeconds, longestPart, type Span } from './spans.ts'
+import { formatSeconds, longestPart, STEP_MS, type Span } from './spans.ts'
 import { ROOM_FOR_RUNS, WorkerRoom } from './worker-room.ts'
 
-/** A job may have nothing running for this long, although its service has room for it. */
-const MAX_WAIT_MS = 3_000
 /** A job may wait while its service has at least this share of its cores in use. */
 const BUSY_SHARE = 0.5
-/** How far before the end of a play waits are looked for: traffic and faults ended longer ago. */
+/** Waits are looked for in so much time at the end of a play, without that in which something is disturbed. */
 const LOOK_BACK_MS = 10_000
 /** An end that a worker lists must have reached a leader within this time. */
 const MAX_NOTE_MS = 3_000
@@ -18,7 +16,8 @@
 
 /**
  * Checks at the end of a play what became of accepted jobs, and how they are shown. A job that is not known, has no answer, or is
- * shown as cancelled, or as failed or completed without cause, breaks the promise, whatever runs. A job that lasts must run. Any
+ * shown as cancelled, or as failed or completed without cause, breaks the promise, whatever runs. A job that lasts must run, but for 9 s
+ * after a run, or longer while something is disturbed. Any
  * other one must be completed, or have failed as often as it may. One that still has tasks to do must not have had nothing running for 3 s, with room for a task twice
  * over and under half of the service's cores in use; nor with that room while nothing but tasks that last ran in the service: these
  * may use over half of workers that a drain has withdrawn, and go on for ever. A task is done once a leader has taken note of its end,
@@ -44,7 +43,8 @@
   const lost = ({ task, runs }: TaskRuns, details = ''): Violation => ({ rule: 'lost', task, runs, details: `its job is ${job.state ?? 'without an answer'}${details}` })
   const lasts = job.plan.runMs === 0
   const undone = tasks.filter(task => countEnded(task, 'done') === 0)
-  if (lasts && !tasks.every(isRunning)) return tasks.filter(task => !isRunning(task)).map(task => lost(task))
+  const stopped = tasks.filter(task => !isRunning(task) && mustRunAgain(job, task, seen))
+  if (lasts && stopped.length > 0) return stopped.map(task => lost(task))
   if (job.state === 'completed') return undone.map(task => lost(task))
   const first = (undone[0] ?? tasks[0]) as TaskRuns
   if (job.state === 'failed') return tasks.some(task => countEnded(task, 'failed') >= attempts) ? [] : [first, ...undone.slice(1)].map(task => lost(task))
@@ -56,15 +56,29 @@
   return wait === undefined ? [] : [lost(due[0] ?? first, `, nothing of it runs from ${formatSeconds(wait.from)} to ${formatSeconds(wait.to)} in ${job.service}, with room on ${room.describe(job, wait.from)} and ${Math.round(room.usedShare(job.service, wait.from) * 100)}% of the cores in use`)]
 }
 
-/** @returns a time in which a job had nothing running although its service had room for it, if that was too long */
-function findWait (job: SubmittedJob, tasks: readonly TaskRuns[], { until }: Seen, room: WorkerRoom): Span | undefined {
+/** @returns a calm time in which a job had nothing running although its service had room for it, if that was too long */
+function findWait (job: SubmittedJob, tasks: readonly TaskRuns[], seen: Seen, room: WorkerRoom): Span | undefined {
   const runs = tasks.flatMap(({ runs }) => runs)
-  const to = job.askedAt ?? until
-  const span = { from: Math.max(job.acceptedAt ?? 0, to - LOOK_BACK_MS), to }
-  const wait = longestPart(span, at => !runs.some(run => run.startedAt <= at && at < (run.endedAt ?? Infinity)) && mustStart(job, at, room))
+  const to = job.askedAt ?? seen.until
+  const span = { from: Math.max(job.acceptedAt ?? 0, calmTail(seen, to)), to }
+  const wait = longestPart(span, at => isCalm(seen, at) && !runs.some(run => run.startedAt <= at && at < (run.endedAt ?? Infinity)) && mustStart(job, at, room))
   return wait !== undefined && wait.to - wait.from >= MAX_WAIT_MS ? wait : undefined
 }
 
+/** @returns where the last calm time begins that is as long as waits are looked for, or the time without traffic and faults */
+function calmTail (seen: Seen, to: number): number {
+  let from = to
+  for (let calmMs = 0; from > seen.quietFrom && calmMs < LOOK_BACK_MS; from -= STEP_MS) if (isCalm(seen, from)) calmMs += STEP_MS
+  return from
+}
+
+/** @returns whether a task that lasts and has no run has been without one for so long that nothing excuses it */
+function mustRunAgain ({ acceptedAt = 0 }: SubmittedJob, { runs }: TaskRuns, seen: Seen): boolean {
+  const lastEnd = Math.max(...runs.map(({ endedAt = 0 }) => endedAt))
+  const from = runs.length === 0 ? acceptedAt : lastEnd + RESTART_MS
+  return countCalmMs(seen, from) >= MAX_WAIT_MS
+}
+
 function mustStart (job: SubmittedJob, at: number, room: WorkerRoom): boolean {
   return room.runsThatFit(job, at) >= ROOM_FOR_RUNS && (room.usedShare(job.service, at) < BUSY_SHARE || !room.isServing(job.service, at))
 }
--- a/testing/soak/src/check-waits.ts
+++ b/testing/soak/src/check-waits.ts
@@ -6,10 +6,10 @@
 import { formatSeconds, longestPart, STEP_MS, type Span } from './spans.ts'
 import { ROOM_FOR_RUNS, WorkerRoom } from './worker-room.ts'
 
-/** A task that lasts may be without a run for this long, if there is room for it and nothing is disturbed. */
-const MAX_WAIT_MS = 3_000
+/** A task may be without a run for this long, if there is room for it and nothing is disturbed. */
+export const MAX_WAIT_MS = 3_000
 /** Time after a run in which a task that lasts is not expected to run again. */
-const RESTART_MS = 6_000
+export const RESTART_MS = 6_000
 /** Nothing was disturbed for this long before the wait. */
 const CALM_BEFORE_MS = 4_000
 
@@ -21,6 +21,8 @@
   readonly terms: readonly TermRecord[]
   readonly jobs: readonly SubmittedJob[]
   readonly disturbances: readonly Disturbance[]
+  /** When traffic and faults had ended, in milliseconds of the run log. */
+  readonly quietFrom: number
   /** End of the play in milliseconds of the run log. */
   readonly until: number
 }
@@ -68,13 +70,14 @@
   }))
 }
 
-/** @returns for how many milliseconds of a play waits counted */
-export function countCalmMs (seen: Seen): number {
+/** @returns for how many milliseconds of a play, from some time on, waits counted */
+export function countCalmMs (seen: Seen, from = 0): number {
   let calmMs = 0
-  for (let at = 0; at < seen.until; at += STEP_MS) if (isCalm(seen, at)) calmMs += STEP_MS
+  for (let at = from; at < seen.until; at += STEP_MS) if (isCalm(seen, at)) calmMs += STEP_MS
   return calmMs
 }
 
-function isCalm ({ disturbances }: Seen, at: number): boolean {
+/** @returns whether nothing is disturbed at a time in milliseconds of the run log, nor was for some seconds before */
+export function isCalm ({ disturbances }: Seen, at: number): boolean {
   return disturbances.every(({ from, to }) => from > at || (to ?? Infinity) < at - CALM_BEFORE_MS)
 }
--- a/testing/soak/src/play.ts
+++ b/testing/soak/src/play.ts
@@ -31,6 +31,8 @@
   readonly heldUpMs: number
   /** For how many milliseconds it was calm. */
   readonly calmMs: number
+  /** For how many milliseconds of that traffic and faults had ended. */
+  readonly calmAtEndMs: number
   /** How long a task that lasts waited in calm times with room for it, from 6 s after its last run. */
   readonly longestWaitMs: number
   /** Longest time between two runs of a task that lasts, undefined if each has one run only. */
@@ -58,6 +60,7 @@
     await scenario.run(site, opts.signal)
     ended.abort()
     await traffic
+    const quietFrom = site.log.now()
     const heldUpMs = scenario.finishMs === undefined ? 0 : await awaitCompletion(site, callers, scenario.finishMs, opts.signal)
     if (scenario.finishMs !== undefined) {
       await awaitLasting(site, callers, opts.signal)
@@ -67,14 +70,14 @@
     await watch
     const { log, vmPlatform } = site
     // A copy: the end of the site ends all that runs.
-    const seen = structuredClone({ runs: log.runs, lives: log.lives, terms: log.terms, jobs: callers.jobs, disturbances: log.faults.disturbances, until: log.now() })
+    const seen = structuredClone({ runs: log.runs, lives: log.lives, terms: log.terms, jobs: callers.jobs, disturbances: log.faults.disturbances, quietFrom, until: log.now() })
     const violations = [
       ...checkRuns(seen.runs, seen.jobs, ATTEMPTS),
       ...(scenario.finishMs === undefined || opts.signal.aborted ? [] : checkCompletion(seen, ATTEMPTS)),
       ...checkWaits(seen),
       ...vmPlatform.check()
     ]
-    return { heldUpMs, calmMs: countCalmMs(seen), longestWaitMs: Math.round(Math.max(0, ...findWaits(seen).map(({ from, to }) => to - from))), longestGap: longestGap(findGaps(seen)), jobs: seen.jobs, runs: seen.runs, seen, violations, report: await describePlay(site, seen, violations) }
+    return { heldUpMs, calmMs: countCalmMs(seen), calmAtEndMs: countCalmMs(seen, quietFrom), longestWaitMs: Math.round(Math.max(0, ...findWaits(seen).map(({ from, to }) => to - from))), longestGap: longestGap(findGaps(seen)), jobs: seen.jobs, runs: seen.runs, seen, violations, report: await describePlay(site, seen, violations) }
   } finally {
     closed.abort()
     await site.close()
