Soak: hold-ups are watched from the start of a play on

Traced: the leases of all entries ran out from 17.3 to 17.8 s and again from 20.2 to 20.3 s, entry-0 had logged a lag of 0.65 s at 11.0 s, and the next term began at 21.4 s. The rig watches for processes that get no processor, but began only after the first jobs had been accepted, which took until then; so that time counted as calm without having been watched. Now it begins before they are submitted.

--- a/testing/soak/src/play.ts
+++ b/testing/soak/src/play.ts
@@ -53,8 +53,8 @@
   const closed = new AbortController()
   try {
     const callers = new Callers(site, seededRandom(opts.seed + 1))
-    for (const job of scenario.lastingJobs) await callers.submit(job)
     const watch = watchCalm(site, closed.signal)
+    for (const job of scenario.lastingJobs) await callers.submit(job)
     const ended = new AbortController()
     const traffic = callers.run(scenario.traffic, ended.signal)
     await scenario.run(site, opts.signal)
