--- a/testing/soak/src/check-waits.ts
+++ b/testing/soak/src/check-waits.ts
@@ -1,14 +1,15 @@
 import type { SubmittedJob } from './callers.ts'
 import type { Violation } from './check.ts'
 import type { Disturbance } from './fault-record.ts'
-import type { RunRecord, WorkerLife } from './run-log.ts'
+import { findGaps, type RunGap } from './run-gaps.ts'
+import type { RunRecord, TermRecord, WorkerLife } from './run-log.ts'
 import { formatSeconds, longestPart, STEP_MS, type Span } from './spans.ts'
 import { ROOM_FOR_RUNS, WorkerRoom } from './worker-room.ts'
 
-/** A task that lasts may be without a run for this long, if there is room for it and nothing is disturbed. */
-const MAX_WAIT_MS = 3_000
+/** A task may be without a run for this long, if there is room for it and nothing is disturbed. */
+export const MAX_WAIT_MS = 3_000
 /** Time after a run in which a task that lasts is not expected to run again. */
-const RESTART_MS = 6_000
+export const RESTART_MS = 6_000
 /** Nothing was disturbed for this long before the wait. */
 const CALM_BEFORE_MS = 4_000
 
@@ -16,8 +17,12 @@
 export interface Seen {
   readonly runs: readonly RunRecord[]
   readonly lives: readonly WorkerLife[]
+  /** Terms of all leaders. */
+  readonly terms: readonly TermRecord[]
   readonly jobs: readonly SubmittedJob[]
   readonly disturbances: readonly Disturbance[]
+  /** When traffic and faults had ended, in milliseconds of the run log. */
+  readonly quietFrom: number
   /** End of the play in milliseconds of the run log. */
   readonly until: number
 }
@@ -39,11 +44,17 @@
  */
 export function findWaits (seen: Seen): Wait[] {
   const room = new WorkerRoom(seen)
-  return seen.jobs.filter(job => job.plan.runMs === 0).flatMap(job => tasksOf(job).flatMap(task => {
+  return findGaps(seen).flatMap(gap => {
+    const { job, task } = gap
     const mayWait = (at: number): boolean => isCalm(seen, at) && room.runsThatFit(job, at) >= ROOM_FOR_RUNS
-    const gaps = gapsOf(job, seen.runs.filter(run => run.task === task), seen.until)
-    return gaps.flatMap(gap => longestPart(gap, mayWait) ?? []).map(part => ({ job, task, ...part, room: `for ${room.runsThatFit(job, part.from)} on ${room.describe(job, part.from)}` }))
-  }))
+    const part = longestPart(owedSpan(gap), mayWait)
+    return part === undefined ? [] : [{ job, task, ...part, room: `for ${room.runsThatFit(job, part.from)} on ${room.describe(job, part.from)}` }]
+  })
+}
+
+/** @returns the part of a gap in which the task should run */
+function owedSpan ({ from, to, runsBefore, job }: RunGap): Span {
+  return runsBefore === 0 ? { from, to } : { from: Math.max(job.acceptedAt ?? from, from + RESTART_MS), to }
 }
 
 /**
@@ -59,30 +70,14 @@
   }))
 }
 
-function tasksOf ({ id, tasks }: SubmittedJob): string[] {
-  return Array.from({ length: tasks }, (_, index) => `${id}.0.0.${index}`)
-}
-
-/** @returns for how many milliseconds of a play waits counted */
-export function countCalmMs (seen: Seen): number {
+/** @returns for how many milliseconds of a play, from some time on, waits counted */
+export function countCalmMs (seen: Seen, from = 0): number {
   let calmMs = 0
-  for (let at = 0; at < seen.until; at += STEP_MS) if (isCalm(seen, at)) calmMs += STEP_MS
+  for (let at = from; at < seen.until; at += STEP_MS) if (isCalm(seen, at)) calmMs += STEP_MS
   return calmMs
 }
 
-function isCalm ({ disturbances }: Seen, at: number): boolean {
+/** @returns whether nothing is disturbed at a time in milliseconds of the run log, nor was for some seconds before */
+export function isCalm ({ disturbances }: Seen, at: number): boolean {
   return disturbances.every(({ from, to }) => from > at || (to ?? Infinity) < at - CALM_BEFORE_MS)
 }
-
-/** @returns the times in which a task has no run and should have one */
-function gapsOf (job: SubmittedJob, runs: readonly RunRecord[], until: number): Span[] {
-  if (job.acceptedAt === undefined) return []
-  const end = Math.min(until, job.cancelSentAt ?? Infinity)
-  const gaps: Span[] = []
-  let from = job.acceptedAt
-  for (const run of [...runs].sort((a, b) => a.startedAt - b.startedAt)) {
-    gaps.push({ from, to: Math.min(run.startedAt, end) })
-    from = Math.max(from, (run.endedAt ?? Infinity) + RESTART_MS)
-  }
-  return [...gaps, { from, to: end }]
-}
--- a/testing/soak/src/run-log.ts
+++ b/testing/soak/src/run-log.ts
@@ -24,8 +24,8 @@
   notedAt?: number
   /** Index of the entry that acknowledged the end, and its fencing token. */
   notedBy?: { readonly entry: number | undefined, readonly token: number }
-  /** The worker's lease had lapsed between the end and `notedAt`. */
-  notedAfterLapse?: boolean
+  /** The worker's lease has lapsed after the end, and before `notedAt` if it was noted at all. */
+  lapsedBeforeNoted?: boolean
 }
 
 /** One incarnation of a worker, in milliseconds since the log began. */
@@ -40,10 +40,19 @@
   endedAt?: number
 }
 
-/** Everything that the workers of a site have run, and what disturbed it. */
+/** A term of a leader by the store's records, in milliseconds since the log began. */
+export interface TermRecord {
+  /** What it leads. */
+  readonly resource: string
+  readonly token: number
+  readonly startedAt: number
+}
+
+/** Everything that the workers of a site have run, who led them, and what disturbed it. */
 export class RunLog {
   readonly runs: RunRecord[] = []
   readonly lives: WorkerLife[] = []
+  readonly terms: TermRecord[] = []
   readonly faults = new FaultRecord(() => this.now())
   /** Unix time of the beginning in milliseconds; the logs of entries tell this time. */
   readonly beganAt = Date.now()
