--- a/testing/simulation/src/gap-bounds.ts
+++ b/testing/simulation/src/gap-bounds.ts
@@ -1,6 +1,6 @@
 import { INITIAL_ELECTION_DELAY_MS, LONG_LEASE_TTL_MS } from '@wisteriaslip/jobs.entry'
 import { LOSS_PROOF_MS } from '@wisteriaslip/jobs.scheduler'
-import { CLOCK_DRIFT_FACTOR, LEADERSHIP_OVERLAP_MS, WORKER_LEASE_MS } from '@wisteriaslip/jobs.service'
+import { CLOCK_DRIFT_FACTOR, LEADERSHIP_OVERLAP_MS, WORKER_LEASE_MS } from '@wisteriaslip/jobs.model'
 import { RENEWALS_PER_TTL, TAKEOVER_DELAY_PER_RANK_MS } from '@wisteriaslip/peers.membership'
 import type { RunGap } from './run-gaps.ts'
 
