A long-running step does not wait in line behind the permits of several gangs

Cause: the line of an entry was first come, first served.

Why it works: a request for a long-running step goes before others that wait, but for each second turn, so that those go on. One that is in progress is not broken off, as the permit service decides on it nevertheless: the wait for that one remains.

Evidence: `slow-permits.test.ts` (a long-running job after four gangs was asked for last, `g1,g2,g3,g4,lasting`; now after the first or second), `serial-permit-client.test.ts` (two tests, which failed before).

--- a/jobs/model/src/worker.ts
+++ b/jobs/model/src/worker.ts
@@ -179,8 +179,9 @@
   /**
    * @param step - name of the step, as `job.occurrence.step`
    * @param workers - ids of the workers
-   * @param opts - `timeoutMs`: how long the service may take once the request is sent, in milliseconds; `signal` aborts the request
+   * @param opts - `timeoutMs`: how long the service may take once the request is sent, in milliseconds; `urgent`: it goes before others
+   * that wait; `signal` aborts the request
    * @returns the permits, or why there are none
    */
-  requestPermits (step: string, workers: readonly string[], opts: { readonly timeoutMs: number, readonly signal: AbortSignal }): Promise<Result<Permits, PermitError>>
+  requestPermits (step: string, workers: readonly string[], opts: { readonly timeoutMs: number, readonly urgent?: boolean | undefined, readonly signal: AbortSignal }): Promise<Result<Permits, PermitError>>
 }
--- a/jobs/service/src/serial-permit-client.ts
+++ b/jobs/service/src/serial-permit-client.ts
@@ -1,34 +1,63 @@
-import { err, untilAborted, withTimeout, type Result } from '@wisteriaslip/core.result'
+import { err, onAbort, withTimeout, type Result } from '@wisteriaslip/core.result'
 import type { PermitClient, PermitError, Permits } from '@wisteriaslip/jobs.model'
 
+/** A request that waits for its turn. */
+interface Waiting {
+  /** Begins its turn. */
+  begin (): void
+}
+
 /**
  * Sends the requests of all leaders of an entry one at a time, as the permit service handles them: the timeout of a request starts with
- * its turn, and does not count the requests before it.
+ * its turn, and does not count the requests before it. Urgent ones go before others, but for each second turn.
  */
 export class SerialPermitClient implements PermitClient {
   private readonly client: PermitClient
-  /** Resolves when all requests so far have ended. */
-  private idle: Promise<unknown> = Promise.resolve()
+  private isBusy = false
+  private wasUrgent = false
+  private readonly urgent = new Set<Waiting>()
+  private readonly others = new Set<Waiting>()
 
   /** @param client - client of the permit service */
   constructor (client: PermitClient) {
     this.client = client
   }
 
-  async requestPermits (step: string, workers: readonly string[], { timeoutMs, signal }: Parameters<PermitClient['requestPermits']>[2]): Promise<Result<Permits, PermitError>> {
-    const turn = this.idle
-    const send = async (): Promise<Result<Permits, PermitError>> => {
-      if (!await hasTurn(turn, signal)) return err({ kind: 'unknown', message: 'aborted before its turn' })
+  async requestPermits (step: string, workers: readonly string[], { timeoutMs, urgent = false, signal }: Parameters<PermitClient['requestPermits']>[2]): Promise<Result<Permits, PermitError>> {
+    if (!await this.hasTurn(urgent, signal)) return err({ kind: 'unknown', message: 'aborted before its turn' })
+    this.wasUrgent = urgent
+    try {
       return await withTimeout(timeoutMs, signal, async inner => await this.client.requestPermits(step, workers, { timeoutMs, signal: inner }))
+    } finally {
+      this.passOn()
     }
-    const request = send()
-    this.idle = Promise.allSettled([turn, request])
-    return await request
   }
-}
 
-/** Waits for the turn of a request; false if it is aborted before, so that a term that ends does not wait for those of others. */
-async function hasTurn (turn: Promise<unknown>, signal: AbortSignal): Promise<boolean> {
-  if (signal.aborted) return false
-  return await untilAborted(signal, turn).then(() => true, () => false)
+  /** Waits for the turn of a request; false if it is aborted before, so that a term that ends does not wait for those of others. */
+  private async hasTurn (urgent: boolean, signal: AbortSignal): Promise<boolean> {
+    if (signal.aborted) return false
+    if (!this.isBusy) {
+      this.isBusy = true
+      return true
+    }
+    const line = urgent ? this.urgent : this.others
+    return await new Promise(resolve => {
+      const end = (hasTurn: boolean): void => {
+        line.delete(waiting)
+        detach()
+        resolve(hasTurn)
+      }
+      const waiting: Waiting = { begin: () => end(true) }
+      const detach = onAbort(signal, () => end(false))
+      line.add(waiting)
+    })
+  }
+
+  /** Gives the turn to the request that comes next. */
+  private passOn (): void {
+    const lines = this.wasUrgent ? [this.others, this.urgent] : [this.urgent, this.others]
+    const [next] = lines.flatMap(line => [...line].slice(0, 1))
+    if (next === undefined) this.isBusy = false
+    else next.begin()
+  }
 }
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -327,7 +327,7 @@
     if (permitClient === undefined) return
     const ids = request.workers.map(worker => worker.registration.id)
     const { timeoutMs } = request
-    const response = await permitClient.requestPermits(request.name, ids, { timeoutMs, signal })
+    const response = await permitClient.requestPermits(request.name, ids, { timeoutMs, urgent: request.step.spec.lasting, signal })
       .catch((error: unknown) => logger.error({ err: error, step: request.name }, 'permit request failed unexpectedly'))
     if (response?.ok === false) logger.info({ step: request.name, workers: ids.length, timeoutMs, error: response.error }, 'failed to request permits')
     scheduler.permitRequester.handleResponse(request, response?.ok === true ? response.value : undefined)
--- a/jobs/service/test/serial-permit-client.test.ts
+++ b/jobs/service/test/serial-permit-client.test.ts
@@ -55,3 +55,21 @@
   assert.deepEqual(seen.answered, ['first', 'third'])
   assert.equal(seen.most, 1)
 })
+
+// A long-running task waited for the requests of all gangs before it, of each service of the entry: ten seconds for one that names 100 workers.
+test('an urgent request waits for the one in progress, and not for others that have waited longer', async () => {
+  const { seen, client } = createService()
+  const send = async (step: string, urgent: boolean) => await client.requestPermits(step, ['w'], { timeoutMs: 2 * REQUEST_MS, urgent, signal: NEVER_ABORTED })
+  const requests = [send('gang 1', false), send('gang 2', false), send('gang 3', false), send('lasting', true)]
+  assert.ok((await Promise.all(requests)).every(({ ok }) => ok))
+  assert.deepEqual(seen.answered, ['gang 1', 'lasting', 'gang 2', 'gang 3'])
+  assert.equal(seen.most, 1)
+})
+
+test('however many urgent requests there are, each second turn is that of another one that waits', async () => {
+  const { seen, client } = createService()
+  const send = async (step: string, urgent: boolean) => await client.requestPermits(step, ['w'], { timeoutMs: 2 * REQUEST_MS, urgent, signal: NEVER_ABORTED })
+  const requests = [send('a', false), send('b', false), send('c', false), ...['x', 'y', 'z'].map(async step => await send(step, true))]
+  assert.ok((await Promise.all(requests)).every(({ ok }) => ok))
+  assert.deepEqual(seen.answered, ['a', 'x', 'b', 'y', 'c', 'z'])
+})
--- a/testing/jobs/test/slow-permits.test.ts
+++ b/testing/jobs/test/slow-permits.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import { delay } from '@wisteriaslip/core.result'
 import type { PermitClient } from '@wisteriaslip/jobs.model'
-import { plainStep, untilState, withSite } from '@wisteriaslip/testing.jobs'
+import { plainStep, untilState, waitUntil, withSite } from '@wisteriaslip/testing.jobs'
 
 const cost = { decisionMs: 400, perWorkerMs: 100 }
 const NEVER_ABORTED = new AbortController().signal
@@ -45,3 +45,23 @@
     await untilState(site, 'a', 'completed')
   })
 })
+
+test('the request for a long-running step goes before those of gangs that wait', async () => {
+  await withSite(async site => {
+    const asked: string[] = []
+    const service = createService()
+    site.permitClient = {
+      requestPermits: async (step, workers, opts) => {
+        asked.push(step.split('.')[0] ?? '')
+        return await service.requestPermits(step, workers, opts)
+      }
+    }
+    site.permitCost = cost
+    await site.elect()
+    for (const id of ['g1', 'g2', 'g3', 'g4']) await site.intake.submit(site.request(id, [plainStep({ tasks: 2, gang: true, estimateMs: 30 })]))
+    await waitUntil('a gang is asked for', () => asked.length > 0)
+    await site.intake.submit(site.request('lasting', [plainStep({ lasting: true })]))
+    await untilState(site, 'lasting', 'running')
+    assert.ok(asked.indexOf('lasting') <= 2, asked.join())
+  })
+})
