A job that waits while its queue moves and its old leader is lost is seen to run

`moved-queue.test.ts` had a job that waited over the move and the loss of its leader, and cancelled it; the new test makes room, and it runs to its end under the next leader of its service.

--- a/testing/jobs/test/moved-queue.test.ts
+++ b/testing/jobs/test/moved-queue.test.ts
@@ -172,3 +172,28 @@
     await site.stop()
   }
 })
+
+test('a job that waits while its queue moves and its old leader is lost runs once there is room', async () => {
+  const site = await JobProcesses.start({ entries: 3, plan: task => ({ runMs: task.startsWith('long') ? 600_000 : 200, how: 'done', demand, members: 1 }) })
+  try {
+    const job = (id: string, tasks: number) => ({ id, queue: 'quotes', steps: [{ tasks, demand, estimateMs: 0 }] })
+    assert.equal((await site.call(0, 'POST', '/v1/jobs', job('long', 16)))?.status, 202)
+    const { recordedRuns } = site.hosts.workers
+    await waitUntil('all workers are full', () => recordedRuns.length === 16)
+    assert.equal((await site.call(0, 'POST', '/v1/jobs', job('late', 2)))?.status, 202)
+    const old = await site.findLeader('quoting')
+    const queues = [{ name: 'quotes', service: 'surveys' }, { name: 'archive', service: 'quoting' }, { name: 'photos', service: 'surveys' }]
+    assert.equal((await site.call(0, 'POST', '/v1/job-config', { version: 2, services: [{ name: 'quoting' }, { name: 'surveys' }], queues }))?.status, 200)
+    for (const entry of site.entries.keys()) await waitUntil('the entry has the configuration', async () => (await site.call(entry, 'GET', '/v1/queues/archive'))?.status === 200)
+    await site.entries[old]?.process.kill()
+    site.restart(old)
+    await waitUntil('the service has a leader again', async () => await site.findLeader('quoting') >= 0)
+    const other = (old + 1) % site.entries.length
+    assert.equal((await site.call(other, 'GET', '/v1/jobs/quotes/late'))?.body.state, 'queued')
+    assert.equal((await site.call(other, 'DELETE', '/v1/jobs/quotes/long'))?.body.state, 'cancelled')
+    await waitUntil('the job that waited is completed', async () => (await site.call(other, 'GET', '/v1/jobs/quotes/late'))?.body.state === 'completed')
+    assert.equal(recordedRuns.filter(({ task }) => task.startsWith('late')).length, 2)
+  } finally {
+    await site.stop()
+  }
+})
