--- a/jobs/scheduler/test/holds.test.ts
+++ b/jobs/scheduler/test/holds.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { readdirSync, readFileSync } from 'node:fs'
 import { test } from 'node:test'
-import type { Queue } from '@wisteriaslip/jobs.model'
+import { CLOCK_DRIFT_FACTOR, WORKER_LEASE_MS, type Queue } from '@wisteriaslip/jobs.model'
 import { findHolds, findUnserved, holds, longestMsOf, noLimits, serviceHolds, type HoldCode, type HoldKind, type LimitFigures, type Task } from '@wisteriaslip/jobs.scheduler'
 import { limits, SchedulerHarness, step, worker } from './harness.ts'
 
@@ -269,3 +269,15 @@
   const missing = [...new Set(page.match(/[\w.-]+\.test\.ts/g))].filter(name => !testFiles.has(name))
   assert.deepEqual(missing, [])
 })
+
+test('the longest times on the page are those of the code', () => {
+  const usual = { longestLeaseMs: 10_000, maxEarlierLeaseMs: WORKER_LEASE_MS * CLOCK_DRIFT_FACTOR }
+  const rowOf = (code: string): string => page.split('\n').find(line => line.startsWith(`| ${code} |`)) ?? ''
+  const differing = Object.entries<HoldKind>(holds).filter(([code, { longest }]) => {
+    if (longest.kind === 'unbounded') return false
+    const longestMs = longestMsOf(code as HoldCode, { times: usual, isLasting: true }) ?? NaN
+    const text = code === 'RUN_OF_ENDED_INCARNATION' && longestMs === 2 * usual.longestLeaseMs ? '2 L' : `${Number((longestMs / 1_000).toFixed(1))} s`
+    return !rowOf(code).split('|')[5]?.split(/[;,(]/).some(part => part.trim().startsWith(text))
+  })
+  assert.deepEqual(differing.map(([code]) => code), [])
+})
