Simulation: client accounts, permits, queues that move, and leaders that have some seconds each

Not covered so far: a change of leader where tasks need a permit, or a part of a quota that a new leader has yet to get, or where a queue moves to another service between two terms; and terms of 4 to 8 s, in which a wait is long and not over.

New kinds: terms (two to four leaders end 4 to 8 s apart) and account (handover at a site with such features).

--- a/testing/simulation/src/day-events.ts
+++ b/testing/simulation/src/day-events.ts
@@ -1,4 +1,5 @@
 import type { LinkCut } from './entry-link.ts'
+import type { SiteFeatures } from './site-jobs.ts'
 import type { VirtualPool } from './virtual-vm.ts'
 import type { StoreOutage } from './virtual-store.ts'
 import type { WorkerMachine } from './worker-machine.ts'
@@ -64,6 +65,7 @@
   | Timed & { readonly kind: 'wave', readonly vms: readonly number[], readonly durationMs: number, readonly cap: number }
   | Timed & { readonly kind: 'submit', readonly jobs: readonly string[] }
   | Timed & { readonly kind: 'cancel', readonly job: string }
+  | Timed & { readonly kind: 'move-queue', readonly queue: string, readonly service: string }
 
 /** Something that happens in a scenario. */
 export type DayEvent = EntryEvent | StoreEvent | WorkerEvent | VmCallEvent | PlannedEvent
@@ -75,6 +77,8 @@
   /** Processor capacity of each entry, one core by default. */
   readonly cores?: number
   readonly pools: readonly VirtualPool[]
+  /** What the site has beyond services and queues; nothing by default. */
+  readonly features?: SiteFeatures
   readonly events: readonly DayEvent[]
   readonly endMs: number
 }
--- a/testing/simulation/src/day-player.ts
+++ b/testing/simulation/src/day-player.ts
@@ -36,6 +36,7 @@
     switch (event.kind) {
       case 'submit': for (const job of event.jobs) this.site.submit(job); return true
       case 'cancel': this.site.cancel(event.job); return true
+      case 'move-queue': this.site.moveQueue(event.queue, event.service); return true
       case 'reclaim': for (const vm of this.vms(event.vms)) this.site.fleet.reclaim(vm, { noticeMs: event.noticeMs, backMs: event.returns ? event.forMs : undefined }); return true
       case 'wave':
         this.waves += 1
--- a/testing/simulation/src/handover-days.ts
+++ b/testing/simulation/src/handover-days.ts
@@ -9,6 +9,9 @@
 const FEW_CORES = 0.12
 /** As long as a scenario lasts. */
 const FOR_GOOD_MS = 100_000
+/** Time between the ends of two leaders. */
+const SHORT_TERM_MS = { least: 300, most: 4_000 }
+const LONG_TERM_MS = { least: 4_000, most: 8_000 }
 const [alpha, beta] = services
 const alphaLeader: Who = { leaderOf: `service/${alpha}` }
 
@@ -49,6 +52,19 @@
   return toDay(seed, site, [...drawLoss(site, lostAt), ...ends])
 }
 
+/**
+ * Draws a scenario of the same kind in which each leader has some seconds, so that it may wait for long and not to the end.
+ * @param seed - the same seed draws the same scenario
+ * @returns the scenario
+ */
+export function drawLongTermsDay (seed: number): Day {
+  const site = drawSite(seed)
+  const { dice } = site
+  const lostAt = FIRST_FAULT_MS + dice.from(0, 1_000)
+  const ends = drawEnds(site, lostAt + dice.from(-400, 2_000), dice.from(2, 4), LONG_TERM_MS)
+  return toDay(seed, site, [...drawLoss(site, lostAt), ...ends])
+}
+
 /**
  * Draws a scenario of the same kind in which workers join in each of the terms, some of which do not answer.
  * @param seed - the same seed draws the same scenario
@@ -78,6 +94,23 @@
   return toDay(seed, site, [...drawLoss(site, lostAt), ...ends, ...withoutOverlap(outages)])
 }
 
+/**
+ * Draws a scenario of the kind of {@link drawHandoverDay} at a site that may have a client account with a quota, permits for starts, and a
+ * queue that moves to another service. The quota leaves room for all tasks twice over.
+ * @param seed - the same seed draws the same scenario
+ * @returns the scenario
+ */
+export function drawAccountDay (seed: number): Day {
+  const day = drawHandoverDay(seed)
+  const dice = new Dice(seed + 1)
+  const cores = day.pools.reduce((sum, { vms }) => sum + vms, 0)
+  const isOf = (share: number): boolean => dice.chance(share)
+  const features = { extraQueues: true, ...isOf(0.7) ? { quotaCpu: dice.from(6_000, 9_000) * cores } : {}, ...isOf(0.5) ? { needsPermit: true } : {} }
+  const move: DayEvent = { kind: 'move-queue', atMs: FIRST_FAULT_MS + dice.from(-1_000, 6_000), queue: alpha, service: beta }
+  const events = isOf(0.5) ? [...day.events, move].sort((a, b) => a.atMs - b.atMs) : day.events
+  return { ...day, features, events }
+}
+
 function drawSite (seed: number): Site {
   const dice = new Dice(seed)
   return { dice, entries: dice.from(3, 6), vms: dice.from(4, 6) }
@@ -113,9 +146,9 @@
 }
 
 /** Leaders that end one after the other, most of them of the first service. */
-function drawEnds (site: Site, firstAt: number, count: number): DayEvent[] {
+function drawEnds (site: Site, firstAt: number, count: number, { least, most } = SHORT_TERM_MS): DayEvent[] {
   const ends: DayEvent[] = []
-  for (let atMs = firstAt; ends.length < count; atMs += site.dice.from(300, 4_000)) ends.push(drawEnd(site, atMs))
+  for (let atMs = firstAt; ends.length < count; atMs += site.dice.from(least, most)) ends.push(drawEnd(site, atMs))
   return ends
 }
 
--- a/testing/simulation/src/simulation.ts
+++ b/testing/simulation/src/simulation.ts
@@ -8,10 +8,11 @@
 import { LostWatch, type WatchedJob } from './lost-watch.ts'
 import { RunGaps } from './run-gaps.ts'
 import { SimulatedEntry, type SimulatedEntryOpts } from './simulated-entry.ts'
-import { demandOf, jobRequest, siteConfig, watchedJob } from './site-jobs.ts'
+import { demandOf, jobRequest, siteConfig, watchedJob, type SiteFeatures } from './site-jobs.ts'
 import { simulatedLayout, SITE_PREFIX } from './store-layout.ts'
 import { MAINTENANCE_MS, VirtualFleet } from './virtual-fleet.ts'
 import { VirtualPeers } from './virtual-peers.ts'
+import { VirtualPermits } from './virtual-permits.ts'
 import { VirtualStore } from './virtual-store.ts'
 import type { VirtualPool } from './virtual-vm.ts'
 import type { Incarnation } from './worker-machine.ts'
@@ -20,6 +21,7 @@
 const ZONES = 2
 /** Unix time at which a simulation begins. */
 const BEGINS_AT = 1_700_000_000_000
+const CONFIG_RETRY_MS = 500
 const UNLIMITED_CALLS = { readsPerSecond: 1e6, writesPerSecond: 1e6 }
 const LIMITS = { longestLeaseMs: LONGEST_LEASE_MS, stopMs: 400, shutdownGraceMs: 6_000, keepMs: 120_000, maintenanceMs: MAINTENANCE_MS }
 const POOLS = [{ name: 'alpha', vms: 5 }, { name: 'beta', vms: 4 }, { name: 'spare', vms: 2, standby: true }]
@@ -33,6 +35,8 @@
   readonly cores?: number
   /** Pools of VMs; by default two services with room, and two VMs that are powered off. */
   readonly pools?: readonly VirtualPool[]
+  /** What the site has beyond services and queues; nothing by default. */
+  readonly features?: SiteFeatures
   /** Logs what the entries log; nothing by default. */
   readonly logger?: (now: () => number) => Logger
 }
@@ -44,6 +48,7 @@
   readonly fleet: VirtualFleet
   readonly peers: VirtualPeers
   readonly entries: readonly SimulatedEntry[]
+  readonly permits: VirtualPermits
   readonly leaders: LeaderLog
   readonly watch: LostWatch
   /** Times in which long-running tasks had no run. */
@@ -53,6 +58,9 @@
   private readonly callers: JobCaller
   private readonly logger: Logger
   private readonly cores: number
+  private readonly features: SiteFeatures
+  /** Queues that have moved, with the services that they belong to. */
+  private readonly movedQueues = new Map<string, string>()
   private readonly originalRandom = Math.random
   private ids = 0
 
@@ -60,8 +68,9 @@
    * Replaces the timers and the random numbers of this process until {@link Simulation.close}.
    * @param opts - seed and size
    */
-  constructor ({ seed, entries, cores = 1, pools = POOLS, logger }: SimulationOpts) {
+  constructor ({ seed, entries, cores = 1, pools = POOLS, features = {}, logger }: SimulationOpts) {
     this.cores = cores
+    this.features = features
     const random = scatteredRandom(seed)
     const { process } = this
     this.draw = below => Math.floor(random() * below)
@@ -69,9 +78,10 @@
     process.install()
     this.logger = logger?.(() => process.now()) ?? silentLogger
     this.store = new VirtualStore(process, this.draw)
-    this.store.put(simulatedLayout.configKey, siteConfig())
+    this.store.put(simulatedLayout.configKey, siteConfig(features))
     this.fleet = new VirtualFleet(process, { pools, store: this.store, draw: this.draw, demandOf })
     this.peers = new VirtualPeers(process, this.draw)
+    this.permits = new VirtualPermits(process, this.draw)
     this.entries = Array.from({ length: entries }, (_, number) => this.createEntry(`entry${number}`, `zone${number % ZONES}`))
     this.callers = new JobCaller(process, { entries: this.entries, draw: this.draw, onAccepted: ({ id }) => this.accepted.push(watchedJob(id, process.now())) })
     this.leaders = new LeaderLog(this.store)
@@ -96,7 +106,7 @@
    * @param id - id of one of the site's jobs
    */
   submit (id: string): void {
-    this.callers.submit(jobRequest(id, this.wallClock()))
+    this.callers.submit(jobRequest(id, this.wallClock(), this.features))
   }
 
   /**
@@ -110,6 +120,16 @@
     this.callers.cancel(id, job.service)
   }
 
+  /**
+   * Gives a queue to another service, as soon as the store accepts that.
+   * @param queue - name of the queue
+   * @param service - service that it belongs to from now on
+   */
+  moveQueue (queue: string, service: string): void {
+    this.movedQueues.set(queue, service)
+    if (!this.store.put(simulatedLayout.configKey, siteConfig(this.features, this.movedQueues))) this.process.outsideAfter(CONFIG_RETRY_MS, () => this.moveQueue(queue, service))
+  }
+
   /** @returns starts of tasks that ran elsewhere or were done, and orders that the platform must not get */
   violations (): string[] {
     return [...this.fleet.history.violations(), ...this.fleet.violations]
@@ -157,7 +177,7 @@
       storeLayout: simulatedLayout,
       workers: this.fleet.workerClient(link),
       fleetClient: this.fleet.fleetClient(link),
-      permitClient: undefined,
+      permitClient: this.features.needsPermit === true ? this.permits.client(link) : undefined,
       limits: LIMITS,
       logger: this.logger.child({ entry: link.entry }),
       wallClock: () => this.wallClock(),
--- a/testing/simulation/src/site-jobs.ts
+++ b/testing/simulation/src/site-jobs.ts
@@ -57,18 +57,44 @@
 /**
  * @param id - id of a job
  * @param acceptedAt - Unix time in milliseconds
+ * @param features - what the site has
  * @returns the job as its caller submits it
  */
-export function jobRequest (id: string, acceptedAt: number): JobRequest {
+export function jobRequest (id: string, acceptedAt: number, { quotaCpu, needsPermit }: SiteFeatures = {}): JobRequest {
   const { service, tasks, cpu, memMb = LITTLE_MEMORY_MB, perWorker = 0, runMs } = specOf(id)
   const isLasting = runMs === Infinity
   const step = plainStep({ tasks, demand: { cpu, memMb, accelerators: 0 }, estimateMs: isLasting ? 1_000 : runMs, lasting: isLasting, mayMiss: 1, perWorker })
-  return { id, queue: service, address: service, service, payload: '', steps: [step], acceptedAt, attempts: 3 }
+  return { id, queue: service, address: service, service, payload: '', steps: [step], acceptedAt, attempts: 3, ...quotaCpu === undefined ? {} : { account: ACCOUNT }, ...needsPermit === undefined ? {} : { needsPermit } }
 }
 
-/** @returns the operators' configuration, as text */
-export function siteConfig (): string {
-  return JSON.stringify({ version: 1, services: [...services.map(name => ({ name })), { name: 'spare', standby: true }], queues: services.map(name => ({ name, service: name })) })
+/** What a site has beyond services and queues. */
+export interface SiteFeatures {
+  /** All jobs belong to a client account, which may have this much running at once, in thousandths of a core. */
+  readonly quotaCpu?: number
+  /** Each start needs a permit. */
+  readonly needsPermit?: boolean
+  /** Each service has one more queue, so that it keeps one when that of its name moves. */
+  readonly extraQueues?: boolean
+}
+
+/** Client account of all jobs of a site that has accounts. */
+export const ACCOUNT = 'team'
+
+/**
+ * @param features - what the site has
+ * @param moved - queues that no longer belong to the service of their name, with the service that they belong to
+ * @returns the operators' configuration, as text; its version is the number of queues that have moved, and one
+ */
+export function siteConfig ({ quotaCpu, needsPermit, extraQueues = false }: SiteFeatures = {}, moved: ReadonlyMap<string, string> = new Map()): string {
+  const queues = services.map(name => ({ name, service: moved.get(name) ?? name }))
+  const extra = extraQueues ? services.map(service => ({ name: `${service}-extra`, service })) : []
+  return JSON.stringify({
+    version: moved.size + 1,
+    services: [...services.map(name => ({ name })), { name: 'spare', standby: true }],
+    queues: [...queues, ...extra],
+    ...quotaCpu === undefined ? {} : { accounts: [{ name: ACCOUNT, quota: { cpu: quotaCpu } }] },
+    ...needsPermit === undefined ? {} : { needsPermit }
+  })
 }
 
 /**
--- a/testing/simulation/test/gaps-over-terms.model.test.ts
+++ b/testing/simulation/test/gaps-over-terms.model.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { drawHandoverDay, drawOutageDay, drawPowerLossDay, playScenarios } from '@wisteriaslip/testing.simulation'
+import { drawAccountDay, drawHandoverDay, drawLongTermsDay, drawOutageDay, drawPowerLossDay, playScenarios } from '@wisteriaslip/testing.simulation'
 
 // Played before the first test begins, as promises cost three times as much inside of a test.
 const broken = await playScenarios({
-  kinds: { power: drawPowerLossDay, handover: drawHandoverDay, outage: drawOutageDay },
+  kinds: { power: drawPowerLossDay, handover: drawHandoverDay, terms: drawLongTermsDay, account: drawAccountDay, outage: drawOutageDay },
   seed: Number(process.env.WISTERIASLIP_SEED ?? 20_261_208),
   runs: Number(process.env.WISTERIASLIP_RUNS ?? 8),
   only: process.env.WISTERIASLIP_SCENARIO
