A term hands on for how long lists have left out the VMs of silent workers

What callers saw: workers go for good, all entries lose power, and their planned stops follow. Each new leader waits for the lost workers, and ends before its lists have shown for 1.5 s that their VMs are gone.

Cause: what lists have shown was kept in the term's detector only.

Now the record names the silent workers whose VMs complete lists leave out, and for how long they have. A successor adds its own lists, four at least; one that shows the VM, or cannot show it, ends what was handed on, and so does a response of the worker.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -90,7 +90,9 @@
   needsVmList (): boolean {
     const now = this.clock.now()
     for (const [worker, suspect] of this.suspects) {
-      if (this.proofNeeded(worker) !== suspect.proof) this.suspects.delete(worker)
+      if (this.proofNeeded(worker) === suspect.proof) continue
+      this.suspects.delete(worker)
+      this.scheduler.vmAbsences.forget(worker)
     }
     for (const worker of this.scheduler.workers.values()) {
       const proof = this.proofNeeded(worker)
@@ -127,7 +129,8 @@
       const isExpected = this.listedVms.has(vmId) || (proof === 'ended' && vmId !== '' && showsOthers)
       const isAbsent = coverage.complete && !shown.has(vmId) && isExpected
       const isVacant = isAbsent || (coverage.complete && vm !== undefined && vm.worker === '')
-      suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt : undefined
+      suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt - this.absentBeforeMs(worker, proof) : undefined
+      if (proof === 'ended') this.scheduler.vmAbsences.note(worker, suspect.absentSince === undefined ? undefined : requestedAt - suspect.absentSince)
       suspect.vacantSince = isVacant ? suspect.vacantSince ?? requestedAt : undefined
       suspect.vacantLists = isVacant ? suspect.vacantLists + 1 : 0
       const mayBeGone = this.listedVms.has(vmId) || worker.deregistered
@@ -157,6 +160,11 @@
     return [...this.scheduler.workers.values()].some(({ registration, fenced, reachable, ended }) => fenced && reachable && !ended && byId.get(registration.vm)?.worker === registration.id)
   }
 
+  /** Returns for how long lists of earlier terms had left out the VM of a worker that has not responded since. */
+  private absentBeforeMs (worker: TrackedWorker, proof: Proof): number {
+    return proof === 'ended' ? this.scheduler.vmAbsences.carriedOf(worker) : 0
+  }
+
   private endIncarnation (worker: TrackedWorker, opts: { planned: boolean, offSince: number | undefined }): void {
     this.scheduler.endIncarnation(worker, { planned: opts.planned })
     if (opts.offSince !== undefined) this.scheduler.releaseOverRuns(worker, opts.offSince)
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -25,6 +25,7 @@
 import { DurationEstimator } from './stragglers.ts'
 import { ThrottledBackfill } from './throttled-backfill.ts'
 import { TaskPlacer } from './task-placer.ts'
+import { VmAbsences } from './vm-absences.ts'
 import { attachRun, detachRun, markBegun, mayStart, type Task } from './tracked-job.ts'
 import { runKey, TrackedWorker, type ClockReading } from './tracked-worker.ts'
 import { WithdrawnRoom } from './withdrawn-room.ts'
@@ -89,6 +90,8 @@
   private readonly incarnations = new Incarnations()
   /** What is known of runs of earlier leaders; to be filled before the first workers are set. */
   readonly earlierRuns = new EarlierRuns()
+  /** What lists have shown of the VMs of silent workers, over terms. */
+  readonly vmAbsences = new VmAbsences()
   private readonly durationEstimator = new DurationEstimator()
   private readonly demandEstimator: DemandEstimator
   private readonly placer: TaskPlacer
--- a/jobs/scheduler/test/lost-before-term.test.ts
+++ b/jobs/scheduler/test/lost-before-term.test.ts
@@ -67,6 +67,46 @@
   assert.equal(applyLists(leader, 1, others), 1)
 })
 
+/** Returns what a leader hands on of its lists, and a successor that has taken it over. */
+function succeed ({ harness }: ReturnType<typeof takeOver>): ReturnType<typeof takeOver> {
+  const lost = harness.worker('w1')
+  const next = takeOver()
+  next.harness.scheduler.vmAbsences.takeOver({ [lost.incarnation()]: harness.scheduler.vmAbsences.absentMs(lost) ?? 0 })
+  return next
+}
+
+// Each of several leaders in a row began its lists anew, so that tasks of workers that were gone waited for as long as leaders changed.
+test('a leader continues the lists of the one before', () => {
+  const others = { vms: [vm('vm-w2', 'w2')] }
+  const first = takeOver()
+  assert.equal(applyLists(first, LISTS_BEFORE_PROOF, others), 0)
+  const second = succeed(first)
+  assert.equal(applyLists(second, 3, others), 0, 'a few lists of its own have to agree')
+  assert.equal(applyLists(second, 1, others), 1)
+})
+
+test('a list that shows the VM ends what earlier leaders have seen', () => {
+  const others = { vms: [vm('vm-w2', 'w2')] }
+  const first = takeOver()
+  assert.equal(applyLists(first, LISTS_BEFORE_PROOF, others), 0)
+  const second = succeed(first)
+  assert.equal(applyLists(second, 1, { vms: [vm('vm-w2', 'w2'), vm('vm-w1', 'w1')] }), 0)
+  assert.equal(applyLists(second, LISTS_BEFORE_PROOF, others), 0)
+  assert.equal(applyLists(succeed(takeOver()), LISTS_BEFORE_PROOF, others), 0, 'nothing is handed on without lists')
+})
+
+test('a worker that has responded in the term is not taken for lost by what earlier leaders have seen', () => {
+  const others = { vms: [vm('vm-w2', 'w2')] }
+  const first = takeOver()
+  applyLists(first, LISTS_BEFORE_PROOF, others)
+  const second = succeed(first)
+  second.harness.report('w1')
+  assert.equal(second.harness.scheduler.vmAbsences.absentMs(second.harness.worker('w1')), undefined)
+  second.harness.worker('w1').markUnreachable(second.harness.now)
+  assert.equal(second.harness.scheduler.vmAbsences.absentMs(second.harness.worker('w1')), undefined)
+  assert.equal(applyLists(second, LISTS_BEFORE_PROOF, others), 0)
+})
+
 // Starts without a response on a worker that proved to be gone were kept for twice the longest lease, as its VM had never been listed.
 test('unanswered starts on a worker that is gone are released although its VM was never listed', () => {
   const leader = takeOver(undefined, { registered: true })
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -239,6 +239,7 @@
     }
     this.unknownRunsUntil = clock.now() + LEADERSHIP_OVERLAP_MS + maxEarlierLeaseMs
     scheduler.earlierRuns.takeOver(term.unknownRunsMs ?? {}, clock.now())
+    scheduler.vmAbsences.takeOver(term.absentMs ?? {})
     // The first leader waits for all workers that it can reach, so that those that respond first don't get all tasks.
     if (term.number > 0) scheduler.earlierRuns.limitTo(term.workers.map(({ id }) => id))
     scheduler.setWorkers(term.workers, { unknownRunsUntil: this.unknownRunsUntil })
