--- a/jobs/scheduler/src/task-holds.ts
+++ b/jobs/scheduler/src/task-holds.ts
@@ -209,7 +209,11 @@
 /** Returns one entry for each code. */
 function groupHolds (found: readonly FoundHold[], now: number): Hold[] {
   const groups = new Map<HoldCode, FoundHold[]>()
-  for (const hold of found) groups.set(hold.code, [...groups.get(hold.code) ?? [], hold])
+  for (const hold of found) {
+    const group = groups.get(hold.code)
+    if (group === undefined) groups.set(hold.code, [hold])
+    else group.push(hold)
+  }
   return [...groups].map(([code, group]) => describeGroup(code, group, now))
 }
 
