Simulation: a process that has begun after a term does not count as its leader

Fault of the measure: an entry that was killed and back within its lease counted as the leader at work until that had expired, as only its name was compared. Now the process has to be older than the term.

--- a/testing/simulation/src/leader-log.ts
+++ b/testing/simulation/src/leader-log.ts
@@ -45,6 +45,11 @@
     return value === undefined ? undefined : entryOf(value)
   }
 
+  /** @returns the term of a resource that lasts, as of the last call of {@link LeaderLog.sample}; undefined if none does */
+  lastingTerm (resource: string): SeenTerm | undefined {
+    return this.terms.findLast(term => term.resource === resource && term.to === Infinity)
+  }
+
   /** @returns the terms of a resource that have lasted until a time, or longer */
   since (resource: string, from: number): SeenTerm[] {
     return this.terms.filter(term => term.resource === resource && term.to >= from)
--- a/testing/simulation/src/run-gaps.ts
+++ b/testing/simulation/src/run-gaps.ts
@@ -39,8 +39,8 @@
   readonly isStoreUp: () => boolean
   /** @returns whether some process of an entry is up */
   readonly isAnyEntryUp: () => boolean
-  /** @returns whether this entry is up, in touch with the store, and not held up */
-  readonly canAct: (entry: string) => boolean
+  /** @returns whether this entry has been up as one process since a time, is in touch with the store, and not held up */
+  readonly canAct: (entry: string, since: number) => boolean
 }
 
 /** Options of {@link RunGaps}. */
@@ -129,8 +129,8 @@
     if (isCalm) gap.calmMs += ms
     if (!isServable || roomFor(workers, job) < ROOM_FOR_RUNS) return
     gap.roomMs += ms
-    const leader = this.opts.leaders.leaderOf(resourceOf(job))
-    if (leader !== undefined && this.opts.canAct(leader)) gap.ledMs += ms
+    const term = this.opts.leaders.lastingTerm(resourceOf(job))
+    if (term !== undefined && this.opts.canAct(term.entry, term.from)) gap.ledMs += ms
   }
 
   private end (job: WatchedJob, gap: RunGap, at: number): void {
--- a/testing/simulation/src/simulated-entry.ts
+++ b/testing/simulation/src/simulated-entry.ts
@@ -18,6 +18,7 @@
 }
 
 interface Running {
+  readonly since: number
   readonly part: VirtualPart
   readonly link: EntryLink
   readonly stop: AbortController
@@ -54,6 +55,11 @@
     return this.running !== undefined
   }
 
+  /** @returns virtual time in milliseconds at which the process began that runs; infinite while none does */
+  upSince (): number {
+    return this.running?.since ?? Infinity
+  }
+
   /** Starts a process, unless one runs. */
   start (): void {
     if (this.running !== undefined) return
@@ -61,7 +67,7 @@
     const part = process.createPart()
     const link = new EntryLink(id, callback => part.deliver(callback))
     copyCuts(this.latestLink, link)
-    const running: Running = { part, link, stop: new AbortController(), entry: undefined, frozenUntil: 0 }
+    const running: Running = { since: process.now(), part, link, stop: new AbortController(), entry: undefined, frozenUntil: 0 }
     this.running = running
     this.latestLink = link
     part.deliver(() => {
--- a/testing/simulation/src/simulation.ts
+++ b/testing/simulation/src/simulation.ts
@@ -95,7 +95,7 @@
       usableWorkers: () => this.usableWorkers(),
       isStoreUp: () => this.store.faults.down === undefined,
       isAnyEntryUp: () => this.entries.some(entry => entry.isUp()),
-      canAct: id => this.entries.some(entry => entry.id === id && entry.ready() && entry.link().storeCut === undefined)
+      canAct: (id, since) => this.entries.some(entry => entry.id === id && entry.ready() && entry.upSince() <= since && entry.link().storeCut === undefined)
     })
     this.gaps.start()
     for (const entry of this.entries) entry.start()
--- a/testing/simulation/test/run-gaps.test.ts
+++ b/testing/simulation/test/run-gaps.test.ts
@@ -13,7 +13,7 @@
 let leaders: LeaderLog
 let gaps: RunGaps
 let job: WatchedJob
-let canAct: boolean
+let upSince: number
 
 beforeEach(() => {
   process = new VirtualProcess()
@@ -21,7 +21,7 @@
   store = new VirtualStore(process, lowest)
   fleet = new VirtualFleet(process, { pools: [{ name: 'work', vms: 1 }], store, draw: lowest, demandOf: () => ({ cpu: 3_000, runMs: Infinity }) })
   leaders = new LeaderLog(store)
-  canAct = true
+  upSince = 0
   job = { id: 'j', service: 'work', tasks: 1, cpu: 3_000, memMb: 100, perWorker: 0, lasting: true, acceptedAt: 0 }
   gaps = new RunGaps(process, {
     jobs: () => [job],
@@ -31,7 +31,7 @@
     usableWorkers: () => fleet.soundWorkers(),
     isStoreUp: () => store.faults.down === undefined,
     isAnyEntryUp: () => true,
-    canAct: () => canAct
+    canAct: (_entry, since) => upSince <= since
   })
   gaps.start()
   lead('a')
@@ -94,12 +94,20 @@
 
 test('time in which the leader cannot act is not led', async () => {
   await process.run(1_000)
-  canAct = false
+  upSince = Infinity
   await process.run(3_000)
   assert.equal(gaps.all()[0]?.ledMs, 1_000)
   assert.equal(gaps.all()[0]?.roomMs, 3_000)
 })
 
+// The process that had led was up again under its name before its lease had expired, and counted as a leader at work.
+test('a leader whose process has begun after its term is not at work', async () => {
+  await process.run(1_000)
+  upSince = 900
+  await process.run(3_000)
+  assert.equal(gaps.all()[0]?.ledMs, 1_000)
+})
+
 test('changes of leader within a gap count, earlier ones do not', async () => {
   await start(TASK)
   lead('b')
