Soak: all entries down after workers are gone for good, and leaders in turn

In `dark` the two workers with the most long-running tasks go for good, their VMs listed no longer or as down, then all entries are killed at once and start again after 9.5 s. In `turns` the half of a service's workers that has these tasks is cut off, one of them goes for good, and three leaders of the service are killed within 6 s, each 0.6 s after its term has begun at the latest. Entries count as disturbed until they are started, not until they are ready, as the users' rule counts.

--- a/testing/soak/src/main.ts
+++ b/testing/soak/src/main.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import { parseArgs } from 'node:util'
 import type { SubmittedJob } from './callers.ts'
+import { allEntriesDown, leadersInTurn } from './leaders-lost.ts'
 import { play } from './play.ts'
 import { randomFaults } from './random-faults.ts'
 import { recut } from './recut.ts'
@@ -65,6 +66,8 @@
   if (values.scenario === 'replaced') return replacedUnnoticed(replaced)
   if (values.scenario === 'gone') return goneWithLeaders()
   if (values.scenario === 'recut') return recut(seed)
+  if (values.scenario === 'dark') return allEntriesDown(seed)
+  if (values.scenario === 'turns') return leadersInTurn(seed)
   if (values.scenario === 'majority') return replacedUnnoticed({ ...replaced, companions: 1 })
   return randomFaults(seed, { forMs: Number(values.seconds) * 1_000 })
 }
--- a/testing/soak/src/scenario.ts
+++ b/testing/soak/src/scenario.ts
@@ -70,7 +70,8 @@
 /** Outlasts the lease of an entry. */
 const LAPSE_MS = 4_000
 
-const longTasks: Traffic = {
+/** Jobs of one task that takes 7 to 10 s. */
+export const longTasks: Traffic = {
   everyMs: 700,
   next: random => ({ plan: { cpu: 500, memMb: 100, runMs: 7_000 + Math.floor(random() * 3_000), failShare: 0 }, tasks: 1 })
 }
--- a/testing/soak/src/worker-host.ts
+++ b/testing/soak/src/worker-host.ts
@@ -126,6 +126,12 @@
     this.end('crashed')
   }
 
+  /** Crashes the worker, which does not come back; the VM stays listed. */
+  lose (): void {
+    this.state = 'down'
+    this.end('crashed')
+  }
+
   /**
    * Terminates what runs, and powers the VM on again later.
    * @param change - what the platform does with the VM, and for how long in milliseconds
