--- a/jobs/service/test/term-record-writer.test.ts
+++ b/jobs/service/test/term-record-writer.test.ts
@@ -123,6 +123,26 @@
   assert.deepEqual(store.workers(), ['w2'])
 })
 
+// The next leader would not wait for the worker's list of ends, and start a task again that is done there.
+test('a worker that is no longer registered is recorded until its completions are durable', async () => {
+  const { store, writer, scheduler, register } = await startTerm()
+  const [w1] = [...scheduler.workers.values()]
+  assert.ok(w1 !== undefined)
+  scheduler.applyReport(w1, { clockMs: 1, born: 1, running: [], ended: [], moreEnded: false }, { sentAt: 10_000, receivedAt: 10_000 })
+  scheduler.addJob({ id: '00000000000000aa', queue: 'q', service: 's', payload: '', steps: [plainStep({ demand: { cpu: 1, memMb: 1, accelerators: 0 } })], acceptedAt: 0, acceptedUnder: 0 }, { acceptedThisTerm: true })
+  const [run] = scheduler.placeReadyTasks()
+  assert.ok(run !== undefined)
+  scheduler.handleStartResponse(run, undefined, { clockMs: 1, sentAt: 10_000 })
+  scheduler.applyReport(w1, { clockMs: 2, born: 1, running: [], ended: [{ seq: 1, task: run.task.name, attempt: run.attempt, how: 'done', checkpoint: '' }], moreEnded: false }, { sentAt: 10_001, receivedAt: 10_001 })
+  register('w2')
+  await writer.writeIfChanged(scheduler)
+  assert.deepEqual(store.workers(), ['w1', 'w2'])
+  for (const { tracked, completions } of scheduler.table.takeDirty()) scheduler.table.markDurable(tracked, tracked.outcome, completions)
+  register('w2')
+  assert.equal(await writer.writeIfChanged(scheduler), true)
+  assert.deepEqual(store.workers(), ['w2'])
+})
+
 /** Lets the term have gone on for a while in which w2 has responded and w1 has not. */
 async function startTermWithSilentWorker () {
   const term = await startTerm({ unknownRunsUntil: 15_700 })
