The wait of a new leader begins with its term, not when its records are read

Cause: the wait for leases of earlier terms was counted from the moment at which the records had been read, so that it followed the outage. But an earlier leader acts for 1.5 s after its last confirmation at most, which is before its successor's election, and its record takes no write after that. So both the whole wait and what the record says of it count from the begin of the term.

Evidence: the test failed before and passes; waits-over-terms, service-liveness, contested-service, held-up-leaders, former-workers and replaced-leader pass.

--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -237,8 +237,9 @@
       scheduler.table.addJob(doc.value, { acceptedThisTerm: doc.value.acceptedUnder === this.token, progress: all.progress.get(id)?.value })
       if (all.cancelled.has(id)) scheduler.table.cancel(id)
     }
-    this.unknownRunsUntil = clock.now() + LEADERSHIP_OVERLAP_MS + maxEarlierLeaseMs
-    scheduler.earlierRuns.takeOver(term.unknownRunsMs ?? {}, clock.now())
+    // Earlier leaders were replaced before the term began, and have written no record since.
+    this.unknownRunsUntil = startedAt + LEADERSHIP_OVERLAP_MS + maxEarlierLeaseMs
+    scheduler.earlierRuns.takeOver(term.unknownRunsMs ?? {}, startedAt)
     scheduler.vmAbsences.takeOver(term.absentMs ?? {})
     // The first leader waits for all workers that it can reach, so that those that respond first don't get all tasks.
     if (term.number > 0) scheduler.earlierRuns.limitTo(term.workers.map(({ id }) => id))
