The first leader of a service is told by a record without workers, not by its number

Cause: the number of a term counts writes of the record that have taken effect, not leaders; the leader took its own write for that of an earlier one. A record that names no worker says as much as none: the leader waits for all workers.

Evidence: the test failed before and passes, as do former-workers, joining-workers and joining-over-terms. That term numbers may skip also means that an attempt 20001 in the users' record need not be one of the third leader.

--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -241,8 +241,8 @@
     this.unknownRunsUntil = startedAt + LEADERSHIP_OVERLAP_MS + maxEarlierLeaseMs
     scheduler.earlierRuns.takeOver(term.unknownRunsMs ?? {}, startedAt)
     scheduler.vmAbsences.takeOver(term.absentMs ?? {})
-    // The first leader waits for all workers that it can reach, so that those that respond first don't get all tasks.
-    if (term.number > 0) scheduler.earlierRuns.limitTo(term.workers.map(({ id }) => id))
+    // The first leader, whose record names no worker, waits for all that are registered, so that those that respond first don't get all tasks.
+    if (term.workers.length > 0) scheduler.earlierRuns.limitTo(term.workers.map(({ id }) => id))
     scheduler.setWorkers(term.workers, { unknownRunsUntil: this.unknownRunsUntil })
     this.updateWorkers(scheduler)
     const { store, records } = this.opts
