A restarted worker whose registration says no birth is used again in the same term

What callers saw: a worker whose registrations do not say when it was born restarts after a list has shown its end.

Cause: such a registration counted as that of the incarnation that had ended, whatever had been written since. One with a newer revision than the ended incarnation's is of the next one, or a late write of the same, which lists prove to be over once more.

--- a/jobs/scheduler/src/incarnations.ts
+++ b/jobs/scheduler/src/incarnations.ts
@@ -33,16 +33,16 @@
   /**
    * Returns whether a registration is that of a later incarnation than the tracked one. The order in the store tells: the worker's
    * clock may have been set back. But an earlier incarnation's write may take effect late, so that, unless the clock agrees, nothing
-   * may be running on the tracked one any more.
+   * may be running on the tracked one any more. One that does not say when the worker started may be of the tracked one until that has ended.
    * @param registration - a registration that is listed
    * @param tracked - the incarnation that is tracked under its id
    * @param leasesKnownAt - time of the injected clock for which it is known which leases workers hold
    * @returns whether it is to be tracked instead
    */
   isNext (registration: WorkerRegistration, tracked: TrackedWorker, leasesKnownAt: number): boolean {
-    if (registration.born === tracked.registration.born || registration.born === UNKNOWN_BORN) return false
     const order = compareRevisions(registration, tracked.registration)
-    if (order < 0) return false
+    if (registration.born === UNKNOWN_BORN) return order > 0 && tracked.ended
+    if (registration.born === tracked.registration.born || order < 0) return false
     if (registration.born > tracked.registration.born && !this.seen.has(incarnationKey(registration))) return true
     return order > 0 && (tracked.ended || tracked.haveLeasesExpired(leasesKnownAt))
   }
