Simulation: workers that are lost for good soon after they have joined

Not covered so far: waits for joined workers at a site that is calm afterwards; workers that are mute count as a disturbance as long as they are, so that the users' rule does not look there.

New kind joiners: a worker is lost, one to three leaders end, and after the first two of them a worker is replaced by one that is lost for good 20 ms to 1.5 s after it has joined.

--- a/testing/simulation/src/handover-days.ts
+++ b/testing/simulation/src/handover-days.ts
@@ -80,6 +80,21 @@
   return toDay(seed, site, [...drawLoss(site, lostAt), ...ends, ...joins, more], 2)
 }
 
+/**
+ * Draws a scenario of the same kind in which workers that have just joined are lost for good, with all that is left of it calm.
+ * @param seed - the same seed draws the same scenario
+ * @returns the scenario
+ */
+export function drawLostJoinersDay (seed: number): Day {
+  const dice = new Dice(seed)
+  const site: Site = { dice, entries: dice.from(3, 6), vms: dice.from(5, 7) }
+  const lostAt = FIRST_FAULT_MS + dice.from(0, 1_000)
+  const lost: DayEvent = { kind: 'lose', atMs: lostAt, vms: [0] }
+  const ends = drawEnds(site, lostAt + dice.from(-400, 3_000), dice.from(1, 3))
+  const joins = ends.slice(0, 2).flatMap(({ atMs }, number) => drawLostJoin(site, atMs + dice.from(-500, 4_000), 1 + number))
+  return toDay(seed, site, [lost, ...ends, ...joins], 2)
+}
+
 /**
  * Draws a scenario of the same kind in which the store is away between the terms.
  * @param seed - the same seed draws the same scenario
@@ -169,6 +184,12 @@
   return dice.chance(0.5) ? [crash] : [crash, { kind: 'mute', atMs: atMs + forMs, forMs: dice.from(2_000, 9_000), vms: joining }]
 }
 
+/** A worker of the first service is replaced by another one, which is lost as soon as it has joined, or a little later. */
+function drawLostJoin ({ dice }: Site, atMs: number, vm: number): DayEvent[] {
+  const forMs = dice.from(200, 1_500)
+  return [{ kind: 'crash', atMs, vms: [vm], forMs, sameId: false }, { kind: 'lose', atMs: atMs + forMs + dice.from(20, 1_500), vms: [vm] }]
+}
+
 /** Leaves out outages that begin before the one before has ended. */
 function withoutOverlap (outages: readonly DayEvent[]): DayEvent[] {
   const kept: DayEvent[] = []
