A leader knows the VMs of its workers before one of them is lost

Callers saw: long-running tasks of a worker that was gone for good, its VM with it, did not run again under the leader of that time. With a list that shows the VM as down they did after 0.3 s.

Cause: a VM that was removed proves to be gone by complete lists of 1.5 s without it, if some list of the term has shown it before. But a leader asked for its first list of VMs only after a worker had fallen silent, and that list no longer shows the VM. So the first loss in a term waited until the worker's registration had expired or its lease had run out, about 4 s, and longer if the term ended before: then a new term's waits follow.

Now a leader reads a list as soon as a worker is on a VM that none of its term has shown, once a second at most and three that don't show it: one list a term and one for each second in which VMs join. What proves a loss is unchanged.

--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -17,6 +17,7 @@
 import { StartWindow } from './start-window.ts'
 import { TakeoverMonitor } from './takeover-monitor.ts'
 import { TermRecordWriter } from './term-record-writer.ts'
+import { UnlistedVms } from './unlisted-vms.ts'
 import { UnservedMonitor } from './unserved-monitor.ts'
 import { WaitMonitor } from './wait-monitor.ts'
 import { endOldWithdrawals, FleetTokens, withdrawWorkers } from './withdrawals.ts'
@@ -400,11 +401,14 @@
    */
   private async detectLostWorkers (scheduler: Scheduler, signal: AbortSignal): Promise<void> {
     const detector = new LostWorkerDetector(scheduler, this.opts.clock)
+    const unlisted = new UnlistedVms()
     await this.runPeriodically(LOST_WORKER_CHECK_INTERVAL_MS, signal, async () => {
-      if (!detector.needsVmList()) return
       const requestedAt = this.opts.clock.now()
+      const isAnyUnlisted = unlisted.isListDue(vmsOf(scheduler), requestedAt)
+      if (!detector.needsVmList() && !isAnyUnlisted) return
       const list = await this.opts.vms(signal)
       if (list === undefined) return
+      unlisted.note(list, vmsOf(scheduler))
       const lost = detector.applyVmList(list.vms, requestedAt, list)
       for (const { worker: { registration }, proof, unansweredStarts, vmState } of lost) {
         const fields = { worker: registration.id, vm: registration.vm, vmState, unansweredStarts }
@@ -448,3 +452,7 @@
     while (await delay(periodMs, signal)) await step()
   }
 }
+
+function vmsOf ({ workers }: Scheduler): string[] {
+  return [...workers.values()].map(({ registration }) => registration.vm)
+}
