A start without a response is settled at once, not with the polls that wait for a completion

Cause: the worker is asked to stop such a start only once a report does not list it, and the task is free once a report of a later poll does not either. Polls wait for a completion, 0.5 s to 2 s each, and nothing broke them off. Class: waits that follow each other.

Now a poll that does not wait follows such a start, and one its acknowledged stop, as isolated runs have it already, 52 ms after each. What proves that the start is over is the same.

Evidence: worker-session.test.ts (failed before); lost-replies, lost-stops, service-liveness, contested-service, held-up-leaders, restarted-then-cut, former-workers, whole-site and crashes pass.

--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -172,7 +172,7 @@
     else this.checkIncarnation(task.name)
     this.scheduler.handleStartResponse(run, response.ok ? undefined : response.error, response.ok ? { clockMs: response.value, sentAt } : undefined)
     if (!response.ok) this.events.onChange()
-    else if (run.isolation !== undefined) this.pollOnceSettled(signal).catch(this.logUnexpected)
+    if (response.ok ? run.isolation !== undefined : run.phase === 'unsettled') this.pollOnceSettled(signal).catch(this.logUnexpected)
   }
 
   private async sendStart (channel: WorkerChannel, command: StartCommand, signal: AbortSignal): Promise<Result<number, WorkerError>> {
@@ -193,7 +193,7 @@
     this.currentPoll?.abort()
   }
 
-  /** Replaces the poll in progress by one that shows at once whether the worker has survived the start of a run. */
+  /** Replaces the poll in progress by one that shows at once whether the worker has survived the start of a run, has it, or is rid of it. */
   private async pollOnceSettled (signal: AbortSignal, opts: { unless?: () => boolean } = {}): Promise<void> {
     if (!await delay(SETTLE_MS * CLOCK_DRIFT_FACTOR, signal) || opts.unless?.() === true) return
     this.pollNow()
@@ -207,6 +207,7 @@
   async stop (run: Run, signal: AbortSignal): Promise<void> {
     const acknowledged = await this.sendStop(run.task.name, run.attempt, signal)
     this.scheduler.handleStopResponse(run, acknowledged)
+    if (acknowledged && run.phase === 'unsettled') this.pollOnceSettled(signal).catch(this.logUnexpected)
     this.opts.logger.info({ task: run.task.name, attempt: run.attempt, worker: this.worker.registration.id, reason: run.stopReason, answered: acknowledged }, 'stop command sent')
   }
 
--- a/jobs/service/test/worker-session.test.ts
+++ b/jobs/service/test/worker-session.test.ts
@@ -2,7 +2,7 @@
 import { test, type TestContext } from 'node:test'
 import { recordingLogger, silentLogger, type Logger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
-import { err, ok, type Result } from '@wisteriaslip/core.result'
+import { delay, err, ok, type Result } from '@wisteriaslip/core.result'
 import type { WorkerCalls, WorkerChannel, WorkerEndpoint, WorkerError, WorkerReport } from '@wisteriaslip/jobs.model'
 import type { Run, TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import { StandInChannel } from '@wisteriaslip/testing.jobs'
@@ -12,6 +12,7 @@
 
 type PollOpts = Parameters<WorkerCalls['poll']>[0]
 
+const NEVER_ABORTED = new AbortController().signal
 const aborted = err({ kind: 'unknown', message: 'aborted' } as const)
 
 /** What a stand-in does with a call; `channel` is the number of its channel, counting from 0. */
@@ -348,3 +349,31 @@
   assert.ok(harness.channels.every(channel => channel.ended.aborted))
   assert.deepEqual(logged.filter(line => line.includes('ended')), [])
 })
+
+/** Longer than a session waits for a start to settle, and much shorter than a poll that waits for a completion. */
+const SOON_MS = 150
+
+// Each step of settling such a start waited for a poll that waited for a completion: its task had no run for 3 s, of which the worker responded all the time.
+test('a start without a response is settled by polls that do not wait for a completion', async t => {
+  const site = new SessionHarness({ start: async () => aborted })
+  await site.open(t)
+  const run = site.place()
+  await site.session.start(run, '', NEVER_ABORTED)
+  assert.equal(run.phase, 'unsettled')
+  site.harness.now += SOON_MS
+  await delay(SOON_MS, NEVER_ABORTED)
+  assert.equal(run.stopReason, 'start unanswered')
+  await site.session.stop(run, NEVER_ABORTED)
+  site.harness.now += SOON_MS
+  await delay(SOON_MS, NEVER_ABORTED)
+  assert.equal(run.task.runs.length, 0)
+})
+
+test('a start that the worker has refused asks for no poll', async t => {
+  const site = new SessionHarness({ start: async () => err({ kind: 'refused', reason: 'room' }) })
+  await site.open(t)
+  const { length } = site.seen
+  await site.session.start(site.place(), '', NEVER_ABORTED)
+  await delay(SOON_MS, NEVER_ABORTED)
+  assert.deepEqual(site.seen.slice(length).filter(each => each.includes('poll')), [])
+})
