Which VMs were listed is known in one place, and for how long one was left out on its worker

Two sets held the VMs that lists have shown, one of them outside of the detector that proves by them: ListedVms is both now, and the detector says when a first list is due. What lists have shown of a silent worker's VM, over terms, was a store of its own with two maps; it is a field of the worker, which a response clears, and what earlier terms knew of it comes with the rest that they knew. Applying a list is two steps of one suspect: what it shows, and what that proves. A term record writer's tests share how a run is placed. Nothing is decided otherwise.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@wisteriaslip/core.result'
 import type { Vm } from '@wisteriaslip/jobs.model'
+import { ListedVms } from './listed-vms.ts'
 import { releaseCauses } from './released-run.ts'
 import type { Scheduler } from './scheduler.ts'
 import type { TrackedWorker } from './tracked-worker.ts'
@@ -35,6 +36,17 @@
 
 type Proof = 'ended' | 'replaced'
 
+/** A list of VMs that is applied. */
+interface AppliedList {
+  readonly byId: ReadonlyMap<string, Vm>
+  /** Ids of all VMs that it shows, readable or not. */
+  readonly shown: ReadonlySet<string>
+  readonly isComplete: boolean
+  /** It shows a worker of the service that responds on its VM. */
+  readonly showsOthers: boolean
+  readonly requestedAt: number
+}
+
 interface SuspectedLoss {
   /** What is still to be proven. */
   readonly proof: Proof
@@ -78,21 +90,25 @@
   private readonly scheduler: Scheduler
   private readonly clock: Clock
   private readonly suspects = new Map<TrackedWorker, SuspectedLoss>()
-  /** Ids of the VMs that some list has shown, or that proved to be gone: these can prove to be gone. */
-  private readonly listedVms = new Set<string>()
+  private readonly listedVms = new ListedVms()
 
   constructor (scheduler: Scheduler, clock: Clock) {
     this.scheduler = scheduler
     this.clock = clock
   }
 
+  /** @returns whether a list of VMs is due, because none has shown the VM of some worker; the caller requests it at once */
+  needsFirstList (): boolean {
+    return this.listedVms.isListDue(this.vmsOfWorkers(), this.clock.now())
+  }
+
   /** @returns whether a list of VMs is due, because some worker has been unresponsive; the caller requests it at once */
   needsVmList (): boolean {
     const now = this.clock.now()
     for (const [worker, suspect] of this.suspects) {
       if (this.proofNeeded(worker) === suspect.proof) continue
       this.suspects.delete(worker)
-      this.scheduler.vmAbsences.forget(worker)
+      worker.vmAbsentMs = undefined
     }
     for (const worker of this.scheduler.workers.values()) {
       const proof = this.proofNeeded(worker)
@@ -117,40 +133,60 @@
   applyVmList (vms: readonly Vm[], requestedAt: number, coverage: VmListCoverage = FULL_COVERAGE): LostWorker[] {
     const byId = new Map(vms.filter(vm => vm.id !== '').map(vm => [vm.id, vm]))
     const shown = new Set([...byId.keys(), ...coverage.unreadable])
-    for (const id of shown) this.listedVms.add(id)
-    const showsOthers = this.showsRespondingWorkers(byId)
+    this.listedVms.note(shown, this.vmsOfWorkers())
+    const list: AppliedList = { byId, shown, isComplete: coverage.complete, showsOthers: this.showsRespondingWorkers(byId), requestedAt }
     const lost: LostWorker[] = []
     for (const [worker, suspect] of this.suspects) {
-      const { proof, since } = suspect
-      if (this.proofNeeded(worker) !== proof || requestedAt - since < VM_LIST_CHECK_AFTER_MS) continue
-      const vmId = worker.registration.vm
-      const vm = byId.get(vmId)
-      suspect.confirmations = provesLoss(proof, vm, worker) ? suspect.confirmations + 1 : 0
-      const isExpected = this.listedVms.has(vmId) || (proof === 'ended' && vmId !== '' && showsOthers)
-      const isAbsent = coverage.complete && !shown.has(vmId) && isExpected
-      const isVacant = isAbsent || (coverage.complete && vm !== undefined && vm.worker === '')
-      suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt - this.absentBeforeMs(worker, proof) : undefined
-      if (proof === 'ended') this.scheduler.vmAbsences.note(worker, suspect.absentSince === undefined ? undefined : requestedAt - suspect.absentSince)
-      suspect.vacantSince = isVacant ? suspect.vacantSince ?? requestedAt : undefined
-      suspect.vacantLists = isVacant ? suspect.vacantLists + 1 : 0
-      const mayBeGone = this.listedVms.has(vmId) || worker.deregistered
-      const vacantSince = mayBeGone ? provenVacantSince(suspect, requestedAt) : undefined
-      const offSince = observeOff(suspect, { isOff: vm !== undefined && cannotRun(vm, worker), requestedAt }) ?? vacantSince
-      if (offSince !== undefined && (proof === 'replaced' || vacantSince !== undefined)) {
-        const unansweredStarts = this.scheduler.releaseOverRuns(worker, offSince)
-        if (unansweredStarts > 0) lost.push({ worker, proof: 'off', unansweredStarts, vmState: vm?.state })
-        if (proof === 'replaced' && worker.runs.size === 0) continue
-      }
-      if (mayBeGone && isGone(suspect, requestedAt)) this.listedVms.add(vmId)
-      else if (suspect.confirmations < REQUIRED_VM_LISTS) continue
-      if (proof === 'ended') this.endIncarnation(worker, { planned: isPlanned(vm, worker), offSince })
-      lost.push({ worker, proof, unansweredStarts: worker.runs.size, vmState: vm?.state })
-      if (proof === 'replaced') this.scheduler.releaseRuns(worker, releaseCauses.vmReplaced)
-      this.suspects.delete(worker)
+      if (this.proofNeeded(worker) !== suspect.proof || requestedAt - suspect.since < VM_LIST_CHECK_AFTER_MS) continue
+      this.observe(worker, suspect, list)
+      lost.push(...this.conclude(worker, suspect, list))
+    }
+    return lost
+  }
+
+  /** Notes what a list shows of a suspect's VM. */
+  private observe (worker: TrackedWorker, suspect: SuspectedLoss, { byId, shown, isComplete, showsOthers, requestedAt }: AppliedList): void {
+    const { proof } = suspect
+    const vmId = worker.registration.vm
+    const vm = byId.get(vmId)
+    const isExpected = this.listedVms.has(vmId) || (proof === 'ended' && vmId !== '' && showsOthers)
+    const isAbsent = isComplete && !shown.has(vmId) && isExpected
+    const isVacant = isAbsent || (isComplete && vm !== undefined && vm.worker === '')
+    const absentBeforeMs = proof === 'ended' ? worker.vmAbsentMs ?? 0 : 0
+    suspect.confirmations = provesLoss(proof, vm, worker) ? suspect.confirmations + 1 : 0
+    suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt - absentBeforeMs : undefined
+    suspect.vacantSince = isVacant ? suspect.vacantSince ?? requestedAt : undefined
+    suspect.vacantLists = isVacant ? suspect.vacantLists + 1 : 0
+    worker.vmAbsentMs = suspect.absentSince === undefined ? undefined : requestedAt - suspect.absentSince
+  }
+
+  /** Ends or releases what is proven, and returns that. */
+  private conclude (worker: TrackedWorker, suspect: SuspectedLoss, { byId, requestedAt }: AppliedList): LostWorker[] {
+    const { proof } = suspect
+    const vmId = worker.registration.vm
+    const vm = byId.get(vmId)
+    const mayBeGone = this.listedVms.has(vmId) || worker.deregistered
+    const vacantSince = mayBeGone ? provenVacantSince(suspect, requestedAt) : undefined
+    const offSince = observeOff(suspect, { isOff: vm !== undefined && cannotRun(vm, worker), requestedAt }) ?? vacantSince
+    const lost: LostWorker[] = []
+    if (offSince !== undefined && (proof === 'replaced' || vacantSince !== undefined)) {
+      const unansweredStarts = this.scheduler.releaseOverRuns(worker, offSince)
+      if (unansweredStarts > 0) lost.push({ worker, proof: 'off', unansweredStarts, vmState: vm?.state })
+      if (proof === 'replaced' && worker.runs.size === 0) return lost
     }
+    if (mayBeGone && isGone(suspect, requestedAt)) this.listedVms.add(vmId)
+    else if (suspect.confirmations < REQUIRED_VM_LISTS) return lost
+    if (proof === 'ended') this.endIncarnation(worker, { planned: isPlanned(vm, worker), offSince })
+    lost.push({ worker, proof, unansweredStarts: worker.runs.size, vmState: vm?.state })
+    if (proof === 'replaced') this.scheduler.releaseRuns(worker, releaseCauses.vmReplaced)
+    this.suspects.delete(worker)
     return lost
   }
 
+  private vmsOfWorkers (): string[] {
+    return [...this.scheduler.workers.values()].map(({ registration }) => registration.vm)
+  }
+
   /**
    * Returns whether a list shows a worker of the service that responds on the VM that it names: then it would show the VMs of
    * the others, too. A VM that was lost before this term is in none of its lists, and its worker's registration expires meanwhile, so that
@@ -160,11 +196,6 @@
     return [...this.scheduler.workers.values()].some(({ registration, fenced, reachable, ended }) => fenced && reachable && !ended && byId.get(registration.vm)?.worker === registration.id)
   }
 
-  /** Returns for how long lists of earlier terms had left out the VM of a worker that has not responded since. */
-  private absentBeforeMs (worker: TrackedWorker, proof: Proof): number {
-    return proof === 'ended' ? this.scheduler.vmAbsences.carriedOf(worker) : 0
-  }
-
   private endIncarnation (worker: TrackedWorker, opts: { planned: boolean, offSince: number | undefined }): void {
     this.scheduler.endIncarnation(worker, { planned: opts.planned })
     if (opts.offSince !== undefined) this.scheduler.releaseOverRuns(worker, opts.offSince)
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -25,7 +25,6 @@
 import { DurationEstimator } from './stragglers.ts'
 import { ThrottledBackfill } from './throttled-backfill.ts'
 import { TaskPlacer } from './task-placer.ts'
-import { VmAbsences } from './vm-absences.ts'
 import { attachRun, detachRun, markBegun, mayStart, type Task } from './tracked-job.ts'
 import { runKey, TrackedWorker, type ClockReading } from './tracked-worker.ts'
 import { WithdrawnRoom } from './withdrawn-room.ts'
@@ -90,8 +89,6 @@
   private readonly incarnations = new Incarnations()
   /** What is known of runs of earlier leaders; to be filled before the first workers are set. */
   readonly earlierRuns = new EarlierRuns()
-  /** What lists have shown of the VMs of silent workers, over terms. */
-  readonly vmAbsences = new VmAbsences()
   private readonly durationEstimator = new DurationEstimator()
   private readonly demandEstimator: DemandEstimator
   private readonly placer: TaskPlacer
@@ -412,7 +409,7 @@
     if (existing !== undefined) this.endIncarnation(existing)
     const unresolvedRuns = [...existing?.runs.values() ?? []]
     const lateStartsUntil = unresolvedRuns.length === 0 ? 0 : this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
-    const worker = new TrackedWorker(registration, { unknownRunsUntil: this.earlierRuns.untilAt(registration), lateStartsUntil })
+    const worker = new TrackedWorker(registration, { unknownRunsUntil: this.earlierRuns.untilAt(registration), lateStartsUntil, vmAbsentMs: this.earlierRuns.takeAbsentMs(registration) })
     this.workers.set(registration.id, worker)
     this.incarnations.add(registration)
     for (const run of unresolvedRuns) this.carryOverRun(run, worker)
--- a/jobs/scheduler/test/earlier-runs.test.ts
+++ b/jobs/scheduler/test/earlier-runs.test.ts
@@ -5,7 +5,7 @@
 /** A leader that has taken over w1 and w2, of which w2 has responded. */
 function takeOver (unknownRunsMs: Record<string, number> = {}, usedIds?: string[]): SchedulerHarness {
   const harness = new SchedulerHarness({ term: 1 })
-  if (usedIds !== undefined) harness.scheduler.earlierRuns.limitTo(usedIds)
+  if (usedIds !== undefined) harness.scheduler.earlierRuns.limitToWorkers(usedIds)
   harness.scheduler.earlierRuns.takeOver(unknownRunsMs, harness.now)
   harness.scheduler.setWorkers([worker('w1'), worker('w2')], { unknownRunsUntil: harness.now + 5_700 })
   harness.report('w2')
--- a/jobs/scheduler/test/lost-before-term.test.ts
+++ b/jobs/scheduler/test/lost-before-term.test.ts
@@ -10,8 +10,9 @@
 const LISTS_BEFORE_PROOF = 5
 
 /** A leader that has taken over, and has had a response of the worker `w2` alone; by default the others are not registered any more. */
-function takeOver (registrations: readonly WorkerRegistration[] = [worker('w1'), worker('w2')], opts: { registered?: boolean } = {}) {
+function takeOver (registrations: readonly WorkerRegistration[] = [worker('w1'), worker('w2')], opts: { registered?: boolean, absentMs?: Record<string, number> } = {}) {
   const harness = new SchedulerHarness({ term: 1 })
+  harness.scheduler.earlierRuns.takeOverAbsences(opts.absentMs ?? {})
   harness.addJob({}, { acceptedThisTerm: false })
   harness.scheduler.setWorkers(registrations, { unknownRunsUntil: harness.now + 6_000 })
   harness.report('w2')
@@ -70,9 +71,7 @@
 /** Returns what a leader hands on of its lists, and a successor that has taken it over. */
 function succeed ({ harness }: ReturnType<typeof takeOver>): ReturnType<typeof takeOver> {
   const lost = harness.worker('w1')
-  const next = takeOver()
-  next.harness.scheduler.vmAbsences.takeOver({ [lost.incarnation()]: harness.scheduler.vmAbsences.absentMs(lost) ?? 0 })
-  return next
+  return takeOver(undefined, { absentMs: { [lost.incarnation()]: lost.vmAbsentMs ?? 0 } })
 }
 
 // Each of several leaders in a row began its lists anew, so that tasks of workers that were gone waited for as long as leaders changed.
@@ -101,9 +100,9 @@
   applyLists(first, LISTS_BEFORE_PROOF, others)
   const second = succeed(first)
   second.harness.report('w1')
-  assert.equal(second.harness.scheduler.vmAbsences.absentMs(second.harness.worker('w1')), undefined)
+  assert.equal(second.harness.worker('w1').vmAbsentMs, undefined)
   second.harness.worker('w1').markUnreachable(second.harness.now)
-  assert.equal(second.harness.scheduler.vmAbsences.absentMs(second.harness.worker('w1')), undefined)
+  assert.equal(second.harness.worker('w1').vmAbsentMs, undefined)
   assert.equal(applyLists(second, LISTS_BEFORE_PROOF, others), 0)
 })
 
--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -188,8 +188,7 @@
 function absencesOf (scheduler: Scheduler): Record<string, number> {
   const found: Record<string, number> = {}
   for (const worker of scheduler.workers.values()) {
-    const ms = scheduler.vmAbsences.absentMs(worker)
-    if (ms !== undefined) found[worker.incarnation()] = Math.floor(ms)
+    if (!worker.ended && worker.vmAbsentMs !== undefined) found[worker.incarnation()] = Math.floor(worker.vmAbsentMs)
   }
   return found
 }
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -17,7 +17,6 @@
 import { StartWindow } from './start-window.ts'
 import { TakeoverMonitor } from './takeover-monitor.ts'
 import { TermRecordWriter } from './term-record-writer.ts'
-import { UnlistedVms } from './unlisted-vms.ts'
 import { UnservedMonitor } from './unserved-monitor.ts'
 import { WaitMonitor } from './wait-monitor.ts'
 import { endOldWithdrawals, FleetTokens, withdrawWorkers } from './withdrawals.ts'
@@ -241,9 +240,9 @@
     // Earlier leaders were replaced before the term began, and have written no record since.
     this.unknownRunsUntil = startedAt + LEADERSHIP_OVERLAP_MS + maxEarlierLeaseMs
     scheduler.earlierRuns.takeOver(term.unknownRunsMs ?? {}, startedAt)
-    scheduler.vmAbsences.takeOver(term.absentMs ?? {})
+    scheduler.earlierRuns.takeOverAbsences(term.absentMs ?? {})
     // The first leader, whose record names no worker, waits for all that are registered, so that those that respond first don't get all tasks.
-    if (term.workers.length > 0) scheduler.earlierRuns.limitTo(term.workers.map(({ id }) => id))
+    if (term.workers.length > 0) scheduler.earlierRuns.limitToWorkers(term.workers.map(({ id }) => id))
     scheduler.setWorkers(term.workers, { unknownRunsUntil: this.unknownRunsUntil })
     this.updateWorkers(scheduler)
     const { store, records } = this.opts
@@ -405,14 +404,12 @@
    */
   private async detectLostWorkers (scheduler: Scheduler, signal: AbortSignal): Promise<void> {
     const detector = new LostWorkerDetector(scheduler, this.opts.clock)
-    const unlisted = new UnlistedVms()
     await this.runPeriodically(LOST_WORKER_CHECK_INTERVAL_MS, signal, async () => {
+      const isFirstListDue = detector.needsFirstList()
+      if (!detector.needsVmList() && !isFirstListDue) return
       const requestedAt = this.opts.clock.now()
-      const isAnyUnlisted = unlisted.isListDue(vmsOf(scheduler), requestedAt)
-      if (!detector.needsVmList() && !isAnyUnlisted) return
       const list = await this.opts.vms(signal)
       if (list === undefined) return
-      unlisted.note(list, vmsOf(scheduler))
       const lost = detector.applyVmList(list.vms, requestedAt, list)
       for (const { worker: { registration }, proof, unansweredStarts, vmState } of lost) {
         const fields = { worker: registration.id, vm: registration.vm, vmState, unansweredStarts }
@@ -456,7 +453,3 @@
     while (await delay(periodMs, signal)) await step()
   }
 }
-
-function vmsOf ({ workers }: Scheduler): string[] {
-  return [...workers.values()].map(({ registration }) => registration.vm)
-}
--- a/jobs/service/test/term-record-writer.test.ts
+++ b/jobs/service/test/term-record-writer.test.ts
@@ -4,7 +4,7 @@
 import { silentLogger } from '@wisteriaslip/core.logger'
 import { Metrics } from '@wisteriaslip/core.metrics'
 import type { Queue, WorkerRegistration } from '@wisteriaslip/jobs.model'
-import { Scheduler } from '@wisteriaslip/jobs.scheduler'
+import { Scheduler, type Run, type TrackedWorker } from '@wisteriaslip/jobs.scheduler'
 import { plainStep } from '@wisteriaslip/testing.jobs'
 import { JobKeys, JobRecords, type TermRecord } from '@wisteriaslip/jobs.store'
 import type { Change, Store, StoreError, Versioned } from '@wisteriaslip/store.client'
@@ -70,6 +70,15 @@
   return { store, writer, scheduler, register, time }
 }
 
+/** Places a run on a worker that has responded. */
+function placeRun (scheduler: Scheduler, tracked: TrackedWorker): Run {
+  scheduler.applyReport(tracked, { clockMs: 1, born: 1, running: [], ended: [], moreEnded: false }, { sentAt: 10_000, receivedAt: 10_000 })
+  scheduler.addJob({ id: '00000000000000aa', queue: 'q', service: 's', payload: '', steps: [plainStep({ demand: { cpu: 1, memMb: 1, accelerators: 0 } })], acceptedAt: 0, acceptedUnder: 0 }, { acceptedThisTerm: true })
+  const [run] = scheduler.placeReadyTasks()
+  assert.ok(run !== undefined)
+  return run
+}
+
 // A worker that registered again counted as recorded, although a write without a response had removed it from the record.
 test('a worker that a write with an unknown outcome removes is recorded again before it gets a lease', async () => {
   const { store, writer, scheduler, register } = await startTerm()
@@ -109,10 +118,7 @@
   const { store, writer, scheduler, register } = await startTerm()
   const [w1] = [...scheduler.workers.values()]
   assert.ok(w1 !== undefined)
-  scheduler.applyReport(w1, { clockMs: 1, born: 1, running: [], ended: [], moreEnded: false }, { sentAt: 10_000, receivedAt: 10_000 })
-  scheduler.addJob({ id: '00000000000000aa', queue: 'q', service: 's', payload: '', steps: [plainStep({ demand: { cpu: 1, memMb: 1, accelerators: 0 } })], acceptedAt: 0, acceptedUnder: 0 }, { acceptedThisTerm: true })
-  const [run] = scheduler.placeReadyTasks()
-  assert.ok(run !== undefined)
+  const run = placeRun(scheduler, w1)
   scheduler.handleStartResponse(run, { kind: 'unknown', message: '' })
   scheduler.endIncarnation(w1)
   register('w2')
@@ -128,10 +134,7 @@
   const { store, writer, scheduler, register } = await startTerm()
   const [w1] = [...scheduler.workers.values()]
   assert.ok(w1 !== undefined)
-  scheduler.applyReport(w1, { clockMs: 1, born: 1, running: [], ended: [], moreEnded: false }, { sentAt: 10_000, receivedAt: 10_000 })
-  scheduler.addJob({ id: '00000000000000aa', queue: 'q', service: 's', payload: '', steps: [plainStep({ demand: { cpu: 1, memMb: 1, accelerators: 0 } })], acceptedAt: 0, acceptedUnder: 0 }, { acceptedThisTerm: true })
-  const [run] = scheduler.placeReadyTasks()
-  assert.ok(run !== undefined)
+  const run = placeRun(scheduler, w1)
   scheduler.handleStartResponse(run, undefined, { clockMs: 1, sentAt: 10_000 })
   scheduler.applyReport(w1, { clockMs: 2, born: 1, running: [], ended: [{ seq: 1, task: run.task.name, attempt: run.attempt, how: 'done', checkpoint: '' }], moreEnded: false }, { sentAt: 10_001, receivedAt: 10_001 })
   register('w2')
@@ -226,7 +229,7 @@
   const [w1] = [...scheduler.workers.values()]
   assert.ok(w1 !== undefined)
   const absentMs = (): unknown => (store.stored?.value as TermRecord).absentMs
-  scheduler.vmAbsences.note(w1, 700.4)
+  w1.vmAbsentMs = 700.4
   assert.equal(await writer.writeIfChanged(scheduler), true)
   assert.deepEqual(absentMs(), { 'w1/1': 700 })
   scheduler.applyReport(w1, { clockMs: 1, born: 1, running: [], ended: [], moreEnded: false }, { sentAt: 10_000, receivedAt: 10_000 })
