--- a/jobs/scheduler/src/explain.ts
+++ b/jobs/scheduler/src/explain.ts
@@ -86,19 +86,22 @@
 function explainStep (scheduler: Scheduler, step: TrackedStep, sortedSteps: readonly TrackedStep[], opts: { queue: QueueLookup, now: number }): Record<string, unknown> {
   const position = sortedSteps.indexOf(step)
   const waiting = position < 0 ? undefined : step.tasks.find(isWaiting)
-  const held = waiting === undefined ? undefined : describeHolds(scheduler, waiting, opts)
   return {
     number: step.number,
     tasks: step.tasks.length,
     left: step.left,
     after: step.spec.after,
     ...(position < 0 ? {} : { placeInOrder: position }),
-    ...(waiting === undefined ? {} : { waitsFor: held?.waitsFor, room: countRoom(scheduler, waiting, opts), holds: held?.holds }),
-    ...(held?.quota === undefined ? {} : { quota: held.quota }),
+    ...(waiting === undefined ? {} : explainWait(scheduler, waiting, opts)),
     underWay: step.tasks.filter(task => !task.done && (task.runs.length > 0 || task.failedAttempts.length > 0 || task.crashes.length > 0)).slice(0, MAX_LISTED_TASKS).map(task => explainTask(scheduler, task, opts))
   }
 }
 
+function explainWait (scheduler: Scheduler, task: Task, opts: { queue: QueueLookup, now: number }): Record<string, unknown> {
+  const { waitsFor, holds, quota } = describeHolds(scheduler, task, opts)
+  return { waitsFor, room: countRoom(scheduler, task, opts), holds, ...(quota === undefined ? {} : { quota }) }
+}
+
 function explainTask (scheduler: Scheduler, task: Task, opts: { queue: QueueLookup, now: number }): Record<string, unknown> {
   const { restsMs, isolation, holds } = describeHolds(scheduler, task, opts)
   return {
--- a/jobs/service/src/serial-permit-client.ts
+++ b/jobs/service/src/serial-permit-client.ts
@@ -1,11 +1,8 @@
 import { err, onAbort, withTimeout, type Result } from '@wisteriaslip/core.result'
 import type { PermitClient, PermitError, Permits } from '@wisteriaslip/jobs.model'
 
-/** A request that waits for its turn. */
-interface Waiting {
-  /** Begins its turn. */
-  begin (): void
-}
+/** Begins the turn of a request that waits for it. */
+type BeginTurn = () => void
 
 /**
  * Sends the requests of all leaders of an entry one at a time, as the permit service handles them: the timeout of a request starts with
@@ -15,8 +12,8 @@
   private readonly client: PermitClient
   private isBusy = false
   private wasUrgent = false
-  private readonly urgent = new Set<Waiting>()
-  private readonly others = new Set<Waiting>()
+  private readonly urgent = new Set<BeginTurn>()
+  private readonly others = new Set<BeginTurn>()
 
   /** @param client - client of the permit service */
   constructor (client: PermitClient) {
@@ -43,21 +40,20 @@
     const line = urgent ? this.urgent : this.others
     return await new Promise(resolve => {
       const end = (hasTurn: boolean): void => {
-        line.delete(waiting)
+        line.delete(beginTurn)
         detach()
         resolve(hasTurn)
       }
-      const waiting: Waiting = { begin: () => end(true) }
+      const beginTurn = (): void => end(true)
       const detach = onAbort(signal, () => end(false))
-      line.add(waiting)
+      line.add(beginTurn)
     })
   }
 
   /** Gives the turn to the request that comes next. */
   private passOn (): void {
-    const lines = this.wasUrgent ? [this.others, this.urgent] : [this.urgent, this.others]
-    const [next] = lines.flatMap(line => [...line].slice(0, 1))
-    if (next === undefined) this.isBusy = false
-    else next.begin()
+    const [beginTurn] = this.wasUrgent ? [...this.others, ...this.urgent] : [...this.urgent, ...this.others]
+    if (beginTurn === undefined) this.isBusy = false
+    else beginTurn()
   }
 }
--- a/jobs/service/src/worker-session.ts
+++ b/jobs/service/src/worker-session.ts
@@ -172,7 +172,7 @@
     else this.checkIncarnation(task.name)
     this.scheduler.handleStartResponse(run, response.ok ? undefined : response.error, response.ok ? { clockMs: response.value, sentAt } : undefined)
     if (!response.ok) this.events.onChange()
-    if (response.ok ? run.isolation !== undefined : run.phase === 'unsettled') this.pollOnceSettled(signal).catch(this.logUnexpected)
+    if (run.phase === 'unsettled' || (response.ok && run.isolation !== undefined)) this.pollOnceSettled(signal).catch(this.logUnexpected)
   }
 
   private async sendStart (channel: WorkerChannel, command: StartCommand, signal: AbortSignal): Promise<Result<number, WorkerError>> {
@@ -193,7 +193,7 @@
     this.currentPoll?.abort()
   }
 
-  /** Replaces the poll in progress by one that shows at once whether the worker has survived the start of a run, has it, or is rid of it. */
+  /** Replaces the poll in progress by one that shows at once what a start or a stop has done: whether the run is there, and whether the worker has survived it. */
   private async pollOnceSettled (signal: AbortSignal, opts: { unless?: () => boolean } = {}): Promise<void> {
     if (!await delay(SETTLE_MS * CLOCK_DRIFT_FACTOR, signal) || opts.unless?.() === true) return
     this.pollNow()
