--- a/jobs/scheduler/test/born-earlier.test.ts
+++ b/jobs/scheduler/test/born-earlier.test.ts
@@ -1,8 +1,24 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { UNKNOWN_BORN, type WorkerRegistration } from '@wisteriaslip/jobs.model'
 import { job, running, SchedulerHarness, step, worker } from './harness.ts'
 
 const PASS_MS = 100
+const MAX_WAIT_MS = 60_000
+
+/** Hands in a job, and returns whether a task of it is started within a minute on a worker that goes on being registered so. */
+function isStarted (harness: SchedulerHarness, registration: WorkerRegistration): boolean {
+  harness.addJob(job({ steps: [step({ lasting: true })] }))
+  for (const until = harness.now + MAX_WAIT_MS; harness.now < until;) {
+    harness.now += PASS_MS
+    harness.scheduler.setWorkers([registration], { unknownRunsUntil: 0 })
+    const tracked = harness.scheduler.workers.get(registration.id)
+    if (tracked !== undefined && !tracked.ended) harness.report(registration.id)
+    harness.scheduler.tick()
+    if (harness.startReadyTasks().length > 0) return true
+  }
+  return false
+}
 
 // Its registration was ignored as that of an older incarnation for as long as it stayed listed, that is for the rest of the term.
 for (const registeredThroughout of [true, false]) {
@@ -14,22 +30,19 @@
     harness.scheduler.endIncarnation(before, { planned: true })
     if (!registeredThroughout) harness.scheduler.setWorkers([], { unknownRunsUntil: 0 })
     harness.scheduler.tick()
-    const restarted = [worker('w1', { born: 8_000, revision: 30 })]
-    harness.addJob(job({ steps: [step({ lasting: true })] }))
-    const handedInAt = harness.now
-    let startedAt: number | undefined
-    while (startedAt === undefined && harness.now - handedInAt < 60_000) {
-      harness.now += PASS_MS
-      harness.scheduler.setWorkers(restarted, { unknownRunsUntil: 0 })
-      const tracked = harness.scheduler.workers.get('w1')
-      if (tracked !== undefined && !tracked.ended) harness.report('w1')
-      harness.scheduler.tick()
-      if (harness.startReadyTasks().length > 0) startedAt = harness.now
-    }
-    assert.ok(startedAt !== undefined, 'not started within 60 s')
+    assert.ok(isStarted(harness, worker('w1', { born: 8_000, revision: 30 })))
   })
 }
 
+// Its registration was taken for that of the incarnation that had ended, for as long as the term lasted.
+test('a worker whose registration does not say when it was born gets tasks after a restart, its end having been seen first', () => {
+  const harness = new SchedulerHarness()
+  const [before] = harness.addWorkers(worker('w1', { born: UNKNOWN_BORN, revision: 20 }))
+  assert.ok(before !== undefined)
+  harness.scheduler.endIncarnation(before, { planned: true })
+  assert.ok(isStarted(harness, worker('w1', { born: UNKNOWN_BORN, revision: 30 })))
+})
+
 const TASK = '00000000000000aa.0.0.0'
 
 /** A worker whose machine's clock was set back before its restart has got a start. */
