--- a/testing/simulation/src/handover-days.ts
+++ b/testing/simulation/src/handover-days.ts
@@ -81,7 +81,7 @@
 }
 
 /**
- * Draws a scenario of the same kind in which workers that have just joined are lost for good, with all that is left of it calm.
+ * Draws a scenario of the same kind in which workers that have just joined are lost for good; nothing is cut off or silent for good.
  * @param seed - the same seed draws the same scenario
  * @returns the scenario
  */
--- a/testing/simulation/test/joining-over-terms.model.test.ts
+++ b/testing/simulation/test/joining-over-terms.model.test.ts
@@ -37,7 +37,7 @@
 // Played before the first test begins, as promises cost three times as much inside of a test.
 const played = [await playDay(joiningDay(1)), await playDay(joiningDay(2)), await playDay(joiningDay(3))]
 const broken = await playScenarios({
-  kinds: { joining: drawJoiningDay, joiners: drawLostJoinersDay },
+  kinds: { joining: drawJoiningDay, lost: drawLostJoinersDay },
   seed: Number(process.env.WISTERIASLIP_SEED ?? 20_261_208),
   runs: Number(process.env.WISTERIASLIP_RUNS ?? 8),
   only: process.env.WISTERIASLIP_SCENARIO
