Tests: a worker at work is taken for ended by what lists of an earlier term have shown

What callers see: tasks run twice, for 0.8 to 1 s and for 2.7 to 2.9 s, when lists leave out the VM of a worker at work, which leaders do not reach, for 1.3 s under one leader and for 0.6 s under the next, although a list in between has shown it, or the worker has responded in between and holds a lease. Under one leader such absences prove nothing.

Cause: a list that is requested within 0.1 s after a worker was first seen silent is not applied to it, as the first list of each term is; and the record of a term goes on to name an absence for up to a second after the worker's response, longer while the store cannot be written, and holds back no lease for that.

Three tests of lost-before-term.test.ts fail, two of them for older faults: a response between two passes of the detector, and an unreadable row with an empty name.

--- a/jobs/scheduler/test/lost-before-term.test.ts
+++ b/jobs/scheduler/test/lost-before-term.test.ts
@@ -160,3 +160,40 @@
   assert.equal(applyLists(leader, 1, { vms: [vm('vm-w9', 'w9')] }), 0)
   assert.equal(applyLists(leader, LISTS_BEFORE_PROOF, { vms: [vm('vm-w2', 'w2')] }), 0)
 })
+
+// A list that is requested within 0.1 s after a worker was first seen silent, as the first one of a term, was read and not applied to it, although
+// it shows the VM: what earlier leaders had seen went on to count, and 0.5 s of lists of this term ended a worker that may be at work.
+test('the first list of a term ends what earlier leaders have seen if it shows the VM', () => {
+  const others = { vms: [vm('vm-w2', 'w2')] }
+  const first = takeOver(undefined, { registered: true })
+  assert.equal(applyLists(first, LISTS_BEFORE_PROOF, others), 0)
+  const second = takeOver(undefined, { registered: true, absentMs: { [first.harness.worker('w1').incarnation()]: first.harness.worker('w1').vmAbsentMs ?? 0 } })
+  assert.equal(second.detector.needsFirstList(), true)
+  second.detector.needsVmList()
+  assert.deepEqual(second.detector.applyVmList([vm('vm-w1', 'w1'), ...others.vms], second.harness.now), [])
+  assert.equal(applyLists(second, LISTS_BEFORE_PROOF, others), 0, 'a list of this term has shown the VM')
+  assert.deepEqual(second.harness.startReadyTasks(), [])
+})
+
+// A worker that responded and fell silent again between two passes of the detector stayed suspected: lists from before its response went on to count.
+test('a response between two lists ends what the lists before it have shown', () => {
+  const leader = takeOver(undefined, { registered: true })
+  const { harness } = leader
+  const others = { vms: [vm('vm-w2', 'w2')] }
+  assert.equal(applyLists(leader, LISTS_BEFORE_PROOF, others), 0)
+  harness.worker('w2').cooldownUntil = Infinity
+  harness.report('w1')
+  const [run] = harness.startReadyTasks()
+  assert.equal(run?.worker, harness.worker('w1'))
+  harness.worker('w1').markUnreachable(harness.now)
+  deregisterAllBut(harness, 'w2')
+  assert.equal(applyLists(leader, 2, others), 0)
+  assert.equal(run?.task.runs.length, 1)
+})
+
+// The VM of a worker that names none was taken for listed once a row without a name could not be read.
+test('a list with an unreadable row that names no VM does not prove that a worker without a known VM has ended', () => {
+  const leader = takeOver([worker('w1', { vm: '' }), worker('w2')])
+  leader.detector.applyVmList([vm('vm-w2', 'w2')], leader.harness.now, { unreadable: [''], complete: true })
+  assert.equal(applyLists(leader, 2 * LISTS_BEFORE_PROOF, { vms: [vm('vm-w2', 'w2')] }), 0)
+})
