A term hands on nothing of what lists have shown: a task could run twice

Lists leave out the VM of a worker at work that leaders do not reach, for 1.3 s under one leader and for 0.6 s under the next, although a list in between has shown it, or the worker has responded in between and got a lease. Under one leader such absences prove nothing.

Cause: added up what lists of two terms had shown. Nobody looks between two terms, and the record of the first is up to a second old, so that the lists are not consecutive ones, which is what the proof rests on. A rule that cleared what was handed on at the first list that shows the VM, and bound leases to the record, would leave the gap between the terms.

--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -106,9 +106,7 @@
   needsVmList (): boolean {
     const now = this.clock.now()
     for (const [worker, suspect] of this.suspects) {
-      if (this.proofNeeded(worker) === suspect.proof) continue
-      this.suspects.delete(worker)
-      worker.vmAbsentMs = undefined
+      if (this.proofNeeded(worker) !== suspect.proof) this.suspects.delete(worker)
     }
     for (const worker of this.scheduler.workers.values()) {
       const proof = this.proofNeeded(worker)
@@ -152,12 +150,10 @@
     const isExpected = this.listedVms.has(vmId) || (proof === 'ended' && vmId !== '' && showsOthers)
     const isAbsent = isComplete && !shown.has(vmId) && isExpected
     const isVacant = isAbsent || (isComplete && vm !== undefined && vm.worker === '')
-    const absentBeforeMs = proof === 'ended' ? worker.vmAbsentMs ?? 0 : 0
     suspect.confirmations = provesLoss(proof, vm, worker) ? suspect.confirmations + 1 : 0
-    suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt - absentBeforeMs : undefined
+    suspect.absentSince = isAbsent ? suspect.absentSince ?? requestedAt : undefined
     suspect.vacantSince = isVacant ? suspect.vacantSince ?? requestedAt : undefined
     suspect.vacantLists = isVacant ? suspect.vacantLists + 1 : 0
-    worker.vmAbsentMs = suspect.absentSince === undefined ? undefined : requestedAt - suspect.absentSince
   }
 
   /** Ends or releases what is proven, and returns that. */
--- a/jobs/scheduler/src/scheduler.ts
+++ b/jobs/scheduler/src/scheduler.ts
@@ -409,7 +409,7 @@
     if (existing !== undefined) this.endIncarnation(existing)
     const unresolvedRuns = [...existing?.runs.values() ?? []]
     const lateStartsUntil = unresolvedRuns.length === 0 ? 0 : this.opts.clock.now() + 2 * this.opts.limits.longestLeaseMs
-    const worker = new TrackedWorker(registration, { unknownRunsUntil: this.earlierRuns.untilAt(registration), lateStartsUntil, vmAbsentMs: this.earlierRuns.takeAbsentMs(registration) })
+    const worker = new TrackedWorker(registration, { unknownRunsUntil: this.earlierRuns.untilAt(registration), lateStartsUntil })
     this.workers.set(registration.id, worker)
     this.incarnations.add(registration)
     for (const run of unresolvedRuns) this.carryOverRun(run, worker)
--- a/jobs/scheduler/src/tracked-worker.ts
+++ b/jobs/scheduler/src/tracked-worker.ts
@@ -74,8 +74,6 @@
   private readonly lateStartsUntil: number
   /** When a report first showed the worker without runs, by the injected clock; undefined while there is no such report. */
   emptySince: number | undefined
-  /** For how long complete lists have left out its VM, over terms, in milliseconds; undefined if it has responded since, or the latest list proves nothing. */
-  vmAbsentMs: number | undefined
   private clockMs = 0
   private clockReadAt = Number.NEGATIVE_INFINITY
   /** Expiry of the lease that this leader has granted, on the worker's clock. */
@@ -88,11 +86,10 @@
   private lasting = 0
   private readonly runsByStep = new Map<TrackedStep, number>()
 
-  constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number, lateStartsUntil?: number, vmAbsentMs?: number | undefined }) {
+  constructor (registration: WorkerRegistration, opts: { unknownRunsUntil: number, lateStartsUntil?: number }) {
     this.registration = registration
     this.unknownRunsUntil = opts.unknownRunsUntil
     this.lateStartsUntil = opts.lateStartsUntil ?? 0
-    this.vmAbsentMs = opts.vmAbsentMs
   }
 
   /** @returns a text that identifies the incarnation */
@@ -167,7 +164,6 @@
     this.reachable = true
     this.unreachableSince = undefined
     this.expiredRuns = []
-    this.vmAbsentMs = undefined
     this.lastResponseAt = at
   }
 
--- a/jobs/scheduler/test/lost-before-term.test.ts
+++ b/jobs/scheduler/test/lost-before-term.test.ts
@@ -10,9 +10,8 @@
 const LISTS_BEFORE_PROOF = 5
 
 /** A leader that has taken over, and has had a response of the worker `w2` alone; by default the others are not registered any more. */
-function takeOver (registrations: readonly WorkerRegistration[] = [worker('w1'), worker('w2')], opts: { registered?: boolean, absentMs?: Record<string, number> } = {}) {
+function takeOver (registrations: readonly WorkerRegistration[] = [worker('w1'), worker('w2')], opts: { registered?: boolean } = {}) {
   const harness = new SchedulerHarness({ term: 1 })
-  harness.scheduler.earlierRuns.takeOverAbsences(opts.absentMs ?? {})
   harness.addJob({}, { acceptedThisTerm: false })
   harness.scheduler.setWorkers(registrations, { unknownRunsUntil: harness.now + 6_000 })
   harness.report('w2')
@@ -68,44 +67,6 @@
   assert.equal(applyLists(leader, 1, others), 1)
 })
 
-/** Returns what a leader hands on of its lists, and a successor that has taken it over. */
-function succeed ({ harness }: ReturnType<typeof takeOver>): ReturnType<typeof takeOver> {
-  const lost = harness.worker('w1')
-  return takeOver(undefined, { absentMs: { [lost.incarnation()]: lost.vmAbsentMs ?? 0 } })
-}
-
-// Each of several leaders in a row began its lists anew, so that tasks of workers that were gone waited for as long as leaders changed.
-test('a leader continues the lists of the one before', () => {
-  const others = { vms: [vm('vm-w2', 'w2')] }
-  const first = takeOver()
-  assert.equal(applyLists(first, LISTS_BEFORE_PROOF, others), 0)
-  const second = succeed(first)
-  assert.equal(applyLists(second, 3, others), 0, 'a few lists of its own have to agree')
-  assert.equal(applyLists(second, 1, others), 1)
-})
-
-test('a list that shows the VM ends what earlier leaders have seen', () => {
-  const others = { vms: [vm('vm-w2', 'w2')] }
-  const first = takeOver()
-  assert.equal(applyLists(first, LISTS_BEFORE_PROOF, others), 0)
-  const second = succeed(first)
-  assert.equal(applyLists(second, 1, { vms: [vm('vm-w2', 'w2'), vm('vm-w1', 'w1')] }), 0)
-  assert.equal(applyLists(second, LISTS_BEFORE_PROOF, others), 0)
-  assert.equal(applyLists(succeed(takeOver()), LISTS_BEFORE_PROOF, others), 0, 'nothing is handed on without lists')
-})
-
-test('a worker that has responded in the term is not taken for lost by what earlier leaders have seen', () => {
-  const others = { vms: [vm('vm-w2', 'w2')] }
-  const first = takeOver()
-  applyLists(first, LISTS_BEFORE_PROOF, others)
-  const second = succeed(first)
-  second.harness.report('w1')
-  assert.equal(second.harness.worker('w1').vmAbsentMs, undefined)
-  second.harness.worker('w1').markUnreachable(second.harness.now)
-  assert.equal(second.harness.worker('w1').vmAbsentMs, undefined)
-  assert.equal(applyLists(second, LISTS_BEFORE_PROOF, others), 0)
-})
-
 // Starts without a response on a worker that proved to be gone were kept for twice the longest lease, as its VM had never been listed.
 test('unanswered starts on a worker that is gone are released although its VM was never listed', () => {
   const leader = takeOver(undefined, { registered: true })
@@ -160,40 +121,3 @@
   assert.equal(applyLists(leader, 1, { vms: [vm('vm-w9', 'w9')] }), 0)
   assert.equal(applyLists(leader, LISTS_BEFORE_PROOF, { vms: [vm('vm-w2', 'w2')] }), 0)
 })
-
-// A list that is requested within 0.1 s after a worker was first seen silent, as the first one of a term, was read and not applied to it, although
-// it shows the VM: what earlier leaders had seen went on to count, and 0.5 s of lists of this term ended a worker that may be at work.
-test('the first list of a term ends what earlier leaders have seen if it shows the VM', () => {
-  const others = { vms: [vm('vm-w2', 'w2')] }
-  const first = takeOver(undefined, { registered: true })
-  assert.equal(applyLists(first, LISTS_BEFORE_PROOF, others), 0)
-  const second = takeOver(undefined, { registered: true, absentMs: { [first.harness.worker('w1').incarnation()]: first.harness.worker('w1').vmAbsentMs ?? 0 } })
-  assert.equal(second.detector.needsFirstList(), true)
-  second.detector.needsVmList()
-  assert.deepEqual(second.detector.applyVmList([vm('vm-w1', 'w1'), ...others.vms], second.harness.now), [])
-  assert.equal(applyLists(second, LISTS_BEFORE_PROOF, others), 0, 'a list of this term has shown the VM')
-  assert.deepEqual(second.harness.startReadyTasks(), [])
-})
-
-// A worker that responded and fell silent again between two passes of the detector stayed suspected: lists from before its response went on to count.
-test('a response between two lists ends what the lists before it have shown', () => {
-  const leader = takeOver(undefined, { registered: true })
-  const { harness } = leader
-  const others = { vms: [vm('vm-w2', 'w2')] }
-  assert.equal(applyLists(leader, LISTS_BEFORE_PROOF, others), 0)
-  harness.worker('w2').cooldownUntil = Infinity
-  harness.report('w1')
-  const [run] = harness.startReadyTasks()
-  assert.equal(run?.worker, harness.worker('w1'))
-  harness.worker('w1').markUnreachable(harness.now)
-  deregisterAllBut(harness, 'w2')
-  assert.equal(applyLists(leader, 2, others), 0)
-  assert.equal(run?.task.runs.length, 1)
-})
-
-// The VM of a worker that names none was taken for listed once a row without a name could not be read.
-test('a list with an unreadable row that names no VM does not prove that a worker without a known VM has ended', () => {
-  const leader = takeOver([worker('w1', { vm: '' }), worker('w2')])
-  leader.detector.applyVmList([vm('vm-w2', 'w2')], leader.harness.now, { unreadable: [''], complete: true })
-  assert.equal(applyLists(leader, 2 * LISTS_BEFORE_PROOF, { vms: [vm('vm-w2', 'w2')] }), 0)
-})
--- a/jobs/service/src/term-record-writer.ts
+++ b/jobs/service/src/term-record-writer.ts
@@ -7,7 +7,7 @@
 
 /**
  * Interval at which workers that are gone (ended without starts that may still be carried out, or no longer tracked) are removed
- * from the record, and what is known of silent ones is written. A new worker is written immediately, and so is one
+ * from the record, and for how long silent ones may still execute runs is written. A new worker is written immediately, and so is one
  * that responds again.
  */
 const UPDATE_INTERVAL_MS = 1_000
@@ -92,10 +92,9 @@
     if (this.isCurrent(scheduler)) return true
     const workers = liveWorkers(scheduler)
     const unknownRunsMs = this.unknownRunsMs(scheduler)
-    const absentMs = absencesOf(scheduler)
     this.forgetAllBut(workers)
     this.forbidLeases(unknownRunsMs, scheduler)
-    const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers, unknownRunsMs, absentMs }, this.opts.guard)
+    const written = await this.opts.records.writeTerm(this.opts.service, this.record, { ...this.record.value, workers, unknownRunsMs }, this.opts.guard)
     this.recordOutcome(written.ok ? undefined : written.error, workers)
     if (written.ok) this.setRecord(written.value)
     else if (written.error.kind === 'conflict') await this.readRecord(this.record.value.number)
@@ -165,7 +164,7 @@
 
   private nextRecord (before: TermRecord | undefined): TermRecord {
     const maxEarlierLeaseMs = before === undefined ? 0 : before.leaseMs ?? this.opts.limits.longestLeaseMs
-    return { number: (before?.number ?? -1) + 1, leaseMs: Math.max(maxEarlierLeaseMs, WORKER_LEASE_MS), workers: before?.workers ?? [], unknownRunsMs: before?.unknownRunsMs ?? {}, absentMs: before?.absentMs ?? {} }
+    return { number: (before?.number ?? -1) + 1, leaseMs: Math.max(maxEarlierLeaseMs, WORKER_LEASE_MS), workers: before?.workers ?? [], unknownRunsMs: before?.unknownRunsMs ?? {} }
   }
 
   private isCurrent (scheduler: Scheduler): boolean {
@@ -175,24 +174,12 @@
   }
 
   private areWaitsCurrent (scheduler: Scheduler): boolean {
-    const { unknownRunsMs = {}, absentMs = {} } = this.record?.value ?? {}
-    return isSame(unknownRunsMs, this.unknownRunsMs(scheduler)) && isSame(absentMs, absencesOf(scheduler))
+    const recorded = this.record?.value.unknownRunsMs ?? {}
+    const current = this.unknownRunsMs(scheduler)
+    return Object.keys(recorded).length === Object.keys(current).length && Object.entries(current).every(([incarnation, ms]) => recorded[incarnation] === ms)
   }
 }
 
-function isSame (recorded: Readonly<Record<string, number>>, current: Readonly<Record<string, number>>): boolean {
-  return Object.keys(recorded).length === Object.keys(current).length && Object.entries(current).every(([incarnation, ms]) => recorded[incarnation] === ms)
-}
-
-/** Returns for how long lists have left out the VMs of silent workers that the next leader must ask. */
-function absencesOf (scheduler: Scheduler): Record<string, number> {
-  const found: Record<string, number> = {}
-  for (const worker of scheduler.workers.values()) {
-    if (!worker.ended && worker.vmAbsentMs !== undefined) found[worker.incarnation()] = Math.floor(worker.vmAbsentMs)
-  }
-  return found
-}
-
 /** Returns the workers that the next leader must ask. The next incarnation of one that has ended may still carry out its starts. */
 function liveWorkers (scheduler: Scheduler): WorkerRegistration[] {
   return [...scheduler.workers.values()].filter(worker => !worker.ended || worker.runs.size > 0).map(worker => worker.registration)
--- a/jobs/service/src/term.ts
+++ b/jobs/service/src/term.ts
@@ -240,7 +240,6 @@
     // Earlier leaders were replaced before the term began, and have written no record since.
     this.unknownRunsUntil = startedAt + LEADERSHIP_OVERLAP_MS + maxEarlierLeaseMs
     scheduler.earlierRuns.takeOver(term.unknownRunsMs ?? {}, startedAt)
-    scheduler.earlierRuns.takeOverAbsences(term.absentMs ?? {})
     // The first leader, whose record names no worker, waits for all that are registered, so that those that respond first don't get all tasks.
     if (term.workers.length > 0) scheduler.earlierRuns.limitToWorkers(term.workers.map(({ id }) => id))
     scheduler.setWorkers(term.workers, { unknownRunsUntil: this.unknownRunsUntil })
--- a/jobs/service/test/term-record-writer.test.ts
+++ b/jobs/service/test/term-record-writer.test.ts
@@ -223,27 +223,13 @@
   assert.deepEqual(store.unknownRunsMs(), {})
 })
 
-// What lists had shown of a silent worker's VM ended with the term, and the next leader began anew.
-test('the record says for how long lists have left out the VMs of silent workers, and no longer once they respond', async () => {
-  const { store, writer, scheduler } = await startTerm()
-  const [w1] = [...scheduler.workers.values()]
-  assert.ok(w1 !== undefined)
-  const absentMs = (): unknown => (store.stored?.value as TermRecord).absentMs
-  w1.vmAbsentMs = 700.4
-  assert.equal(await writer.writeIfChanged(scheduler), true)
-  assert.deepEqual(absentMs(), { 'w1/1': 700 })
-  scheduler.applyReport(w1, { clockMs: 1, born: 1, running: [], ended: [], moreEnded: false }, { sentAt: 10_000, receivedAt: 10_000 })
-  assert.equal(await writer.writeIfChanged(scheduler), true)
-  assert.deepEqual(absentMs(), {})
-})
-
 test('a new term takes over what the record says of silent workers', async () => {
   const { store } = await startTerm()
-  const before: TermRecord = { number: 0, leaseMs: 4_000, workers: [worker('w1')], unknownRunsMs: { 'w1/1': 900 }, absentMs: { 'w1/1': 700 } }
+  const before: TermRecord = { number: 0, leaseMs: 4_000, workers: [worker('w1')], unknownRunsMs: { 'w1/1': 900 } }
   store.stored = { key: 'term', value: before, createRevision: 1, modRevision: 60, writeIds: [] }
   const records = new JobRecords(store as unknown as Store, new JobKeys('w'))
   const writer = new TermRecordWriter({ service: 's', token: 2, guard: { key: 'leader', createRevision: 2 }, records, limits } as unknown as ServiceTermOpts)
   const started = await writer.startTerm()
   assert.ok(started.ok)
-  assert.deepEqual([started.value.number, started.value.unknownRunsMs, started.value.absentMs], [1, { 'w1/1': 900 }, { 'w1/1': 700 }])
+  assert.deepEqual([started.value.number, started.value.unknownRunsMs], [1, { 'w1/1': 900 }])
 })
--- a/jobs/store/src/records.ts
+++ b/jobs/store/src/records.ts
@@ -24,8 +24,6 @@
    * may still be in progress there at most, in milliseconds. They get no lease while they are listed here.
    */
   readonly unknownRunsMs?: Readonly<Record<string, number>> | undefined
-  /** Silent workers, by {@link incarnationKey}: for how long complete lists had left out their VMs when this was written, in milliseconds. */
-  readonly absentMs?: Readonly<Record<string, number>> | undefined
 }
 
 /** All job records of a service. `revision` is that of the requests; progress is read separately. */
