--- a/jobs/scheduler/src/listed-vms.ts
+++ b/jobs/scheduler/src/listed-vms.ts
@@ -38,7 +38,7 @@
 
   /**
    * @param shown - ids of the VMs that a list shows, readable or not
-   * @param vms - ids of the workers' VMs
+   * @param vms - ids of the workers' VMs that it would show
    */
   note (shown: Iterable<string>, vms: Iterable<string>): void {
     for (const id of shown) this.listed.add(id)
--- a/jobs/scheduler/src/lost-worker-detector.ts
+++ b/jobs/scheduler/src/lost-worker-detector.ts
@@ -106,7 +106,7 @@
   needsVmList (): boolean {
     const now = this.clock.now()
     for (const [worker, suspect] of this.suspects) {
-      if (this.proofNeeded(worker) !== suspect.proof) this.suspects.delete(worker)
+      if (!this.isSuspected(worker, suspect)) this.suspects.delete(worker)
     }
     for (const worker of this.scheduler.workers.values()) {
       const proof = this.proofNeeded(worker)
@@ -130,12 +130,12 @@
    */
   applyVmList (vms: readonly Vm[], requestedAt: number, coverage: VmListCoverage = FULL_COVERAGE): LostWorker[] {
     const byId = new Map(vms.filter(vm => vm.id !== '').map(vm => [vm.id, vm]))
-    const shown = new Set([...byId.keys(), ...coverage.unreadable])
-    this.listedVms.note(shown, this.vmsOfWorkers())
+    const shown = new Set([...byId.keys(), ...coverage.unreadable].filter(id => id !== ''))
+    this.listedVms.note(shown, coverage.complete ? this.vmsOfWorkers() : [])
     const list: AppliedList = { byId, shown, isComplete: coverage.complete, showsOthers: this.showsRespondingWorkers(byId), requestedAt }
     const lost: LostWorker[] = []
     for (const [worker, suspect] of this.suspects) {
-      if (this.proofNeeded(worker) !== suspect.proof || requestedAt - suspect.since < VM_LIST_CHECK_AFTER_MS) continue
+      if (!this.isSuspected(worker, suspect) || requestedAt - suspect.since < VM_LIST_CHECK_AFTER_MS) continue
       this.observe(worker, suspect, list)
       lost.push(...this.conclude(worker, suspect, list))
     }
@@ -179,6 +179,11 @@
     return lost
   }
 
+  /** Returns whether the same still has to be proven, without a response of the worker since: lists from before a response prove nothing. */
+  private isSuspected (worker: TrackedWorker, { proof, since }: SuspectedLoss): boolean {
+    return this.proofNeeded(worker) === proof && (worker.lastResponseAt ?? Number.NEGATIVE_INFINITY) <= since
+  }
+
   private vmsOfWorkers (): string[] {
     return [...this.scheduler.workers.values()].map(({ registration }) => registration.vm)
   }
--- a/jobs/scheduler/test/lost-before-term.test.ts
+++ b/jobs/scheduler/test/lost-before-term.test.ts
@@ -121,3 +121,36 @@
   assert.equal(applyLists(leader, 1, { vms: [vm('vm-w9', 'w9')] }), 0)
   assert.equal(applyLists(leader, LISTS_BEFORE_PROOF, { vms: [vm('vm-w2', 'w2')] }), 0)
 })
+
+// A worker that responded and fell silent again between two passes of the detector stayed suspected: lists from before its response went on to count.
+test('a response between two lists ends what the lists before it have shown', () => {
+  const leader = takeOver(undefined, { registered: true })
+  const { harness } = leader
+  const others = { vms: [vm('vm-w2', 'w2')] }
+  assert.equal(applyLists(leader, LISTS_BEFORE_PROOF, others), 0)
+  harness.worker('w2').cooldownUntil = Infinity
+  harness.report('w1')
+  const [run] = harness.startReadyTasks()
+  assert.equal(run?.worker, harness.worker('w1'))
+  harness.worker('w1').markUnreachable(harness.now)
+  deregisterAllBut(harness, 'w2')
+  assert.equal(applyLists(leader, 2, others), 0)
+  assert.equal(run?.task.runs.length, 1)
+})
+
+// The VM of a worker that names none was taken for listed once a row without a name could not be read.
+test('a list with an unreadable row that names no VM does not prove that a worker without a known VM has ended', () => {
+  const leader = takeOver([worker('w1', { vm: '' }), worker('w2')])
+  leader.detector.applyVmList([vm('vm-w2', 'w2')], leader.harness.now, { unreadable: [''], complete: true })
+  assert.equal(applyLists(leader, 2 * LISTS_BEFORE_PROOF, { vms: [vm('vm-w2', 'w2')] }), 0)
+})
+
+// Lists that may leave VMs out counted, so that no first list was asked for any more.
+test('a first list is asked for again while lists may leave VMs out', () => {
+  const { harness, detector } = takeOver([worker('w2')])
+  for (let times = 0; times < 2 * LISTS_BEFORE_PROOF; times++) {
+    assert.equal(detector.needsFirstList(), true)
+    detector.applyVmList([], harness.now, { unreadable: [], complete: false })
+    harness.now += 1_000
+  }
+})
