--- a/jobs/scheduler/test/born-earlier.test.ts
+++ b/jobs/scheduler/test/born-earlier.test.ts
@@ -40,6 +40,7 @@
   const [before] = harness.addWorkers(worker('w1', { born: UNKNOWN_BORN, revision: 20 }))
   assert.ok(before !== undefined)
   harness.scheduler.endIncarnation(before, { planned: true })
+  assert.equal(isStarted(harness, worker('w1', { born: UNKNOWN_BORN, revision: 20 })), false, 'the same registration is of the one that has ended')
   assert.ok(isStarted(harness, worker('w1', { born: UNKNOWN_BORN, revision: 30 })))
 })
 
--- a/testing/jobs/test/waits-over-terms.test.ts
+++ b/testing/jobs/test/waits-over-terms.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { recordingLogger, type Logger } from '@wisteriaslip/core.logger'
+import { CLOCK_DRIFT_FACTOR, LEADERSHIP_OVERLAP_MS, WORKER_LEASE_MS } from '@wisteriaslip/jobs.model'
 import { FaultyService, type Fault, type Scenario } from './faulty-service.ts'
 
 /** The worker on `vm0` is cut off and stays registered, so that only leases prove the end of its runs. */
@@ -87,3 +89,23 @@
   }
   assert.deepEqual(found, [])
 })
+
+// A leader that did not allow for what its predecessor may grant after the election was noticed by no test.
+test('a new leader waits for a silent worker for as long as its predecessor may act, and a lease from then may last', async () => {
+  const waits: number[] = []
+  const note = (fields: Record<string, unknown>, msg: string): void => {
+    if (!msg.startsWith('tasks of earlier jobs wait')) return
+    const { forMs, workers } = fields as { forMs: number, workers: ReadonlyArray<{ leftMs: number }> }
+    waits.push(...workers.map(({ leftMs }) => forMs + leftMs))
+  }
+  const logger: Logger = Object.assign(recordingLogger([]), { info: note, child: () => logger })
+  const service = new FaultyService(1, logger)
+  try {
+    await service.playUntilAllRun({ seed: 1, faults: [cut], changes: [{ atMs: 3_500, entry: 1, overlapMs: 0 }] }, 3_500)
+  } finally {
+    service.close()
+  }
+  const readingMs = 100
+  assert.ok(waits.length > 0)
+  assert.ok(waits.every(ms => ms >= LEADERSHIP_OVERLAP_MS + WORKER_LEASE_MS * CLOCK_DRIFT_FACTOR - readingMs), waits.join())
+})
