--- a/testing/soak/src/callers.ts
+++ b/testing/soak/src/callers.ts
@@ -2,7 +2,7 @@
 import { request } from 'undici'
 import { ports } from './addresses.ts'
 import { STATUS_KEPT_MS, type EntryProcess } from './entry-process.ts'
-import type { RunLog } from './run-log.ts'
+import type { RunLog, Size } from './run-log.ts'
 import type { TaskPlan } from './worker.ts'
 
 const CALL_TIMEOUT_MS = 3_000
@@ -18,8 +18,12 @@
   readonly id: string
   readonly plan: TaskPlan
   readonly tasks: number
-  /** Service of its queue. */
+  /** Service that its queue had when the job was submitted. */
   readonly service: string
+  /** Name of its queue; the one of the service by default. */
+  readonly queue?: string
+  /** Client account that it counts for. */
+  readonly account?: Account
   accepted: boolean
   /** Time of the run log. */
   acceptedAt?: number
@@ -48,10 +52,22 @@
   readonly mayMiss?: number
   /** Service of its queue; by default one that is drawn. */
   readonly service?: string
+  /** Name of its queue; by default that of the service. */
+  readonly queue?: string
 }
 
+/** A client account. Its quota holds for all that it runs at a time. */
+export interface Account { readonly name: string, readonly key: string, readonly quota: Size }
+
 /** A queue that callers use. */
-export interface Queue { readonly service: string, readonly path: string }
+export interface Queue {
+  readonly name: string
+  /** Service that the queue has now. */
+  service: string
+  readonly path: string
+  /** The only account that uses it; none if anyone may. */
+  readonly account?: Account
+}
 
 /** Host name of all queues. */
 export const QUEUE_HOST = 'jobs.example'
@@ -83,9 +99,11 @@
   }
 
   /** Submits one job, at other entries too until one tells what became of it. */
-  async submit ({ plan, tasks, mayMiss = 0, service = this.drawService() }: JobSpec): Promise<void> {
+  async submit ({ plan, tasks, mayMiss = 0, service = this.drawService(), queue }: JobSpec): Promise<void> {
     const id = Array.from({ length: ID_DIGITS }, () => Math.floor(this.random() * 16).toString(16)).join('')
-    const job: SubmittedJob = { id, plan, tasks, service, accepted: false, refused: true, cancelled: false, state: undefined }
+    const named = this.queues.find(({ name }) => name === queue)
+    const where = named === undefined ? { service } : { service: named.service, queue: named.name, ...(named.account === undefined ? {} : { account: named.account }) }
+    const job: SubmittedJob = { id, plan, tasks, ...where, accepted: false, refused: true, cancelled: false, state: undefined }
     this.jobs.push(job)
     const { cpu, memMb, runMs } = plan
     const body = { spec: JSON.stringify(plan), steps: [{ count: tasks, cpu, memMb, estimateMs: runMs, ...(runMs === 0 ? { longRunning: true, mayMiss } : {}) }] }
@@ -140,13 +158,13 @@
     return this.queues[Math.floor(this.random() * this.queues.length)]?.service ?? ''
   }
 
-  private async call (method: 'GET' | 'POST' | 'DELETE', { id, service }: SubmittedJob, body?: unknown): Promise<{ status: number, body: Record<string, unknown> } | undefined> {
+  private async call (method: 'GET' | 'POST' | 'DELETE', { id, service, queue, account }: SubmittedJob, body?: unknown): Promise<{ status: number, body: Record<string, unknown> } | undefined> {
     const entry = this.entries[Math.floor(this.random() * this.entries.length)]
-    const path = this.queues.find(queue => queue.service === service)?.path ?? '/'
+    const path = this.queues.find(each => queue === undefined ? each.service === service : each.name === queue)?.path ?? '/'
     try {
       const response = await request(`http://${entry?.ip ?? ''}:${ports.callers}${path}${id}`, {
         method,
-        headers: { host: QUEUE_HOST, 'content-type': 'application/json', 'wisteriaslip-deadline-ms': String(CALL_TIMEOUT_MS) },
+        headers: { host: QUEUE_HOST, 'content-type': 'application/json', 'wisteriaslip-deadline-ms': String(CALL_TIMEOUT_MS), ...(account === undefined ? {} : { authorization: `Bearer ${account.key}` }) },
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
         ...(body === undefined ? {} : { body: JSON.stringify(body) })
       })
--- a/testing/soak/src/check.ts
+++ b/testing/soak/src/check.ts
@@ -1,9 +1,10 @@
+import { AccountUse } from './account-use.ts'
 import type { SubmittedJob } from './callers.ts'
 import type { RunRecord } from './run-log.ts'
 
 /** A promise that was broken, with the runs that show it. */
 export interface Violation {
-  readonly rule: 'twice at once' | 'twice after its end' | 'more attempts than allowed' | 'unasked' | 'refused' | 'lost' | 'too many in maintenance' | 'wave completed early'
+  readonly rule: 'twice at once' | 'twice after its end' | 'more attempts than allowed' | 'unasked' | 'refused' | 'lost' | 'over quota' | 'too many in maintenance' | 'wave completed early'
   readonly task: string
   readonly runs: readonly RunRecord[]
   readonly details: string
@@ -20,10 +21,11 @@
   const jobsById = new Map(jobs.map(job => [job.id, job]))
   const runsByTask = new Map<string, RunRecord[]>()
   for (const run of runs) runsByTask.set(run.task, [...runsByTask.get(run.task) ?? [], run])
-  return [...runsByTask].flatMap(([task, ofTask]) => {
+  const overQuota = new AccountUse(runs, jobs).startsOverQuota().map((run): Violation => ({ rule: 'over quota', task: run.task, runs: [run], details: '' }))
+  return [...overQuota, ...[...runsByTask].flatMap(([task, ofTask]) => {
     const job = jobsById.get(jobOf(task))
     return [...checkOnce(task, ofTask), ...checkAttempts(task, ofTask, job, attempts), ...checkOrigin(task, ofTask, job)]
-  })
+  })]
 }
 
 function jobOf (task: string): string {
--- a/testing/soak/src/leaders-lost.ts
+++ b/testing/soak/src/leaders-lost.ts
@@ -1,4 +1,5 @@
 import { delay } from '@wisteriaslip/core.result'
+import type { Traffic } from './callers.ts'
 import { Dice, hold, indices } from './dice.ts'
 import { HOLD, LASTING, longTasks, type Scenario } from './scenario.ts'
 import type { SoakSite } from './site.ts'
@@ -10,6 +11,11 @@
 const POOLS = [{ name: SERVICE, vms: 8 }, { name: 'index', vms: 2 }]
 const LONGEST_LEASE_MS = 10_000
 const LASTING_JOBS = [{ service: SERVICE, plan: LASTING, tasks: 8, mayMiss: 1 }, { service: SERVICE, plan: LASTING, tasks: 3 }]
+/** A queue of a client account whose jobs ask for more than its quota, and one that goes to another service and back. */
+const ACCOUNT = { name: 'press', key: 'key-of-press', quota: { cpu: 2_000, memMb: 4_000 } }
+const QUEUES = [{ name: 'press', service: SERVICE, account: ACCOUNT }, { name: 'moving', service: SERVICE }]
+const JOBS_OF_QUEUES = QUEUES.map(({ name }) => ({ queue: name, plan: LASTING, tasks: 2, mayMiss: 1 }))
+const ACCOUNT_SHARE = 0.5
 const FINISH_MS = 25_000
 const ROUNDS = 2
 const WARM_UP_MS = 6_000
@@ -34,7 +40,7 @@
  * @returns the scenario
  */
 export function allEntriesDown (seed: number): Scenario {
-  return rounds(seed, 3, async (site, dice, signal) => {
+  return rounds(seed, { entries: 3 }, async (site, dice, signal) => {
     loseForGood(byLastingRuns(site).slice(0, LOST_PER_ROUND), dice)
     await delay(dice.below(MAX_KILL_LAG_MS), signal)
     await Promise.all(site.entries.map(async entry => { await entry.restart(0, ENTRIES_DOWN_MS, signal) }))
@@ -43,12 +49,13 @@
 
 /**
  * Half of a service's workers, those with tasks that last, are cut off from all entries, one of them goes for good, and three leaders of
- * the service are killed one after the other meanwhile, each soon after its term has begun.
+ * the service are killed one after the other meanwhile, each soon after its term has begun. Between two of them a queue with tasks
+ * that last goes to another service; an account with more work than its quota has some in the first one.
  * @param seed - decides about workers and times
  * @returns the scenario
  */
 export function leadersInTurn (seed: number): Scenario {
-  return rounds(seed, 4, async (site, dice, signal) => {
+  return rounds(seed, { entries: 4, queues: QUEUES, lastingJobs: [...LASTING_JOBS, ...JOBS_OF_QUEUES], traffic: withAccount }, async (site, dice, signal) => {
     const hosts = byLastingRuns(site)
     const cut = hosts.slice(0, Math.ceil(hosts.length * CUT_SHARE))
     const links = cut.flatMap(host => indices(site.entries).map(entry => site.toWorker(entry, site.hosts.indexOf(host))))
@@ -57,7 +64,10 @@
     const restarts: Array<Promise<void>> = []
     let token = -1
     for (let count = 0; count < LEADERS_KILLED; count++) {
-      if (count === 1) loseForGood(cut.slice(0, 1), dice)
+      if (count === 1) {
+        loseForGood(cut.slice(0, 1), dice)
+        site.moveQueue('moving', site.queues.some(({ name, service }) => name === 'moving' && service === SERVICE) ? 'index' : SERVICE)
+      }
       token = await awaitTerm(site, token, signal)
       await delay(dice.below(MAX_TERM_MS), signal)
       restarts.push(site.entries[site.leader(RESOURCE) ?? -1]?.restart(0, MIN_LEADER_DOWN_MS + dice.below(MAX_SUCCESSION_MS), signal) ?? Promise.resolve())
@@ -67,14 +77,20 @@
   })
 }
 
-function rounds (seed: number, entries: number, play: (site: SoakSite, dice: Dice, signal: AbortSignal) => Promise<void>): Scenario {
+/** Jobs of one task each, half of them of the account. */
+const withAccount: Traffic = {
+  everyMs: 500,
+  next: random => ({ ...longTasks.next(random), ...(random() < ACCOUNT_SHARE ? { queue: ACCOUNT.name } : {}) })
+}
+
+function rounds (seed: number, opts: Pick<Scenario, 'entries'> & Partial<Scenario>, play: (site: SoakSite, dice: Dice, signal: AbortSignal) => Promise<void>): Scenario {
   return {
-    entries,
     pools: POOLS,
     longestLeaseMs: LONGEST_LEASE_MS,
     traffic: longTasks,
     lastingJobs: LASTING_JOBS,
     finishMs: FINISH_MS,
+    ...opts,
     async run (site, signal) {
       const dice = new Dice(seed)
       await delay(WARM_UP_MS, signal)
--- a/testing/soak/src/play.ts
+++ b/testing/soak/src/play.ts
@@ -49,7 +49,7 @@
  * @throws when the site does not start
  */
 export async function play (scenario: Scenario, opts: { seed: number, folder: string, binary: string | undefined, signal: AbortSignal }): Promise<PlayResult> {
-  const site = await SoakSite.start({ ...opts, entries: scenario.entries, pools: scenario.pools, longestLeaseMs: scenario.longestLeaseMs ?? LONGEST_LEASE_MS })
+  const site = await SoakSite.start({ ...opts, entries: scenario.entries, pools: scenario.pools, ...(scenario.queues === undefined ? {} : { queues: scenario.queues }), longestLeaseMs: scenario.longestLeaseMs ?? LONGEST_LEASE_MS })
   const closed = new AbortController()
   try {
     const callers = new Callers(site, seededRandom(opts.seed + 1))
--- a/testing/soak/src/scenario.ts
+++ b/testing/soak/src/scenario.ts
@@ -1,7 +1,7 @@
 import { delay } from '@wisteriaslip/core.result'
 import type { JobSpec, Traffic } from './callers.ts'
 import type { LinkFault } from './fault-proxy.ts'
-import type { SoakSite } from './site.ts'
+import type { QueueSpec, SoakSite } from './site.ts'
 import type { Pool } from './worker-host.ts'
 import type { TaskPlan } from './worker.ts'
 
@@ -9,6 +9,8 @@
 export interface Scenario {
   readonly entries: number
   readonly pools: readonly Pool[]
+  /** Queues beside the one of each service. */
+  readonly queues?: readonly QueueSpec[]
   /** Longest lease of a worker in milliseconds; 6 s by default. */
   readonly longestLeaseMs?: number
   readonly traffic: Traffic
--- a/testing/soak/src/site.ts
+++ b/testing/soak/src/site.ts
@@ -17,11 +17,16 @@
 const LEADER_KEY_PREFIX = 'wisteriaslip/leaders/'
 const MEMBER_KEY_PREFIX = 'wisteriaslip/members/'
 
+/** A queue beside those of the services. */
+export type QueueSpec = Omit<Queue, 'path'>
+
 /** Options of {@link SoakSite.start}. */
 export interface SiteOpts {
   readonly seed: number
   readonly entries: number
   readonly pools: readonly Pool[]
+  /** Queues beside the one of each service. */
+  readonly queues?: readonly QueueSpec[]
   /** Longest lease of a worker, in milliseconds. */
   readonly longestLeaseMs: number
   /** Folder for settings and logs. */
@@ -41,17 +46,19 @@
   readonly random: () => number
   readonly storeServer: StoreServer
   readonly vmPlatform: VmPlatform
-  /** One queue for each service. */
+  /** One queue for each service, then those beside them. */
   readonly queues: readonly Queue[]
   private readonly addresses: Addresses
   private readonly pools: readonly Pool[]
   private readonly links = new Map<string, FaultProxy>()
+  private version = 0
 
-  private constructor ({ seed, pools }: SiteOpts, addresses: Addresses) {
+  private constructor ({ seed, pools, queues = [] }: SiteOpts, addresses: Addresses) {
     this.random = seededRandom(seed)
     this.addresses = addresses
     this.pools = pools
-    this.queues = pools.filter(pool => pool.standby !== true).map(({ name }) => ({ service: name, path: `/q-${name}/` }))
+    const ofServices = pools.filter(pool => pool.standby !== true).map(({ name }) => ({ name: `q-${name}`, service: name }))
+    this.queues = [...ofServices, ...queues].map(queue => ({ ...queue, path: `/${queue.name}/` }))
     this.storeServer = new StoreServer(this.store, addresses, this.random)
     this.vmPlatform = new VmPlatform(this.hosts, pools, this.store)
     this.store.subscribe(() => this.recordTerms())
@@ -111,7 +118,24 @@
 
   /** @returns what needs a leader */
   resources (): string[] {
-    return ['fleet', ...this.queues.map(({ service }) => `service/${service}`)]
+    return ['fleet', ...this.pools.filter(pool => pool.standby !== true).map(({ name }) => `service/${name}`)]
+  }
+
+  /** Moves a queue to another service by a change of the configuration. */
+  moveQueue (name: string, service: string): void {
+    for (const queue of this.queues) if (queue.name === name) queue.service = service
+    this.configure()
+  }
+
+  /** Writes the next version of the configuration. */
+  private configure (): void {
+    this.version += 1
+    const accounts = this.queues.flatMap(({ account }) => account ?? [])
+    const routes = this.queues.map(({ name, service, path, account }) => ({ name, host: QUEUE_HOST, prefix: path, service, timeoutMs: 5_000, sloMs: 2_000, priority: 0, attempts: ATTEMPTS, stretch: 2, ...(accounts.length > 0 && account === undefined ? { public: true } : {}) }))
+    const services = this.pools.map(({ name, standby = false }) => ({ name, enforcesCapacity: true, standby }))
+    const tenants = accounts.map(({ name, key, quota }) => ({ name, apiKeys: [key], weight: 1, cap: { ...quota, gpu: 0 } }))
+    const config = { version: this.version, routes, services, limits: {}, ...(tenants.length > 0 ? { tenants } : {}) }
+    this.store.commit({ expected: [], puts: [{ key: 'op/config', value: JSON.stringify(config), lease: 0 }], removes: [] })
   }
 
   /**
@@ -151,10 +175,7 @@
     const { addresses, store, log, random } = this
     const { hosts } = addresses
     await mkdir(folder, { recursive: true })
-    const routes = this.queues.map(({ service, path }) => ({ name: `q-${service}`, host: QUEUE_HOST, prefix: path, service, timeoutMs: 5_000, sloMs: 2_000, priority: 0, attempts: ATTEMPTS, stretch: 2 }))
-    const services = this.pools.map(({ name, standby = false }) => ({ name, enforcesCapacity: true, standby }))
-    const config = { version: 1, routes, services, limits: {} }
-    store.commit({ expected: [], puts: [{ key: 'op/config', value: JSON.stringify(config), lease: 0 }], removes: [] })
+    this.configure()
     await listen(this.storeServer.server, ports.store, addresses.ip(hosts.store))
     await listen(this.vmPlatform.server, ports.store, addresses.ip(hosts.vmList))
     for (const [index, pool] of pools.flatMap(pool => Array.from({ length: pool.vms }, () => pool)).entries()) {
--- a/testing/soak/src/worker-room.ts
+++ b/testing/soak/src/worker-room.ts
@@ -1,3 +1,4 @@
+import { AccountUse } from './account-use.ts'
 import type { SubmittedJob } from './callers.ts'
 import type { RunRecord, Size, WorkerLife } from './run-log.ts'
 import type { TaskPlan } from './worker.ts'
@@ -8,11 +9,13 @@
 /** Room of workers, by what ran on them. */
 export class WorkerRoom {
   private readonly lives: readonly WorkerLife[]
+  private readonly accounts: AccountUse
   private readonly runs = new Map<string, Array<{ readonly run: RunRecord, readonly plan: TaskPlan }>>()
 
-  /** @param seen - the workers, and all that ran on them */
-  constructor ({ lives, runs }: { lives: readonly WorkerLife[], runs: readonly RunRecord[] }) {
+  /** @param seen - the workers, all that ran on them, and the jobs */
+  constructor ({ lives, runs, jobs }: { lives: readonly WorkerLife[], runs: readonly RunRecord[], jobs: readonly SubmittedJob[] }) {
     this.lives = lives
+    this.accounts = new AccountUse(runs, jobs)
     for (const run of runs) {
       const ofLife = this.runs.get(lifeKey(run)) ?? []
       ofLife.push({ run, plan: JSON.parse(run.spec) as TaskPlan })
@@ -20,9 +23,9 @@
     }
   }
 
-  /** @returns how many more runs of the job's tasks fit on the workers that are up and have not announced that they leave */
+  /** @returns how many more runs of the job's tasks fit on the workers that are up and have not announced that they leave, and into its account's quota */
   runsThatFit (job: SubmittedJob, at: number): number {
-    return this.fitting(job, at).reduce((sum, { count }) => sum + count, 0)
+    return Math.min(this.accounts.runsThatFit(job, at), this.fitting(job, at).reduce((sum, { count }) => sum + count, 0))
   }
 
   /** @returns which workers they fit on */
